--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+.PHONY: setup demo test lint format lock bench explore slopes schema
+
+PYTHON_TREES = packages tests tools
+SEEDS ?= 200
+
+setup:
+	@tools/setup >/dev/null
+
+demo:
+	@tools/run python -m tools.demo
+
+test: lint
+	@tools/run pytest -n 4
+
+lint:
+	@tools/run ruff format --check $(PYTHON_TREES)
+	@tools/run ruff check $(PYTHON_TREES)
+	@tools/run flake8 $(PYTHON_TREES)
+
+format:
+	@tools/run ruff format $(PYTHON_TREES)
+	@tools/run ruff check --fix $(PYTHON_TREES)
+
+lock:
+	@tools/lock
--- /dev/null
+++ b/packages/cassiashift-cli/cassiashift_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of cassiashift."""
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/hashing.py
@@ -0,0 +1,23 @@
+"""Stable hashes and rendezvous ranking.
+
+Rendezvous hashing: Thaler and Ravishankar, "Using name-based mappings to
+increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def stable_hash(*parts: str) -> int:
+    """Return a 64-bit hash that is equal on every host and run."""
+    return xxhash.xxh3_64_intdigest('\x1f'.join(parts))
+
+
+def rendezvous(key: str, candidates: Iterable[str]) -> list[str]:
+    """Rank candidates for a key; removal of one moves no other."""
+    return sorted(
+        candidates,
+        key=lambda name: (stable_hash(key, name), name),
+        reverse=True,
+    )
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of cassiashift: the roles entry and agent."""
--- /dev/null
+++ b/packages/cassiashift-net/cassiashift_net/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, links and HTTP surfaces of cassiashift."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Side programs of the repository."""
