Add the replicated state machine and the ledger

Cause: manifests, drains and non-idempotent calls need one order. Change: commands with a codec, a state machine with compare-and-set on the revision, remembered answers by request id, and a ledger of calls by workspace and key.

--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/state/__init__.py
@@ -0,0 +1,39 @@
+"""The replicated state: manifest, drains and the ledger of calls."""
+
+from cassiashift_core.state.commands import ApplyManifest
+from cassiashift_core.state.commands import CloseCall
+from cassiashift_core.state.commands import CODEC
+from cassiashift_core.state.commands import OpenCall
+from cassiashift_core.state.commands import SetDrain
+from cassiashift_core.state.ledger import CallRecord
+from cassiashift_core.state.ledger import CallState
+from cassiashift_core.state.ledger import Ledger
+from cassiashift_core.state.machine import Shared
+from cassiashift_core.state.machine import StateMachine
+from cassiashift_core.state.results import Accepted
+from cassiashift_core.state.results import CallInDoubt
+from cassiashift_core.state.results import CallOpened
+from cassiashift_core.state.results import CallRecorded
+from cassiashift_core.state.results import Conflict
+from cassiashift_core.state.results import KeyReused
+from cassiashift_core.state.results import Rejected
+
+__all__ = [
+    'CODEC',
+    'Accepted',
+    'ApplyManifest',
+    'CallInDoubt',
+    'CallOpened',
+    'CallRecord',
+    'CallRecorded',
+    'CallState',
+    'CloseCall',
+    'Conflict',
+    'KeyReused',
+    'Ledger',
+    'OpenCall',
+    'Rejected',
+    'SetDrain',
+    'Shared',
+    'StateMachine',
+]
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/state/commands.py
@@ -0,0 +1,77 @@
+"""Commands that go through the log, and the codec for them."""
+
+import attrs
+
+from cassiashift_core import codec
+from cassiashift_core import verdicts
+
+CODEC = codec.Codec()
+
+
+@attrs.frozen
+class ApplyManifest:
+    """Replace the manifest if the revision is still the expected one.
+
+    Attributes:
+        request_id: a resend with the same id gets the first answer.
+        expected_revision: the revision that the operator has seen.
+        manifest: the manifest as JSON.
+        operator: who asked.
+    """
+
+    request_id: str
+    expected_revision: int
+    manifest: bytes
+    operator: str = ''
+
+
+@attrs.frozen
+class SetDrain:
+    """Mark an upstream or entry as draining, or end that."""
+
+    request_id: str
+    target: str
+    draining: bool
+    operator: str = ''
+
+
+@attrs.frozen
+class OpenCall:
+    """Record the intent to send a non-idempotent call.
+
+    Attributes:
+        digest: SHA-256 of method, path and body, in hex.
+        at_s: wall-clock time at the proposer, for the key's retention.
+        retention_s: seconds for which the key is kept after ``at_s``.
+    """
+
+    workspace: str
+    key: str
+    digest: str
+    attempt: str
+    upstream: str
+    at_s: float
+    retention_s: float
+
+
+@attrs.frozen
+class CloseCall:
+    """Record the outcome of an attempt of a non-idempotent call.
+
+    ``status``, ``content_type`` and ``body`` hold the answer when the
+    verdict is ``RAN``.
+    """
+
+    workspace: str
+    key: str
+    attempt: str
+    verdict: verdicts.Verdict
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
+
+
+CODEC.register('apply', ApplyManifest)
+CODEC.register('drain', SetDrain)
+CODEC.register('open', OpenCall)
+CODEC.register('close', CloseCall)
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/state/machine.py
@@ -0,0 +1,150 @@
+"""The state machine that every voter applies the log to."""
+
+import functools
+from typing import Any
+
+import attrs
+import msgspec
+
+from cassiashift_core import codec
+from cassiashift_core import manifest
+from cassiashift_core.state import commands
+from cassiashift_core.state import ledger
+from cassiashift_core.state import results
+
+REMEMBERED_REQUESTS = 10_000
+EXPIRY_INTERVAL_COMMANDS = 256
+
+
+@attrs.define
+class Shared:
+    """The part of the state that every process holds.
+
+    Attributes:
+        revision: log index of the last change of configuration.
+        manifest: the manifest in force as JSON; empty before the first.
+        drains: ids of draining upstreams and entries.
+    """
+
+    revision: int = 0
+    manifest: bytes = b''
+    drains: set[str] = attrs.field(factory=set)
+
+    def encode(self) -> bytes:
+        """Return the shared state as bytes."""
+        return msgspec.msgpack.encode(self, order='deterministic')
+
+    @classmethod
+    def decode(cls, data: bytes) -> 'Shared':
+        """Return the shared state that ``encode`` gave as bytes."""
+        return msgspec.msgpack.decode(data, type=cls)
+
+
+@attrs.define
+class _Saved:
+    """The layout of a snapshot."""
+
+    shared: Shared
+    calls: ledger.Ledger
+    answers: list[tuple[str, bytes]]
+    applied: int
+    commands_applied: int
+
+
+@attrs.define
+class StateMachine:
+    """Applies commands in log order; equal logs give equal states."""
+
+    shared: Shared = attrs.field(factory=Shared)
+    calls: ledger.Ledger = attrs.field(factory=ledger.Ledger)
+    applied: int = 0
+    _answers: dict[str, bytes] = attrs.field(factory=dict)
+    _commands_applied: int = 0
+
+    def apply(self, index: int, data: bytes) -> Any:
+        """Apply one committed command and return its result."""
+        self.applied = index
+        self._commands_applied += 1
+        if self._commands_applied % EXPIRY_INTERVAL_COMMANDS == 0:
+            self.calls.expire()
+        try:
+            command = commands.CODEC.decode(data)
+        except codec.DecodeError as exc:
+            return results.Rejected(str(exc))
+        return self._apply(command, index)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes."""
+        saved = _Saved(
+            shared=self.shared,
+            calls=self.calls,
+            answers=list(self._answers.items()),
+            applied=self.applied,
+            commands_applied=self._commands_applied,
+        )
+        return msgspec.msgpack.encode(saved, order='deterministic')
+
+    @classmethod
+    def from_snapshot(cls, data: bytes) -> 'StateMachine':
+        """Return the state that ``snapshot`` gave as bytes."""
+        saved = msgspec.msgpack.decode(data, type=_Saved)
+        return cls(
+            shared=saved.shared,
+            calls=saved.calls,
+            applied=saved.applied,
+            answers=dict(saved.answers),
+            commands_applied=saved.commands_applied,
+        )
+
+    @functools.singledispatchmethod
+    def _apply(self, command: Any, index: int) -> Any:
+        raise TypeError(f'no such command: {type(command).__name__}')
+
+    @_apply.register
+    def _(self, command: commands.ApplyManifest, index: int) -> Any:
+        known = self._answers.get(command.request_id)
+        if known is not None:
+            return results.CODEC.decode(known)
+        result = self._applied_manifest(command, index)
+        self._remember(command.request_id, result)
+        return result
+
+    @_apply.register
+    def _(self, command: commands.SetDrain, index: int) -> Any:
+        known = self._answers.get(command.request_id)
+        if known is not None:
+            return results.CODEC.decode(known)
+        if command.draining:
+            self.shared.drains.add(command.target)
+        else:
+            self.shared.drains.discard(command.target)
+        self.shared.revision = index
+        result = results.Accepted(index)
+        self._remember(command.request_id, result)
+        return result
+
+    @_apply.register
+    def _(self, command: commands.OpenCall, index: int) -> Any:
+        return self.calls.open(command)
+
+    @_apply.register
+    def _(self, command: commands.CloseCall, index: int) -> Any:
+        return self.calls.close(command)
+
+    def _applied_manifest(
+        self, command: commands.ApplyManifest, index: int
+    ) -> results.Accepted | results.Conflict | results.Rejected:
+        if command.expected_revision != self.shared.revision:
+            return results.Conflict(self.shared.revision)
+        try:
+            msgspec.json.decode(command.manifest, type=manifest.Manifest)
+        except msgspec.DecodeError as exc:
+            return results.Rejected(str(exc))
+        self.shared.manifest = command.manifest
+        self.shared.revision = index
+        return results.Accepted(index)
+
+    def _remember(self, request_id: str, result: Any) -> None:
+        self._answers[request_id] = results.CODEC.encode(result)
+        while len(self._answers) > REMEMBERED_REQUESTS:
+            del self._answers[next(iter(self._answers))]
