--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/admission/__init__.py
@@ -0,0 +1,27 @@
+"""Admission: who may start a call, in which order, and who is refused."""
+
+from cassiashift_core.admission.gate import Admission
+from cassiashift_core.admission.model import AdmissionConfig
+from cassiashift_core.admission.model import AdmissionRequest
+from cassiashift_core.admission.model import Admitted
+from cassiashift_core.admission.model import Queued
+from cassiashift_core.admission.model import Refused
+from cassiashift_core.admission.model import WorkspaceLimits
+from cassiashift_core.admission.shares import DemandSummary
+from cassiashift_core.admission.shares import ShareGranter
+from cassiashift_core.admission.shares import ShareHolder
+from cassiashift_core.admission.shares import ShareLease
+
+__all__ = [
+    'Admission',
+    'AdmissionConfig',
+    'AdmissionRequest',
+    'Admitted',
+    'DemandSummary',
+    'Queued',
+    'Refused',
+    'ShareGranter',
+    'ShareHolder',
+    'ShareLease',
+    'WorkspaceLimits',
+]
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/admission/gate.py
@@ -0,0 +1,340 @@
+"""The gate of an entry: admits, queues or refuses calls.
+
+Each pool (a model or a service) has its own capacity and fair queue, so
+one model's overload does not hold back another. A call that the gate gives
+up on is refused at once, with the time after which to come back.
+"""
+
+import math
+from typing import Any
+from typing import Self
+
+import attrs
+
+from cassiashift_core.admission import fair_queue
+from cassiashift_core.admission import limits
+from cassiashift_core.admission import model
+from cassiashift_core import errors
+from cassiashift_core import hashing
+
+ErrorCode = errors.ErrorCode
+_HASH_SPAN = 2.0**64
+
+
+@attrs.define
+class _ServiceRate:
+    """Tokens that a pool completes each second while calls wait."""
+
+    window_s: float
+    tokens_per_s: float | None = None
+    _since: float | None = None
+    _tokens: float = 0.0
+
+    def record(self, tokens: float, saturated: bool, now: float) -> None:
+        """Count completed tokens."""
+        if not saturated:
+            self._since = None
+            return
+        if self._since is None:
+            self._since = now
+            self._tokens = 0.0
+            return
+        self._tokens += tokens
+        elapsed = now - self._since
+        if elapsed < self.window_s / 10:
+            return
+        sample = self._tokens / elapsed
+        if self.tokens_per_s is None:
+            self.tokens_per_s = sample
+        else:
+            share = 1 - math.exp(-elapsed / self.window_s)
+            self.tokens_per_s += share * (sample - self.tokens_per_s)
+        self._since = now
+        self._tokens = 0.0
+
+
+@attrs.define
+class _Pool:
+    """Calls of one model or service."""
+
+    capacity: int
+    rate: _ServiceRate
+    in_flight: int = 0
+    queue: fair_queue.FairQueue = attrs.field(factory=fair_queue.FairQueue)
+
+    def wait_s(self, req: model.AdmissionRequest) -> float:
+        """Estimate how long a new call would wait for its turn."""
+        tokens = self.queue.tokens_before(req)
+        if not tokens or not self.rate.tokens_per_s:
+            return 0.0
+        return tokens / self.rate.tokens_per_s
+
+
+@attrs.define
+class Admission:
+    """Admission of one entry.
+
+    Call ``expire`` and ``admit_ready`` several times a second: the first
+    gives up on calls that can no longer be served in time, the second
+    starts calls whose workspace's rate has room again.
+    """
+
+    cfg: model.AdmissionConfig
+    _pools: dict[str, _Pool] = attrs.field(factory=dict, init=False)
+    _meters: dict[str, limits.WorkspaceMeter] = attrs.field(
+        factory=dict, init=False
+    )
+    _running: dict[str, model.AdmissionRequest] = attrs.field(
+        factory=dict, init=False
+    )
+
+    @classmethod
+    def from_config(cls, cfg: Any = None) -> Self:
+        """Return an empty gate for an ``AdmissionConfig``."""
+        return cls(cfg or model.AdmissionConfig())
+
+    def set_capacity(
+        self, pool: str, calls: int, now: float
+    ) -> list[model.Admitted]:
+        """Set the calls in progress of a pool; return those that start."""
+        state = self._pool(pool)
+        state.capacity = calls
+        return self._start_waiting(state, now)
+
+    def set_limits(
+        self, workspace: str, share: model.WorkspaceLimits, now: float
+    ) -> None:
+        """Put this entry's share of a workspace's limits in force."""
+        meter = self._meters.get(workspace)
+        if meter is None:
+            self._meters[workspace] = limits.WorkspaceMeter(share)
+        else:
+            meter.update(share, now)
+
+    def forget_workspace(self, workspace: str) -> None:
+        """Drop the limits of a workspace that no longer exists."""
+        meter = self._meters.get(workspace)
+        if meter is not None and meter.in_flight == 0:
+            del self._meters[workspace]
+
+    @property
+    def in_flight(self) -> int:
+        """Return the calls in progress."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Return the waiting calls."""
+        return sum(pool.queue.count for pool in self._pools.values())
+
+    @property
+    def queued_bytes(self) -> int:
+        """Return the bytes of the bodies of waiting calls."""
+        return sum(pool.queue.total_bytes for pool in self._pools.values())
+
+    def offer(
+        self, req: model.AdmissionRequest, now: float
+    ) -> model.Admitted | model.Queued | model.Refused:
+        """Decide about a new call."""
+        pool = self._pool(req.pool)
+        meter = self._meter(req.workspace)
+        if self._starts_at_once(pool, meter, req, now):
+            return self._start(pool, fair_queue.Waiting(req, now), now)
+        limit_wait = self._limit_wait(pool, meter, req, now)
+        wait = max(limit_wait, pool.wait_s(req))
+        refused = self._refuse_early(req, limit_wait, wait, now)
+        if refused is not None:
+            return refused
+        if self._too_large(req):
+            return self._refusal(req, ErrorCode.OVERLOADED, wait, 'too large')
+        pool.queue.push(fair_queue.Waiting(req, now), meter.limits.weight)
+        evicted = self._push_out()
+        for refusal in evicted:
+            if refusal.request_id == req.request_id:
+                return refusal
+        return model.Queued(req.request_id, wait, evicted)
+
+    def release(
+        self, request_id: str, used_tokens: float, now: float
+    ) -> list[model.Admitted]:
+        """Count the end of a call; return the calls that start now."""
+        req = self._running.pop(request_id, None)
+        if req is None:
+            return []
+        pool = self._pool(req.pool)
+        correction = used_tokens - req.tokens
+        pool.in_flight -= 1
+        pool.rate.record(used_tokens, pool.queue.count > 0, now)
+        pool.queue.settle(req.workspace, correction)
+        self._meter(req.workspace).finish(correction, now)
+        return self._start_waiting(pool, now)
+
+    def cancel(self, request_id: str) -> bool:
+        """Remove a waiting call whose caller left; tell if it waited."""
+        for pool in self._pools.values():
+            found = list(
+                pool.queue.drop(
+                    lambda waiting: waiting.req.request_id == request_id
+                )
+            )
+            if found:
+                return True
+        return False
+
+    def admit_ready(self, now: float) -> list[model.Admitted]:
+        """Return the waiting calls that rates and capacity now allow."""
+        admitted: list[model.Admitted] = []
+        for pool in self._pools.values():
+            admitted.extend(self._start_waiting(pool, now))
+        return admitted
+
+    def expire(self, now: float) -> list[model.Refused]:
+        """Give up on calls that can no longer be served in time."""
+        refused = []
+        for pool in self._pools.values():
+            for waiting in pool.queue.drop(
+                lambda waiting: self._is_late(waiting, now)
+            ):
+                refused.append(self._expired(pool, waiting, now))
+        return refused
+
+    def _pool(self, name: str) -> _Pool:
+        pool = self._pools.get(name)
+        if pool is None:
+            rate = _ServiceRate(self.cfg.rate_window_s)
+            pool = _Pool(self.cfg.capacity, rate)
+            self._pools[name] = pool
+        return pool
+
+    def _meter(self, workspace: str) -> limits.WorkspaceMeter:
+        meter = self._meters.get(workspace)
+        if meter is None:
+            meter = limits.WorkspaceMeter(model.WorkspaceLimits())
+            self._meters[workspace] = meter
+        return meter
+
+    @staticmethod
+    def _starts_at_once(
+        pool: _Pool,
+        meter: limits.WorkspaceMeter,
+        req: model.AdmissionRequest,
+        now: float,
+    ) -> bool:
+        if pool.in_flight >= pool.capacity:
+            return False
+        if pool.queue.has_waiting(req.workspace):
+            return False
+        if req.deadline is not None and now + req.service_s > req.deadline:
+            return False
+        return meter.may_start(now)
+
+    @staticmethod
+    def _limit_wait(
+        pool: _Pool,
+        meter: limits.WorkspaceMeter,
+        req: model.AdmissionRequest,
+        now: float,
+    ) -> float:
+        wait = meter.wait_s(now)
+        ahead = pool.queue.tokens_waiting(req.workspace)
+        rate = meter.limits.tokens_per_second
+        return wait + (ahead / rate if rate > 0 else 0.0)
+
+    def _refuse_early(
+        self,
+        req: model.AdmissionRequest,
+        limit_wait: float,
+        wait: float,
+        now: float,
+    ) -> model.Refused | None:
+        deadline = math.inf if req.deadline is None else req.deadline
+        if now + wait + req.service_s > deadline:
+            code = ErrorCode.DEADLINE_EXCEEDED
+            return self._refusal(req, code, wait, 'cannot meet the deadline')
+        if limit_wait > self.cfg.max_wait_s:
+            code = ErrorCode.LIMIT_EXCEEDED
+            return self._refusal(req, code, wait, 'workspace limit')
+        if wait > self.cfg.max_wait_s:
+            code = ErrorCode.OVERLOADED
+            return self._refusal(req, code, wait, 'queue too long')
+        return None
+
+    def _too_large(self, req: model.AdmissionRequest) -> bool:
+        return req.body_bytes > self.cfg.max_queued_bytes
+
+    def _push_out(self) -> tuple[model.Refused, ...]:
+        """Refuse calls of the longest queues until the bounds hold."""
+        evicted = []
+        while self._over_bounds():
+            largest = max(
+                (other for other in self._pools.values() if other.queue.count),
+                key=lambda other: other.queue.longest()[1],
+            )
+            workspace, _ = largest.queue.longest()
+            waiting = largest.queue.drop_last(workspace)
+            wait = largest.wait_s(waiting.req)
+            evicted.append(
+                self._refusal(
+                    waiting.req, ErrorCode.OVERLOADED, wait, 'queue full'
+                )
+            )
+        return tuple(evicted)
+
+    def _over_bounds(self) -> bool:
+        return (
+            self.queued > self.cfg.max_queued
+            or self.queued_bytes > self.cfg.max_queued_bytes
+        )
+
+    def _start_waiting(self, pool: _Pool, now: float) -> list[model.Admitted]:
+        admitted = []
+        while pool.in_flight < pool.capacity:
+            waiting = pool.queue.pop(
+                lambda workspace: self._meter(workspace).may_start(now),
+                lambda waiting: not self._is_late(waiting, now),
+            )
+            if waiting is None:
+                break
+            admitted.append(self._start(pool, waiting, now))
+        return admitted
+
+    def _start(
+        self, pool: _Pool, waiting: fair_queue.Waiting, now: float
+    ) -> model.Admitted:
+        req = waiting.req
+        meter = self._meter(req.workspace)
+        meter.start(req.tokens, now)
+        pool.queue.charge(req.workspace, req.tokens, meter.limits.weight)
+        pool.in_flight += 1
+        self._running[req.request_id] = req
+        return model.Admitted(req.request_id, now - waiting.since)
+
+    def _is_late(self, waiting: fair_queue.Waiting, now: float) -> bool:
+        req = waiting.req
+        if now - waiting.since > self.cfg.max_wait_s:
+            return True
+        if req.deadline is None:
+            return False
+        return now + req.service_s > req.deadline
+
+    def _expired(
+        self, pool: _Pool, waiting: fair_queue.Waiting, now: float
+    ) -> model.Refused:
+        req = waiting.req
+        late = req.deadline is not None and now + req.service_s > req.deadline
+        code = ErrorCode.DEADLINE_EXCEEDED if late else ErrorCode.OVERLOADED
+        return self._refusal(req, code, pool.wait_s(req), 'waited too long')
+
+    def _refusal(
+        self,
+        req: model.AdmissionRequest,
+        code: ErrorCode,
+        wait: float,
+        reason: str,
+    ) -> model.Refused:
+        cfg = self.cfg
+        spread = hashing.stable_hash(req.request_id) / _HASH_SPAN
+        base = max(cfg.min_retry_after_s, wait)
+        after = base * (1 + cfg.retry_jitter * spread)
+        after = min(after, cfg.max_retry_after_s)
+        return model.Refused(req.request_id, code, after, reason)
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/admission/model.py
@@ -0,0 +1,113 @@
+"""Data classes of admission."""
+
+import attrs
+
+from cassiashift_core import errors
+from cassiashift_core import verdicts
+
+
+@attrs.frozen
+class AdmissionConfig:
+    """Bounds of the queues of one entry.
+
+    Attributes:
+        capacity: calls in progress for a pool until ``set_capacity``.
+        max_queued: waiting calls over all pools.
+        max_queued_bytes: bytes of the bodies of waiting calls.
+        max_wait_s: a call that would wait longer is refused at once.
+        min_retry_after_s: shortest time after which to come back.
+        max_retry_after_s: longest time after which to come back.
+        retry_jitter: share by which retry times are spread out.
+        rate_window_s: averaging time of the service rate of a pool.
+    """
+
+    capacity: int = 256
+    max_queued: int = 4096
+    max_queued_bytes: int = 64 * 1024 * 1024
+    max_wait_s: float = 1.2
+    min_retry_after_s: float = 0.5
+    max_retry_after_s: float = 30.0
+    retry_jitter: float = 0.5
+    rate_window_s: float = 5.0
+
+
+@attrs.frozen
+class WorkspaceLimits:
+    """The entry's share of a workspace's weight and limits.
+
+    Attributes:
+        weight: share of a pool relative to other workspaces.
+        requests_per_second: rate of admitted calls.
+        tokens_per_second: rate of prompt and output tokens.
+        concurrency: calls in progress.
+        burst_s: seconds of the rates that may be used at once.
+    """
+
+    weight: float = 1.0
+    requests_per_second: float = float('inf')
+    tokens_per_second: float = float('inf')
+    concurrency: float = float('inf')
+    burst_s: float = 1.0
+
+
+@attrs.frozen
+class AdmissionRequest:
+    """A call that asks for admission.
+
+    Attributes:
+        pool: the model or service whose capacity the call uses.
+        tokens: prompt tokens and expected output tokens; 1 for a service.
+        body_bytes: size of the body held while the call waits.
+        priority: the higher goes first within its workspace.
+        deadline: time at which the answer is of no more use, in seconds.
+        service_s: expected time from admission to the whole answer.
+    """
+
+    request_id: str
+    workspace: str
+    pool: str
+    tokens: int = 1
+    body_bytes: int = 0
+    priority: int = 0
+    deadline: float | None = None
+    service_s: float = 0.0
+
+
+@attrs.frozen
+class Refused:
+    """The final answer to a call that was not admitted."""
+
+    request_id: str
+    code: errors.ErrorCode
+    retry_after_s: float
+    reason: str
+    verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN
+
+    def to_error(self) -> errors.CassiashiftError:
+        """Return the refusal as an error for the caller."""
+        return errors.CassiashiftError(
+            self.code, self.reason, self.verdict, self.retry_after_s
+        )
+
+
+@attrs.frozen
+class Admitted:
+    """The call may start now."""
+
+    request_id: str
+    waited_s: float = 0.0
+
+
+@attrs.frozen
+class Queued:
+    """The call waits.
+
+    Attributes:
+        expected_wait_s: estimate of the wait.
+        evicted: waiting calls that lost their place to this one; their
+            refusals must be sent at once.
+    """
+
+    request_id: str
+    expected_wait_s: float
+    evicted: tuple[Refused, ...] = ()
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/draining/__init__.py
@@ -0,0 +1,31 @@
+"""Draining: how an upstream or an entry leaves without cutting calls."""
+
+from cassiashift_core.draining.entry import EntryDrain
+from cassiashift_core.draining.model import CloseIdleConnections
+from cassiashift_core.draining.model import DrainConfig
+from cassiashift_core.draining.model import DrainEffect
+from cassiashift_core.draining.model import DrainEvent
+from cassiashift_core.draining.model import End
+from cassiashift_core.draining.model import InFlightChanged
+from cassiashift_core.draining.model import LeaveDirectory
+from cassiashift_core.draining.model import RefuseNewCalls
+from cassiashift_core.draining.model import Resume
+from cassiashift_core.draining.model import StopRequested
+from cassiashift_core.draining.model import Tick
+from cassiashift_core.draining.upstream import UpstreamDrain
+
+__all__ = [
+    'CloseIdleConnections',
+    'DrainConfig',
+    'DrainEffect',
+    'DrainEvent',
+    'End',
+    'EntryDrain',
+    'InFlightChanged',
+    'LeaveDirectory',
+    'RefuseNewCalls',
+    'Resume',
+    'StopRequested',
+    'Tick',
+    'UpstreamDrain',
+]
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/draining/machine.py
@@ -0,0 +1,81 @@
+"""What the drains of entries and upstreams have in common."""
+
+import functools
+
+import attrs
+
+from cassiashift_core.draining import model
+
+
+@attrs.define(slots=False)
+class DrainMachine:
+    """Calls in progress, and the effects that a chart's actions ask for.
+
+    The chart adds ``state`` and the methods ``stop``, ``tick`` and, where
+    the chart knows it, ``resume``.
+    """
+
+    cfg: model.DrainConfig
+    in_flight: int = attrs.field(default=0, init=False)
+    _now: float = attrs.field(default=0.0, init=False)
+    _idle_since: float | None = attrs.field(default=None, init=False)
+    _effects: list[model.DrainEffect] = attrs.field(factory=list, init=False)
+
+    def handle(
+        self, event: model.DrainEvent, now: float
+    ) -> list[model.DrainEffect]:
+        """Return the effects of an event at ``now``."""
+        self._now = now
+        if self._idle_since is None and not self.in_flight:
+            self._idle_since = now
+        self._apply(event)
+        self.tick()
+        effects = self._effects
+        self._effects = []
+        return effects
+
+    @functools.singledispatchmethod
+    def _apply(self, event: model.DrainEvent) -> None:
+        """Apply one event."""
+        raise TypeError(event)
+
+    @_apply.register
+    def _(self, event: model.StopRequested) -> None:
+        self.stop()
+
+    @_apply.register
+    def _(self, event: model.Resume) -> None:
+        resume = getattr(self, 'resume', None)
+        if resume is not None:
+            resume()
+
+    @_apply.register
+    def _(self, event: model.InFlightChanged) -> None:
+        self.in_flight = event.count
+        self._idle_since = None if event.count else self._now
+
+    @_apply.register
+    def _(self, event: model.Tick) -> None:
+        pass
+
+    def quiet(self) -> bool:
+        """Tell whether nothing has been in progress for long enough."""
+        if self.in_flight or self._idle_since is None:
+            return False
+        return self._now - self._idle_since >= self.cfg.quiet_s
+
+    def leave_directory(self) -> None:
+        """Ask for the news to every directory."""
+        self._effects.append(model.LeaveDirectory())
+
+    def close_idle_connections(self) -> None:
+        """Ask for the end of idle connections."""
+        self._effects.append(model.CloseIdleConnections())
+
+    def refuse_new_calls(self) -> None:
+        """Ask for the refusal of calls that arrive from now on."""
+        self._effects.append(model.RefuseNewCalls())
+
+    def end(self) -> None:
+        """Ask for the end of the process."""
+        self._effects.append(model.End())
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the core with small stand-ins of engines."""
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/retries/__init__.py
@@ -0,0 +1,27 @@
+"""Attempts of a call: verdicts, retries, their budget, and fences."""
+
+from cassiashift_core.retries.attempts import AttemptEnd
+from cassiashift_core.retries.attempts import AttemptPlan
+from cassiashift_core.retries.attempts import CallTraits
+from cassiashift_core.retries.attempts import Decision
+from cassiashift_core.retries.attempts import RetryConfig
+from cassiashift_core.retries.attempts import verdict_of
+from cassiashift_core.retries.budget import RetryBudget
+from cassiashift_core.retries.fences import Arrival
+from cassiashift_core.retries.fences import AttemptId
+from cassiashift_core.retries.fences import FenceAnswer
+from cassiashift_core.retries.fences import FenceTable
+
+__all__ = [
+    'Arrival',
+    'AttemptEnd',
+    'AttemptId',
+    'AttemptPlan',
+    'CallTraits',
+    'Decision',
+    'FenceAnswer',
+    'FenceTable',
+    'RetryBudget',
+    'RetryConfig',
+    'verdict_of',
+]
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/routing/upstream.py
@@ -0,0 +1,230 @@
+"""What an entry knows of one upstream: its load, pace and health."""
+
+import bisect
+import math
+
+import attrs
+
+from cassiashift_core.routing import breaker
+from cassiashift_core.routing import limits
+from cassiashift_core.routing import model
+
+EWMA_SHARE = 0.2
+PROBE_SHARE = 0.8
+HISTORY_S = 10.0
+OVERDUE_MIN_S = 0.5
+MIN_RAMP = 0.1
+
+
+@attrs.define
+class Attempt:
+    """An attempt in progress.
+
+    Attributes:
+        expected_s: predicted time to the first token.
+        last_progress: time of the last token, or of the start.
+    """
+
+    started_at: float
+    tokens: int
+    expected_s: float
+    last_progress: float
+    has_first_token: bool = False
+
+
+@attrs.frozen
+class _Own:
+    """The entry's own load on the upstream since a time."""
+
+    since: float
+    running: int
+    pending: int
+
+
+@attrs.define
+class UpstreamState:
+    """Load, pace and health of one upstream.
+
+    Attributes:
+        slowness: observed over predicted time to the first token.
+        slowness_bound: slowness above which it counts as a straggler.
+        gap_s: mean time between tokens.
+        joined_at: when it came or came back, for the slow start.
+    """
+
+    cfg: model.RoutingConfig
+    view: model.UpstreamView
+    joined_at: float | None
+    limit: limits.AdaptiveLimit
+    slowness: float = 1.0
+    slowness_bound: float = math.inf
+    gap_s: float | None = None
+    failures: int = 0
+    attempts: dict[str, Attempt] = attrs.field(factory=dict)
+    pending: int = 0
+    _breaker: breaker.Breaker | None = None
+    _others_running: int = 0
+    _others_pending: int = 0
+    _reported_at: float = -1e9
+    _history: list[_Own] = attrs.field(factory=list)
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether membership lets new calls go there."""
+        return self.view.alive and not self.view.draining
+
+    def running(self, now: float) -> int:
+        """Return the calls in progress, those of other entries included."""
+        return len(self.attempts) + self._others(now)[0]
+
+    def pending_tokens(self, now: float) -> int:
+        """Return the prompt tokens not yet prefilled."""
+        return self.pending + self._others(now)[1]
+
+    def effective_limit(self, now: float) -> float:
+        """Return the concurrency limit, reduced during the slow start."""
+        if self.joined_at is None:
+            return self.limit.value
+        age = now - self.joined_at
+        ramp = max(MIN_RAMP, min(1.0, age / self.cfg.slow_start_s))
+        return max(1.0, self.limit.value * ramp)
+
+    def room(self, now: float) -> float:
+        """Return how many more calls the upstream may get."""
+        return self.effective_limit(now) - self.running(now)
+
+    def allows(self, now: float) -> bool:
+        """Tell whether the breaker lets a call through."""
+        if self._breaker is None:
+            return True
+        return self._breaker.allows(len(self.attempts), now)
+
+    def predict_s(self, uncached_tokens: int, now: float) -> float:
+        """Return the predicted time to a first token."""
+        nominal_s = self.nominal_s(uncached_tokens, now)
+        return nominal_s * self.current_slowness(now)
+
+    def nominal_s(self, uncached_tokens: int, now: float) -> float:
+        """Return the time to a first token at a slowness of 1."""
+        tokens = self.pending_tokens(now) + uncached_tokens
+        cfg = self.cfg
+        return cfg.first_token_floor_s + tokens * cfg.prefill_s_per_token
+
+    def current_slowness(self, now: float) -> float:
+        """Return the slowness, raised by a first token that is overdue."""
+        slowness = self.slowness
+        for attempt in self.attempts.values():
+            if attempt.has_first_token:
+                continue
+            waited = now - attempt.started_at
+            if waited > OVERDUE_MIN_S:
+                slowness = max(slowness, waited / attempt.expected_s)
+            break
+        return slowness
+
+    def start(self, attempt_id: str, tokens: int, now: float) -> None:
+        """Count the start of an attempt."""
+        expected_s = self.nominal_s(tokens, now)
+        self.attempts[attempt_id] = Attempt(now, tokens, expected_s, now)
+        self.pending += tokens
+        if self._breaker is not None:
+            self._breaker.sent(now)
+        self._remember(now)
+
+    def first_token(self, attempt_id: str, now: float) -> None:
+        """Count a first token."""
+        attempt = self.attempts[attempt_id]
+        if attempt.has_first_token:
+            return
+        attempt.has_first_token = True
+        attempt.last_progress = now
+        self.pending -= attempt.tokens
+        waited = now - attempt.started_at
+        ratio = waited / attempt.expected_s
+        share = PROBE_SHARE if self.tripped else EWMA_SHARE
+        self.slowness += share * (ratio - self.slowness)
+        met = waited <= self.cfg.first_token_target_s
+        self.limit.record(met, self.running(now), now)
+        self._remember(now)
+
+    def progress(self, attempt_id: str, tokens: int, now: float) -> None:
+        """Count tokens that came since the last progress."""
+        attempt = self.attempts[attempt_id]
+        if tokens <= 0:
+            return
+        gap_s = (now - attempt.last_progress) / tokens
+        attempt.last_progress = now
+        if self.gap_s is None:
+            self.gap_s = gap_s
+        self.gap_s += EWMA_SHARE * (gap_s - self.gap_s)
+        met = gap_s <= self.cfg.token_gap_target_s
+        self.limit.record(met, self.running(now), now)
+
+    def finish(
+        self, attempt_id: str, outcome: model.Outcome, now: float
+    ) -> None:
+        """Count the end of an attempt."""
+        attempt = self.attempts.pop(attempt_id)
+        if not attempt.has_first_token:
+            self.pending -= attempt.tokens
+        self._remember(now)
+        if outcome is model.Outcome.OK:
+            self._succeed(now)
+        elif outcome in (model.Outcome.FAILED, model.Outcome.TIMEOUT):
+            self._fail(now)
+
+    def trip(self, now: float) -> None:
+        """Open the breaker."""
+        if self._breaker is None:
+            cfg = self.cfg
+            self._breaker = breaker.Breaker(cfg.reopen_s, cfg.max_reopen_s)
+        self._breaker.failed(now)
+
+    @property
+    def tripped(self) -> bool:
+        """Tell whether the breaker is not closed."""
+        return self._breaker is not None and self._breaker.state != 'closed'
+
+    def report(self, report: model.LoadReport, now: float) -> None:
+        """Take a load report; own calls at its time are subtracted."""
+        if report.measured_at <= self._reported_at:
+            return
+        own = self._own_at(report.measured_at)
+        self._reported_at = report.measured_at
+        self._others_running = max(0, report.running - own.running)
+        self._others_pending = max(0, report.pending_tokens - own.pending)
+
+    def _others(self, now: float) -> tuple[int, int]:
+        if now - self._reported_at > self.cfg.report_max_age_s:
+            return 0, 0
+        return self._others_running, self._others_pending
+
+    def _succeed(self, now: float) -> None:
+        self.failures = 0
+        if self._breaker is None or not self.tripped:
+            return
+        if self.slowness > self.slowness_bound:
+            self._breaker.failed(now)
+        else:
+            self._breaker.succeeded(now)
+            self.joined_at = now
+
+    def _fail(self, now: float) -> None:
+        self.failures += 1
+        if self.tripped or self.failures >= self.cfg.trip_failures:
+            self.failures = 0
+            self.trip(now)
+
+    def _remember(self, now: float) -> None:
+        self._history.append(_Own(now, len(self.attempts), self.pending))
+        if len(self._history) > 64:
+            first = bisect.bisect_left(
+                self._history, now - HISTORY_S, key=lambda own: own.since
+            )
+            del self._history[: min(first, len(self._history) - 1)]
+
+    def _own_at(self, when: float) -> _Own:
+        index = bisect.bisect_right(
+            self._history, when, key=lambda own: own.since
+        )
+        return self._history[index - 1] if index else _Own(when, 0, 0)
