--- a/packages/cassiashift-core/cassiashift_core/retries/fences.py
+++ b/packages/cassiashift-core/cassiashift_core/retries/fences.py
@@ -19,6 +19,7 @@
 from cassiashift_core import verdicts
 
 Verdict = verdicts.Verdict
+MAX_ID_LENGTH = 512
 
 
 @attrs.frozen
@@ -41,6 +42,16 @@
         """Return the id in one word, for logs and frames."""
         return f'{self.entry}.{self.epoch}.{self.number}.{self.incarnation}'
 
+    @classmethod
+    def parse(cls, text: str) -> 'AttemptId | None':
+        """Return the id that ``str`` gave as text, or None."""
+        parts = text.rsplit('.', 3)
+        if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+            return None
+        if len(text) > MAX_ID_LENGTH:
+            return None
+        return cls(parts[0], *(int(part) for part in parts[1:]))
+
 
 @attrs.frozen
 class Arrival:
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
@@ -0,0 +1,292 @@
+"""Runs attempts at the upstreams of this host, on the agent's side."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import time
+from typing import Any
+
+import aiohttp
+import attrs
+
+from cassiashift_core import retries
+from cassiashift_core import Verdict
+from cassiashift_net import messages
+
+WINDOW_BYTES = 256 * 1024
+READ_BYTES = 64 * 1024
+REQUEST_ID_HEADER = 'X-Request-Id'
+# Headers that belong to one connection (RFC 9110, section 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'host',
+    )
+)
+
+Reply = Callable[[Any], None]
+
+
+class AttemptError(Exception):
+    """An attempt that ended without a whole answer."""
+
+    def __init__(self, code: str, message: str, verdict: Verdict) -> None:
+        """Keep the parts of the failure."""
+        super().__init__(message)
+        self.code = code
+        self.message = message
+        self.verdict = verdict
+
+
+@attrs.frozen(eq=False)
+class Sessions:
+    """HTTP clients to the upstreams.
+
+    The client library sends a request again when a kept connection turns
+    out to be closed. Calls that may not be repeated take fresh connections,
+    for which it never does.
+    """
+
+    kept: aiohttp.ClientSession
+    fresh: aiohttp.ClientSession
+
+    @classmethod
+    def from_config(cls, connect_timeout_s: float) -> 'Sessions':
+        """Return the clients; they need a running loop."""
+        return cls(
+            _session(connect_timeout_s, force_close=False),
+            _session(connect_timeout_s, force_close=True),
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self.kept.close()
+        await self.fresh.close()
+
+
+def _session(
+    connect_timeout_s: float, force_close: bool
+) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=force_close),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=connect_timeout_s
+        ),
+        auto_decompress=False,
+    )
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    """One attempt in progress."""
+
+    start: messages.CallStart
+    reply: Reply
+    task: asyncio.Task | None = None
+    credit: int = WINDOW_BYTES
+    more_credit: asyncio.Event = attrs.field(factory=asyncio.Event)
+    pieces: int = 0
+
+    def send(self, data: bytes) -> None:
+        """Send one piece of the answer."""
+        message = messages.CallData(self.start.attempt, self.pieces, data)
+        self.pieces += 1
+        self.credit -= len(data)
+        self.reply(message)
+
+
+@attrs.define(eq=False)
+class AttemptServer:
+    """Accepts, runs, cancels and fences attempts.
+
+    Attributes:
+        admits: returns why an upstream takes no work now, or empty.
+    """
+
+    urls: dict[str, str]
+    admits: Callable[[str], str]
+    sessions: Sessions
+    record: Callable[..., None]
+    fences: retries.FenceTable
+    in_flight: dict[str, int] = attrs.field(factory=dict)
+    _running: dict[str, _Attempt] = attrs.field(factory=dict)
+
+    def start(self, message: messages.CallStart, reply: Reply) -> None:
+        """Run an attempt, or refuse it."""
+        refusal = self._refusal(message)
+        if refusal is not None:
+            self.record('refused', message.request_id, message.attempt)
+            reply(refusal)
+            return
+        attempt = _Attempt(message, reply)
+        self._running[message.attempt] = attempt
+        upstream = message.upstream
+        self.in_flight[upstream] = self.in_flight.get(upstream, 0) + 1
+        attempt.task = asyncio.ensure_future(self._run(attempt))
+
+    def credit(self, message: messages.CallCredit) -> None:
+        """Allow an attempt to send more."""
+        attempt = self._running.get(message.attempt)
+        if attempt is not None:
+            attempt.credit += message.size
+            attempt.more_credit.set()
+
+    def cancel(self, message: messages.CallCancel) -> None:
+        """Stop an attempt; the upstream sees its connection closed."""
+        attempt = self._running.get(message.attempt)
+        if attempt is not None:
+            attempt.task.cancel()
+            return
+        attempt_id = retries.AttemptId.parse(message.attempt)
+        if attempt_id is not None:
+            self.fences.fence(attempt_id)
+
+    def fence(self, message: messages.Fence, reply: Reply) -> None:
+        """Refuse an attempt from now on and tell what became of it."""
+        verdict = Verdict.MAY_HAVE_RUN
+        attempt_id = retries.AttemptId.parse(message.attempt)
+        if attempt_id is not None:
+            verdict = self.fences.fence(attempt_id).verdict
+        reply(messages.Fenced(message.attempt, verdict))
+
+    async def idle(self) -> None:
+        """Wait until no attempt is in progress."""
+        while self._running:
+            tasks = [attempt.task for attempt in self._running.values()]
+            await asyncio.wait(tasks)
+
+    def _refusal(
+        self, message: messages.CallStart
+    ) -> messages.CallFailed | None:
+        if message.upstream not in self.urls:
+            return _refused(message, 'no_upstream', 'not on this host')
+        reason = self.admits(message.upstream)
+        if reason:
+            return _refused(message, 'draining', reason)
+        attempt_id = retries.AttemptId.parse(message.attempt)
+        if attempt_id is None:
+            return _refused(message, 'fenced', 'malformed attempt id')
+        arrival = self.fences.arrive(attempt_id)
+        if not arrival.accepted:
+            return _refused(message, 'fenced', arrival.reason, arrival.verdict)
+        return None
+
+    async def _run(self, attempt: _Attempt) -> None:
+        start = attempt.start
+        self.record('started', start.request_id, start.attempt)
+        began = time.monotonic()
+        try:
+            async with asyncio.timeout(start.deadline_s):
+                await self._exchange(attempt)
+        except (AttemptError, TimeoutError, aiohttp.ClientError) as exc:
+            self._fail(attempt, exc)
+        finally:
+            del self._running[start.attempt]
+            self.in_flight[start.upstream] -= 1
+            self.record(
+                'ended',
+                start.request_id,
+                start.attempt,
+                seconds=round(time.monotonic() - began, 6),
+            )
+
+    async def _exchange(self, attempt: _Attempt) -> None:
+        start = attempt.start
+        headers = dict(start.headers)
+        headers[REQUEST_ID_HEADER] = start.request_id
+        session = self.sessions.fresh
+        if start.idempotent:
+            session = self.sessions.kept
+        async with session.request(
+            start.method,
+            self.urls[start.upstream] + start.path,
+            data=start.body or None,
+            headers=headers,
+            allow_redirects=False,
+        ) as resp:
+            _check_owner(resp, start.request_id)
+            kept = tuple(
+                (name, value)
+                for name, value in resp.headers.items()
+                if name.lower() not in CONNECTION_HEADERS
+            )
+            attempt.reply(messages.CallHead(start.attempt, resp.status, kept))
+            await self._forward(attempt, resp)
+        attempt.reply(messages.CallEnd(start.attempt, attempt.pieces))
+
+    async def _forward(
+        self, attempt: _Attempt, resp: aiohttp.ClientResponse
+    ) -> None:
+        content = resp.content
+        while True:
+            data = await content.readany()
+            if not data:
+                return
+            while attempt.credit <= 0:
+                attempt.more_credit.clear()
+                await attempt.more_credit.wait()
+            attempt.send(data)
+
+    def _fail(self, attempt: _Attempt, exc: Exception) -> None:
+        failure = _failure(exc)
+        attempt.reply(
+            messages.CallFailed(
+                attempt.start.attempt,
+                failure.code,
+                failure.message,
+                failure.verdict,
+            )
+        )
+
+    async def close(self) -> None:
+        """End every attempt at once."""
+        for attempt in list(self._running.values()):
+            attempt.task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await attempt.task
+
+
+def _refused(
+    message: messages.CallStart,
+    code: str,
+    reason: str,
+    verdict: Verdict = Verdict.NOT_RUN,
+) -> messages.CallFailed:
+    return messages.CallFailed(message.attempt, code, reason, verdict)
+
+
+def _check_owner(resp: aiohttp.ClientResponse, request_id: str) -> None:
+    echoed = resp.headers.get(REQUEST_ID_HEADER, request_id)
+    if echoed != request_id:
+        raise AttemptError(
+            'stream_broken',
+            'the upstream answered another request',
+            Verdict.MAY_HAVE_RUN,
+        )
+
+
+def _failure(exc: Exception) -> AttemptError:
+    if isinstance(exc, AttemptError):
+        return exc
+    if isinstance(exc, aiohttp.ClientConnectorError):
+        return AttemptError(
+            'upstream_failed', 'no connection to the upstream', Verdict.NOT_RUN
+        )
+    if isinstance(exc, TimeoutError):
+        return AttemptError(
+            'deadline_exceeded',
+            'the upstream did not answer in time',
+            Verdict.MAY_HAVE_RUN,
+        )
+    return AttemptError(
+        'upstream_failed',
+        f'the upstream broke the exchange: {type(exc).__name__}',
+        Verdict.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/callers.py
@@ -0,0 +1,295 @@
+"""The HTTP interface for callers."""
+
+import asyncio
+import contextlib
+import time
+from typing import Any
+import uuid
+
+from aiohttp import web
+import attrs
+import msgspec
+
+from cassiashift_core import CassiashiftError
+from cassiashift_core import directory
+from cassiashift_core import ErrorCode
+from cassiashift_core import Verdict
+from cassiashift_daemon import access
+from cassiashift_daemon import calls
+from cassiashift_daemon import once
+from cassiashift_daemon import requests
+from cassiashift_daemon import settings
+from cassiashift_daemon import shared_state
+from cassiashift_net import problems
+
+REPLAYED_HEADER = 'Idempotency-Replayed'
+UPSTREAM_HEADER = 'X-Cassiashift-Upstream'
+MAX_REQUEST_ID_LENGTH = 64
+
+
+@attrs.define(eq=False)
+class CallerApi:
+    """Handlers of the callers' routes."""
+
+    cfg: settings.EntrySettings
+    holder: shared_state.SharedHolder
+    directory: directory.Directory
+    runner: calls.CallRunner
+    once: once.OnceRunner
+    record: Any
+    is_ready: Any
+    is_leaving: Any
+    in_flight: int = 0
+    _detached: set[asyncio.Task] = attrs.field(factory=set)
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of this interface."""
+        return [
+            web.get('/healthz', self.health),
+            web.get('/readyz', self.ready),
+            web.get('/v1/directory', self.handled(self.answer_directory)),
+            web.post('/v1/chat/completions', self.handled(self.chat)),
+            web.route(
+                '*',
+                '/v1/services/{name}/{tail:.*}',
+                self.handled(self.service),
+            ),
+        ]
+
+    async def health(self, req: web.Request) -> web.Response:
+        """Tell that the process runs."""
+        return web.json_response({'healthy': True})
+
+    async def ready(self, req: web.Request) -> web.Response:
+        """Tell whether new callers should be sent here."""
+        is_ready = self.is_ready() and not self.is_leaving()
+        status = 200 if is_ready else 503
+        return web.json_response({'ready': is_ready}, status=status)
+
+    def handled(self, handler: Any) -> Any:
+        """Return a handler that counts, and answers errors as JSON."""
+
+        async def handle(req: web.Request) -> web.StreamResponse:
+            request_id = _request_id(req)
+            self.in_flight += 1
+            try:
+                resp = await handler(req, request_id)
+            except CassiashiftError as exc:
+                self._recorded(request_id, exc)
+                resp = problems.response(exc, request_id)
+            finally:
+                self.in_flight -= 1
+            if self.is_leaving() and not resp.prepared:
+                resp.headers['Connection'] = 'close'
+                resp.force_close()
+            return resp
+
+        return handle
+
+    async def answer_directory(
+        self, req: web.Request, request_id: str
+    ) -> web.Response:
+        """Return the entries that a workspace should use."""
+        workspace = req.query.get('workspace', '')
+        if not workspace:
+            raise CassiashiftError(
+                ErrorCode.BAD_REQUEST, 'the parameter workspace is missing'
+            )
+        answer = self.directory.answer(
+            workspace, time.monotonic(), req.query.get('data_centre')
+        )
+        if not answer.addresses:
+            raise CassiashiftError(
+                ErrorCode.NO_UPSTREAM, 'no entry is known', retry_after_s=1.0
+            )
+        return web.json_response(
+            {
+                'workspace': workspace,
+                'addresses': list(answer.addresses),
+                'ttl_s': round(answer.ttl_s, 3),
+            }
+        )
+
+    async def chat(
+        self, req: web.Request, request_id: str
+    ) -> web.StreamResponse:
+        """Run a chat completion."""
+        workspace = self._workspace(req)
+        body = await self._body(req)
+        call = requests.chat_call(
+            self.cfg, workspace, request_id, req.headers, body
+        )
+        return await self._serve(req, call)
+
+    async def service(
+        self, req: web.Request, request_id: str
+    ) -> web.StreamResponse:
+        """Run a call of a plain service."""
+        workspace = self._workspace(req)
+        body = await self._body(req)
+        call = requests.service_call(
+            self.cfg,
+            self.holder.manifest,
+            workspace,
+            request_id,
+            requests.ServiceRequest(
+                req.match_info['name'],
+                req.method,
+                '/' + req.match_info['tail'],
+                req.query_string,
+            ),
+            req.headers,
+            body,
+        )
+        return await self._serve(req, call)
+
+    async def idle(self) -> None:
+        """Wait until no call is in progress."""
+        while self.in_flight or self._detached:
+            await asyncio.sleep(0.05)
+
+    async def _serve(
+        self, req: web.Request, call: calls.Call
+    ) -> web.StreamResponse:
+        self.record(
+            'call_arrived',
+            call.request_id,
+            workspace=call.workspace,
+            pool=call.pool,
+        )
+        if call.idempotent and not call.idempotency_key:
+            return await self._serve_idempotent(req, call)
+        answer = await self._detach(self._run_once(call))
+        self._recorded(call.request_id, None)
+        return _whole(call, answer)
+
+    async def _serve_idempotent(
+        self, req: web.Request, call: calls.Call
+    ) -> web.StreamResponse:
+        await self.runner.enter(call)
+        try:
+            answer = await self.runner.run(call)
+            if answer.stream is None:
+                self._recorded(call.request_id, None)
+                return _whole(call, answer)
+            return await self._stream(req, call, answer)
+        finally:
+            self.runner.leave(call, call.tokens)
+
+    async def _run_once(self, call: calls.Call) -> calls.Answer:
+        await self.runner.enter(call)
+        try:
+            return await self.once.run(call)
+        finally:
+            self.runner.leave(call, call.tokens)
+
+    async def _detach(self, coroutine: Any) -> Any:
+        """Run on even if the caller leaves: the outcome is recorded."""
+        task = asyncio.ensure_future(coroutine)
+        self._detached.add(task)
+        task.add_done_callback(self._detached.discard)
+        return await asyncio.shield(task)
+
+    async def _stream(
+        self, req: web.Request, call: calls.Call, answer: calls.Answer
+    ) -> web.StreamResponse:
+        resp = web.StreamResponse(status=answer.status)
+        _copy_headers(resp, call, answer, Verdict.RAN)
+        try:
+            await resp.prepare(req)
+            async for data in answer.stream.body():
+                await resp.write(data)
+            await resp.write_eof()
+            self._recorded(call.request_id, None)
+        except CassiashiftError as exc:
+            self._recorded(call.request_id, exc)
+            await self._break(req, resp, call, exc)
+        finally:
+            self.runner.stream_ended(answer, answer.stream)
+        return resp
+
+    async def _break(
+        self,
+        req: web.Request,
+        resp: web.StreamResponse,
+        call: calls.Call,
+        exc: CassiashiftError,
+    ) -> None:
+        """Report a broken stream and close without an end mark."""
+        report = {
+            'error': {
+                'code': ErrorCode.STREAM_BROKEN.value,
+                'message': exc.message,
+                'request_id': call.request_id,
+                'verdict': Verdict.MAY_HAVE_RUN.value,
+            }
+        }
+        with contextlib.suppress(ConnectionError):
+            await resp.write(
+                b'event: error\ndata: ' + msgspec.json.encode(report) + b'\n\n'
+            )
+        if req.transport is not None:
+            req.transport.close()
+
+    def _workspace(self, req: web.Request):
+        key = access.bearer_key(req.headers.get('Authorization'))
+        current = self.holder.manifest
+        if current is None or not self.is_ready():
+            raise CassiashiftError(
+                ErrorCode.NO_QUORUM,
+                'no manifest is in force here yet',
+                retry_after_s=1.0,
+            )
+        workspace = access.workspace_of(current, key)
+        if workspace is None:
+            raise CassiashiftError(
+                ErrorCode.UNAUTHENTICATED, 'the key is not known'
+            )
+        return workspace
+
+    async def _body(self, req: web.Request) -> bytes:
+        try:
+            return await req.read()
+        except web.HTTPRequestEntityTooLarge:
+            raise CassiashiftError(
+                ErrorCode.BODY_TOO_LARGE, 'the body is too large'
+            ) from None
+
+    def _recorded(self, request_id: str, exc: CassiashiftError | None) -> None:
+        self.record(
+            'call_ended',
+            request_id,
+            verdict=exc.verdict.value if exc else Verdict.RAN.value,
+            code=exc.code.value if exc else '',
+        )
+
+
+def _request_id(req: web.Request) -> str:
+    given = req.headers.get(problems.REQUEST_ID_HEADER, '')
+    usable = given.isascii() and given.replace('-', '').isalnum()
+    if usable and len(given) <= MAX_REQUEST_ID_LENGTH:
+        return given
+    return uuid.uuid4().hex
+
+
+def _copy_headers(
+    resp: web.StreamResponse,
+    call: calls.Call,
+    answer: calls.Answer,
+    verdict: Verdict,
+) -> None:
+    for name, value in answer.headers:
+        if name.lower() not in ('date', 'server', 'x-request-id'):
+            resp.headers[name] = value
+    resp.headers[problems.REQUEST_ID_HEADER] = call.request_id
+    resp.headers[problems.VERDICT_HEADER] = verdict.value
+    if answer.upstream:
+        resp.headers[UPSTREAM_HEADER] = answer.upstream
+    if answer.replayed:
+        resp.headers[REPLAYED_HEADER] = 'true'
+
+
+def _whole(call: calls.Call, answer: calls.Answer) -> web.Response:
+    resp = web.Response(status=answer.status, body=answer.body)
+    _copy_headers(resp, call, answer, Verdict.RAN)
+    return resp
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/gate.py
@@ -0,0 +1,71 @@
+"""Lets admitted calls in, one future for each waiting call."""
+
+import asyncio
+from collections.abc import Iterable
+import time
+
+import attrs
+
+from cassiashift_core import admission
+
+
+@attrs.define(eq=False)
+class Gate:
+    """The admission of this entry, on the loop."""
+
+    admission: admission.Admission
+    _waiting: dict[str, asyncio.Future] = attrs.field(factory=dict)
+
+    async def enter(self, req: admission.AdmissionRequest) -> None:
+        """Return when a call may start.
+
+        Raises:
+            CassiashiftError: the call is refused; it was not run.
+        """
+        decision = self.admission.offer(req, time.monotonic())
+        if isinstance(decision, admission.Refused):
+            raise decision.to_error()
+        if isinstance(decision, admission.Admitted):
+            return
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[req.request_id] = fut
+        self._refuse(decision.evicted)
+        try:
+            await fut
+        except asyncio.CancelledError:
+            self._abandon(req.request_id)
+            raise
+        finally:
+            self._waiting.pop(req.request_id, None)
+
+    def set_capacity(self, pool: str, calls: int) -> None:
+        """Set how many calls of a pool may be in progress."""
+        now = time.monotonic()
+        self._admit(self.admission.set_capacity(pool, max(calls, 1), now))
+
+    def leave(self, request_id: str, used_tokens: float) -> None:
+        """Count the end of a call and let others in."""
+        now = time.monotonic()
+        self._admit(self.admission.release(request_id, used_tokens, now))
+
+    def tick(self) -> None:
+        """Refuse calls that are too late and admit those that may start."""
+        now = time.monotonic()
+        self._refuse(self.admission.expire(now))
+        self._admit(self.admission.admit_ready(now))
+
+    def _abandon(self, request_id: str) -> None:
+        if not self.admission.cancel(request_id):
+            self.leave(request_id, 0)
+
+    def _admit(self, admitted: Iterable[admission.Admitted]) -> None:
+        for item in admitted:
+            fut = self._waiting.get(item.request_id)
+            if fut is not None and not fut.done():
+                fut.set_result(None)
+
+    def _refuse(self, refused: Iterable[admission.Refused]) -> None:
+        for item in refused:
+            fut = self._waiting.get(item.request_id)
+            if fut is not None and not fut.done():
+                fut.set_exception(item.to_error())
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/main.py
@@ -0,0 +1,101 @@
+"""The daemon's command: one subcommand for each role."""
+
+import os
+import sys
+
+from absl import logging
+import aiomisc
+import cyclopts
+import uvloop
+
+from cassiashift_daemon import settings
+
+VERSION = '0.1.0'
+EXIT_USAGE = 2
+DEFAULT_ENTRY = settings.EntrySettings()
+DEFAULT_AGENT = settings.AgentSettings()
+
+app = cyclopts.App(
+    name='cassiashiftd',
+    help='Run one process of cassiashift on this host.',
+    version=VERSION,
+    config=cyclopts.config.Env(settings.ENV_PREFIX, command=False),
+)
+
+
+@app.command
+def entry(
+    *,
+    cfg: settings.EntryArguments = DEFAULT_ENTRY,
+    print_settings: bool = False,
+) -> int:
+    """Serve callers and operators; vote when a data folder is set.
+
+    Parameters
+    ----------
+    print_settings: bool
+        Show each setting, its value and where it came from, then end.
+    """
+    if _refused(cfg) or print_settings:
+        return _show(cfg, print_settings)
+    # Loaded here so that an agent does not pay for an entry's parts.
+    from cassiashift_daemon import entry as role
+
+    return _serve(role.EntryProcess.from_config(cfg), cfg)
+
+
+@app.command
+def agent(
+    *,
+    cfg: settings.AgentArguments = DEFAULT_AGENT,
+    print_settings: bool = False,
+) -> int:
+    """Stand between the entries and the upstreams of this host.
+
+    Parameters
+    ----------
+    print_settings: bool
+        Show each setting, its value and where it came from, then end.
+    """
+    if _refused(cfg) or print_settings:
+        return _show(cfg, print_settings)
+    from cassiashift_daemon import agent as role
+
+    return _serve(role.AgentProcess.from_config(cfg), cfg)
+
+
+def _refused(cfg: settings.Settings) -> bool:
+    try:
+        settings.check(cfg)
+    except settings.SettingsError as exc:
+        print(f'cassiashiftd: {exc}', file=sys.stderr)
+        return True
+    return False
+
+
+def _show(cfg: settings.Settings, print_settings: bool) -> int:
+    if not print_settings:
+        return EXIT_USAGE
+    for name, value, origin in settings.origins(cfg, sys.argv, os.environ):
+        print(f'{name} = {value!r}  ({origin})')
+    return 0
+
+
+def _serve(process: aiomisc.Service, cfg: settings.Settings) -> int:
+    logging.use_absl_handler()
+    logging.set_verbosity(cfg.log_level)
+    with aiomisc.entrypoint(
+        process, log_config=False, pool_size=1, catch_signals=()
+    ) as loop:
+        loop.run_until_complete(process.stopped())
+    return 0
+
+
+def run() -> None:
+    """Run the command and end with its status."""
+    uvloop.install()
+    sys.exit(app() or 0)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/once.py
@@ -0,0 +1,176 @@
+"""Runs a non-idempotent call at most once, through the ledger."""
+
+import asyncio
+import hashlib
+import time
+
+import attrs
+
+from cassiashift_core import CassiashiftError
+from cassiashift_core import ErrorCode
+from cassiashift_core import state
+from cassiashift_core import Verdict
+from cassiashift_daemon import calls
+from cassiashift_daemon import logs
+from cassiashift_daemon import proposals
+
+POLL_INTERVAL_S = 0.1
+CLOSE_TIMEOUT_S = 2.0
+FENCE_AFTER_S = 0.5
+CONTENT_TYPE = 'content-type'
+
+
+@attrs.define(eq=False)
+class OnceRunner:
+    """Writes the intent before the send and the outcome after it."""
+
+    runner: calls.CallRunner
+    proposer: proposals.Proposer
+    retention_s: float
+
+    async def run(self, call: calls.Call) -> calls.Answer:
+        """Return the answer of a call, or the recorded one of its key.
+
+        Raises:
+            CassiashiftError: with a verdict over all that is known.
+        """
+        plan = self.runner.plan(call)
+        began = time.monotonic()
+        while True:
+            target = self.runner.choose(call, plan)
+            result = await self._open(call, target)
+            match result:
+                case state.CallOpened():
+                    answer = await self._send(call, target, plan)
+                    if answer is not None:
+                        return answer
+                case state.CallRecorded():
+                    return _replayed(result)
+                case state.KeyReused():
+                    raise CassiashiftError(
+                        ErrorCode.KEY_REUSED,
+                        'the idempotency key belongs to another call',
+                    )
+                case state.CallInDoubt():
+                    await self._resolve(call, result, began)
+
+    async def _open(self, call: calls.Call, target: calls.Target):
+        command = state.OpenCall(
+            workspace=call.workspace,
+            key=_key(call),
+            digest=_digest(call),
+            attempt=target.attempt,
+            upstream=target.upstream,
+            at_s=time.time(),
+            retention_s=self.retention_s,
+        )
+        left = call.deadline - time.monotonic()
+        try:
+            return await self.proposer.propose(
+                command, min(left, proposals.PROPOSAL_TIMEOUT_S)
+            )
+        except CassiashiftError as exc:
+            # The attempt was never sent. A call that came with a key may
+            # still be running for an earlier request with that key.
+            if not call.idempotency_key:
+                exc.verdict = Verdict.NOT_RUN
+            raise
+
+    async def _send(
+        self, call: calls.Call, target: calls.Target, plan
+    ) -> calls.Answer | None:
+        try:
+            answer = await self.runner.attempt(call, target, plan)
+        except CassiashiftError as exc:
+            await self._close(call, target, exc.verdict)
+            await self.runner.after_failure(exc, call, target, plan)
+            return None
+        except asyncio.CancelledError:
+            await asyncio.shield(
+                self._close(call, target, Verdict.MAY_HAVE_RUN)
+            )
+            raise
+        await self._close(call, target, Verdict.RAN, answer)
+        return answer
+
+    async def _close(
+        self,
+        call: calls.Call,
+        target: calls.Target,
+        verdict: Verdict,
+        answer: calls.Answer | None = None,
+    ) -> None:
+        command = state.CloseCall(
+            workspace=call.workspace,
+            key=_key(call),
+            attempt=target.attempt,
+            verdict=verdict,
+            status=answer.status if answer else 0,
+            content_type=_content_type(answer) if answer else '',
+            body=answer.body if answer else b'',
+        )
+        try:
+            await self.proposer.propose(command, CLOSE_TIMEOUT_S)
+        except CassiashiftError as exc:
+            logs.warning(
+                'outcome_not_recorded',
+                request=call.request_id,
+                attempt=target.attempt,
+                error=str(exc),
+            )
+
+    async def _resolve(
+        self, call: calls.Call, doubt: state.CallInDoubt, began: float
+    ) -> None:
+        """Wait, or find out that the earlier attempt did not run."""
+        now = time.monotonic()
+        if doubt.settled or now + POLL_INTERVAL_S > call.deadline:
+            raise CassiashiftError(
+                ErrorCode.OUTCOME_UNKNOWN,
+                'an earlier attempt with this key may have run',
+                Verdict.MAY_HAVE_RUN,
+            )
+        if now - began < FENCE_AFTER_S:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            return
+        agent = self.runner.members.agent_of(doubt.upstream)
+        if agent is None:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            return
+        verdict = await self.runner.attempts.fence(agent.link, doubt.attempt)
+        if verdict is Verdict.NOT_RUN:
+            await self.proposer.propose(
+                state.CloseCall(
+                    call.workspace, _key(call), doubt.attempt, verdict
+                )
+            )
+            return
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def _key(call: calls.Call) -> str:
+    return call.idempotency_key or f'request:{call.request_id}'
+
+
+def _digest(call: calls.Call) -> str:
+    digest = hashlib.sha256()
+    for part in (call.method.encode(), call.path.encode(), call.body):
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def _content_type(answer: calls.Answer) -> str:
+    for name, value in answer.headers:
+        if name.lower() == CONTENT_TYPE:
+            return value
+    return ''
+
+
+def _replayed(result: state.CallRecorded) -> calls.Answer:
+    return calls.Answer(
+        status=result.status,
+        headers=(('Content-Type', result.content_type),),
+        body=result.body,
+        replayed=True,
+    )
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/proposals.py
@@ -0,0 +1,91 @@
+"""Puts commands into the log from any entry."""
+
+import asyncio
+import itertools
+from typing import Any
+
+import attrs
+
+from cassiashift_core import CassiashiftError
+from cassiashift_core import ErrorCode
+from cassiashift_core.state import commands
+from cassiashift_core.state import results
+from cassiashift_core import Verdict
+from cassiashift_net import links
+from cassiashift_net import messages
+
+TRY_TIMEOUT_S = 1.0
+PAUSE_S = 0.05
+PROPOSAL_TIMEOUT_S = 5.0
+
+
+@attrs.define(eq=False)
+class Proposer:
+    """Sends proposals to the voters until one gives a result.
+
+    Every command is safe to send again: it carries a request id or an
+    attempt id that the state machine recognises.
+    """
+
+    host: str
+    links: links.Links
+    voters: dict[str, str]
+    leader: str = ''
+    _waiting: dict[str, asyncio.Future] = attrs.field(factory=dict)
+    _numbers: Any = attrs.field(factory=itertools.count)
+    _turns: Any = attrs.field(factory=itertools.count)
+
+    async def propose(
+        self, command: Any, timeout_s: float = PROPOSAL_TIMEOUT_S
+    ) -> Any:
+        """Return the result of a command.
+
+        Raises:
+            CassiashiftError: with ``NO_QUORUM`` when no result came in
+                time. The command may still take effect.
+        """
+        data = commands.CODEC.encode(command)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._until_answered(data)
+        except TimeoutError:
+            raise CassiashiftError(
+                ErrorCode.NO_QUORUM,
+                'no majority of the voters answered in time',
+                Verdict.MAY_HAVE_RUN,
+                retry_after_s=1.0,
+            ) from None
+
+    def answered(self, message: messages.ProposalAnswer) -> None:
+        """Take a voter's answer."""
+        fut = self._waiting.pop(message.token, None)
+        if fut is not None and not fut.done():
+            fut.set_result(message)
+
+    async def _until_answered(self, data: bytes) -> Any:
+        while True:
+            answer = await self._try(data)
+            if answer is not None and not answer.error:
+                return results.CODEC.decode(answer.result)
+            self.leader = answer.leader if answer is not None else ''
+            if self.leader not in self.voters:
+                await asyncio.sleep(PAUSE_S)
+
+    async def _try(self, data: bytes) -> messages.ProposalAnswer | None:
+        token = f'{self.host}/{next(self._numbers)}'
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[token] = fut
+        self.links.send(self._target(), messages.Proposal(token, data))
+        try:
+            async with asyncio.timeout(TRY_TIMEOUT_S):
+                return await fut
+        except TimeoutError:
+            return None
+        finally:
+            self._waiting.pop(token, None)
+
+    def _target(self) -> str:
+        if self.leader in self.voters:
+            return self.voters[self.leader]
+        addresses = list(self.voters.values())
+        return addresses[next(self._turns) % len(addresses)]
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/requests.py
@@ -0,0 +1,229 @@
+"""Turns callers' HTTP requests into calls."""
+
+from collections.abc import Mapping
+import fnmatch
+import time
+from typing import Any
+
+import attrs
+import msgspec
+
+from cassiashift_core import CassiashiftError
+from cassiashift_core import ErrorCode
+from cassiashift_core import hashing
+from cassiashift_core import manifest
+from cassiashift_core import routing
+from cassiashift_daemon import calls
+from cassiashift_daemon import settings
+
+CHAT_PATH = '/v1/chat/completions'
+DEADLINE_HEADER = 'X-Deadline-Ms'
+PRIORITY_HEADER = 'X-Priority'
+KEY_HEADER = 'Idempotency-Key'
+VERSION_HEADER = 'X-Model-Version'
+ADAPTER_HEADER = 'X-Model-Adapter'
+FORWARDED_HEADERS = ('Content-Type', 'Accept')
+CHARACTERS_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 256
+MAX_OUTPUT_TOKENS = 1_000_000
+PREFIX_BLOCK_CHARACTERS = 256
+MAX_PREFIX_BLOCKS = 64
+MAX_KEY_LENGTH = 200
+MAX_PRIORITY = 9
+
+
+@attrs.frozen
+class ChatBody:
+    """The fields of a chat completion that decisions need."""
+
+    model: str
+    messages: list[dict[str, Any]]
+    max_tokens: int | None = None
+    stream: bool = False
+
+
+@attrs.frozen
+class ServiceRequest:
+    """A call of a plain service as it arrived."""
+
+    name: str
+    method: str
+    path: str
+    query: str = ''
+
+
+def chat_call(
+    cfg: settings.EntrySettings,
+    workspace: manifest.Workspace,
+    request_id: str,
+    headers: Mapping[str, str],
+    body: bytes,
+) -> calls.Call:
+    """Return the call of a chat completion.
+
+    Raises:
+        CassiashiftError: the request is malformed or not allowed.
+    """
+    chat = _chat_body(body)
+    if workspace.models and chat.model not in workspace.models:
+        raise CassiashiftError(
+            ErrorCode.FORBIDDEN, 'the workspace may not use this model'
+        )
+    text = ''.join(str(item.get('content', '')) for item in chat.messages)
+    prompt_tokens = len(text) // CHARACTERS_PER_TOKEN + 1
+    output_tokens = chat.max_tokens or DEFAULT_OUTPUT_TOKENS
+    deadline = _deadline(cfg, headers)
+    priority = _priority(headers)
+    route = routing.RouteRequest(
+        request_id=request_id,
+        workspace=workspace.id,
+        model=chat.model,
+        version=headers.get(VERSION_HEADER, '1'),
+        adapter=headers.get(ADAPTER_HEADER),
+        prompt_tokens=prompt_tokens,
+        expected_tokens=output_tokens,
+        prefix_blocks=_prefix_blocks(chat.model, text),
+        deadline=deadline,
+        data_centre=cfg.data_centre,
+        priority=priority,
+    )
+    return calls.Call(
+        request_id=request_id,
+        workspace=workspace.id,
+        route=route,
+        method='POST',
+        path=CHAT_PATH,
+        headers=_forwarded(headers),
+        body=body,
+        idempotent=True,
+        deadline=deadline,
+        priority=priority,
+        tokens=prompt_tokens + output_tokens,
+        idempotency_key=_key(headers),
+    )
+
+
+def service_call(
+    cfg: settings.EntrySettings,
+    current: manifest.Manifest,
+    workspace: manifest.Workspace,
+    request_id: str,
+    req: ServiceRequest,
+    headers: Mapping[str, str],
+    body: bytes,
+) -> calls.Call:
+    """Return the call of a plain service.
+
+    Raises:
+        CassiashiftError: the request is malformed or not allowed.
+    """
+    if workspace.services and req.name not in workspace.services:
+        raise CassiashiftError(
+            ErrorCode.FORBIDDEN, 'the workspace may not use this service'
+        )
+    found = _service_call(current, req)
+    deadline = _deadline(cfg, headers)
+    priority = _priority(headers)
+    route = routing.RouteRequest(
+        request_id=request_id,
+        workspace=workspace.id,
+        service=req.name,
+        deadline=deadline,
+        data_centre=cfg.data_centre,
+        priority=priority,
+    )
+    return calls.Call(
+        request_id=request_id,
+        workspace=workspace.id,
+        route=route,
+        method=req.method,
+        path=req.path + (f'?{req.query}' if req.query else ''),
+        headers=_forwarded(headers),
+        body=body,
+        idempotent=found.idempotent,
+        deadline=deadline,
+        priority=priority,
+        idempotency_key='' if found.idempotent else _key(headers),
+    )
+
+
+def _service_call(
+    current: manifest.Manifest, req: ServiceRequest
+) -> manifest.Call:
+    for service in current.services:
+        if service.id != req.name:
+            continue
+        for call in service.calls:
+            if call.method == req.method and fnmatch.fnmatchcase(
+                req.path, call.path
+            ):
+                return call
+    raise CassiashiftError(
+        ErrorCode.NOT_FOUND, 'the manifest has no such call of a service'
+    )
+
+
+def _chat_body(body: bytes) -> ChatBody:
+    try:
+        chat = msgspec.json.decode(body, type=ChatBody)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise CassiashiftError(ErrorCode.BAD_REQUEST, str(exc)) from exc
+    limit = chat.max_tokens
+    if limit is not None and not 0 < limit <= MAX_OUTPUT_TOKENS:
+        raise CassiashiftError(
+            ErrorCode.BAD_REQUEST, 'max_tokens is out of range'
+        )
+    return chat
+
+
+def _deadline(
+    cfg: settings.EntrySettings, headers: Mapping[str, str]
+) -> float:
+    limit_s = cfg.request_timeout_s
+    text = headers.get(DEADLINE_HEADER)
+    if text is not None:
+        if not text.isdecimal() or len(text) > 9:
+            raise CassiashiftError(
+                ErrorCode.BAD_REQUEST, f'{DEADLINE_HEADER} is not a number'
+            )
+        limit_s = min(limit_s, int(text) / 1000.0)
+    return time.monotonic() + limit_s
+
+
+def _priority(headers: Mapping[str, str]) -> int:
+    text = headers.get(PRIORITY_HEADER, '0')
+    if not text.isdecimal() or int(text[:3]) > MAX_PRIORITY:
+        raise CassiashiftError(
+            ErrorCode.BAD_REQUEST,
+            f'{PRIORITY_HEADER} is not from 0 to {MAX_PRIORITY}',
+        )
+    return int(text)
+
+
+def _key(headers: Mapping[str, str]) -> str:
+    key = headers.get(KEY_HEADER, '')
+    if len(key) > MAX_KEY_LENGTH:
+        raise CassiashiftError(
+            ErrorCode.BAD_REQUEST, f'{KEY_HEADER} is too long'
+        )
+    return key
+
+
+def _forwarded(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, headers[name]) for name in FORWARDED_HEADERS if name in headers
+    )
+
+
+def _prefix_blocks(model: str, text: str) -> tuple[int, ...]:
+    """Return chained hashes of the prompt's whole blocks."""
+    blocks = []
+    previous = model
+    count = min(len(text) // PREFIX_BLOCK_CHARACTERS, MAX_PREFIX_BLOCKS)
+    for number in range(count):
+        start = number * PREFIX_BLOCK_CHARACTERS
+        block = text[start : start + PREFIX_BLOCK_CHARACTERS]
+        value = hashing.stable_hash(previous, block)
+        blocks.append(value)
+        previous = str(value)
+    return tuple(blocks)
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/settings.py
@@ -0,0 +1,185 @@
+"""Settings of the daemon: defaults, ranges, units and checks."""
+
+from collections.abc import Mapping
+import math
+from typing import Annotated
+from typing import Any
+
+import attrs
+import cyclopts
+
+ENV_PREFIX = 'CASSIASHIFT_'
+HASH_HEX_DIGITS = 64
+
+
+class SettingsError(ValueError):
+    """Settings that can't be used; one line for each problem."""
+
+    def __init__(self, problems: list[str]) -> None:
+        """Keep the problems and join them for the message."""
+        super().__init__('\n'.join(problems))
+        self.problems = problems
+
+
+def _setting(default: Any, text: str, **bounds: float) -> Any:
+    return attrs.field(default=default, metadata={'help': text, **bounds})
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """Settings that both roles share.
+
+    Each field is the flag ``--field-name`` and the environment variable
+    ``CASSIASHIFT_FIELD_NAME``; a flag goes before the variable.
+    """
+
+    host: str = _setting('', 'Name of this host, unique in the deployment.')
+    data_centre: str = _setting('', 'Data centre of this host.')
+    deployment: str = _setting('cassiashift', 'Name of the deployment.')
+    link: str = _setting(
+        'tcp://127.0.0.1:7100', 'Address that other processes reach.'
+    )
+    voters: str = _setting('', 'Voters as HOST=ADDRESS, separated by commas.')
+    statsd: str = _setting('', 'HOST:PORT of the statsd server, or empty.')
+    log_level: int = _setting(0, 'Verbosity of the logs.', low=-2, high=2)
+    pull_interval_s: float = _setting(
+        1.0, 'Seconds between pulls of the state.', low=0.05, high=10.0
+    )
+    announce_interval_s: float = _setting(
+        0.5, 'Seconds between announcements.', low=0.05, high=10.0
+    )
+    liveness_timeout_s: float = _setting(
+        2.0, 'Seconds without news before a peer is dead.', low=0.2, high=60.0
+    )
+    stop_timeout_s: float = _setting(
+        600.0, 'Seconds that a planned stop may take.', low=0.0, high=86400.0
+    )
+    timeline_events: int = _setting(
+        20_000, 'Events kept for the time line.', low=0, high=1_000_000
+    )
+
+    def voter_addresses(self) -> dict[str, str]:
+        """Return the link address of each voter by host."""
+        pairs = [pair for pair in self.voters.split(',') if pair]
+        return dict(pair.split('=', 1) for pair in pairs)
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings(Settings):
+    """Settings of the role ``entry``."""
+
+    http: str = _setting(
+        '127.0.0.1:7080', 'IP:PORT for callers and operators.'
+    )
+    advertise: str = _setting(
+        '', 'URL that callers are given; made from --http when empty.'
+    )
+    data_dir: str = _setting(
+        '', 'Data folder; empty for a host without a disk.'
+    )
+    operator_key_hash: str = _setting(
+        '', 'SHA-256 in hex of the first operator key.'
+    )
+    max_body_bytes: int = _setting(
+        4 * 1024 * 1024, 'Largest request body.', low=1024, high=2**30
+    )
+    request_timeout_s: float = _setting(
+        120.0, 'Deadline of a call that names none.', low=0.1, high=3600.0
+    )
+    ledger_retention_s: float = _setting(
+        86_400.0, 'Seconds that idempotency keys are kept.', low=1.0, high=1e7
+    )
+    directory_ttl_s: float = _setting(
+        10.0, 'Seconds that callers may keep an answer.', low=0.1, high=3600.0
+    )
+    tick_interval_s: float = _setting(
+        0.02, 'Seconds between ticks of the replica.', low=0.005, high=1.0
+    )
+    seed: int = _setting(0, 'Seed of random choices; 0 takes a fresh one.')
+
+
+@attrs.frozen(kw_only=True)
+class AgentSettings(Settings):
+    """Settings of the role ``agent``."""
+
+    upstreams: str = _setting(
+        '', 'Upstreams of this host as ID=URL, separated by commas.'
+    )
+    connect_timeout_s: float = _setting(
+        2.0, 'Seconds to connect to an upstream.', low=0.05, high=60.0
+    )
+    health_interval_s: float = _setting(
+        0.5, 'Seconds between health checks.', low=0.05, high=60.0
+    )
+
+    def upstream_urls(self) -> dict[str, str]:
+        """Return the base URL of each upstream by id."""
+        pairs = [pair for pair in self.upstreams.split(',') if pair]
+        return dict(pair.split('=', 1) for pair in pairs)
+
+
+EntryArguments = Annotated[EntrySettings, cyclopts.Parameter(name='*')]
+AgentArguments = Annotated[AgentSettings, cyclopts.Parameter(name='*')]
+
+
+def flag(name: str) -> str:
+    """Return the flag of a setting."""
+    return '--' + name.replace('_', '-')
+
+
+def variable(name: str) -> str:
+    """Return the environment variable of a setting."""
+    return ENV_PREFIX + name.upper()
+
+
+def check(cfg: Settings) -> None:
+    """Check every setting.
+
+    Raises:
+        SettingsError: with a line for each setting that is out of range.
+    """
+    problems = []
+    for field in attrs.fields(type(cfg)):
+        problem = _problem(field, getattr(cfg, field.name))
+        if problem:
+            problems.append(
+                f'{flag(field.name)} ({variable(field.name)}): {problem}'
+            )
+    if problems:
+        raise SettingsError(problems)
+
+
+def origins(
+    cfg: Settings, arguments: list[str], environ: Mapping[str, str]
+) -> list[tuple[str, Any, str]]:
+    """Return name, value and origin of each setting."""
+    rows = []
+    given = {argument.split('=', 1)[0] for argument in arguments}
+    for field in attrs.fields(type(cfg)):
+        origin = 'default'
+        if variable(field.name) in environ:
+            origin = variable(field.name)
+        if flag(field.name) in given:
+            origin = flag(field.name)
+        rows.append((field.name, getattr(cfg, field.name), origin))
+    return rows
+
+
+def _problem(field: attrs.Attribute, value: Any) -> str:
+    low = field.metadata.get('low', -math.inf)
+    high = field.metadata.get('high', math.inf)
+    if isinstance(value, int | float) and not low <= value <= high:
+        return f'{value} is not between {low} and {high}'
+    if field.name in ('host', 'data_centre') and not value:
+        return 'is missing'
+    if field.name in ('voters', 'upstreams'):
+        return _pairs_problem(value)
+    return ''
+
+
+def _pairs_problem(value: str) -> str:
+    for pair in filter(None, value.split(',')):
+        name, _, address = pair.partition('=')
+        if not name or '://' not in address:
+            return f'{pair!r} is not NAME=SCHEME://ADDRESS'
+    return ''
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -0,0 +1,178 @@
+"""Runs a replica of the log on a host with a data folder."""
+
+import asyncio
+import functools
+import time
+from typing import Any
+
+import attrs
+
+from cassiashift_core import consensus
+from cassiashift_core import state
+from cassiashift_core.state import results
+from cassiashift_daemon import logs
+from cassiashift_daemon import storage
+from cassiashift_net import links
+from cassiashift_net import messages
+from cassiashift_net import replication
+
+
+@attrs.define(eq=False)
+class _Pending:
+    """A proposal that was appended and waits to be applied."""
+
+    token: str
+    term: int
+    sender: links.Sender
+
+
+@attrs.define(eq=False)
+class Voter:
+    """Connects the replica with the links, the disk and the state."""
+
+    replica: consensus.Replica
+    store: storage.Storage
+    machine: state.StateMachine
+    links: links.Links
+    addresses: dict[str, str]
+    on_change: Any
+    _senders: dict[str, links.Sender] = attrs.field(factory=dict)
+    _pending: dict[int, _Pending] = attrs.field(factory=dict)
+    _reads: dict[str, Any] = attrs.field(factory=dict)
+    _unsynced: list = attrs.field(factory=list)
+    _work: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def handle(self, event: Any) -> None:
+        """Give an event to the replica and carry its effects out."""
+        for effect in self.replica.handle(event, time.monotonic()):
+            self._carry_out(effect)
+
+    def tick(self) -> None:
+        """Tell the replica that time has passed."""
+        self.handle(consensus.Tick())
+
+    def received(self, sender: links.Sender, data: bytes) -> None:
+        """Take a message from another voter."""
+        message = replication.decode(data)
+        self.handle(consensus.Received(sender.host, message))
+
+    def propose(
+        self, sender: links.Sender, message: messages.Proposal
+    ) -> None:
+        """Put a command into the log and answer when it is applied."""
+        self._senders[message.token] = sender
+        self.handle(consensus.Propose(message.token, message.data))
+
+    def read(self, token: str, done: Any) -> None:
+        """Call ``done(ready)`` once the applied state answers reads."""
+        self._reads[token] = done
+        self.handle(consensus.Read(token))
+
+    async def sync_forever(self) -> None:
+        """Make what the replica persists durable, many at a time."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._work.wait()
+            self._work.clear()
+            batch, self._unsynced = self._unsynced, []
+            if not batch:
+                continue
+            try:
+                await loop.run_in_executor(None, self.store.persist, batch)
+            except Exception as exc:
+                logs.error('storage_failed', error=str(exc))
+                self.handle(consensus.StorageFailed())
+                return
+            self.handle(consensus.Synced(batch[-1].sequence))
+
+    @functools.singledispatchmethod
+    def _carry_out(self, effect: Any) -> None:
+        raise TypeError(f'no such effect: {type(effect).__name__}')
+
+    @_carry_out.register
+    def _(self, effect: consensus.Send) -> None:
+        address = self.addresses.get(effect.receiver)
+        if address is not None:
+            data = replication.encode(effect.message)
+            self.links.send(address, messages.Replication(data))
+
+    @_carry_out.register
+    def _(self, effect: consensus.Persist) -> None:
+        self._unsynced.append(effect)
+        self._work.set()
+
+    @_carry_out.register
+    def _(self, effect: consensus.Apply) -> None:
+        for item in effect.entries:
+            self._apply(item)
+        self.on_change()
+
+    @_carry_out.register
+    def _(self, effect: consensus.InstallSnapshot) -> None:
+        data = effect.snapshot.data
+        self.machine = state.StateMachine.from_snapshot(data)
+        self._fail_pending()
+        self.on_change()
+
+    @_carry_out.register
+    def _(self, effect: consensus.Proposed) -> None:
+        sender = self._senders.pop(effect.token)
+        self._pending[effect.index] = _Pending(
+            effect.token, effect.term, sender
+        )
+
+    @_carry_out.register
+    def _(self, effect: consensus.ProposalFailed) -> None:
+        sender = self._senders.pop(effect.token, None)
+        for index, pending in list(self._pending.items()):
+            if pending.token == effect.token:
+                sender = pending.sender
+                del self._pending[index]
+        if sender is not None:
+            self._refuse(effect.token, sender, effect.reason.value)
+
+    @_carry_out.register
+    def _(self, effect: consensus.ReadReady) -> None:
+        self._reads.pop(effect.token)(True)
+
+    @_carry_out.register
+    def _(self, effect: consensus.ReadFailed) -> None:
+        self._reads.pop(effect.token)(False)
+
+    @_carry_out.register
+    def _(self, effect: consensus.TakeSnapshot) -> None:
+        taken = consensus.SnapshotTaken(effect.index, self.machine.snapshot())
+        asyncio.get_running_loop().call_soon(self.handle, taken)
+
+    @_carry_out.register
+    def _(self, effect: consensus.RoleChanged) -> None:
+        logs.info(
+            'role_changed',
+            role=effect.role.value,
+            term=effect.term,
+            leader=effect.leader,
+        )
+
+    def _apply(self, item: consensus.Entry) -> None:
+        result = None
+        if item.kind is consensus.EntryKind.COMMAND:
+            result = self.machine.apply(item.index, item.data)
+        pending = self._pending.pop(item.index, None)
+        if pending is None:
+            return
+        if pending.term == item.term and result is not None:
+            encoded = results.CODEC.encode(result)
+            pending.sender.reply(
+                messages.ProposalAnswer(pending.token, encoded)
+            )
+        else:
+            self._refuse(pending.token, pending.sender, 'not_leader')
+
+    def _fail_pending(self) -> None:
+        for pending in self._pending.values():
+            self._refuse(pending.token, pending.sender, 'unknown')
+        self._pending.clear()
+
+    def _refuse(self, token: str, sender: links.Sender, why: str) -> None:
+        leader = self.replica.leader or ''
+        sender.reply(messages.ProposalAnswer(token, b'', why, leader))
--- /dev/null
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -0,0 +1,203 @@
+"""Links between the system's processes, over ZeroMQ.
+
+A process binds one ROUTER socket and connects one DEALER socket to each
+peer that it sends to. A peer's answers come back on the same socket.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+import attrs
+import zmq
+
+from cassiashift_core import codec
+from cassiashift_net import messages
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 1000
+HEARTBEAT_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 4000
+OUTBOUND_MESSAGES = 10_000
+DRAIN_BATCH_MESSAGES = 256
+
+Handler = Callable[['Sender', Any], None]
+
+
+@attrs.frozen
+class Sender:
+    """Where a message came from and how to answer it.
+
+    Attributes:
+        host: the name that the peer gave itself.
+        reply: sends a message back over the same link.
+    """
+
+    host: str
+    reply: Callable[[Any], None]
+
+
+@attrs.define(eq=False)
+class _Port:
+    """One socket read by the loop."""
+
+    sock: zmq.Socket
+    loop: asyncio.AbstractEventLoop
+    receive: Callable[[], None]
+    scheduled: bool = False
+
+    def start(self) -> None:
+        """Watch the socket."""
+        self.loop.add_reader(self.sock.FD, self.drain)
+        self.schedule()
+
+    def schedule(self) -> None:
+        """Read again soon: the socket's descriptor is edge-triggered."""
+        if not self.scheduled:
+            self.scheduled = True
+            self.loop.call_soon(self.drain)
+
+    def drain(self) -> None:
+        """Receive what has arrived, a bounded number at a time."""
+        self.scheduled = False
+        if self.sock.closed:
+            return
+        for _ in range(DRAIN_BATCH_MESSAGES):
+            try:
+                self.receive()
+            except zmq.Again:
+                return
+        self.schedule()
+
+    def close(self) -> None:
+        """Stop watching the socket and close it."""
+        if not self.sock.closed:
+            self.loop.remove_reader(self.sock.FD)
+            self.sock.close(linger=0)
+
+
+@attrs.define(eq=False)
+class Links:
+    """All links of one process.
+
+    Args:
+        host: the name that peers see.
+        on_message: called with the sender and the decoded message.
+    """
+
+    host: str
+    on_message: Handler
+    loop: asyncio.AbstractEventLoop
+    dropped: int = 0
+    _context: zmq.Context = attrs.field(factory=zmq.Context)
+    _router: _Port | None = None
+    _peers: dict[str, _Port] = attrs.field(factory=dict)
+
+    @classmethod
+    def from_config(cls, host: str, on_message: Handler) -> 'Links':
+        """Return the links of a host on the running loop."""
+        return cls(host, on_message, asyncio.get_running_loop())
+
+    def bind(self, address: str) -> str:
+        """Listen at an address and return the address in use."""
+        sock = self._socket(zmq.ROUTER)
+        sock.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        sock.bind(address)
+        self._router = _Port(sock, self.loop, self._receive_routed)
+        self._router.start()
+        return sock.getsockopt_string(zmq.LAST_ENDPOINT)
+
+    def connect(self, address: str) -> None:
+        """Open a link to an address, unless there is one."""
+        if address in self._peers:
+            return
+        sock = self._socket(zmq.DEALER)
+        sock.setsockopt(zmq.ROUTING_ID, self.host.encode())
+        sock.connect(address)
+        port = _Port(sock, self.loop, lambda: self._receive_from(address))
+        self._peers[address] = port
+        port.start()
+
+    def disconnect(self, address: str) -> None:
+        """Close the link to an address."""
+        port = self._peers.pop(address, None)
+        if port is not None:
+            port.close()
+
+    def send(self, address: str, message: Any) -> None:
+        """Send a message to an address; a full link drops it."""
+        self.connect(address)
+        port = self._peers[address]
+        self._transmit(port, list(messages.CODEC.frames(message)))
+
+    def close(self) -> None:
+        """Close every link."""
+        for address in list(self._peers):
+            self.disconnect(address)
+        if self._router is not None:
+            self._router.close()
+        self._context.term()
+
+    def _socket(self, kind: int) -> zmq.Socket:
+        sock = self._context.socket(kind)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        sock.setsockopt(zmq.SNDHWM, OUTBOUND_MESSAGES)
+        sock.setsockopt(zmq.RCVHWM, OUTBOUND_MESSAGES)
+        sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        return sock
+
+    def _receive_routed(self) -> None:
+        frames = self._router.sock.recv_multipart(zmq.NOBLOCK)
+        identity = frames[0]
+        sender = Sender(
+            identity.decode('utf-8', 'replace'),
+            lambda message: self._reply(identity, message),
+        )
+        self._deliver(sender, frames[1:])
+
+    def _receive_from(self, address: str) -> None:
+        frames = self._peers[address].sock.recv_multipart(zmq.NOBLOCK)
+        sender = Sender(address, lambda message: self.send(address, message))
+        self._deliver(sender, frames)
+
+    def _deliver(self, sender: Sender, frames: list[bytes]) -> None:
+        if len(frames) != 2:
+            self._drop('frames', sender.host)
+            return
+        try:
+            message = messages.CODEC.value(frames[0], frames[1])
+        except codec.DecodeError:
+            self._drop('decode', sender.host)
+            return
+        try:
+            self.on_message(sender, message)
+        except Exception:
+            logging.exception(
+                'event=handler_failed peer=%s message=%s',
+                sender.host,
+                type(message).__name__,
+            )
+
+    def _reply(self, identity: bytes, message: Any) -> None:
+        frames = [identity, *messages.CODEC.frames(message)]
+        self._transmit(self._router, frames)
+
+    def _transmit(self, port: _Port, frames: list[bytes]) -> None:
+        try:
+            port.sock.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self.dropped += 1
+        port.schedule()
+
+    def _drop(self, reason: str, peer: str) -> None:
+        self.dropped += 1
+        logging.warning(
+            'event=message_dropped reason=%s peer=%r', reason, peer
+        )
--- /dev/null
+++ b/tools/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for model engines and plain services."""
