--- a/packages/cassiashift-core/cassiashift_core/manifest/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/manifest/__init__.py
@@ -1,5 +1,6 @@
 """The manifest: what operators expect, as data and checks."""
 
+from cassiashift_core.manifest.checks import check
 from cassiashift_core.manifest.model import Call
 from cassiashift_core.manifest.model import DataCentre
 from cassiashift_core.manifest.model import Group
@@ -15,6 +16,9 @@
 from cassiashift_core.manifest.model import Upstream
 from cassiashift_core.manifest.model import UpstreamKind
 from cassiashift_core.manifest.model import Workspace
+from cassiashift_core.manifest.problems import path_text
+from cassiashift_core.manifest.problems import Problem
+from cassiashift_core.manifest.schema import schema
 
 __all__ = [
     'Call',
@@ -25,6 +29,7 @@
     'Measures',
     'Model',
     'Offer',
+    'Problem',
     'Rank',
     'Region',
     'Role',
@@ -32,4 +37,7 @@
     'Upstream',
     'UpstreamKind',
     'Workspace',
+    'check',
+    'path_text',
+    'schema',
 ]
--- a/packages/cassiashift-core/cassiashift_core/manifest/model.py
+++ b/packages/cassiashift-core/cassiashift_core/manifest/model.py
@@ -4,10 +4,46 @@
 """
 
 import enum
+from typing import Annotated
 
 import attrs
+import msgspec
 
 FORMAT_VERSION = 1
+MAX_NAME_CHARACTERS = 64
+MAX_PATH_CHARACTERS = 256
+MAX_CONCURRENCY = 1_000_000
+MAX_SLOTS = 65_536
+MAX_EXPERTS = 65_536
+MAX_LAYERS = 4_096
+MAX_BYTES_PER_EXPERT = 2**50
+MAX_SPEED = 1_000.0
+MAX_WEIGHT = 1_000_000.0
+MAX_RATE = 1e12
+
+# The look-ahead stands for the end of the text in every dialect of regular
+# expressions; "$" also matches before a final line break in some.
+NAME_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._-]*(?![\s\S])'
+PATH_PATTERN = r'^/[!-~]*(?![\s\S])'
+HASH_PATTERN = r'^[0-9a-f]{64}(?![\s\S])'
+METHOD_PATTERN = r'^[A-Z]{1,16}(?![\s\S])'
+
+Name = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=NAME_PATTERN, min_length=1, max_length=MAX_NAME_CHARACTERS
+    ),
+]
+Path = Annotated[
+    str,
+    msgspec.Meta(pattern=PATH_PATTERN, max_length=MAX_PATH_CHARACTERS),
+]
+KeyHash = Annotated[str, msgspec.Meta(pattern=HASH_PATTERN)]
+Method = Annotated[str, msgspec.Meta(pattern=METHOD_PATTERN)]
+Concurrency = Annotated[int, msgspec.Meta(ge=1, le=MAX_CONCURRENCY)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
+PositiveWeight = Annotated[float, msgspec.Meta(gt=0, le=MAX_WEIGHT)]
+Rate = Annotated[float, msgspec.Meta(gt=0, le=MAX_RATE)]
 
 
 class UpstreamKind(enum.Enum):
@@ -29,14 +65,14 @@
 class DataCentre:
     """A data centre within a region."""
 
-    id: str
+    id: Name
 
 
 @attrs.frozen
 class Region:
     """A region and its data centres."""
 
-    id: str
+    id: Name
     data_centres: tuple[DataCentre, ...]
 
 
@@ -44,18 +80,18 @@
 class Model:
     """A model with the versions and adapters that may be asked for."""
 
-    id: str
-    versions: tuple[str, ...] = ('1',)
-    adapters: tuple[str, ...] = ()
+    id: Name
+    versions: tuple[Name, ...] = ('1',)
+    adapters: tuple[Name, ...] = ()
 
 
 @attrs.frozen
 class Offer:
     """One model version, with adapters, that an upstream may serve."""
 
-    model: str
-    version: str = '1'
-    adapters: tuple[str, ...] = ()
+    model: Name
+    version: Name = '1'
+    adapters: tuple[Name, ...] = ()
 
 
 @attrs.frozen
@@ -69,17 +105,17 @@
         concurrency: requests in progress that the upstream can hold.
     """
 
-    id: str
-    host: str
-    data_centre: str
+    id: Name
+    host: Name
+    data_centre: Name
     kind: UpstreamKind = UpstreamKind.ENGINE
-    protocol: str = 'openai-http'
+    protocol: Name = 'openai-http'
     role: Role = Role.BOTH
     offers: tuple[Offer, ...] = ()
-    service: str | None = None
+    service: Name | None = None
     checks_orders: bool = False
     refuses_old_fencing: bool = False
-    concurrency: int = 32
+    concurrency: Concurrency = 32
 
 
 @attrs.frozen
@@ -91,31 +127,33 @@
         speed: relative speed of the accelerator, 1.0 for nominal.
     """
 
-    id: str
-    upstream: str
-    slots: int
-    speed: float = 1.0
+    id: Name
+    upstream: Name
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    speed: Annotated[float, msgspec.Meta(gt=0, le=MAX_SPEED)] = 1.0
 
 
 @attrs.frozen
 class Group:
     """Ranks that advance in lock-step on one expert map."""
 
-    id: str
-    model: str
-    data_centre: str
+    id: Name
+    model: Name
+    data_centre: Name
     ranks: tuple[Rank, ...]
-    experts: int = 256
-    layers: int = 1
-    bytes_per_expert: int = 44_040_192
+    experts: Annotated[int, msgspec.Meta(ge=1, le=MAX_EXPERTS)] = 256
+    layers: Annotated[int, msgspec.Meta(ge=1, le=MAX_LAYERS)] = 1
+    bytes_per_expert: Annotated[
+        int, msgspec.Meta(ge=1, le=MAX_BYTES_PER_EXPERT)
+    ] = 44_040_192
 
 
 @attrs.frozen
 class Call:
     """A call of a plain service; ``path`` may end in ``*``."""
 
-    method: str
-    path: str
+    method: Method
+    path: Path
     idempotent: bool = True
 
 
@@ -123,7 +161,7 @@
 class Service:
     """A plain service and its calls."""
 
-    id: str
+    id: Name
     calls: tuple[Call, ...]
 
 
@@ -131,38 +169,40 @@
 class Limits:
     """Limits of a workspace over all entries."""
 
-    requests_per_second: float = 100.0
-    tokens_per_second: float = 100_000.0
-    concurrency: int = 256
+    requests_per_second: Rate = 100.0
+    tokens_per_second: Rate = 100_000.0
+    concurrency: Concurrency = 256
 
 
 @attrs.frozen
 class Workspace:
     """A workspace; ``key_hashes`` are SHA-256 in lower-case hex."""
 
-    id: str
-    weight: float = 1.0
+    id: Name
+    weight: PositiveWeight = 1.0
     limits: Limits = Limits()
-    key_hashes: tuple[str, ...] = ()
-    models: tuple[str, ...] = ()
-    services: tuple[str, ...] = ()
+    key_hashes: tuple[KeyHash, ...] = ()
+    models: tuple[Name, ...] = ()
+    services: tuple[Name, ...] = ()
 
 
 @attrs.frozen
 class Measures:
     """Weights of step-time skew and of the cost of rebalancing."""
 
-    skew: float = 1.0
-    cost: float = 1.0
+    skew: Weight = 1.0
+    cost: Weight = 1.0
 
 
 @attrs.frozen
 class Manifest:
     """All that the operators expect to exist."""
 
-    name: str
+    name: Name
     regions: tuple[Region, ...]
-    version: int = FORMAT_VERSION
+    version: Annotated[
+        int, msgspec.Meta(ge=FORMAT_VERSION, le=FORMAT_VERSION)
+    ] = FORMAT_VERSION
     measures: Measures = Measures()
     models: tuple[Model, ...] = ()
     upstreams: tuple[Upstream, ...] = ()
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/manifest/problems.py
@@ -0,0 +1,30 @@
+"""Problems of a manifest, each with the place where it stands."""
+
+from collections.abc import Iterable
+
+import attrs
+
+Step = str | int
+
+
+@attrs.frozen(order=True)
+class Problem:
+    """One problem; ``path`` is empty for the manifest as a whole."""
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        """Return the problem on one line."""
+        return f'{self.path}: {self.message}' if self.path else self.message
+
+
+def path_text(steps: Iterable[Step]) -> str:
+    """Return a path as text, such as ``groups[0].ranks[3]``."""
+    text = ''
+    for step in steps:
+        if isinstance(step, int):
+            text += f'[{step}]'
+        else:
+            text += f'.{step}' if text else str(step)
+    return text
--- /dev/null
+++ b/tools/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Writes the example manifests, as a build pipeline would."""
