--- a/packages/cassiashift-core/cassiashift_core/manifest/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/manifest/__init__.py
@@ -1,6 +1,10 @@
 """The manifest: what operators expect, as data and checks."""
 
+from cassiashift_core.manifest.changes import Change
+from cassiashift_core.manifest.changes import ChangeKind
+from cassiashift_core.manifest.changes import changes
 from cassiashift_core.manifest.checks import check
+from cassiashift_core.manifest.fields import unknown_fields
 from cassiashift_core.manifest.model import Call
 from cassiashift_core.manifest.model import DataCentre
 from cassiashift_core.manifest.model import Group
@@ -18,10 +22,13 @@
 from cassiashift_core.manifest.model import Workspace
 from cassiashift_core.manifest.problems import path_text
 from cassiashift_core.manifest.problems import Problem
+from cassiashift_core.manifest.problems import Step
 from cassiashift_core.manifest.schema import schema
 
 __all__ = [
     'Call',
+    'Change',
+    'ChangeKind',
     'DataCentre',
     'Group',
     'Limits',
@@ -34,10 +41,13 @@
     'Region',
     'Role',
     'Service',
+    'Step',
     'Upstream',
     'UpstreamKind',
     'Workspace',
+    'changes',
     'check',
     'path_text',
     'schema',
+    'unknown_fields',
 ]
--- a/packages/cassiashift-daemon/cassiashift_daemon/admin.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/admin.py
@@ -10,34 +10,25 @@
 
 from cassiashift_core import CassiashiftError
 from cassiashift_core import ErrorCode
+from cassiashift_core import manifest
 from cassiashift_core import state
 from cassiashift_daemon import access
+from cassiashift_daemon import logs
 from cassiashift_daemon import members
 from cassiashift_daemon import proposals
 from cassiashift_daemon import recorder
 from cassiashift_daemon import settings
 from cassiashift_daemon import shared_state
+from cassiashift_net import administration
 from cassiashift_net import problems
 
-PREFIX = '/admin/v1'
+PREFIX = administration.PREFIX
+MAX_SHOWN_PROBLEMS = 20
 
-
-@attrs.frozen
-class ApplyRequest:
-    """An operator's wish to replace the manifest."""
-
-    request_id: str
-    expected_revision: int
-    manifest: msgspec.Raw
-
-
-@attrs.frozen
-class DrainRequest:
-    """An operator's wish to drain an upstream or to end its drain."""
-
-    request_id: str
-    target: str
-    draining: bool
+ApplyRequest = administration.ApplyRequest
+DrainRequest = administration.DrainRequest
+VIEWER = access.OperatorRole.VIEWER
+OPERATOR = access.OperatorRole.OPERATOR
 
 
 @attrs.define(eq=False)
@@ -50,119 +41,144 @@
     proposer: proposals.Proposer
     events: recorder.Recorder
     voter_status: Any
+    operators: access.Operators = attrs.field(
+        default=attrs.Factory(
+            lambda self: access.Operators.from_config(self.cfg),
+            takes_self=True,
+        )
+    )
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of this interface."""
         return [
             web.get(f'{PREFIX}/status', self.handled(self.status)),
             web.get(f'{PREFIX}/manifest', self.handled(self.manifest)),
-            web.put(f'{PREFIX}/manifest', self.handled(self.apply)),
+            web.put(f'{PREFIX}/manifest', self.handled(self.apply, OPERATOR)),
             web.get(f'{PREFIX}/upstreams', self.handled(self.upstreams)),
             web.get(f'{PREFIX}/groups', self.handled(self.groups)),
-            web.post(f'{PREFIX}/drains', self.handled(self.drain)),
+            web.post(f'{PREFIX}/drains', self.handled(self.drain, OPERATOR)),
             web.get(f'{PREFIX}/timeline', self.handled(self.timeline)),
         ]
 
-    def handled(self, handler: Any) -> Any:
-        """Return a handler that authenticates and answers errors."""
+    def handled(
+        self, handler: Any, needed: access.OperatorRole = VIEWER
+    ) -> Any:
+        """Return a handler that authorises and answers errors."""
 
         async def handle(req: web.Request) -> web.Response:
             try:
-                self._authenticate(req)
-                return web.json_response(await handler(req))
+                operator = self._authorise(req, needed)
+                answer = await handler(req, operator)
             except CassiashiftError as exc:
                 return problems.response(exc, uuid.uuid4().hex)
+            return web.Response(
+                body=msgspec.json.encode(answer),
+                content_type='application/json',
+            )
 
         return handle
 
-    async def status(self, req: web.Request) -> dict[str, Any]:
+    async def status(
+        self, req: web.Request, operator: access.Operator
+    ) -> administration.Status:
         """Return the revision in force on every known host."""
         hosts = {self.cfg.host: self.holder.revision}
         for host, record in self.members.entries.items():
             hosts[host] = record.state.revision
         for host, record in self.members.agents.items():
             hosts[host] = record.announce.revision
-        return {
-            'host': self.cfg.host,
-            'data_centre': self.cfg.data_centre,
-            'revision': self.holder.revision,
-            'confirmed': self.holder.confirmed,
-            'drains': sorted(self.holder.shared.drains),
-            'hosts': hosts,
+        return administration.Status(
+            host=self.cfg.host,
+            data_centre=self.cfg.data_centre,
+            revision=self.holder.revision,
+            confirmed=self.holder.confirmed,
+            drains=tuple(sorted(self.holder.shared.drains)),
+            hosts=hosts,
             **self.voter_status(),
-        }
+        )
 
-    async def manifest(self, req: web.Request) -> dict[str, Any]:
+    async def manifest(
+        self, req: web.Request, operator: access.Operator
+    ) -> administration.ManifestAnswer:
         """Return the manifest in force and its revision."""
         shared = self.holder.shared
-        content = None
-        if shared.manifest:
-            content = msgspec.json.decode(shared.manifest)
-        return {'revision': shared.revision, 'manifest': content}
+        content = msgspec.Raw(shared.manifest) if shared.manifest else None
+        return administration.ManifestAnswer(shared.revision, content)
 
-    async def apply(self, req: web.Request) -> dict[str, Any]:
+    async def apply(
+        self, req: web.Request, operator: access.Operator
+    ) -> administration.Revision:
         """Replace the manifest."""
         wish = await _decoded(req, ApplyRequest)
+        content = bytes(wish.manifest)
+        _check_manifest(content)
         command = state.ApplyManifest(
             request_id=wish.request_id,
             expected_revision=wish.expected_revision,
-            manifest=bytes(wish.manifest),
+            manifest=content,
+            operator=operator.name,
         )
-        return _revision(await self.proposer.propose(command))
+        return await self._change(command, operator)
 
-    async def drain(self, req: web.Request) -> dict[str, Any]:
+    async def drain(
+        self, req: web.Request, operator: access.Operator
+    ) -> administration.Revision:
         """Drain an upstream or end its drain."""
         wish = await _decoded(req, DrainRequest)
-        command = state.SetDrain(wish.request_id, wish.target, wish.draining)
-        return _revision(await self.proposer.propose(command))
+        self._check_target(wish)
+        command = state.SetDrain(
+            wish.request_id, wish.target, wish.draining, operator.name
+        )
+        return await self._change(command, operator)
 
-    async def upstreams(self, req: web.Request) -> dict[str, Any]:
+    async def upstreams(
+        self, req: web.Request, operator: access.Operator
+    ) -> administration.Upstreams:
         """Return expected, missing and unexpected upstreams."""
         announced = self.members.upstreams()
-        current = self.holder.manifest
-        expected = (
-            {item.id for item in current.upstreams} if current else set()
-        )
-        rows = [
-            {
-                'id': item,
-                'expected': item in expected,
-                'announced': item in announced,
-                'healthy': item in announced and announced[item].healthy,
-                'draining': item in self.holder.shared.drains,
-                'in_flight': (
+        expected = self._expected()
+        drains = self.holder.shared.drains
+        rows = tuple(
+            administration.UpstreamRow(
+                id=item,
+                expected=item in expected,
+                announced=item in announced,
+                healthy=item in announced and announced[item].healthy,
+                draining=item in drains,
+                in_flight=(
                     announced[item].in_flight if item in announced else 0
                 ),
-            }
+            )
             for item in sorted(expected | set(announced))
-        ]
-        return {
-            'upstreams': rows,
-            'missing': sorted(expected - set(announced)),
-            'unexpected': sorted(set(announced) - expected),
-        }
+        )
+        return administration.Upstreams(
+            rows,
+            missing=tuple(sorted(expected - set(announced))),
+            unexpected=tuple(sorted(set(announced) - expected)),
+        )
 
-    async def groups(self, req: web.Request) -> dict[str, Any]:
+    async def groups(
+        self, req: web.Request, operator: access.Operator
+    ) -> administration.Groups:
         """Return the groups of the manifest in force."""
         current = self.holder.manifest
         groups = current.groups if current else ()
-        return {
-            'groups': [
-                {
-                    'id': group.id,
-                    'model': group.model,
-                    'data_centre': group.data_centre,
-                    'ranks': len(group.ranks),
-                }
+        return administration.Groups(
+            tuple(
+                administration.GroupRow(
+                    group.id, group.model, group.data_centre, len(group.ranks)
+                )
                 for group in groups
-            ]
-        }
+            )
+        )
 
-    async def timeline(self, req: web.Request) -> dict[str, Any]:
+    async def timeline(
+        self, req: web.Request, operator: access.Operator
+    ) -> dict[str, Any]:
         """Return the events that this process still holds."""
         wanted = req.query.get('request')
         events = [
-            attrs.asdict(event)
+            event
             for event in self.events.events()
             if not wanted or event.request == wanted
         ]
@@ -173,14 +189,55 @@
             'events': events,
         }
 
-    def _authenticate(self, req: web.Request) -> None:
+    def _authorise(
+        self, req: web.Request, needed: access.OperatorRole
+    ) -> access.Operator:
         key = access.bearer_key(req.headers.get('Authorization'))
-        if not access.is_operator(self.cfg.operator_key_hash, key):
+        return self.operators.authorise(key, needed)
+
+    async def _change(
+        self, command: Any, operator: access.Operator
+    ) -> administration.Revision:
+        result = await self.proposer.propose(command)
+        logs.info(
+            'configuration_change',
+            kind=type(command).__name__,
+            operator=operator.name,
+            request=command.request_id,
+            result=type(result).__name__,
+        )
+        return _revision(result)
+
+    def _expected(self) -> set[str]:
+        current = self.holder.manifest
+        return {item.id for item in current.upstreams} if current else set()
+
+    def _check_target(self, wish: DrainRequest) -> None:
+        known = self._expected() | set(self.members.upstreams())
+        if not wish.draining:
+            known |= self.holder.shared.drains
+        if wish.target not in known:
             raise CassiashiftError(
-                ErrorCode.FORBIDDEN, 'the key is not an operator key'
+                ErrorCode.NOT_FOUND, f'there is no upstream {wish.target!r}'
             )
 
 
+def _check_manifest(data: bytes) -> None:
+    """Raise ``MANIFEST_INVALID`` unless the manifest may be applied."""
+    try:
+        content = msgspec.json.decode(data, type=manifest.Manifest)
+        found = manifest.unknown_fields(msgspec.json.decode(data))
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise CassiashiftError(ErrorCode.MANIFEST_INVALID, str(exc)) from exc
+    found.extend(manifest.check(content))
+    if not found:
+        return
+    shown = '; '.join(str(item) for item in found[:MAX_SHOWN_PROBLEMS])
+    raise CassiashiftError(
+        ErrorCode.MANIFEST_INVALID, f'{len(found)} problems: {shown}'
+    )
+
+
 async def _decoded(req: web.Request, cls: type) -> Any:
     try:
         body = await req.read()
@@ -194,10 +251,10 @@
         raise CassiashiftError(ErrorCode.BAD_REQUEST, str(exc)) from exc
 
 
-def _revision(result: Any) -> dict[str, Any]:
+def _revision(result: Any) -> administration.Revision:
     match result:
         case state.Accepted():
-            return {'revision': result.revision}
+            return administration.Revision(result.revision)
         case state.Conflict():
             raise CassiashiftError(
                 ErrorCode.CONFLICT,
--- a/packages/cassiashift-daemon/cassiashift_daemon/settings.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/settings.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import math
+import re
 from typing import Annotated
 from typing import Any
 
@@ -11,6 +12,18 @@
 ENV_PREFIX = 'CASSIASHIFT_'
 HASH_HEX_DIGITS = 64
 
+_HASH = re.compile(r'[0-9a-f]{64}\Z')
+_IP_PORT = re.compile(r'(\[[0-9a-fA-F:.]+\]|[\w.-]+):(\d{1,5}|\*)\Z', re.ASCII)
+_LINK = re.compile(
+    r'tcp://(\[[0-9a-fA-F:.]+\]|[\w.*-]+):(\d{1,5}|\*)\Z', re.ASCII
+)
+_PAIRS = (
+    ('curve_secret_file', 'curve_keys_dir'),
+    ('curve_keys_dir', 'curve_secret_file'),
+    ('tls_cert_file', 'tls_key_file'),
+    ('tls_key_file', 'tls_cert_file'),
+)
+
 
 class SettingsError(ValueError):
     """Settings that can't be used; one line for each problem."""
@@ -39,6 +52,12 @@
     link: str = _setting(
         'tcp://127.0.0.1:7100', 'Address that other processes reach.'
     )
+    curve_secret_file: str = _setting(
+        '', 'Secret key of this host; links are not encrypted when empty.'
+    )
+    curve_keys_dir: str = _setting(
+        '', 'Folder with the public key of every known host.'
+    )
     voters: str = _setting('', 'Voters as HOST=ADDRESS, separated by commas.')
     statsd: str = _setting('', 'HOST:PORT of the statsd server, or empty.')
     log_level: int = _setting(0, 'Verbosity of the logs.', low=-2, high=2)
@@ -80,6 +99,13 @@
     operator_key_hash: str = _setting(
         '', 'SHA-256 in hex of the first operator key.'
     )
+    operators_file: str = _setting(
+        '', 'File with lines NAME ROLE SHA256, one for each operator.'
+    )
+    tls_cert_file: str = _setting(
+        '', 'Certificate chain for https; http is served when empty.'
+    )
+    tls_key_file: str = _setting('', 'Private key of the certificate.')
     max_body_bytes: int = _setting(
         4 * 1024 * 1024, 'Largest request body.', low=1024, high=2**30
     )
@@ -142,9 +168,10 @@
     for field in attrs.fields(type(cfg)):
         problem = _problem(field, getattr(cfg, field.name))
         if problem:
-            problems.append(
-                f'{flag(field.name)} ({variable(field.name)}): {problem}'
-            )
+            problems.append(_line(field.name, problem))
+    for first, second in _PAIRS:
+        if bool(getattr(cfg, first, '')) != bool(getattr(cfg, second, '')):
+            problems.append(_line(first, f'needs {flag(second)} as well'))
     if problems:
         raise SettingsError(problems)
 
@@ -165,6 +192,10 @@
     return rows
 
 
+def _line(name: str, problem: str) -> str:
+    return f'{flag(name)} ({variable(name)}): {problem}'
+
+
 def _problem(field: attrs.Attribute, value: Any) -> str:
     low = field.metadata.get('low', -math.inf)
     high = field.metadata.get('high', math.inf)
@@ -174,12 +205,32 @@
         return 'is missing'
     if field.name in ('voters', 'upstreams'):
         return _pairs_problem(value)
+    if isinstance(value, str):
+        return _text_problem(field.name, value)
+    return ''
+
+
+def _text_problem(name: str, value: str) -> str:
+    if not value.isprintable():
+        return f'{value!r} holds a control character'
+    if name == 'operator_key_hash' and value and not _HASH.match(value):
+        return f'is not {HASH_HEX_DIGITS} lower-case hex digits'
+    if name == 'statsd' and value and not _IP_PORT.match(value):
+        return f'{value!r} is not HOST:PORT'
+    if name == 'http' and not _IP_PORT.match(value):
+        return f'{value!r} is not IP:PORT'
+    if name == 'link' and not _LINK.match(value):
+        return f'{value!r} is not tcp://IP:PORT'
     return ''
 
 
 def _pairs_problem(value: str) -> str:
+    names = set()
     for pair in filter(None, value.split(',')):
         name, _, address = pair.partition('=')
         if not name or '://' not in address:
             return f'{pair!r} is not NAME=SCHEME://ADDRESS'
+        if name in names:
+            return f'{name!r} stands twice'
+        names.add(name)
     return ''
--- /dev/null
+++ b/packages/cassiashift-net/cassiashift_net/tls.py
@@ -0,0 +1,43 @@
+"""TLS for the HTTP interfaces, from files that the settings name."""
+
+import ssl
+
+from cassiashift_core import CassiashiftError
+from cassiashift_core import ErrorCode
+
+
+def server_context(cert_file: str, key_file: str) -> ssl.SSLContext | None:
+    """Return the context of a server, or None without files.
+
+    Raises:
+        CassiashiftError: a file is missing or can't be used.
+    """
+    if not cert_file and not key_file:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        context.load_cert_chain(cert_file, key_file)
+    except (OSError, ValueError) as exc:
+        raise _unusable(f'{cert_file}, {key_file}', exc) from exc
+    return context
+
+
+def client_context(ca_file: str = '') -> ssl.SSLContext:
+    """Return the context of a client that trusts the given authority.
+
+    Raises:
+        CassiashiftError: the file is missing or can't be used.
+    """
+    try:
+        context = ssl.create_default_context(cafile=ca_file or None)
+    except (OSError, ValueError) as exc:
+        raise _unusable(ca_file, exc) from exc
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    return context
+
+
+def _unusable(files: str, exc: Exception) -> CassiashiftError:
+    return CassiashiftError(
+        ErrorCode.BAD_REQUEST, f'TLS files {files} can not be used: {exc}'
+    )
