--- a/packages/cassiashift-net/cassiashift_net/keys.py
+++ b/packages/cassiashift-net/cassiashift_net/keys.py
@@ -10,6 +10,7 @@
 import pathlib
 import re
 import secrets
+import time
 
 import attrs
 import zmq
@@ -26,6 +27,8 @@
 SECRET_SUFFIX = '.key_secret'
 LINK_FIELD = 'link'
 MAX_KEY_FILE_BYTES = 4096
+STAMP_SETTLED_NS = 1_000_000_000
+NO_STAMP = -1
 
 _NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z', re.ASCII)
 _LINK = re.compile(rb'^\s*link\s*=\s*"?([^"\s]+)"?\s*$', re.MULTILINE)
@@ -59,16 +62,18 @@
     own: KeyPair
     folder: pathlib.Path
     _hosts: dict[bytes, KnownHost] = attrs.field(factory=dict)
-    _stamp: int = -1
+    _stamp: int = NO_STAMP
 
     @classmethod
-    def from_files(cls, secret_file: str, folder: str) -> 'KeyRing':
-        """Return the key ring of a host.
+    def from_files(cls, secret_file: str, folder: str) -> 'KeyRing | None':
+        """Return the key ring of a host, or None without files.
 
         Raises:
             CassiashiftError: a file is missing, damaged or readable by
                 other users.
         """
+        if not secret_file and not folder:
+            return None
         ring = cls(load_pair(pathlib.Path(secret_file)), pathlib.Path(folder))
         ring.reload()
         return ring
@@ -84,7 +89,9 @@
         except OSError as exc:
             raise _unusable(self.folder, str(exc)) from exc
         self._hosts = {item.public: item for item in known}
-        self._stamp = stamp
+        # A folder may change again within the resolution of its time stamp.
+        is_settled = time.time_ns() - stamp > STAMP_SETTLED_NS
+        self._stamp = stamp if is_settled else NO_STAMP
 
     def host_of(self, public: bytes) -> str | None:
         """Return the host that a public key belongs to, or None."""
--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -2,6 +2,10 @@
 
 A process binds one ROUTER socket and connects one DEALER socket to each
 peer that it sends to. A peer's answers come back on the same socket.
+
+With a key ring every link is encrypted and authenticated by CURVE: a peer
+without a known key is refused in the handshake, and one that takes the name
+of another host is not heard.
 """
 
 import asyncio
@@ -13,7 +17,10 @@
 import zmq
 
 from cassiashift_core import codec
+from cassiashift_net import authenticator
+from cassiashift_net import keys
 from cassiashift_net import messages
+from cassiashift_net import ports
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 RECONNECT_MS = 50
@@ -21,7 +28,7 @@
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 4000
 OUTBOUND_MESSAGES = 10_000
-DRAIN_BATCH_MESSAGES = 256
+USER_ID = 'User-Id'
 
 Handler = Callable[['Sender', Any], None]
 
@@ -39,45 +46,6 @@
     reply: Callable[[Any], None]
 
 
-@attrs.define(eq=False)
-class _Port:
-    """One socket read by the loop."""
-
-    sock: zmq.Socket
-    loop: asyncio.AbstractEventLoop
-    receive: Callable[[], None]
-    scheduled: bool = False
-
-    def start(self) -> None:
-        """Watch the socket."""
-        self.loop.add_reader(self.sock.FD, self.drain)
-        self.schedule()
-
-    def schedule(self) -> None:
-        """Read again soon: the socket's descriptor is edge-triggered."""
-        if not self.scheduled:
-            self.scheduled = True
-            self.loop.call_soon(self.drain)
-
-    def drain(self) -> None:
-        """Receive what has arrived, a bounded number at a time."""
-        self.scheduled = False
-        if self.sock.closed:
-            return
-        for _ in range(DRAIN_BATCH_MESSAGES):
-            try:
-                self.receive()
-            except zmq.Again:
-                return
-        self.schedule()
-
-    def close(self) -> None:
-        """Stop watching the socket and close it."""
-        if not self.sock.closed:
-            self.loop.remove_reader(self.sock.FD)
-            self.sock.close(linger=0)
-
-
 @attrs.define(eq=False)
 class Links:
     """All links of one process.
@@ -85,39 +53,63 @@
     Args:
         host: the name that peers see.
         on_message: called with the sender and the decoded message.
+        ring: the keys that links are encrypted with, or None.
     """
 
     host: str
     on_message: Handler
     loop: asyncio.AbstractEventLoop
+    ring: keys.KeyRing | None = None
     dropped: int = 0
     _context: zmq.Context = attrs.field(factory=zmq.Context)
-    _router: _Port | None = None
-    _peers: dict[str, _Port] = attrs.field(factory=dict)
+    _router: ports.Port | None = None
+    _peers: dict[str, ports.Port] = attrs.field(factory=dict)
+    _authenticator: authenticator.Authenticator | None = None
 
     @classmethod
-    def from_config(cls, host: str, on_message: Handler) -> 'Links':
+    def from_config(
+        cls,
+        host: str,
+        on_message: Handler,
+        ring: keys.KeyRing | None = None,
+    ) -> 'Links':
         """Return the links of a host on the running loop."""
-        return cls(host, on_message, asyncio.get_running_loop())
+        found = cls(host, on_message, asyncio.get_running_loop(), ring)
+        if ring is not None:
+            found._authenticator = authenticator.Authenticator.from_config(
+                found._context, found.loop, ring
+            )
+        return found
 
     def bind(self, address: str) -> str:
         """Listen at an address and return the address in use."""
         sock = self._socket(zmq.ROUTER)
         sock.setsockopt(zmq.ROUTER_HANDOVER, 1)
         sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        if self.ring is not None:
+            authenticator.secure_server(sock, self.ring)
         sock.bind(address)
-        self._router = _Port(sock, self.loop, self._receive_routed)
+        self._router = ports.Port(sock, self.loop, self._receive_routed)
         self._router.start()
         return sock.getsockopt_string(zmq.LAST_ENDPOINT)
 
     def connect(self, address: str) -> None:
-        """Open a link to an address, unless there is one."""
+        """Open a link to an address, unless there is one.
+
+        With a key ring, an address of no known host gets no link.
+        """
         if address in self._peers:
             return
+        public = self.ring.public_of(address) if self.ring else None
+        if self.ring is not None and public is None:
+            self._drop('unknown_peer', address)
+            return
         sock = self._socket(zmq.DEALER)
+        if public is not None:
+            authenticator.secure_client(sock, self.ring, public)
         sock.setsockopt(zmq.ROUTING_ID, self.host.encode())
         sock.connect(address)
-        port = _Port(sock, self.loop, lambda: self._receive_from(address))
+        port = ports.Port(sock, self.loop, lambda: self._receive_from(address))
         self._peers[address] = port
         port.start()
 
@@ -130,8 +122,9 @@
     def send(self, address: str, message: Any) -> None:
         """Send a message to an address; a full link drops it."""
         self.connect(address)
-        port = self._peers[address]
-        self._transmit(port, list(messages.CODEC.frames(message)))
+        port = self._peers.get(address)
+        if port is not None:
+            self._transmit(port, list(messages.CODEC.frames(message)))
 
     def close(self) -> None:
         """Close every link."""
@@ -139,6 +132,8 @@
             self.disconnect(address)
         if self._router is not None:
             self._router.close()
+        if self._authenticator is not None:
+            self._authenticator.close()
         self._context.term()
 
     def _socket(self, kind: int) -> zmq.Socket:
@@ -154,7 +149,7 @@
         return sock
 
     def _receive_routed(self) -> None:
-        frames = self._router.sock.recv_multipart(zmq.NOBLOCK)
+        frames = self._routed_frames()
         identity = frames[0]
         sender = Sender(
             identity.decode('utf-8', 'replace'),
@@ -162,6 +157,16 @@
         )
         self._deliver(sender, frames[1:])
 
+    def _routed_frames(self) -> list[bytes]:
+        """Return a message; one under a false name loses its content."""
+        if self.ring is None:
+            return self._router.sock.recv_multipart(zmq.NOBLOCK)
+        parts = self._router.sock.recv_multipart(zmq.NOBLOCK, copy=False)
+        frames = [part.bytes for part in parts]
+        if frames[0].decode('utf-8', 'replace') != parts[-1].get(USER_ID):
+            return frames[:1]
+        return frames
+
     def _receive_from(self, address: str) -> None:
         frames = self._peers[address].sock.recv_multipart(zmq.NOBLOCK)
         sender = Sender(address, lambda message: self.send(address, message))
@@ -189,7 +194,7 @@
         frames = [identity, *messages.CODEC.frames(message)]
         self._transmit(self._router, frames)
 
-    def _transmit(self, port: _Port, frames: list[bytes]) -> None:
+    def _transmit(self, port: ports.Port, frames: list[bytes]) -> None:
         try:
             port.sock.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError:
