Join the entry to the log and show the path over real processes

Cause: the roles were not joined to the log. Change: followers have their state confirmed by a read through the leader; header names of the client library are turned into plain text, since the serializer refuses subclasses of text; an attempt that crashes is answered.

--- a/packages/cassiashift-daemon/cassiashift_daemon/agent.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/agent.py
@@ -92,7 +92,7 @@
             case messages.Fence():
                 self.attempts.fence(message, sender.reply)
             case messages.SharedState():
-                self.puller.received(sender.host, message)
+                self.puller.received(message)
 
     def _refusal(self, upstream: str) -> str:
         if self.leaving:
--- a/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
@@ -11,6 +11,7 @@
 
 from cassiashift_core import retries
 from cassiashift_core import Verdict
+from cassiashift_daemon import logs
 from cassiashift_net import messages
 
 WINDOW_BYTES = 256 * 1024
@@ -187,6 +188,9 @@
                 await self._exchange(attempt)
         except (AttemptError, TimeoutError, aiohttp.ClientError) as exc:
             self._fail(attempt, exc)
+        except Exception as exc:
+            logs.error('attempt_crashed', attempt=start.attempt, error=exc)
+            self._fail(attempt, exc)
         finally:
             del self._running[start.attempt]
             self.in_flight[start.upstream] -= 1
@@ -213,7 +217,7 @@
         ) as resp:
             _check_owner(resp, start.request_id)
             kept = tuple(
-                (name, value)
+                (str(name), value)
                 for name, value in resp.headers.items()
                 if name.lower() not in CONNECTION_HEADERS
             )
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -36,11 +36,11 @@
 from cassiashift_net import links
 from cassiashift_net import messages
 
+SHUTDOWN_TIMEOUT_S = 1.0
 GATE_INTERVAL_S = 0.02
 VIEW_INTERVAL_S = 0.2
 DRAIN_INTERVAL_S = 0.1
 MAX_HEADER_BYTES = 16 * 1024
-PUSH_BATCH = 10_000
 
 
 class EntryProcess(lifecycle.Process):
@@ -177,9 +177,6 @@
             return
         store = storage.Storage.open(cfg.data_dir, cfg.deployment, cfg.host)
         saved = store.load()
-        machine = state.StateMachine()
-        if saved.snapshot is not None:
-            machine = state.StateMachine.from_snapshot(saved.snapshot.data)
         replica = consensus.Replica.from_config(
             consensus.ReplicaConfig(host=cfg.host, voters=tuple(addresses)),
             saved,
@@ -188,7 +185,7 @@
         self.voter = voter.Voter(
             replica=replica,
             store=store,
-            machine=machine,
+            machine=state.StateMachine(),
             links=self.links,
             addresses=addresses,
             on_change=self._voter_changed,
@@ -211,7 +208,10 @@
         app.add_routes(self.callers.routes())
         app.add_routes(self.admin.routes())
         self.runner = web.AppRunner(
-            app, handler_cancellation=True, access_log=None
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self.runner.setup()
         parts = urllib.parse.urlsplit(f'//{self.cfg.http}')
@@ -238,7 +238,7 @@
             case messages.PullState():
                 self._answer_pull(sender, message)
             case messages.SharedState():
-                self.puller.received(sender.host, message)
+                self.puller.received(message)
             case _:
                 self.attempts.received(message)
 
@@ -253,12 +253,27 @@
     def _answer_pull(
         self, sender: links.Sender, message: messages.PullState
     ) -> None:
-        if self.voter is None or not self.holder.confirmed:
+        if self.voter is None:
+            return
+        if not message.confirm:
+            self._send_state(sender, message.revision, confirmed=False)
             return
+
+        def done(is_ready: bool) -> None:
+            if is_ready:
+                self._send_state(sender, message.revision, confirmed=True)
+
+        self.voter.read(done)
+
+    def _send_state(
+        self, sender: links.Sender, known: int, confirmed: bool
+    ) -> None:
         data = b''
-        if self.holder.revision > message.revision:
+        if self.holder.revision > known:
             data = self.holder.shared.encode()
-        sender.reply(messages.SharedState(self.holder.revision, data))
+        sender.reply(
+            messages.SharedState(self.holder.revision, data, confirmed)
+        )
 
     def _voter_changed(self) -> None:
         shared = self.voter.machine.shared
@@ -266,15 +281,15 @@
             self.holder.take(state.Shared.decode(shared.encode()))
 
     def _confirm(self) -> None:
-        """Confirm, by a read through the leader, what the log holds."""
+        """Have the state of the log confirmed by a quorum after a start."""
         if self.holder.confirmed:
             return
 
         def done(is_ready: bool) -> None:
-            if is_ready:
-                self.holder.confirmed = True
+            self.holder.confirmed = self.holder.confirmed or is_ready
 
-        self.voter.read(f'confirm/{time.monotonic_ns()}', done)
+        self.voter.read(done)
+        self.puller.confirm()
 
     def _shared_changed(self) -> None:
         logs.info('revision_in_force', revision=self.holder.revision)
--- a/packages/cassiashift-daemon/cassiashift_daemon/main.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/main.py
@@ -1,8 +1,10 @@
 """The daemon's command: one subcommand for each role."""
 
+import logging as python_logging
 import os
 import sys
 
+from absl import flags
 from absl import logging
 import aiomisc
 import cyclopts
@@ -82,7 +84,9 @@
 
 
 def _serve(process: aiomisc.Service, cfg: settings.Settings) -> int:
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
+    python_logging.getLogger('transitions').setLevel(python_logging.WARNING)
     logging.set_verbosity(cfg.log_level)
     with aiomisc.entrypoint(
         process, log_config=False, pool_size=1, catch_signals=()
--- a/packages/cassiashift-daemon/cassiashift_daemon/puller.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/puller.py
@@ -11,34 +11,39 @@
 
 @attrs.define
 class Puller:
-    """Asks one voter each time, and all of them until a quorum answered."""
+    """Asks for newer states.
+
+    A process serves only after a leader with a quorum has confirmed its
+    state; until then it asks every voter. Later it asks one at a time.
+    """
 
     links: links.Links
     holder: shared_state.SharedHolder
     voters: tuple[str, ...]
-    _answered: set[str] = attrs.field(factory=set)
     _turn: int = 0
 
     def pull(self) -> None:
         """Ask for a newer state."""
         if not self.voters:
             return
-        request = messages.PullState(self.holder.revision)
         if not self.holder.confirmed:
-            for address in self.voters:
-                self.links.send(address, request)
+            self.confirm()
             return
         self._turn += 1
         address = self.voters[self._turn % len(self.voters)]
-        self.links.send(address, request)
+        self.links.send(address, messages.PullState(self.holder.revision))
+
+    def confirm(self) -> None:
+        """Ask every voter to confirm the state."""
+        request = messages.PullState(self.holder.revision, confirm=True)
+        for address in self.voters:
+            self.links.send(address, request)
 
-    def received(self, address: str, message: messages.SharedState) -> None:
+    def received(self, message: messages.SharedState) -> None:
         """Take an answer; unchanged states carry no data."""
         if message.data:
             taken = self.holder.take(state.Shared.decode(message.data))
             if taken:
                 logs.info('revision_in_force', revision=self.holder.revision)
-        if address in self.voters:
-            self._answered.add(address)
-        if len(self._answered) * 2 > len(self.voters):
+        if message.confirmed and message.revision <= self.holder.revision:
             self.holder.confirmed = True
--- a/packages/cassiashift-daemon/cassiashift_daemon/shared_state.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/shared_state.py
@@ -5,7 +5,7 @@
 import attrs
 import msgspec
 
-from cassiashift_core import manifest
+from cassiashift_core.manifest import Manifest
 from cassiashift_core import state
 
 
@@ -19,7 +19,7 @@
     """
 
     shared: state.Shared = attrs.field(factory=state.Shared)
-    manifest: manifest.Manifest | None = None
+    manifest: Manifest | None = None
     confirmed: bool = False
     on_change: Callable[[], None] = lambda: None
 
@@ -33,9 +33,7 @@
         if shared.revision <= self.shared.revision:
             return False
         if shared.manifest and shared.manifest != self.shared.manifest:
-            self.manifest = msgspec.json.decode(
-                shared.manifest, type=manifest.Manifest
-            )
+            self.manifest = msgspec.json.decode(shared.manifest, type=Manifest)
         self.shared = shared
         self.on_change()
         return True
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -1,7 +1,9 @@
 """Runs a replica of the log on a host with a data folder."""
 
 import asyncio
+from collections.abc import Callable
 import functools
+import itertools
 import time
 from typing import Any
 
@@ -38,7 +40,8 @@
     on_change: Any
     _senders: dict[str, links.Sender] = attrs.field(factory=dict)
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
-    _reads: dict[str, Any] = attrs.field(factory=dict)
+    _reads: dict[str, Callable[[bool], None]] = attrs.field(factory=dict)
+    _numbers: Any = attrs.field(factory=itertools.count)
     _unsynced: list = attrs.field(factory=list)
     _work: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -63,8 +66,9 @@
         self._senders[message.token] = sender
         self.handle(consensus.Propose(message.token, message.data))
 
-    def read(self, token: str, done: Any) -> None:
+    def read(self, done: Callable[[bool], None]) -> None:
         """Call ``done(ready)`` once the applied state answers reads."""
+        token = f'read/{next(self._numbers)}'
         self._reads[token] = done
         self.handle(consensus.Read(token))
 
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -167,17 +167,29 @@
 
 @attrs.frozen
 class PullState:
-    """Ask for the shared state if it is newer than ``revision``."""
+    """Ask for the shared state if it is newer than ``revision``.
+
+    Attributes:
+        confirm: only a leader that a quorum follows may answer.
+    """
 
     revision: int
+    confirm: bool = False
 
 
 @attrs.frozen
 class SharedState:
-    """The shared state as of ``revision``; ``data`` is its encoding."""
+    """The shared state as of ``revision``.
+
+    Attributes:
+        data: its encoding; empty if the asker has it.
+        confirmed: a quorum vouches that no newer one was accepted before
+            the question.
+    """
 
     revision: int
     data: bytes
+    confirmed: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/process/test_path.py
@@ -0,0 +1,61 @@
+"""Tests of the whole path over real processes."""
+
+import asyncio
+
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+pytestmark = pytest.mark.process
+
+
+async def test_caller_gets_a_whole_streamed_draft(deployment):
+    reply = await deployment.caller().draft('drafting', 'morning quote', 20)
+    assert_that(reply.verdict, matchers.Equals('ran'))
+    assert_that(reply.whole, matchers.Equals(True))
+
+
+async def test_booking_that_is_sent_again_runs_once(deployment):
+    caller = deployment.caller()
+    replies = await asyncio.gather(
+        *(caller.book('warehouse', 'dock-7') for _ in range(5))
+    )
+    verdicts = {reply.verdict for reply in replies}
+    assert_that(verdicts, matchers.Equals({'ran'}))
+    booked = deployment.cluster.record().booked
+    assert_that(booked, matchers.Equals({'dock-7': 1}))
+
+
+async def test_booking_is_answered_after_its_entry_died(deployment):
+    caller = deployment.caller()
+    first = await caller.book('warehouse', 'dock-8')
+    deployment.cluster.kill('entry-1')
+    again = await caller.book('warehouse', 'dock-8')
+    assert_that(again.body, matchers.Equals(first.body))
+    booked = deployment.cluster.record().booked
+    assert_that(booked, matchers.Equals({'dock-8': 1}))
+
+
+async def test_of_two_operators_with_equal_numbers_one_wins(deployment):
+    manifest = deployment.manifest
+    revision = deployment.revision
+    answers = await asyncio.gather(
+        *(
+            deployment.operator.apply(manifest, revision, request_id)
+            for request_id in ('left', 'right')
+        )
+    )
+    statuses = sorted(status for status, _ in answers)
+    assert_that(statuses, matchers.Equals([200, 409]))
+
+
+async def test_draining_upstream_gets_nothing_new(deployment):
+    _, answer = await deployment.operator.drain('drafting-1', 'drain')
+    await deployment.operator.wait_in_force(answer['revision'])
+    standins = deployment.cluster.standins
+    before = len(standins['drafting-1'].record.ran)
+    caller = deployment.caller()
+    for number in range(10):
+        await caller.draft('drafting', f'quote {number}', 2)
+    after = len(standins['drafting-1'].record.ran)
+    assert_that(after, matchers.Equals(before))
--- /dev/null
+++ b/tools/cluster/operator.py
@@ -0,0 +1,99 @@
+"""An operator who uses the administration API."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import attrs
+
+from tools.cluster import processes
+
+POLL_INTERVAL_S = 0.02
+
+
+@attrs.define(eq=False)
+class Operator:
+    """Asks one running entry after another until one answers."""
+
+    session: aiohttp.ClientSession
+    cluster: processes.Cluster
+
+    async def request(
+        self, method: str, path: str, url: str = '', **arguments: Any
+    ) -> tuple[int, dict]:
+        """Return the status and the JSON of the first answer."""
+        headers = {'Authorization': f'Bearer {processes.OPERATOR_KEY}'}
+        while True:
+            for base in [url] if url else self.cluster.entry_urls():
+                try:
+                    async with self.session.request(
+                        method,
+                        f'{base}/admin/v1/{path}',
+                        headers=headers,
+                        **arguments,
+                    ) as resp:
+                        return resp.status, await resp.json()
+                except (aiohttp.ClientError, TimeoutError):
+                    continue
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def apply(
+        self, manifest: dict, expected: int, request_id: str
+    ) -> tuple[int, dict]:
+        """Apply a manifest; resend while there is no majority."""
+        wish = {
+            'request_id': request_id,
+            'expected_revision': expected,
+            'manifest': manifest,
+        }
+        return await self._until_decided('PUT', 'manifest', wish)
+
+    async def drain(
+        self, target: str, request_id: str, draining: bool = True
+    ) -> tuple[int, dict]:
+        """Drain an upstream."""
+        wish = {
+            'request_id': request_id,
+            'target': target,
+            'draining': draining,
+        }
+        return await self._until_decided('POST', 'drains', wish)
+
+    async def wait_in_force(self, revision: int) -> None:
+        """Return when every running process has a revision in force."""
+        while not await self.is_in_force(revision):
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def is_in_force(self, revision: int) -> bool:
+        """Tell whether every running process has a revision in force."""
+        _, status = await self.request('GET', 'status')
+        wanted = {
+            name
+            for name, daemon in self.cluster.daemons.items()
+            if daemon.is_running()
+        }
+        hosts = status.get('hosts', {})
+        return all(hosts.get(name, -1) >= revision for name in wanted)
+
+    async def wait_healthy(self, upstreams: list[str]) -> None:
+        """Return when every running entry sees the upstreams healthy."""
+        for url in self.cluster.entry_urls():
+            while True:
+                _, answer = await self.request('GET', 'upstreams', url)
+                healthy = {
+                    row['id']
+                    for row in answer.get('upstreams', [])
+                    if row['healthy']
+                }
+                if healthy >= set(upstreams):
+                    break
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def _until_decided(
+        self, method: str, path: str, wish: dict
+    ) -> tuple[int, dict]:
+        while True:
+            status, answer = await self.request(method, path, json=wish)
+            if status != 503:
+                return status, answer
+            await asyncio.sleep(POLL_INTERVAL_S)
--- /dev/null
+++ b/tools/demo/__main__.py
@@ -0,0 +1,139 @@
+"""Runs the demonstration; ends with status 0 if every promise held."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+import aiohttp
+import uvloop
+import yaml
+
+from tools.cluster import Cluster
+from tools.cluster import Operator
+from tools.cluster import Placement
+from tools.demo import load
+from tools.demo import promises
+
+EXAMPLE = pathlib.Path('docs/examples/smotana.yaml')
+ENTRIES = {'entry-1': 'trnava', 'entry-2': 'nitra', 'entry-3': 'senec'}
+CALLERS = 24
+PHASE_S = 4.0
+SEED = 7
+
+
+def say(text: str) -> None:
+    """Print a line of progress."""
+    print(f'demo: {text}', flush=True)
+
+
+async def prepare(cluster: Cluster, manifest: dict) -> None:
+    """Prepare entries and, for each upstream, a stand-in and an agent."""
+    cluster.add_entries(ENTRIES, voters=len(ENTRIES))
+    for item in manifest['upstreams']:
+        placement = Placement(
+            item['host'],
+            item['data_centre'],
+            item['id'],
+            item.get('kind', 'engine') == 'engine',
+        )
+        await cluster.add_upstream(placement)
+
+
+async def demonstrate(cluster: Cluster, manifest: dict) -> bool:
+    """Run the main job; tell whether every promise held."""
+    await prepare(cluster, manifest)
+    say(f'starting {len(cluster.daemons)} processes on loopback')
+    cluster.start_all()
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        operator = Operator(session, cluster)
+        in_force_s = await apply_manifest(operator, manifest)
+        callers = load.Load(
+            session=session,
+            entries=cluster.entry_urls(),
+            workspaces=[item['id'] for item in manifest['workspaces']],
+            model=manifest['models'][0]['id'],
+            service=manifest['services'][0]['id'],
+            rng=random.Random(SEED),
+        )
+        running = asyncio.ensure_future(callers.run(CALLERS))
+        try:
+            await disturb(cluster, operator, manifest, callers)
+        finally:
+            callers.stop()
+            await running
+        findings = promises.examine(callers.done, cluster.record(), in_force_s)
+    return report(findings)
+
+
+async def apply_manifest(operator: Operator, manifest: dict) -> float:
+    """Apply the example; return the seconds until it is in force."""
+    await operator.wait_in_force(0)
+    say('applying docs/examples/smotana.yaml')
+    began = time.monotonic()
+    status, answer = await operator.apply(manifest, 0, 'demo-apply')
+    if status != 200:
+        raise RuntimeError(f'the manifest was refused: {answer}')
+    await operator.wait_in_force(answer['revision'])
+    in_force_s = time.monotonic() - began
+    await operator.wait_healthy([item['id'] for item in manifest['upstreams']])
+    say(f'revision {answer["revision"]} in force everywhere')
+    return in_force_s
+
+
+async def disturb(
+    cluster: Cluster, operator: Operator, manifest: dict, callers: load.Load
+) -> None:
+    """Kill an entry and drain an upstream while callers call."""
+    await asyncio.sleep(PHASE_S)
+    say(f'{len(callers.done)} calls done; killing entry-2')
+    cluster.kill('entry-2')
+    await asyncio.sleep(PHASE_S)
+    target = manifest['upstreams'][0]['id']
+    say(f'{len(callers.done)} calls done; draining {target}')
+    await operator.drain(target, 'demo-drain')
+    await asyncio.sleep(PHASE_S)
+    say(f'{len(callers.done)} calls done; finishing')
+
+
+def report(findings: promises.Findings) -> bool:
+    """Print the table; tell whether every promise held."""
+    width = max(len(name) for name, _ in findings.rows)
+    print()
+    for name, value in findings.rows:
+        print(f'  {name:<{width}}  {value:>10}')
+    print()
+    for text in findings.broken:
+        say(f'BROKEN {text}')
+    say('failed' if findings.broken else 'ok')
+    return not findings.broken
+
+
+async def main() -> int:
+    """Run the demonstration and end whatever it started."""
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    manifest = yaml.safe_load(EXAMPLE.read_text('utf-8'))
+    with tempfile.TemporaryDirectory(prefix='cassiashift-demo-') as folder:
+        cluster = Cluster.in_folder(pathlib.Path(folder))
+        held = False
+        try:
+            held = await demonstrate(cluster, manifest)
+        except asyncio.CancelledError:
+            say('interrupted')
+        finally:
+            with contextlib.suppress(asyncio.CancelledError):
+                await cluster.close()
+    return 0 if held else 1
+
+
+if __name__ == '__main__':
+    uvloop.install()
+    sys.exit(asyncio.run(main()))
--- a/tools/standins/host.py
+++ b/tools/standins/host.py
@@ -3,6 +3,8 @@
 from aiohttp import web
 import attrs
 
+SHUTDOWN_TIMEOUT_S = 0.2
+
 
 @attrs.define(eq=False)
 class StandinHost:
