Add the consensus core

Cause: the replicated state needs a log that no fault can revert.

Seeded schedules, a rule-based state machine, scripted faults and fourteen planted faults test it. Conclusion: the daemon and the storage can be built on this interface.

--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/consensus/changes.py
@@ -0,0 +1,85 @@
+"""Voter changes, one host at a time, through a learner."""
+
+from cassiashift_core.consensus import effects
+from cassiashift_core.consensus import events
+from cassiashift_core.consensus import records
+
+
+class Changes:
+    """The voter change that a leader has under way."""
+
+    def __init__(self, replica, leader) -> None:
+        """Work on the state of a replica that leads."""
+        self._replica = replica
+        self._leader = leader
+        self._token = ''
+
+    @property
+    def is_pending(self) -> bool:
+        """Tell whether the newest voter set is not committed yet."""
+        replica = self._replica
+        return replica.log.voters_index > replica.commit_index
+
+    def start(self, event: events.ChangeVoters) -> effects.Reason | None:
+        """Start a change; return why it is refused, if it is."""
+        if self.is_pending or not self._leader.has_committed:
+            return effects.Reason.CHANGE_PENDING
+        if event.add and not event.remove:
+            return self._add(event)
+        if event.remove and not event.add:
+            return self._remove(event)
+        return effects.Reason.INVALID_CHANGE
+
+    def advance(self) -> None:
+        """Promote a learner that has synced all that is committed."""
+        voters = self._replica.log.voters
+        if self.is_pending or not self._leader.has_committed:
+            return
+        if self._replica.host not in voters.voter_hosts:
+            self._leave()
+            return
+        for learner in voters.learners:
+            peer = self._leader.peers.get(learner.host)
+            if self.is_caught_up(peer):
+                promoted = voters.with_promoted(learner.host, peer.incarnation)
+                self._append(promoted, self._token)
+                self._token = ''
+                return
+
+    def is_caught_up(self, peer) -> bool:
+        """Tell whether a learner has synced everything committed."""
+        return bool(
+            peer
+            and peer.incarnation
+            and peer.match >= self._replica.commit_index
+        )
+
+    def _add(self, event: events.ChangeVoters) -> effects.Reason | None:
+        voters = self._replica.log.voters
+        if event.add in voters.voter_hosts:
+            return effects.Reason.INVALID_CHANGE
+        if voters.learners:
+            return effects.Reason.CHANGE_PENDING
+        self._token = event.token
+        self._append(voters.with_learner(event.add), '')
+        return None
+
+    def _remove(self, event: events.ChangeVoters) -> effects.Reason | None:
+        voters = self._replica.log.voters
+        if voters.find(event.remove) is None:
+            return effects.Reason.INVALID_CHANGE
+        rest = voters.without(event.remove)
+        if not rest.voters:
+            return effects.Reason.INVALID_CHANGE
+        if voters.learners and rest.learners:
+            return effects.Reason.CHANGE_PENDING
+        self._append(rest, event.token)
+        return None
+
+    def _append(self, voters: records.VoterSet, token: str) -> None:
+        replica = self._replica
+        replica.append_own(records.EntryKind.VOTERS, token, voters=voters)
+
+    def _leave(self) -> None:
+        self._leader.appoint()
+        self._replica.step_down()
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/consensus/leader.py
@@ -0,0 +1,298 @@
+"""The leader's side of replication, commits, reads and handover."""
+
+import attrs
+
+from cassiashift_core.consensus import changes
+from cassiashift_core.consensus import effects
+from cassiashift_core.consensus import messages
+from cassiashift_core.consensus import progress
+from cassiashift_core.consensus import records
+from cassiashift_core.consensus import rounds
+
+
+@attrs.frozen
+class PendingRead:
+    """A read that waits for a round of heartbeats and for an index."""
+
+    token: str
+    round: int
+    index: int
+
+
+class Leader:
+    """The state of one leader in one term."""
+
+    def __init__(self, replica) -> None:
+        """Take over after an election has been won."""
+        self._replica = replica
+        self._cfg = replica.cfg
+        self._rounds = rounds.Rounds(replica.host, replica.now)
+        self._reads: list[PendingRead] = []
+        self._next_heartbeat = replica.now
+        self._handover_deadline: float | None = None
+        self._is_lease_void = False
+        self._is_appointed = False
+        self.peers: dict[str, progress.Progress] = {}
+        self.changes = changes.Changes(replica, self)
+        self.term_start = replica.log.last_index + 1
+
+    @property
+    def is_handing_over(self) -> bool:
+        """Tell whether leadership is about to pass to another voter."""
+        return self._handover_deadline is not None
+
+    @property
+    def has_committed(self) -> bool:
+        """Tell whether an entry of this term is committed."""
+        return self._replica.commit_index >= self.term_start
+
+    def update_peers(self) -> None:
+        """Follow the newest voter set."""
+        voters = self._replica.log.voters
+        wanted = [item for item in voters.hosts if item != self._replica.host]
+        for host in [item for item in self.peers if item not in wanted]:
+            del self.peers[host]
+        for host in wanted:
+            peer = self.peers.get(host)
+            bound = voters.find(host).incarnation
+            if peer is None:
+                following = self._replica.log.last_index + 1
+                self.peers[host] = progress.Progress(host, following, bound)
+            elif bound and peer.incarnation != bound:
+                peer.restart(bound)
+
+    def lease_until(self, now: float) -> float | None:
+        """Return the end of the lease, or None if there is none."""
+        if self._is_lease_void or not self.has_committed:
+            return None
+        voters = self._replica.log.voters
+        return self._rounds.lease_until(voters, self._cfg.lease_s, now)
+
+    def has_lease(self, now: float) -> bool:
+        """Tell whether no other leader can exist yet."""
+        until = self.lease_until(now)
+        return until is not None and now < until
+
+    def on_clock_step(self) -> None:
+        """Give up the lease until it is earned again."""
+        self._rounds.void(self._replica.now)
+
+    def on_tick(self) -> None:
+        """Send heartbeats, and step down without a quorum."""
+        now = self._replica.now
+        voters = self._replica.log.voters
+        silent_s = now - self._rounds.quorum_time(voters, now)
+        if silent_s > self._cfg.election_timeout_s:
+            self._replica.step_down()
+            return
+        if self.is_handing_over and now > self._handover_deadline:
+            self._handover_deadline = None
+            self._is_appointed = False
+        if now >= self._next_heartbeat:
+            self.heartbeat()
+
+    def heartbeat(self) -> None:
+        """Start a round: reach every follower, with entries or without."""
+        now = self._replica.now
+        self._next_heartbeat = now + self._cfg.heartbeat_s
+        self._rounds.start(now)
+        for peer in self.peers.values():
+            self._beat(peer)
+
+    def replicate(self) -> None:
+        """Send every follower what it lacks, within its window."""
+        for peer in self.peers.values():
+            self._send_entries(peer)
+
+    def on_append_reply(self, sender: str, msg: messages.AppendReply) -> None:
+        """Take an acknowledgement, or go back to where the logs meet."""
+        peer = self._peer_of(sender, msg)
+        if peer is None:
+            return
+        if msg.success:
+            peer.acknowledge(msg.index)
+        else:
+            peer.reject(msg.index, self._next_after_reject(msg))
+        self.advance()
+        if self._replica.leading is self and sender in self.peers:
+            self._send_entries(peer)
+
+    def on_snapshot_reply(
+        self, sender: str, msg: messages.SnapshotReply
+    ) -> None:
+        """Send the next part of a snapshot."""
+        peer = self._peer_of(sender, msg)
+        if peer is None or peer.snapshot is None:
+            return
+        if peer.snapshot.index != msg.index or msg.received == peer.offset:
+            return
+        peer.offset = msg.received
+        self._send_chunk(peer)
+
+    def read(self, token: str) -> None:
+        """Answer a read by the lease, or by a round of heartbeats."""
+        replica = self._replica
+        index = max(replica.commit_index, self.term_start)
+        if self.has_lease(replica.now):
+            self._reads.append(PendingRead(token, 0, index))
+            return
+        self._reads.append(PendingRead(token, self._rounds.current + 1, index))
+        if len(replica.log.voters.voter_hosts) > 1:
+            self.heartbeat()
+
+    def finish_reads(self) -> None:
+        """Report the reads that the applied state can answer."""
+        replica = self._replica
+        answered = self._rounds.answered_by_quorum(replica.log.voters)
+        waiting = []
+        for item in self._reads:
+            if item.round <= answered and item.index <= replica.applied_index:
+                replica.outbox.emit(
+                    effects.ReadReady(item.token, replica.applied_index)
+                )
+            else:
+                waiting.append(item)
+        self._reads = waiting
+
+    def fail_reads(self) -> None:
+        """Report all waiting reads as failed."""
+        for item in self._reads:
+            failed = effects.ReadFailed(item.token, self._replica.leader)
+            self._replica.outbox.emit(failed)
+        self._reads = []
+
+    def hand_over(self) -> None:
+        """Stop taking proposals and pass leadership on."""
+        replica = self._replica
+        if not self.peers or self.is_handing_over:
+            return
+        timeout_s = self._cfg.election_timeout_s
+        self._handover_deadline = replica.now + timeout_s
+        self._finish_handover()
+
+    def appoint(self) -> None:
+        """Ask the best follower to start an election at once.
+
+        It is elected in spite of the lease, at any later time in the term,
+        so the lease ends for good.
+        """
+        replica = self._replica
+        voters = replica.log.voters.voter_hosts
+        ready = [
+            host
+            for host, peer in self.peers.items()
+            if host in voters and peer.match == replica.log.last_index
+        ]
+        if not ready:
+            return
+        best = max(ready, key=lambda host: (self._rounds.last(host), host))
+        self._is_lease_void = True
+        self._is_appointed = True
+        timeout_now = messages.TimeoutNow(replica.term)
+        replica.outbox.send_synced(best, timeout_now)
+
+    def advance(self) -> None:
+        """Commit what a majority has synced, and what follows from it."""
+        replica = self._replica
+        index = replica.log.voters.quorum_value(self._synced_indexes())
+        if self.may_commit(index):
+            replica.raise_commit(index)
+        self._finish_handover()
+        self.changes.advance()
+
+    def may_commit(self, index: int) -> bool:
+        """Tell whether a majority commits an index: only of this term."""
+        replica = self._replica
+        return (
+            index > replica.commit_index
+            and replica.log.term_at(index) == replica.term
+        )
+
+    def _synced_indexes(self) -> dict[str, int]:
+        found = {host: peer.match for host, peer in self.peers.items()}
+        found[self._replica.host] = self._replica.outbox.durable_index
+        return found
+
+    def _finish_handover(self) -> None:
+        if self.is_handing_over and not self._is_appointed:
+            self.appoint()
+
+    def _peer_of(self, sender: str, msg) -> progress.Progress | None:
+        peer = self.peers.get(sender)
+        if peer is None:
+            return None
+        self._replica.observe_term(msg.term)
+        if msg.term != self._replica.term or self._replica.leading is None:
+            return None
+        if not self._replica.knows_identity(sender, msg.incarnation):
+            return None
+        if peer.incarnation != msg.incarnation:
+            peer.restart(msg.incarnation)
+        self._rounds.answer(sender, msg.round)
+        return peer
+
+    def _next_after_reject(self, msg: messages.AppendReply) -> int:
+        if not msg.hint_term:
+            return msg.hint_index
+        log = self._replica.log
+        found = log.last_index_of_term(msg.hint_term, msg.index)
+        return found + 1 if found else msg.hint_index
+
+    def _beat(self, peer: progress.Progress) -> None:
+        if peer.snapshot is not None:
+            self._send_chunk(peer)
+            return
+        peer.paused = False
+        if not self._send_entries(peer):
+            self._send_append(peer, ())
+
+    def _send_entries(self, peer: progress.Progress) -> bool:
+        log = self._replica.log
+        sent = False
+        while peer.snapshot is None and peer.next <= log.last_index:
+            if not peer.may_send(self._cfg.max_inflight_appends):
+                break
+            if log.term_at(peer.next - 1) is None:
+                peer.send_snapshot(log.snapshot)
+                self._send_chunk(peer)
+                return True
+            batch = log.batch(
+                peer.next,
+                self._cfg.max_append_entries,
+                self._cfg.max_append_bytes,
+            )
+            self._send_append(peer, batch)
+            peer.sent(batch[-1].index)
+            sent = True
+        return sent
+
+    def _send_append(
+        self, peer: progress.Progress, batch: tuple[records.Entry, ...]
+    ) -> None:
+        replica = self._replica
+        prev_index = peer.next - 1
+        prev_term = replica.log.term_at(prev_index)
+        if prev_term is None:
+            peer.send_snapshot(replica.log.snapshot)
+            self._send_chunk(peer)
+            return
+        msg = messages.AppendEntries(
+            replica.term,
+            self._rounds.current,
+            prev_index,
+            prev_term,
+            replica.commit_index,
+            batch,
+            peer.incarnation,
+        )
+        replica.outbox.send(peer.host, msg)
+
+    def _send_chunk(self, peer: progress.Progress) -> None:
+        replica = self._replica
+        chunk = progress.chunk_of(
+            peer,
+            replica.term,
+            self._rounds.current,
+            self._cfg.snapshot_chunk_bytes,
+        )
+        replica.outbox.send(peer.host, chunk)
--- /dev/null
+++ b/tests/core/consensus/checks.py
@@ -0,0 +1,170 @@
+"""Invariants of consensus, checked on every effect of every replica."""
+
+from cassiashift_core import consensus
+
+
+class Violation(AssertionError):
+    """An invariant that does not hold."""
+
+
+def demand(holds, *text):
+    """Raise Violation with a text unless a condition holds."""
+    if not holds:
+        raise Violation(' '.join(str(part) for part in text))
+
+
+class Checker:
+    """What all replicas of a cluster have ever shown."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.leaders = {}
+        self.entries = {}
+        self.votes = {}
+        self.holders = {}
+        self.committed = {}
+        self.max_committed = 0
+        self.reads = {}
+
+    def on_persist(self, node, effect):
+        """Check that logs match and that nothing applied is dropped."""
+        first = effect.truncate_from
+        if first is not None and effect.snapshot is None:
+            kept = node.replica.applied_index
+            demand(first > kept, node.host, 'truncates applied', first)
+        for entry in effect.entries:
+            key = (entry.index, entry.term)
+            prev = node.replica.log.term_at(entry.index - 1)
+            known = self.entries.setdefault(key, (entry, prev))
+            same = known[0] == entry and prev in (None, known[1])
+            demand(same, 'logs do not match at', key)
+            if entry.voters is not None:
+                self._check_new_voters(node, entry)
+
+    def _check_new_voters(self, node, entry):
+        before = node.replica.log.voters_at(entry.index - 1)
+        if node.replica.role is not consensus.Role.LEADER:
+            return
+        for host in set(entry.voters.voter_hosts) - set(before.voter_hosts):
+            disk = self.cluster.nodes[host].disk
+            holds = disk.last_index >= self.max_committed
+            demand(holds, host, 'becomes a voter before it caught up')
+
+    def on_synced(self, node, effect):
+        """Note who holds entries durably."""
+        for entry in effect.entries:
+            key = (entry.index, entry.term)
+            self.holders.setdefault(key, set()).add(node.host)
+
+    def on_send(self, node, effect):
+        """Check that a message promises only what is synced."""
+        message = effect.message
+        saved = node.disk.hard_state
+        if isinstance(message, consensus.VoteReply):
+            self._on_vote(node, effect, saved)
+        if isinstance(message, consensus.AppendReply) and message.success:
+            durable = node.disk.last_index >= message.index
+            demand(durable, node.host, 'acknowledges unsynced entries')
+        demand(
+            saved.term >= message.term
+            or isinstance(message, consensus.VoteRequest),
+            node.host,
+            'sends before its term is synced',
+        )
+
+    def _on_vote(self, node, effect, saved):
+        message = effect.message
+        if message.pre_vote or not message.granted:
+            return
+        kept = (saved.term, saved.vote) == (message.term, effect.receiver)
+        demand(kept or saved.term > message.term, node.host, 'votes unsynced')
+        key = (node.host, message.incarnation, message.term)
+        voted = self.votes.setdefault(key, effect.receiver)
+        demand(voted == effect.receiver, node.host, 'votes twice')
+
+    def on_apply(self, node, effect):
+        """Check the order and the durability of applied entries."""
+        for entry in effect.entries:
+            demand(
+                entry.index == node.applied + 1,
+                node.host,
+                'applies out of order',
+            )
+            node.applied = entry.index
+            self._on_committed(node, entry)
+
+    def _on_committed(self, node, entry):
+        if entry.index not in self.committed:
+            self.committed[entry.index] = entry
+            self.max_committed = max(self.max_committed, entry.index)
+            self._check_quorum(node, entry)
+        known = self.committed[entry.index]
+        demand(known == entry, 'committed entry', entry.index, 'differs')
+        held = node.disk.last_index >= entry.index
+        demand(held, node.host, 'applies before it is synced')
+
+    def _check_quorum(self, node, entry):
+        log = node.replica.log
+        sets = (log.voters_at(entry.index), log.voters)
+        demand(
+            any(self._is_held_by_quorum(item, entry) for item in sets),
+            'entry',
+            entry.index,
+            'is applied without a quorum that synced it',
+        )
+
+    def _is_held_by_quorum(self, voters, entry):
+        holders = self.holders.get((entry.index, entry.term), set())
+        count = 0
+        for host in voters.voter_hosts:
+            node = self.cluster.nodes[host]
+            count += host in holders or node.disk.covers(entry.index)
+        return count >= voters.quorum
+
+    def on_install(self, node, effect):
+        """Check that a snapshot does not revert."""
+        index = effect.snapshot.index
+        demand(index >= node.applied, node.host, 'reverts to', index)
+        node.applied = index
+
+    def on_role(self, node, effect):
+        """Check that a new leader is alone and has all committed entries."""
+        if effect.role is not consensus.Role.LEADER:
+            return
+        leader = self.leaders.setdefault(effect.term, node.host)
+        demand(leader == node.host, 'two leaders in term', effect.term)
+        log = node.replica.log
+        for index, entry in self.committed.items():
+            if index > log.base_index:
+                demand(
+                    log.term_at(index) == entry.term,
+                    node.host,
+                    'leads without the committed entry',
+                    index,
+                )
+
+    def on_read(self, token):
+        """Note what a read has to see."""
+        self.reads[token] = self.max_committed
+
+    def on_read_ready(self, node, effect):
+        """Check that a read sees all that was committed before it."""
+        wanted = self.reads[effect.token]
+        demand(effect.index >= wanted, node.host, 'answers a stale read')
+        demand(node.applied >= effect.index, 'read before apply')
+
+    def check_leases(self):
+        """Check that no leader exists besides one that holds a lease."""
+        nodes = [node for node in self.cluster.nodes.values() if node.is_up]
+        terms = [
+            node.replica.term
+            for node in nodes
+            if node.replica.role is consensus.Role.LEADER
+        ]
+        for node in nodes:
+            if len(terms) > 1 and node.replica.has_lease(node.clock()):
+                demand(
+                    node.replica.term >= max(terms),
+                    node.host,
+                    'holds a lease beside a newer leader',
+                )
--- /dev/null
+++ b/tests/core/consensus/scenarios.py
@@ -0,0 +1,152 @@
+"""Scripted faults; each raises checks.Violation if a promise breaks."""
+
+import random
+
+from cassiashift_core import consensus
+from tests.core.consensus import checks
+from tests.core.consensus import cluster as clusters
+
+
+def elected(seed=1, hosts='abc', **options):
+    """Return a cluster with a leader and some committed entries."""
+    cluster = clusters.Cluster(seed, hosts, **options)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    cluster.propose(5)
+    cluster.settle(hosts)
+    return cluster
+
+
+def followers(cluster):
+    """Return the hosts that do not lead."""
+    leading = cluster.leader().host
+    return [host for host in cluster.voters if host != leading]
+
+
+def voter_back_with_emptied_folder():
+    """A voter that lost its folder helps to elect nobody."""
+    cluster = elected()
+    first, second = followers(cluster)
+    cluster.crash(second)
+    cluster.propose(5)
+    cluster.settle([cluster.leader().host, first])
+    cluster.crash(cluster.leader().host)
+    cluster.empty(first)
+    cluster.start(first)
+    cluster.start(second)
+    cluster.run(30)
+    checks.demand(cluster.leader() is None, 'an emptied voter elects')
+    return cluster
+
+
+def emptied_before_the_first_entry_arrived():
+    """A new voter and an emptied one do not found a second log."""
+    cluster = clusters.Cluster(3)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    first, second = followers(cluster)
+    leading = cluster.leader().host
+    cluster.crash(second)
+    cluster.nodes[second].disk.entries.clear()
+    cluster.propose(5)
+    cluster.settle([leading, first])
+    cluster.crash(leading)
+    cluster.empty(first)
+    cluster.start(first)
+    cluster.start(second)
+    cluster.run(30)
+    checks.demand(cluster.leader() is None, 'a second log is founded')
+    return cluster
+
+
+def older_term_held_by_majority():
+    """An entry of an older term is not committed by counting replicas."""
+    voters = consensus.VoterSet(
+        tuple(consensus.Voter(host, host) for host in 'abc')
+    )
+    first = consensus.Entry(1, 1, consensus.EntryKind.VOTERS, voters=voters)
+    saved = consensus.SavedState(
+        consensus.HardState(1, 'a', 1),
+        (first, consensus.Entry(2, 1, data=b'x')),
+        incarnation='a',
+    )
+    cfg = consensus.ReplicaConfig(host='a', voters=tuple('abc'))
+    replica = consensus.Replica.from_config(cfg, saved, random.Random(1))
+    now = lead(replica)
+    answer = consensus.AppendReply(replica.term, 1, True, 2, 'b')
+    replica.handle(consensus.Received('b', answer), now)
+    checks.demand(replica.commit_index < 2, 'commits an older term')
+    answer = consensus.AppendReply(replica.term, 1, True, 3, 'b')
+    replica.handle(consensus.Received('b', answer), now)
+    checks.demand(replica.commit_index == 3, 'does not commit its own term')
+
+
+def lead(replica):
+    """Make a replica with two other voters the leader; return the time."""
+    time = 0.0
+    while replica.role is consensus.Role.FOLLOWER:
+        replica.handle(consensus.Tick(), time)
+        time += 0.05
+    term = replica.term
+    pre = consensus.VoteReply(term, term + 1, True, 'b', pre_vote=True)
+    replica.handle(consensus.Received('b', pre), time)
+    sync(replica, time)
+    vote = consensus.VoteReply(term + 1, term + 1, True, 'b')
+    replica.handle(consensus.Received('b', vote), time)
+    sync(replica, time)
+    checks.demand(replica.role is consensus.Role.LEADER, 'does not lead')
+    return time
+
+
+def sync(replica, now):
+    """Make everything durable."""
+    replica.handle(consensus.Synced(replica.outbox.sequence), now)
+
+
+def isolated_leader_keeps_believing():
+    """A leader that was cut off for long serves no reads and steps down."""
+    cluster = elected()
+    old = cluster.leader()
+    cluster.isolate(old.host)
+    others = [host for host in 'abc' if host != old.host]
+    for _ in range(40):
+        cluster.run(0.1)
+        cluster.post(old.host, consensus.Read)
+        for host in others:
+            cluster.post(host, consensus.Propose)
+    checks.demand(old.replica.role is not consensus.Role.LEADER, 'still leads')
+    cluster.heal()
+    cluster.settle()
+    return cluster
+
+
+def cut_off_after_handover():
+    """A leader that passed its role on but heard nothing reads nothing."""
+    cluster = elected()
+    old = cluster.leader()
+    others = followers(cluster)
+    cluster.cuts = {(host, old.host) for host in others}
+    cluster.handle(old, consensus.HandOver())
+    for _ in range(30):
+        cluster.run(0.05)
+        cluster.post(old.host, consensus.Read)
+        for host in others:
+            cluster.post(host, consensus.Propose)
+    cluster.heal()
+    cluster.settle()
+    return cluster
+
+
+def lost_right_after_repair():
+    """Replace a lost voter, then lose another one at once."""
+    cluster = elected(hosts='abc', spares='x')
+    lost, other = followers(cluster)
+    cluster.crash(lost)
+    leading = cluster.leader().host
+    token = cluster.post(leading, consensus.ChangeVoters, add='x')
+    cluster.run_until(lambda: token in cluster.outcomes)
+    cluster.run(0.3)
+    token = cluster.post(leading, consensus.ChangeVoters, remove=lost)
+    cluster.run_until(lambda: token in cluster.outcomes)
+    cluster.run(0.3)
+    cluster.crash(leading)
+    cluster.settle([other, 'x'])
+    return cluster
--- /dev/null
+++ b/tests/core/consensus/schedules.py
@@ -0,0 +1,144 @@
+"""Random schedules of faults, each made from one seed."""
+
+import random
+
+from cassiashift_core import consensus
+from tests.core.consensus import cluster as clusters
+
+STEPS = 60
+
+
+def explore(seed, steps=STEPS):
+    """Run one schedule, heal everything and check that work goes on."""
+    rng = random.Random(seed)
+    hosts = rng.choice(('abc', 'abc', 'abcde'))
+    cluster = clusters.Cluster(seed, hosts, spares='x')
+    for node in cluster.nodes.values():
+        node.rate = rng.uniform(0.97, 1.03)
+    cluster.run(rng.uniform(1, 4))
+    for _ in range(steps):
+        rng.choice(ACTIONS)(cluster, rng)
+        cluster.run(rng.choice((0.005, 0.05, 0.4, 1.5)))
+    cluster.heal()
+    for host in cluster.nodes:
+        cluster.start(host)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    leader = cluster.leader()
+    cluster.settle(leader.replica.voters.hosts)
+    return cluster
+
+
+def _host(cluster, rng):
+    return rng.choice(sorted(cluster.nodes))
+
+
+def propose(cluster, rng):
+    """Propose at every host that believes to lead."""
+    for node in cluster.nodes.values():
+        if node.is_up:
+            for _ in range(rng.randint(1, 15)):
+                cluster.post(node.host, consensus.Propose)
+
+
+def read(cluster, rng):
+    """Read at every host."""
+    for host in cluster.nodes:
+        cluster.post(host, consensus.Read)
+
+
+def crash(cluster, rng):
+    """End a process between any two steps of its storage."""
+    cluster.crash(_host(cluster, rng), rng.randint(0, 2))
+
+
+def crash_leader(cluster, rng):
+    """End the leader's process."""
+    if cluster.leader():
+        cluster.crash(cluster.leader().host, rng.randint(0, 2))
+
+
+def start_all(cluster, rng):
+    """Start every host that is down."""
+    for host in cluster.nodes:
+        cluster.start(host)
+
+
+def restart_all(cluster, rng):
+    """End all processes at once and start them."""
+    for host in cluster.nodes:
+        cluster.crash(host, rng.randint(0, 1))
+    start_all(cluster, rng)
+
+
+def cut_one_way(cluster, rng):
+    """Cut one direction between two hosts."""
+    cluster.cuts.add((_host(cluster, rng), _host(cluster, rng)))
+
+
+def isolate_leader(cluster, rng):
+    """Cut the leader off."""
+    if cluster.leader():
+        cluster.isolate(cluster.leader().host)
+
+
+def recover(cluster, rng):
+    """Mend all links, start all hosts and let them work for a while."""
+    cluster.heal()
+    start_all(cluster, rng)
+    cluster.run(3)
+    cluster.propose(rng.randint(1, 15))
+
+
+def disturb(cluster, rng):
+    """Lose, double and delay messages."""
+    cluster.faults = clusters.Faults(
+        rng.uniform(0, 0.3), rng.uniform(0, 0.3), rng.uniform(0, 0.3)
+    )
+
+
+def step_clock(cluster, rng):
+    """Step a monotonic clock, though it should never."""
+    cluster.step_clock(_host(cluster, rng), rng.choice((-3, -0.5, 0.4, 5)))
+
+
+def hand_over(cluster, rng):
+    """Pass leadership on."""
+    leader = cluster.leader()
+    if leader:
+        cluster.handle(leader, consensus.HandOver())
+
+
+def change_voters(cluster, rng):
+    """Add or remove a host."""
+    leader = cluster.leader()
+    if leader:
+        host = _host(cluster, rng)
+        known = leader.replica.voters.find(host)
+        fields = {'remove' if known else 'add': host}
+        if not known or len(leader.replica.voters.voter_hosts) > 3:
+            cluster.post(leader.host, consensus.ChangeVoters, **fields)
+
+
+ACTIONS = (
+    propose,
+    propose,
+    propose,
+    propose,
+    read,
+    read,
+    crash,
+    crash_leader,
+    start_all,
+    start_all,
+    restart_all,
+    cut_one_way,
+    isolate_leader,
+    recover,
+    recover,
+    recover,
+    disturb,
+    step_clock,
+    hand_over,
+    change_voters,
+    change_voters,
+)
--- /dev/null
+++ b/tests/core/consensus/test_planted_faults.py
@@ -0,0 +1,171 @@
+"""Tests that the checks catch faults that are planted on purpose."""
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core.consensus import changes
+from cassiashift_core.consensus import clock
+from cassiashift_core.consensus import effects
+from cassiashift_core.consensus import election
+from cassiashift_core.consensus import leader
+from cassiashift_core.consensus import log
+from cassiashift_core.consensus import outbox
+from cassiashift_core.consensus import records
+from cassiashift_core.consensus import state
+from tests.core.consensus import checks
+from tests.core.consensus import scenarios
+from tests.core.consensus import schedules
+
+MAX_SEEDS = 30
+
+
+def explore_seeds():
+    """Run schedules until one of them breaks an invariant."""
+    for seed in range(1, MAX_SEEDS + 1):
+        schedules.explore(seed)
+
+
+@attrs.frozen
+class Fault:
+    """A method to replace, and the run that has to notice."""
+
+    owner: type
+    name: str
+    planted: object
+    text: str
+    run: object = explore_seeds
+
+
+def send_at_once(self, receiver, message):
+    self._held.append((0, effects.Send(receiver, message)))
+
+
+def grant_again(self, sender, request):
+    return request.term >= self._replica.term
+
+
+def grant_by_log_only(self, sender, request):
+    log_state = self._replica.log
+    newer = request.term >= self._replica.term
+    return newer and log_state.is_behind(request.last_index, request.last_term)
+
+
+def read_at_once(self, token):
+    index = self._replica.commit_index
+    self._reads.append(leader.PendingRead(token, 0, index))
+
+
+real_appoint = leader.Leader.appoint
+
+
+def appoint_and_keep_lease(self):
+    real_appoint(self)
+    self._is_lease_void = False
+
+
+FAULTS = {
+    'vote and acknowledge without sync': Fault(
+        outbox.Outbox, 'send_synced', send_at_once, 'votes unsynced'
+    ),
+    'count a learner': Fault(
+        records.VoterSet,
+        'voter_hosts',
+        property(lambda self: self.hosts),
+        'becomes a voter before it caught up',
+    ),
+    'promote a learner too soon': Fault(
+        changes.Changes,
+        'is_caught_up',
+        lambda self, peer: bool(peer and peer.incarnation),
+        'becomes a voter before it caught up',
+    ),
+    'apply uncommitted entries': Fault(
+        state.ReplicaState,
+        'appliable_index',
+        lambda self: self.outbox.durable_index,
+        'is applied without a quorum that synced it',
+    ),
+    'apply unsynced entries': Fault(
+        state.ReplicaState,
+        'appliable_index',
+        lambda self: self.commit_index,
+        'applies before it is synced',
+    ),
+    'commit an older term by count': Fault(
+        leader.Leader,
+        'may_commit',
+        lambda self, index: index > self._replica.commit_index,
+        'commits an older term',
+        scenarios.older_term_held_by_majority,
+    ),
+    'vote during a lease': Fault(
+        state.ReplicaState,
+        'was_leader_heard',
+        lambda self: False,
+        'holds a lease beside a newer leader',
+    ),
+    'overlook clock steps': Fault(
+        clock.Clock,
+        'read',
+        lambda self, reading_s: (reading_s, False),
+        'holds a lease beside a newer leader',
+    ),
+    'keep the lease after a handover': Fault(
+        leader.Leader,
+        'appoint',
+        appoint_and_keep_lease,
+        'holds a lease beside a newer leader',
+    ),
+    'read by a lease that has ended': Fault(
+        leader.Leader,
+        'read',
+        read_at_once,
+        'answers a stale read',
+        scenarios.cut_off_after_handover,
+    ),
+    'vote twice in a term': Fault(
+        election.Election, 'may_grant', grant_by_log_only, 'votes twice'
+    ),
+    'vote for an incomplete log': Fault(
+        log.Log,
+        'is_behind',
+        lambda self, last_index, last_term: True,
+        'leads without the committed entry',
+    ),
+    'count an emptied voter': Fault(
+        state.ReplicaState,
+        'knows_identity',
+        lambda self, sender, incarnation: True,
+        'leads without the committed entry',
+        scenarios.voter_back_with_emptied_folder,
+    ),
+    'found a log by a majority': Fault(
+        records.VoterSet,
+        'votes_needed',
+        property(lambda self: self.quorum),
+        'leads without the committed entry',
+        scenarios.emptied_before_the_first_entry_arrived,
+    ),
+}
+
+
+@pytest.mark.parametrize('name', FAULTS)
+def test_checks_catch_a_planted_fault(name, monkeypatch):
+    fault = FAULTS[name]
+    monkeypatch.setattr(fault.owner, fault.name, fault.planted)
+    with pytest.raises(checks.Violation) as caught:
+        fault.run()
+    assert_that(str(caught.value), matchers.Contains(fault.text))
+
+
+@pytest.mark.parametrize(
+    'run',
+    sorted(
+        {fault.run for fault in FAULTS.values()} - {explore_seeds}, key=str
+    ),
+    ids=lambda run: run.__name__,
+)
+def test_no_check_fails_without_a_fault(run):
+    run()
--- /dev/null
+++ b/tests/core/consensus/test_scenarios.py
@@ -0,0 +1,226 @@
+"""Tests of consensus under scripted faults."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import consensus
+from tests.core.consensus import cluster as clusters
+from tests.core.consensus import scenarios
+
+
+@pytest.mark.parametrize('hosts', ['a', 'ab', 'abc', 'abcde'])
+def test_cluster_commits_and_applies_everywhere(hosts):
+    cluster = scenarios.elected(hosts=hosts)
+    assert_that(cluster.checker.max_committed, matchers.GreaterThan(5))
+
+
+def test_all_messages_survive_the_codec():
+    cluster = clusters.Cluster(5, 'abc', 'x', snapshot_chunk_bytes=40)
+    cluster.use_codec = True
+    cluster.run_until(lambda: cluster.leader() is not None)
+    for _ in range(10):
+        cluster.propose(10)
+        cluster.run(0.2)
+    leading = cluster.leader().host
+    cluster.post(leading, consensus.ChangeVoters, add='x')
+    cluster.run(1)
+    cluster.handle(cluster.leader(), consensus.HandOver())
+    cluster.settle()
+    voters = cluster.leader().replica.voters.voter_hosts
+    assert_that(voters, matchers.Contains('x'))
+    assert_that(
+        cluster.nodes['x'].disk.snapshot, matchers.Not(matchers.Is(None))
+    )
+
+
+def test_emptied_voter_is_refused():
+    cluster = scenarios.voter_back_with_emptied_folder()
+    cluster.start(next(h for h in 'abc' if not cluster.nodes[h].is_up))
+    cluster.run(5)
+    roles = [node.replica.role for node in cluster.nodes.values()]
+    assert_that(roles, matchers.Contains(consensus.Role.REFUSED))
+
+
+def test_emptied_voter_returns_after_its_record_was_removed():
+    cluster = scenarios.elected()
+    host = scenarios.followers(cluster)[0]
+    cluster.empty(host)
+    cluster.start(host)
+    cluster.run(5)
+    assert_that(
+        cluster.nodes[host].replica.role,
+        matchers.Is(consensus.Role.REFUSED),
+    )
+    for change in ({'remove': host}, {'add': host}):
+        leading = cluster.leader().host
+        cluster.post(leading, consensus.ChangeVoters, **change)
+        cluster.run(2)
+    cluster.settle()
+    assert_that(
+        cluster.leader().replica.voters.voter_hosts, matchers.Contains(host)
+    )
+
+
+def test_emptied_voter_founds_no_second_log():
+    scenarios.emptied_before_the_first_entry_arrived()
+
+
+def test_voter_with_an_older_folder_catches_up():
+    cluster = scenarios.elected()
+    host = scenarios.followers(cluster)[0]
+    cluster.crash(host)
+    for _ in range(20):
+        cluster.propose(10)
+        cluster.run(0.2)
+    assert_that(cluster.nodes[host].disk.last_index, matchers.LessThan(20))
+    cluster.start(host)
+    cluster.settle()
+    replica = cluster.nodes[host].replica
+    assert_that(replica.log.snapshot_index, matchers.GreaterThan(100))
+
+
+def test_isolated_leader_finds_out():
+    cluster = scenarios.isolated_leader_keeps_believing()
+    assert_that(len(cluster.checker.leaders), matchers.GreaterThan(1))
+
+
+def test_leader_that_cannot_receive_steps_down():
+    cluster = scenarios.elected()
+    old = cluster.leader()
+    cluster.cuts = {(host, old.host) for host in cluster.nodes}
+    cluster.run_until(lambda: cluster.leader() not in (None, old), 10)
+    cluster.heal()
+    cluster.settle()
+
+
+def test_host_that_cannot_receive_does_not_disturb():
+    cluster = scenarios.elected()
+    term = cluster.leader().replica.term
+    host = scenarios.followers(cluster)[0]
+    cluster.cuts = {(other, host) for other in cluster.nodes}
+    cluster.run(20)
+    cluster.heal()
+    cluster.settle()
+    assert_that(cluster.leader().replica.term, matchers.Equals(term))
+
+
+def test_second_voter_lost_right_after_a_repair():
+    cluster = scenarios.lost_right_after_repair()
+    assert_that(
+        cluster.leader().replica.voters.voter_hosts, matchers.Contains('x')
+    )
+
+
+def test_one_change_at_a_time():
+    cluster = scenarios.elected(spares='xy')
+    leading = cluster.leader().host
+    cluster.crash('x')
+    cluster.post(leading, consensus.ChangeVoters, add='x')
+    cluster.run(1)
+    token = cluster.post(leading, consensus.ChangeVoters, add='y')
+    assert_that(
+        cluster.outcomes[token].reason,
+        matchers.Is(consensus.Reason.CHANGE_PENDING),
+    )
+    voters = cluster.leader().replica.voters
+    assert_that(voters.voter_hosts, matchers.Equals(('a', 'b', 'c')))
+
+
+def test_leader_leaves_the_voter_set():
+    cluster = scenarios.elected()
+    old = cluster.leader()
+    cluster.post(old.host, consensus.ChangeVoters, remove=old.host)
+    rest = scenarios.followers(cluster)
+    cluster.run_until(lambda: cluster.leader() not in (None, old), 5)
+    cluster.settle(rest)
+
+
+def test_restart_of_all_after_hundreds_of_changes():
+    cluster = scenarios.elected()
+    for _ in range(50):
+        cluster.propose(10)
+        cluster.run(0.1)
+    before = cluster.checker.max_committed
+    assert_that(before, matchers.GreaterThan(450))
+    for host in 'abc':
+        cluster.crash(host)
+    for host in 'abc':
+        cluster.start(host)
+    cluster.settle()
+    assert_that(cluster.checker.max_committed, matchers.GreaterThan(before))
+
+
+def test_handover_is_faster_than_an_election_timeout():
+    cluster = scenarios.elected()
+    old = cluster.leader()
+    start = cluster.now
+    cluster.handle(old, consensus.HandOver())
+    cluster.run_until(lambda: cluster.leader() not in (None, old), 5)
+    assert_that(cluster.now - start, matchers.LessThan(clusters.TIMEOUT_S / 2))
+    assert_that(old.replica.has_lease(old.clock()), matchers.Is(False))
+
+
+def test_failed_storage_ends_the_vote_and_the_lead():
+    cluster = scenarios.elected()
+    old = cluster.leader()
+    rest = scenarios.followers(cluster)
+    cluster.handle(old, consensus.StorageFailed())
+    assert_that(old.replica.role, matchers.Is(consensus.Role.FAILED))
+    cluster.settle(rest)
+    cluster.handle(old, consensus.Tick())
+    assert_that(old.replica.role, matchers.Is(consensus.Role.FAILED))
+
+
+def test_read_without_a_quorum_is_not_answered():
+    cluster = scenarios.elected()
+    old = cluster.leader()
+    cluster.isolate(old.host)
+    cluster.run(0.8)
+    token = cluster.post(old.host, consensus.Read)
+    cluster.run(5)
+    assert_that(
+        cluster.outcomes[token], matchers.IsInstance(consensus.ReadFailed)
+    )
+
+
+def test_proposal_of_a_deposed_leader_is_reported_as_replaced():
+    cluster = scenarios.elected()
+    old = cluster.leader()
+    cluster.isolate(old.host)
+    token = cluster.post(old.host, consensus.Propose)
+    cluster.run(5)
+    cluster.propose(3)
+    cluster.run(1)
+    cluster.heal()
+    cluster.settle()
+    assert_that(
+        cluster.outcomes[token].reason,
+        matchers.Is(consensus.Reason.REPLACED),
+    )
+
+
+def test_known_commit_is_applied_after_a_start_without_a_quorum():
+    cluster = scenarios.elected()
+    cluster.run(1)
+    applied = cluster.checker.max_committed
+    for host in 'abc':
+        cluster.crash(host)
+    cluster.start('a')
+    cluster.run(0.1)
+    assert_that(cluster.nodes['a'].applied, matchers.Equals(applied))
+
+
+def test_entry_of_an_older_term_is_not_committed_by_count():
+    scenarios.older_term_held_by_majority()
+
+
+@pytest.mark.parametrize('seconds', [-100, 100])
+def test_clock_step_ends_the_lease(seconds):
+    cluster = scenarios.elected()
+    leader = cluster.leader()
+    cluster.run(0.2)
+    assert_that(leader.replica.has_lease(leader.clock()), matchers.Is(True))
+    cluster.step_clock(leader.host, seconds)
+    assert_that(leader.replica.has_lease(leader.clock()), matchers.Is(False))
+    cluster.settle()
--- /dev/null
+++ b/tools/explore_consensus.py
@@ -0,0 +1,34 @@
+"""Explores consensus with seeded schedules of faults.
+
+Usage: tools/run python -m tools.explore_consensus --seeds 200 [--first 1]
+"""
+
+import argparse
+import sys
+
+from tests.core.consensus import schedules
+
+
+def main() -> int:
+    """Run the schedules; report the seeds that break an invariant."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=200)
+    parser.add_argument('--first', type=int, default=1)
+    parser.add_argument('--steps', type=int, default=schedules.STEPS)
+    args = parser.parse_args()
+    failed = 0
+    committed = 0
+    for seed in range(args.first, args.first + args.seeds):
+        try:
+            cluster = schedules.explore(seed, args.steps)
+        except Exception as exc:
+            failed += 1
+            print(f'seed={seed} error={type(exc).__name__} text="{exc}"')
+        else:
+            committed += cluster.checker.max_committed
+    print(f'seeds={args.seeds} failed={failed} committed={committed}')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
