--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/storage/filesystem.py
@@ -0,0 +1,106 @@
+"""The file operations that the storage needs, in one replaceable object."""
+
+import fcntl
+import os
+import pathlib
+import secrets
+from typing import BinaryIO
+
+
+class File:
+    """A file that is open for appending."""
+
+    def __init__(self, handle: BinaryIO) -> None:
+        """Take an open, unbuffered file."""
+        self._handle = handle
+
+    def write(self, data: bytes) -> None:
+        """Append all of the data."""
+        view = memoryview(data)
+        while view:
+            view = view[self._handle.write(view) :]
+
+    def sync(self) -> None:
+        """Make everything written so far durable."""
+        os.fdatasync(self._handle.fileno())
+
+    def close(self) -> None:
+        """Close the file and release its locks."""
+        self._handle.close()
+
+
+class FileSystem:
+    """File operations of the operating system."""
+
+    def make_folder(self, path: pathlib.Path) -> None:
+        """Make a folder durably, unless it exists."""
+        if path.is_dir():
+            return
+        path.mkdir(parents=True)
+        self.sync_folder(path.parent)
+
+    def list_names(self, folder: pathlib.Path) -> list[str]:
+        """Return the names in a folder, sorted."""
+        return sorted(os.listdir(folder))
+
+    def read(self, path: pathlib.Path) -> bytes:
+        """Return the content of a file."""
+        return path.read_bytes()
+
+    def create(self, path: pathlib.Path) -> File:
+        """Open an empty file, in place of any old content."""
+        return File(path.open('wb', buffering=0))
+
+    def append(self, path: pathlib.Path) -> File:
+        """Open an existing file for appending."""
+        return File(path.open('ab', buffering=0))
+
+    def replace(self, source: pathlib.Path, target: pathlib.Path) -> None:
+        """Rename a file over another one."""
+        source.replace(target)
+
+    def remove(self, path: pathlib.Path) -> None:
+        """Remove a file."""
+        path.unlink()
+
+    def sync_folder(self, path: pathlib.Path) -> None:
+        """Make creations, renames and removals in a folder durable."""
+        descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def lock(self, path: pathlib.Path) -> File:
+        """Lock a file until it is closed.
+
+        Raises:
+            BlockingIOError: another process holds the lock.
+        """
+        handle = path.open('ab', buffering=0)
+        try:
+            fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            handle.close()
+            raise
+        return File(handle)
+
+    def random_bytes(self, count: int) -> bytes:
+        """Return random bytes."""
+        return secrets.token_bytes(count)
+
+
+def write_aside(files: FileSystem, path: pathlib.Path, data: bytes) -> None:
+    """Write a file so that it is there whole or not at all."""
+    aside = path.with_name(path.name + ASIDE_SUFFIX)
+    handle = files.create(aside)
+    try:
+        handle.write(data)
+        handle.sync()
+    finally:
+        handle.close()
+    files.replace(aside, path)
+    files.sync_folder(path.parent)
+
+
+ASIDE_SUFFIX = '.aside'
