Bound the revision numbers of the administration API by 64 bits

Cause: the demonstration hung at its first apply: the decoder refuses the bound 'below 2**63' at run time, and the operator kept asking. Change: the bound is 'at most 2**63 - 1'.

--- a/packages/cassiashift-net/cassiashift_net/administration.py
+++ b/packages/cassiashift-net/cassiashift_net/administration.py
@@ -8,11 +8,12 @@
 
 PREFIX = '/admin/v1'
 MAX_REQUEST_ID_CHARACTERS = 128
+MAX_REVISION = 2**63 - 1
 
 RequestId = Annotated[
     str, msgspec.Meta(min_length=1, max_length=MAX_REQUEST_ID_CHARACTERS)
 ]
-RevisionNumber = Annotated[int, msgspec.Meta(ge=0, lt=2**63)]
+RevisionNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
 
 
 @attrs.frozen
--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -74,9 +74,7 @@
 @pytest.fixture
 async def deployment(tmp_path):
     """Return a deployment of three entries and four upstreams."""
-    cluster = Cluster.in_folder(
-        tmp_path, entry=['--directory-ttl-s', '1.0']
-    )
+    cluster = Cluster.in_folder(tmp_path, entry=['--directory-ttl-s', '1.0'])
     cluster.add_entries(ENTRIES, voters=3)
     manifest = small_manifest()
     for item in manifest['upstreams']:
