--- a/tests/core/consensus/checks.py
+++ b/tests/core/consensus/checks.py
@@ -76,11 +76,16 @@
         message = effect.message
         if message.pre_vote or not message.granted:
             return
-        kept = (saved.term, saved.vote) == (message.term, effect.receiver)
-        demand(kept or saved.term > message.term, node.host, 'votes unsynced')
         key = (node.host, message.incarnation, message.term)
         voted = self.votes.setdefault(key, effect.receiver)
         demand(voted == effect.receiver, node.host, 'votes twice')
+        if saved.term <= message.term:
+            demand(
+                saved.term == message.term and saved.vote,
+                node.host,
+                'votes unsynced',
+            )
+            demand(saved.vote == effect.receiver, node.host, 'votes twice')
 
     def on_apply(self, node, effect):
         """Check the order and the durability of applied entries."""
--- a/tests/core/consensus/scenarios.py
+++ b/tests/core/consensus/scenarios.py
@@ -118,6 +118,20 @@
     return cluster
 
 
+def follower_that_misses_the_leader():
+    """A host that does not hear a living leader does not depose it."""
+    cluster = elected()
+    old = cluster.leader()
+    term = old.replica.term
+    missing = followers(cluster)[0]
+    cluster.cuts = {(old.host, missing)}
+    cluster.run(10)
+    cluster.heal()
+    cluster.settle()
+    checks.demand(cluster.leader().replica.term == term, 'is deposed')
+    return cluster
+
+
 def cut_off_after_handover():
     """A leader that passed its role on but heard nothing reads nothing."""
     cluster = elected()
--- a/tests/core/consensus/test_planted_faults.py
+++ b/tests/core/consensus/test_planted_faults.py
@@ -105,6 +105,7 @@
         'was_leader_heard',
         lambda self: False,
         'holds a lease beside a newer leader',
+        scenarios.follower_that_misses_the_leader,
     ),
     'overlook clock steps': Fault(
         clock.Clock,
