--- a/packages/cassiashift-core/cassiashift_core/retries/fences.py
+++ b/packages/cassiashift-core/cassiashift_core/retries/fences.py
@@ -6,7 +6,7 @@
 
 Memory is bounded, and stays safe after it forgets: whatever is forgotten
 lies at or below a floor, and the agent refuses every arrival at or below
-the floor. A refusal is called ``NOT_RUN`` only where the memory is still
+a floor. A refusal is called ``NOT_RUN`` only where the memory is still
 whole; elsewhere the answer is ``MAY_HAVE_RUN``. An agent that restarts, or
 has to forget an entry, takes a new incarnation and so refuses everything
 that was sent to the one before.
@@ -77,8 +77,9 @@
     """Attempts of one entry's epoch.
 
     Attributes:
-        floor: every arrival with this number or a lower one is refused.
+        floor: highest number whose fence may have been forgotten.
         forgotten: highest number whose arrival may have been forgotten.
+            Arrivals with a number up to either of the two are refused.
     """
 
     epoch: int
@@ -93,7 +94,6 @@
             self.floor = max(self.floor, self._halve(self.fenced))
         if len(self.arrived) > bound:
             self.forgotten = max(self.forgotten, self._halve(self.arrived))
-            self.floor = max(self.floor, self.forgotten)
 
     @staticmethod
     def _halve(numbers: set[int]) -> int:
--- /dev/null
+++ b/tests/core/admission/test_shares.py
@@ -0,0 +1,60 @@
+"""Tests of limits that hold across entries."""
+
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import admission
+
+ENTRIES = 5
+
+
+@pytest.mark.parametrize('seed', range(10))
+def test_shares_never_exceed_the_limit(seed):
+    rng = random.Random(seed)
+    granter = admission.ShareGranter(started_at=0.0)
+    holders = {f'e{n}': admission.ShareHolder(ENTRIES) for n in range(ENTRIES)}
+    reached = 0.0
+    for step in range(200):
+        now = step * 0.25
+        for entry, holder in holders.items():
+            if rng.random() < 0.4:
+                continue
+            demand = rng.choice([0.0, 1.0, 50.0, 1000.0])
+            summary = admission.DemandSummary(entry, 'w1', demand)
+            lease = granter.request(summary, now)
+            if rng.random() < 0.7:
+                holder.granted(lease)
+        total = sum(item.share('w1', now) for item in holders.values())
+        assert_that(total <= 1.0 + 1e-9, matchers.Equals(True))
+        reached = max(reached, total)
+    assert_that(reached, matchers.GreaterThan(0.9))
+
+
+def test_shares_follow_the_demand():
+    granter = admission.ShareGranter(started_at=-10.0)
+    holders = {'e1': admission.ShareHolder(2), 'e2': admission.ShareHolder(2)}
+    demands = {'e1': 90.0, 'e2': 10.0}
+    for step in range(20):
+        for entry, holder in holders.items():
+            summary = admission.DemandSummary(entry, 'w1', demands[entry])
+            holder.granted(granter.request(summary, float(step)))
+    share = holders['e1'].share('w1', 19.0)
+    assert_that(share, matchers.GreaterThan(0.8))
+
+
+def test_cut_off_entry_keeps_its_fixed_part():
+    holder = admission.ShareHolder(entries=4)
+    lease = admission.ShareLease('e1', 'w1', 0.5, expires_at=3.0)
+    holder.granted(lease)
+    assert_that(holder.share('w1', 2.0), matchers.GreaterThan(0.4))
+    assert_that(holder.share('w1', 3.0), matchers.Equals(0.05))
+
+
+def test_new_granter_waits_for_the_leases_of_the_old():
+    granter = admission.ShareGranter(started_at=10.0)
+    summary = admission.DemandSummary('e1', 'w1', 5.0)
+    assert_that(granter.request(summary, 11.0).share, matchers.Equals(0.0))
+    assert_that(granter.request(summary, 13.0).share, matchers.Equals(1.0))
--- /dev/null
+++ b/tests/core/directory/test_directory.py
@@ -0,0 +1,131 @@
+"""Tests of the directory's answers."""
+
+import random
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import directory
+
+WORKSPACES = [f'w{number}' for number in range(500)]
+
+
+@pytest.fixture
+def views():
+    return [
+        directory.EntryView(f'e{number}', f'10.0.0.{number}:80')
+        for number in range(11)
+    ]
+
+
+@pytest.fixture
+def entries(views):
+    book = directory.Directory.from_config(None, random.Random(7))
+    book.update_entries(views, 0.0)
+    return book
+
+
+def answers(book):
+    return {name: book.answer(name, 0.0).addresses for name in WORKSPACES}
+
+
+def change(views, index, **changes):
+    changed = list(views)
+    changed[index] = attrs.evolve(changed[index], **changes)
+    return changed
+
+
+@pytest.mark.parametrize('state', [{'draining': True}, {'alive': False}])
+def test_leaving_entry_moves_only_the_workspaces_that_used_it(
+    entries, views, state
+):
+    before = answers(entries)
+    entries.update_entries(change(views, 3, **state), 1.0)
+    after = answers(entries)
+    gone = views[3].address
+    moved = [name for name in WORKSPACES if before[name] != after[name]]
+    used = [name for name in WORKSPACES if gone in before[name]]
+    assert_that(moved, matchers.Equals(used))
+    named = {address for found in after.values() for address in found}
+    assert_that(gone in named, matchers.Equals(False))
+
+
+def test_new_entry_takes_only_its_share(entries, views):
+    before = answers(entries)
+    new = directory.EntryView('e11', '10.0.0.11:80')
+    entries.update_entries([*views, new], 1.0)
+    after = answers(entries)
+    for name in WORKSPACES:
+        if before[name] != after[name]:
+            assert_that(new.address in after[name], matchers.Equals(True))
+
+
+def test_first_addresses_are_spread_over_the_entries(entries):
+    counts = {}
+    for found in answers(entries).values():
+        counts[found[0]] = counts.get(found[0], 0) + 1
+    fair = len(WORKSPACES) / 11
+    assert_that(len(counts), matchers.Equals(11))
+    assert_that(max(counts.values()), matchers.LessThan(2 * fair))
+
+
+def test_large_workspace_uses_several_entries(entries):
+    entries.update_demand('w1', 1.8)
+    found = entries.answer('w1', 0.0).addresses
+    assert_that(found, matchers.HasLength(4))
+    entries.update_demand('w1', 0.1)
+    found = entries.answer('w1', 0.0).addresses
+    assert_that(found, matchers.HasLength(2))
+
+
+def test_overload_has_hysteresis(entries, views):
+    busy = entries.answer('w1', 0.0).addresses[0]
+    index = [view.address for view in views].index(busy)
+
+    def first(load):
+        entries.update_entries(change(views, index, load=load), 1.0)
+        return entries.answer('w1', 1.0).addresses[0] == busy
+
+    loads = [0.85, 0.95, 0.8, 0.6, 0.85]
+    found = [first(load) for load in loads]
+    wanted = [True, False, False, True, True]
+    assert_that(found, matchers.Equals(wanted))
+
+
+def test_overloaded_entries_are_better_than_none(entries, views):
+    full = [attrs.evolve(view, load=1.0) for view in views]
+    entries.update_entries(full, 1.0)
+    found = entries.answer('w1', 1.0).addresses
+    assert_that(found, matchers.HasLength(2))
+
+
+def test_no_entry_alive_gives_no_address(entries, views):
+    dead = [attrs.evolve(view, alive=False) for view in views]
+    entries.update_entries(dead, 1.0)
+    found = entries.answer('w1', 1.0).addresses
+    assert_that(found, matchers.Equals(()))
+
+
+def test_times_to_live_are_spread_and_the_longest_is_kept(entries):
+    cfg = directory.DirectoryConfig()
+    ttls = [entries.answer('w1', 100.0).ttl_s for _ in range(200)]
+    assert_that(max(ttls) <= cfg.max_ttl_s, matchers.Equals(True))
+    assert_that(max(ttls) - min(ttls), matchers.GreaterThan(2.0))
+    latest = 100.0 + max(ttls)
+    assert_that(entries.longest_expiry(), matchers.Equals(latest))
+
+
+def test_entries_of_the_callers_data_centre_come_first(entries, views):
+    placed = [
+        attrs.evolve(view, data_centre='nitra' if number % 3 else 'senec')
+        for number, view in enumerate(views)
+    ]
+    entries.update_entries(placed, 0.0)
+    local = {view.address for view in placed if view.data_centre == 'senec'}
+    for name in WORKSPACES[:50]:
+        found = entries.answer(name, 0.0, 'senec').addresses
+        assert_that(set(found) <= local, matchers.Equals(True))
+    found = entries.answer('w1', 0.0, 'trnava').addresses
+    assert_that(found, matchers.HasLength(2))
--- /dev/null
+++ b/tests/core/retries/test_verdict_truth.py
@@ -0,0 +1,184 @@
+"""Verdicts against a record of what ran at a small stand-in.
+
+Each fault happens where the entry cannot see it; the entry learns only
+what the wire tells. Frames that are late arrive after the call was decided.
+"""
+
+import enum
+import itertools
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import retries
+from cassiashift_core import Verdict
+
+End = retries.AttemptEnd
+
+
+class Fault(enum.Enum):
+    """What happens to one attempt."""
+
+    NONE = 'none'
+    AGENT_DRAINING = 'agent_draining'
+    CONNECT_FAILED = 'connect_failed'
+    CUT_IN_REQUEST = 'cut_in_request'
+    RESET_FRAME_LOST = 'reset_frame_lost'
+    RESET_FRAME_LATE = 'reset_frame_late'
+    RESET_AFTER_RUN = 'reset_after_run'
+    RESET_IN_ANSWER = 'reset_in_answer'
+    TIMEOUT_FRAME_LATE = 'timeout_frame_late'
+    TIMEOUT_FRAME_LOST = 'timeout_frame_lost'
+    TIMEOUT_AFTER_RUN = 'timeout_after_run'
+    TIMEOUT_AGENT_SILENT = 'timeout_agent_silent'
+    CANCEL_BEFORE_SEND = 'cancel_before_send'
+    CANCEL_FRAME_LATE = 'cancel_frame_late'
+    CANCEL_AFTER_RUN = 'cancel_after_run'
+    UPSTREAM_DIES_BEFORE_RUN = 'upstream_dies_before_run'
+    UPSTREAM_DIES_AFTER_RUN = 'upstream_dies_after_run'
+    AGENT_RESTARTS_BEFORE_ARRIVAL = 'agent_restarts_before_arrival'
+    AGENT_RESTARTS_AFTER_RUN = 'agent_restarts_after_run'
+    DUPLICATED_FRAME = 'duplicated_frame'
+
+
+UNARRIVED = {
+    Fault.AGENT_DRAINING: End.REFUSED_BY_AGENT,
+    Fault.CONNECT_FAILED: End.CONNECT_FAILED,
+    Fault.CUT_IN_REQUEST: End.RESET_BEFORE_LAST_BYTE,
+    Fault.UPSTREAM_DIES_BEFORE_RUN: End.UPSTREAM_DEAD,
+}
+
+
+@attrs.define
+class Host:
+    """An agent with its upstream and the record of what ran."""
+
+    fences: retries.FenceTable = attrs.field(
+        factory=lambda: retries.FenceTable(incarnation=1, max_numbers=2)
+    )
+    ran: int = 0
+
+    def arrive(self, attempt):
+        """Run an attempt if the agent takes it."""
+        arrival = self.fences.arrive(attempt)
+        self.ran += arrival.accepted
+        return arrival
+
+    def restart(self):
+        """Lose the agent's memory."""
+        self.fences = retries.FenceTable(self.fences.incarnation + 1)
+
+
+@attrs.define
+class World:
+    """One call, the hosts and the frames still on the way."""
+
+    plan: retries.AttemptPlan
+    hosts: list[Host]
+    late: list = attrs.field(factory=list)
+    number: int = 0
+
+    def run(self, faults):
+        """Run the call through the faults and return the last decision."""
+        for fault in [*faults, Fault.NONE]:
+            host = self.hosts[self.number % len(self.hosts)]
+            attempt = retries.AttemptId(
+                'e1', 1, self.number, host.fences.incarnation
+            )
+            self.number += 1
+            self.plan.begin(str(self.number))
+            decision = self.plan.ended(
+                self.attempt(fault, host, attempt), now=1.0
+            )
+            if not decision.retry:
+                break
+        for host, attempt in self.late:
+            host.arrive(attempt)
+        return decision
+
+    def attempt(self, fault, host, attempt):
+        """Return the end of an attempt as the entry sees it."""
+        if fault.value.startswith(('timeout', 'cancel')):
+            return self.given_up(fault, host, attempt)
+        if fault.value.startswith('reset'):
+            return self.reset(fault, host, attempt)
+        if fault in UNARRIVED:
+            return UNARRIVED[fault]
+        if fault is Fault.AGENT_RESTARTS_BEFORE_ARRIVAL:
+            host.restart()
+        arrival = host.arrive(attempt)
+        if not arrival.accepted:
+            assert_that(arrival.verdict, matchers.Is(Verdict.NOT_RUN))
+            return End.REFUSED_BY_AGENT
+        if fault is Fault.DUPLICATED_FRAME:
+            self.late.append((host, attempt))
+        if fault is Fault.UPSTREAM_DIES_AFTER_RUN:
+            return End.UPSTREAM_DEAD
+        if fault is Fault.AGENT_RESTARTS_AFTER_RUN:
+            host.restart()
+            return self.fenced_or_not(host, attempt)
+        self.plan.answer_received()
+        return End.ANSWERED
+
+    def reset(self, fault, host, attempt):
+        """Return the end of an attempt whose connection broke."""
+        if fault is Fault.RESET_FRAME_LATE:
+            self.late.append((host, attempt))
+        if fault in (Fault.RESET_AFTER_RUN, Fault.RESET_IN_ANSWER):
+            host.arrive(attempt)
+        if fault is Fault.RESET_IN_ANSWER:
+            self.plan.answer_received()
+        return End.RESET_AFTER_LAST_BYTE
+
+    def given_up(self, fault, host, attempt):
+        """Return the end of an attempt that the entry gave up on."""
+        cancelled = fault.value.startswith('cancel')
+        if fault is Fault.CANCEL_BEFORE_SEND:
+            return End.CANCELLED_UNSENT
+        if fault.value.endswith('late'):
+            self.late.append((host, attempt))
+        if fault.value.endswith('after_run'):
+            host.arrive(attempt)
+        if fault is Fault.TIMEOUT_AGENT_SILENT:
+            self.late.append((host, attempt))
+            return End.TIMEOUT_UNFENCED
+        return self.fenced_or_not(host, attempt, cancelled)
+
+    @staticmethod
+    def fenced_or_not(host, attempt, cancelled=False):
+        """Ask the agent for a fence."""
+        answer = host.fences.fence(attempt)
+        if answer.verdict is Verdict.NOT_RUN:
+            return End.CANCELLED_FENCED if cancelled else End.TIMEOUT_FENCED
+        return End.CANCELLED_SENT if cancelled else End.TIMEOUT_UNFENCED
+
+
+def run_call(faults, idempotent, hosts):
+    plan = retries.AttemptPlan(
+        retries.CallTraits(idempotent=idempotent), retries.RetryBudget()
+    )
+    world = World(plan, [Host() for _ in range(hosts)])
+    decision = world.run(faults)
+    return decision, sum(host.ran for host in world.hosts)
+
+
+@pytest.mark.parametrize('hosts', [1, 2])
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_verdict_agrees_with_what_ran(idempotent, hosts):
+    chains = [(fault,) for fault in Fault]
+    chains += itertools.product(Fault, repeat=2)
+    for chain in chains:
+        decision, ran = run_call(chain, idempotent, hosts)
+        if decision.verdict is Verdict.NOT_RUN:
+            assert_that(ran, matchers.Equals(0), str(chain))
+        if decision.verdict is Verdict.RAN:
+            assert_that(ran, matchers.GreaterThan(0), str(chain))
+        if not idempotent:
+            assert_that(ran, matchers.LessThan(2), str(chain))
+
+
+def test_faults_produce_every_verdict():
+    seen = {run_call((fault,), False, 1)[0].verdict for fault in Fault}
+    assert_that(seen, matchers.Equals(set(Verdict)))
