Add the routing experiment with engine stand-ins

Cause: the policies of routing had no measurement. Change: seeded arrivals in eight scenarios, small engine stand-ins, and three simple policies to compare with; a thin command module prints JSON or a table. Conclusion: the policies can now be measured and improved.

--- /dev/null
+++ b/packages/cassiashift-cli/cassiashift_cli/experiment_routing.py
@@ -0,0 +1,87 @@
+"""The routing experiment on the command line."""
+
+import sys
+from typing import Annotated
+
+import attrs
+import cyclopts
+import msgspec
+
+from cassiashift_core import experiment
+
+HEADINGS = (
+    'scenario',
+    'policy',
+    'first token ms p50/p95/p99',
+    'token gap ms p50/p95/p99',
+    'goodput tok/s',
+    'in 2 s',
+    'in 45 ms',
+    'Jain',
+    'worst share',
+    'hits',
+    'retries',
+    'served',
+    'refused',
+    'broken',
+)
+
+
+def routing(
+    *,
+    seed: Annotated[int, cyclopts.Parameter(help='Seed.')] = 1,
+    json: Annotated[
+        bool, cyclopts.Parameter(help='Print JSON instead of a table.')
+    ] = False,
+    scenario: Annotated[
+        tuple[str, ...], cyclopts.Parameter(help='Scenarios to run.')
+    ] = (),
+    policy: Annotated[
+        tuple[str, ...], cyclopts.Parameter(help='Policies to run.')
+    ] = (),
+) -> None:
+    """Compare routing policies over the same seeded arrivals."""
+    cfg = experiment.ExperimentConfig(scenarios=scenario, policies=policy)
+    result = experiment.run(cfg, seed)
+    text = to_json(result) if json else to_table(result)
+    sys.stdout.write(text)
+
+
+def to_json(result: experiment.ExperimentResult) -> str:
+    """Return the result as JSON, the same bytes for the same result."""
+    encoded = msgspec.json.encode(result)
+    return msgspec.json.format(encoded, indent=2).decode() + '\n'
+
+
+def to_table(result: experiment.ExperimentResult) -> str:
+    """Return the result as a Markdown table."""
+    lines = [_line(HEADINGS), _line(['---'] * len(HEADINGS))]
+    lines.extend(_line(_fields(cell)) for cell in result.cells)
+    return '\n'.join(lines) + '\n'
+
+
+def _fields(cell: experiment.Cell) -> list[str]:
+    return [
+        cell.scenario,
+        cell.policy,
+        _tail(cell.first_token_ms),
+        _tail(cell.token_gap_ms),
+        f'{cell.goodput_tokens_per_s:.0f}',
+        f'{cell.within_first_token:.3f}',
+        f'{cell.within_token_gap:.3f}',
+        f'{cell.jain:.3f}',
+        f'{cell.worst_share:.3f}',
+        f'{cell.prefix_hits:.3f}',
+        str(cell.retries),
+        str(cell.served),
+        str(cell.refused),
+        str(cell.broken),
+    ]
+
+
+def _tail(tail: object) -> str:
+    return ' / '.join(f'{value:.0f}' for value in attrs.astuple(tail))
+
+
+def _line(fields: tuple[str, ...] | list[str]) -> str:
+    return '| ' + ' | '.join(fields) + ' |'
--- a/packages/cassiashift-core/cassiashift_core/admission/fair_queue.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/fair_queue.py
@@ -88,12 +88,15 @@
     total_bytes: int = 0
     _sequence: int = 0
 
-    def push(self, waiting: Waiting, weight: float) -> None:
-        """Add a waiting call."""
+    def push(
+        self, waiting: Waiting, weight: float, front: bool = False
+    ) -> None:
+        """Add a waiting call, at the end or the front of its priority."""
         req = waiting.req
         line = self._line(req.workspace, weight)
         self._sequence += 1
-        line.add(_Place(-req.priority, self._sequence, waiting))
+        sequence = -self._sequence if front else self._sequence
+        line.add(_Place(-req.priority, sequence, waiting))
         self.count += 1
         self.total_bytes += req.body_bytes
 
--- a/packages/cassiashift-core/cassiashift_core/admission/gate.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/gate.py
@@ -84,7 +84,7 @@
     _meters: dict[str, limits.WorkspaceMeter] = attrs.field(
         factory=dict, init=False
     )
-    _running: dict[str, model.AdmissionRequest] = attrs.field(
+    _running: dict[str, fair_queue.Waiting] = attrs.field(
         factory=dict, init=False
     )
 
@@ -158,9 +158,10 @@
         self, request_id: str, used_tokens: float, now: float
     ) -> list[model.Admitted]:
         """Count the end of a call; return the calls that start now."""
-        req = self._running.pop(request_id, None)
-        if req is None:
+        running = self._running.pop(request_id, None)
+        if running is None:
             return []
+        req = running.req
         pool = self._pool(req.pool)
         correction = used_tokens - req.tokens
         pool.in_flight -= 1
@@ -169,6 +170,24 @@
         self._meter(req.workspace).finish(correction, now)
         return self._start_waiting(pool, now)
 
+    def requeue(self, request_id: str, now: float) -> bool:
+        """Put an admitted call that found no upstream back in front.
+
+        It may start again from the next release or ``admit_ready`` on,
+        and ``expire`` gives up on it by the time of its arrival.
+        """
+        running = self._running.pop(request_id, None)
+        if running is None:
+            return False
+        req = running.req
+        pool = self._pool(req.pool)
+        pool.in_flight -= 1
+        meter = self._meter(req.workspace)
+        meter.finish(-req.tokens, now)
+        pool.queue.push(running, meter.limits.weight, front=True)
+        pool.queue.settle(req.workspace, -req.tokens)
+        return True
+
     def cancel(self, request_id: str) -> bool:
         """Remove a waiting call whose caller left; tell if it waited."""
         for pool in self._pools.values():
@@ -306,7 +325,7 @@
         meter.start(req.tokens, now)
         pool.queue.charge(req.workspace, req.tokens, meter.limits.weight)
         pool.in_flight += 1
-        self._running[req.request_id] = req
+        self._running[req.request_id] = waiting
         return model.Admitted(req.request_id, now - waiting.since)
 
     def _is_late(self, waiting: fair_queue.Waiting, now: float) -> bool:
--- a/packages/cassiashift-core/cassiashift_core/experiment/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/__init__.py
@@ -1,1 +1,15 @@
 """Experiments on the core with small stand-ins of engines."""
+
+from cassiashift_core.experiment.model import Cell
+from cassiashift_core.experiment.model import EngineConfig
+from cassiashift_core.experiment.model import ExperimentConfig
+from cassiashift_core.experiment.model import ExperimentResult
+from cassiashift_core.experiment.run import run
+
+__all__ = [
+    'Cell',
+    'EngineConfig',
+    'ExperimentConfig',
+    'ExperimentResult',
+    'run',
+]
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/experiment/model.py
@@ -0,0 +1,176 @@
+"""Data classes of the routing experiment."""
+
+import attrs
+
+BLOCK_TOKENS = 64
+MODEL = 'drafting'
+
+
+@attrs.frozen
+class EngineConfig:
+    """A stand-in of a model engine.
+
+    A step takes ``step_s``, plus ``decode_s`` for each sequence that gets
+    a token, plus ``prefill_s`` for each prompt token that it prefills.
+
+    Attributes:
+        batch: sequences in a step.
+        concurrency: calls that the agent lets in, waiting ones included.
+        chunk_tokens: prompt tokens prefilled in a step, at most.
+        cache_blocks: blocks of the prefix cache.
+        move_s: fixed time of a move of blocks.
+        move_s_per_block: time to move one block.
+        report_period_s: time between two load reports.
+        event_lag_s: lag of cache events.
+        event_loss: share of cache events that are lost.
+    """
+
+    step_s: float = 0.008
+    decode_s: float = 0.00035
+    prefill_s: float = 0.00008
+    batch: int = 32
+    concurrency: int = 40
+    chunk_tokens: int = 256
+    cache_blocks: int = 1500
+    move_s: float = 0.01
+    move_s_per_block: float = 0.0005
+    report_period_s: float = 0.5
+    event_lag_s: float = 0.5
+    event_loss: float = 0.01
+
+
+@attrs.frozen
+class ExperimentConfig:
+    """Size and length of the experiment.
+
+    Attributes:
+        rate: calls a second at a load of 1.
+        warm_up_s: calls that arrive before are not measured.
+        connect_timeout_s: time until a connect to a lost host fails.
+        reset_s: time until a call on a lost host is known to be broken.
+        membership_s: time until membership knows of a lost host.
+        scenarios: names to run; all when empty.
+        policies: names to run; all when empty.
+    """
+
+    engines: int = 16
+    entries: int = 4
+    workspaces: int = 10
+    rate: float = 110.0
+    duration_s: float = 60.0
+    warm_up_s: float = 10.0
+    connect_timeout_s: float = 0.3
+    reset_s: float = 0.5
+    membership_s: float = 2.0
+    first_token_target_s: float = 2.0
+    token_gap_target_s: float = 0.045
+    engine: EngineConfig = EngineConfig()
+    scenarios: tuple[str, ...] = ()
+    policies: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Scenario:
+    """One seeded course of arrivals and faults.
+
+    Attributes:
+        load: multiple of the configured rate.
+        shape: name of the course of the rate over time.
+        flood: load that one workspace adds on its own.
+        report_lag_s: lag of load reports.
+        fault: name of the fault, or an empty string.
+        fault_at_s: time of the fault.
+    """
+
+    name: str
+    load: float = 1.0
+    shape: str = 'steady'
+    flood: float = 0.0
+    report_lag_s: float = 1.0
+    fault: str = ''
+    fault_at_s: float = 20.0
+
+
+SCENARIOS = (
+    Scenario('steady'),
+    Scenario('bursts', shape='bursts'),
+    Scenario('drift', shape='drift'),
+    Scenario('flood', load=0.6, flood=4.0),
+    Scenario('slow', fault='slow'),
+    Scenario('loss', load=0.8, fault='loss'),
+    Scenario('lag', load=1.1, report_lag_s=5.0),
+    Scenario('overload', load=5.0),
+)
+
+
+@attrs.define
+class Call:
+    """One call of a course of arrivals.
+
+    Attributes:
+        blocks: hashes of the prompt's full blocks.
+        expected_tokens: what the entry expects of the output.
+        output_tokens: what the engine will generate.
+    """
+
+    id: str
+    arrives_at: float
+    workspace: str
+    prompt_tokens: int
+    blocks: tuple[int, ...]
+    expected_tokens: int
+    output_tokens: int
+
+
+@attrs.frozen
+class Percentiles:
+    """Tail of a time, in milliseconds."""
+
+    p50: float
+    p95: float
+    p99: float
+
+
+@attrs.frozen
+class Cell:
+    """What one policy reached in one scenario.
+
+    Attributes:
+        first_token_ms: from the arrival to the first token.
+        token_gap_ms: between two tokens of a call.
+        goodput_tokens_per_s: output of calls that met both targets.
+        within_first_token: share of served calls in the target.
+        within_token_gap: share of token gaps in the target.
+        jain: Jain's index of the shares by workspace.
+        worst_share: lowest part of a fair share that a workspace got.
+        prefix_hits: share of prompt tokens found in a cache.
+        retries: attempts after the first.
+        offered: calls that arrived.
+        served: calls answered whole.
+        refused: calls refused before they ran.
+        broken: calls that failed after an attempt.
+    """
+
+    scenario: str
+    policy: str
+    first_token_ms: Percentiles
+    token_gap_ms: Percentiles
+    goodput_tokens_per_s: float
+    within_first_token: float
+    within_token_gap: float
+    jain: float
+    worst_share: float
+    prefix_hits: float
+    retries: int
+    offered: int
+    served: int
+    refused: int
+    broken: int
+
+
+@attrs.frozen
+class ExperimentResult:
+    """All cells, for one seed."""
+
+    seed: int
+    cells: tuple[Cell, ...]
--- a/packages/cassiashift-core/cassiashift_core/routing/prefixes.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/prefixes.py
@@ -71,13 +71,19 @@
         cache = self._caches.setdefault(event.upstream_id, _Cache())
         if self._is_old(cache, event):
             return None
-        if event.snapshot:
+        restarted = event.epoch != cache.epoch
+        first = restarted and event.sequence == 0
+        if event.snapshot or first:
             self._drop(event.upstream_id, cache)
             cache.synced = True
-        elif not self._follows(cache, event):
-            return self._lose(event, cache)
+        elif restarted or event.sequence != cache.sequence + 1:
+            self._drop(event.upstream_id, cache)
+            cache.synced = False
+            self.gaps += 1
         cache.epoch = event.epoch
         cache.sequence = event.sequence
+        if not cache.synced:
+            return model.ResyncNeeded(event.upstream_id)
         self._evict(event.upstream_id, cache, event.evicted)
         self._store(event.upstream_id, cache, event.stored)
         return None
@@ -90,26 +96,10 @@
 
     @staticmethod
     def _is_old(cache: _Cache, event: model.CacheEvent) -> bool:
-        return (event.epoch, event.sequence) <= (cache.epoch, cache.sequence)
-
-    @staticmethod
-    def _follows(cache: _Cache, event: model.CacheEvent) -> bool:
-        if event.epoch != cache.epoch:
-            return event.sequence == 0
-        return cache.synced and event.sequence == cache.sequence + 1
-
-    def _lose(
-        self, event: model.CacheEvent, cache: _Cache
-    ) -> model.ResyncNeeded | None:
-        """Drop the beliefs; ask once for a snapshot."""
-        asked = not cache.synced and event.epoch == cache.epoch
-        self.gaps += 1
-        if not asked:
-            self._drop(event.upstream_id, cache)
-        cache.epoch = event.epoch
-        cache.sequence = event.sequence
-        cache.synced = False
-        return model.ResyncNeeded(event.upstream_id)
+        seen = (cache.epoch, cache.sequence)
+        if event.snapshot and not cache.synced:
+            return (event.epoch, event.sequence) < seen
+        return (event.epoch, event.sequence) <= seen
 
     def _store(
         self, upstream_id: str, cache: _Cache, blocks: Iterable[int]
