--- a/packages/cassiashift-core/cassiashift_core/routing/router.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/router.py
@@ -36,7 +36,7 @@
 
     ring: list[str]
     checked_at: float = -1e9
-    slowness: float = 1.0
+    gap_s: float = 0.0
 
 
 @attrs.define
@@ -104,17 +104,20 @@
         ]
         if not ring:
             return _refuse_unknown(req.pool)
-        scorer = scores.Scorer(
-            self.cfg, self._prefixes, self._upstreams, pool.slowness
+        scorer = scores.Scorer.create(
+            self.cfg, req, self._prefixes, self._upstreams, pool.gap_s
         )
         width = self._aperture.width(len(ring))
         while True:
             names = self._aperture.select(ring, width)
-            scored = scorer.score(req, self._open(names, now), now)
+            scored = [
+                scorer.score(self._upstreams[name], now)
+                for name in self._open(names, now)
+            ]
             if scored:
                 margin_s = self.cfg.tie_margin_s
-                choice = scores.pick(scored, margin_s, self.rng)
-                return self._with_prefill(choice, pool, now)
+                best = scores.pick(scored, margin_s, self.rng)
+                return self._with_prefill(scorer.choice(best), pool, now)
             if width == len(ring):
                 return _refuse_full(req.pool)
             width = min(len(ring), 2 * width)
@@ -269,9 +272,11 @@
         pool.checked_at = now
         states = [self._upstreams[name] for name in pool.ring]
         slowness = [state.current_slowness(now) for state in states]
-        pool.slowness = statistics.median(slowness)
+        median = statistics.median(slowness)
+        gaps = [state.gap_s for state in states if state.gap_s is not None]
+        pool.gap_s = statistics.median(gaps) if gaps else self.cfg.step_s
         for state, value in zip(states, slowness, strict=True):
-            state.slowness_bound = self.cfg.slow_ratio * pool.slowness
+            state.slowness_bound = self.cfg.slow_ratio * median
             if value > state.slowness_bound and not state.tripped:
                 state.trip(now)
 
--- a/packages/cassiashift-core/cassiashift_core/routing/upstream.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/upstream.py
@@ -101,8 +101,14 @@
 
     def predict_s(self, uncached_tokens: int, now: float) -> float:
         """Return the predicted time to a first token."""
-        nominal_s = self.nominal_s(uncached_tokens, now)
-        return nominal_s * self.current_slowness(now)
+        pending_s, token_s = self.predictor(now)
+        return pending_s + uncached_tokens * token_s
+
+    def predictor(self, now: float) -> tuple[float, float]:
+        """Return the time before a prefill, and the time for a token."""
+        slowness = self.current_slowness(now)
+        pending_s = slowness * self.nominal_s(0, now)
+        return pending_s, slowness * self.cfg.prefill_s_per_token
 
     def nominal_s(self, uncached_tokens: int, now: float) -> float:
         """Return the time to a first token at a slowness of 1."""
