Report the agent's load with each reply

Cause: in flood and overload most calls were refused by full agents, since an entry learned of the calls of other entries only from lagged reports. Change: the agent's own count travels with each reply to a Router. Conclusion: tails are better, but entries still race for free slots.

--- a/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
@@ -149,6 +149,7 @@
         elif not engine.submit(sent.work):
             end = retries.AttemptEnd.REFUSED_BY_AGENT
             refused = functools.partial(owner.ended, attempt_id, end)
+            self._agent_report(owner, engine, now)
             self._at(now + NETWORK_S, refused)
         elif not engine.stepping:
             self._begin_step(engine, now)
@@ -165,6 +166,7 @@
             return
         for event in engine.end_step():
             self._deliver(event, now)
+            self._agent_report(self._owners[event.attempt_id], engine, now)
         self._begin_step(engine, now)
 
     def _deliver(self, event: engines.StepEvent, now: float) -> None:
@@ -177,6 +179,20 @@
             end = retries.AttemptEnd.ANSWERED
             owner.ended(event.attempt_id, end, now)
 
+    @staticmethod
+    def _agent_report(
+        owner: entries.Entry, engine: engines.Engine, now: float
+    ) -> None:
+        """Report the load that the agent counted, with its reply.
+
+        The simple policies go by the engines' lagged reports alone.
+        """
+        if isinstance(owner.policy, routing.Router):
+            report = routing.LoadReport(
+                engine.id, now, len(engine.works), engine.pending_tokens
+            )
+            owner.policy.report(report, now)
+
     def _report(self, engine: engines.Engine, now: float) -> None:
         if not engine.alive:
             return
