Share the slots of an upstream among entries by weight

Cause: entries raced for the free slots of full upstreams; the agents' refusals passed the fair queues by and spent the retry budget. Change: each agent tells entries their slots, weighted max-min shares of its concurrency that never sum to more; an entry keeps to them, so its queue and not the race decides. The wait in the queue must leave time for the first token.

--- a/packages/cassiashift-core/cassiashift_core/admission/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/__init__.py
@@ -11,6 +11,7 @@
 from cassiashift_core.admission.shares import ShareGranter
 from cassiashift_core.admission.shares import ShareHolder
 from cassiashift_core.admission.shares import ShareLease
+from cassiashift_core.admission.slots import SlotTable
 
 __all__ = [
     'Admission',
@@ -23,5 +24,6 @@
     'ShareGranter',
     'ShareHolder',
     'ShareLease',
+    'SlotTable',
     'WorkspaceLimits',
 ]
--- a/packages/cassiashift-core/cassiashift_core/admission/fair_queue.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/fair_queue.py
@@ -124,6 +124,10 @@
             return None
         return self._remove(best, best_index)
 
+    def active_weight(self) -> float:
+        """Return the sum of the weights of active workspaces."""
+        return sum(line.weight for line in self.lines.values() if line.active)
+
     def has_waiting(self, workspace: str) -> bool:
         """Tell whether a workspace has waiting calls."""
         line = self.lines.get(workspace)
--- a/packages/cassiashift-core/cassiashift_core/admission/gate.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/gate.py
@@ -122,6 +122,14 @@
         """Return the calls in progress."""
         return len(self._running)
 
+    def active_weight(self, pool: str) -> float:
+        """Return the weights of workspaces that wait or run in a pool."""
+        return self._pool(pool).queue.active_weight()
+
+    def queued_in(self, pool: str) -> int:
+        """Return the waiting calls of a pool."""
+        return self._pool(pool).queue.count
+
     @property
     def queued(self) -> int:
         """Return the waiting calls."""
--- a/packages/cassiashift-core/cassiashift_core/experiment/engine.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/engine.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from cassiashift_core import admission
 from cassiashift_core.experiment import model
 
 PROGRESS_TOKENS = 16
@@ -27,6 +28,7 @@
     """
 
     attempt_id: str
+    entry: str
     prompt_tokens: int
     blocks: tuple[int, ...]
     output_tokens: int
@@ -76,6 +78,12 @@
     alive: bool = True
     slowdown: float = 1.0
     stepping: bool = False
+    slots: admission.SlotTable = attrs.field(
+        default=attrs.Factory(
+            lambda self: admission.SlotTable(self.cfg.concurrency),
+            takes_self=True,
+        )
+    )
     works: dict[str, Work] = attrs.field(factory=dict)
     gaps: collections.Counter[int] = attrs.field(factory=collections.Counter)
     prompt_tokens: int = 0
@@ -102,7 +110,7 @@
 
     def submit(self, work: Work) -> bool:
         """Take an attempt; return False where the agent refuses it."""
-        if len(self.works) >= self.cfg.concurrency:
+        if not self.slots.start(work.entry):
             return False
         self.works[work.attempt_id] = work
         self._waiting.append(work)
@@ -228,4 +236,5 @@
 
     def _finish(self, work: Work) -> Finished:
         del self.works[work.attempt_id]
+        self.slots.finish(work.entry)
         return Finished(work.attempt_id, work.generated)
--- a/packages/cassiashift-core/cassiashift_core/experiment/entry.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/entry.py
@@ -1,6 +1,8 @@
 """An entry as the experiment runs it: the core's parts put together."""
 
+import collections
 from collections.abc import Callable
+import math
 import random
 
 import attrs
@@ -13,6 +15,7 @@
 from cassiashift_core import routing
 
 POOL = routing.RouteRequest('', model=model.MODEL).pool
+WANTED_SPARE = 2
 End = retries.AttemptEnd
 
 _OUTCOMES = {
@@ -64,6 +67,9 @@
     gate: admission.Admission
     budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
     records: list[CallRecord] = attrs.field(factory=list)
+    in_flight: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     _waiting: dict[str, CallRecord] = attrs.field(factory=dict)
     _attempts: dict[str, CallRecord] = attrs.field(factory=dict)
 
@@ -109,6 +115,16 @@
         self._start(self.gate.set_capacity(POOL, capacity, now), now)
         self._start(self.gate.admit_ready(now), now)
 
+    def wanted(self, upstream_id: str) -> int:
+        """Return the calls that the entry wants at an upstream."""
+        waiting = self.gate.queued_in(POOL) / self.cfg.engines
+        own = self.in_flight[upstream_id]
+        return own + math.ceil(waiting) + WANTED_SPARE
+
+    def weight(self) -> float:
+        """Return the weight of the entry against other entries."""
+        return self.gate.active_weight(POOL)
+
     def first_token(self, attempt_id: str, now: float) -> None:
         """Take the first token of an attempt."""
         record = self._attempts[attempt_id]
@@ -134,6 +150,7 @@
         record = self._attempts.pop(attempt_id)
         outcome = _OUTCOMES.get(end, routing.Outcome.FAILED)
         self.policy.finished(attempt_id, outcome, now)
+        self.in_flight[record.plan.tried[-1]] -= 1
         decision = record.plan.ended(end, now)
         if decision.retry and self._attempt(record, now):
             return
@@ -173,6 +190,7 @@
         if isinstance(choice, routing.Refusal):
             return False
         record.plan.begin(choice.upstream_id)
+        self.in_flight[choice.upstream_id] += 1
         attempt_id = f'{call.id}.{record.plan.attempts}'
         self._attempts[attempt_id] = record
         self.policy.started(
@@ -187,6 +205,7 @@
         call = record.call
         work = engine.Work(
             attempt_id,
+            self.id,
             call.prompt_tokens + record.delivered,
             call.blocks,
             call.output_tokens - record.delivered,
--- a/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
@@ -18,6 +18,7 @@
 TICK_S = 0.05
 NETWORK_S = 0.001
 EVENT_PERIOD_S = 0.2
+SLOTS_PERIOD_S = 0.5
 RESYNC_S = 1.0
 DRAIN_S = 20.0
 SLOWDOWN = 10.0
@@ -135,8 +136,17 @@
 
     def _tick(self, owner: entries.Entry, now: float) -> None:
         owner.tick(now)
+        self._ask_slots(owner, now)
         self._at(now + TICK_S, functools.partial(self._tick, owner))
 
+    def _ask_slots(self, owner: entries.Entry, now: float) -> None:
+        """Exchange wants and slots with the agents, in turn."""
+        turn = round(now / TICK_S)
+        period = round(SLOTS_PERIOD_S / TICK_S)
+        for index, engine in enumerate(self.engines.values()):
+            if engine.alive and index % period == turn % period:
+                self._agent_report(owner, engine, now)
+
     def _arrive(
         self, owner: entries.Entry, sent: entries.Sent, now: float
     ) -> None:
@@ -188,8 +198,15 @@
         The simple policies go by the engines' lagged reports alone.
         """
         if isinstance(owner.policy, routing.Router):
+            engine.slots.update(
+                owner.id, owner.weight(), owner.wanted(engine.id), now
+            )
             report = routing.LoadReport(
-                engine.id, now, len(engine.works), engine.pending_tokens
+                engine.id,
+                now,
+                len(engine.works),
+                engine.pending_tokens,
+                engine.slots.slots(owner.id, now),
             )
             owner.policy.report(report, now)
 
--- a/packages/cassiashift-core/cassiashift_core/routing/model.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/model.py
@@ -166,12 +166,14 @@
         measured_at: when it was measured, on the clock of the entry.
         running: calls in progress, waiting ones included.
         pending_tokens: prompt tokens not yet prefilled.
+        slots: calls that the agent lets this entry have in progress.
     """
 
     upstream_id: str
     measured_at: float
     running: int
     pending_tokens: int = 0
+    slots: int | None = None
 
 
 @attrs.frozen
--- a/packages/cassiashift-core/cassiashift_core/routing/upstream.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/upstream.py
@@ -66,6 +66,8 @@
     _others_running: int = 0
     _others_pending: int = 0
     _reported_at: float = -1e9
+    _slots: int | None = None
+    _slots_at: float = -1e9
     _history: list[_Own] = attrs.field(factory=list)
 
     @property
@@ -90,8 +92,17 @@
         return max(1.0, self.limit.value * ramp)
 
     def room(self, now: float) -> float:
-        """Return how many more calls the upstream may get."""
-        return self.effective_limit(now) - self.running(now)
+        """Return how many more calls the upstream may get.
+
+        With slots from the agent, the entry uses its part of the limit;
+        without, it counts the calls of other entries.
+        """
+        limit = self.effective_limit(now)
+        age = now - self._slots_at
+        if self._slots is None or age > self.cfg.report_max_age_s:
+            return limit - self.running(now)
+        part = min(1.0, limit / self.view.concurrency)
+        return self._slots * part - len(self.attempts)
 
     def allows(self, now: float) -> bool:
         """Tell whether the breaker lets a call through."""
@@ -193,6 +204,9 @@
 
     def report(self, report: model.LoadReport, now: float) -> None:
         """Take a load report; own calls at its time are subtracted."""
+        if report.slots is not None and now >= self._slots_at:
+            self._slots = report.slots
+            self._slots_at = now
         if report.measured_at <= self._reported_at:
             return
         own = self._own_at(report.measured_at)
