Weigh a workspace at each entry by its leased share

Cause: a workspace on four entries counted its full weight at each of them, against two or three entries of a smaller one. Change: the shares that entries lease for the limits also scale the weights; the experiment measures the first token without the flooding workspace.

--- a/packages/cassiashift-core/cassiashift_core/admission/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission: who may start a call, in which order, and who is refused."""
 
+from cassiashift_core.admission.demand import DemandMeter
 from cassiashift_core.admission.gate import Admission
 from cassiashift_core.admission.model import AdmissionConfig
 from cassiashift_core.admission.model import AdmissionRequest
@@ -8,6 +9,7 @@
 from cassiashift_core.admission.model import Refused
 from cassiashift_core.admission.model import WorkspaceLimits
 from cassiashift_core.admission.shares import DemandSummary
+from cassiashift_core.admission.shares import LEASE_S
 from cassiashift_core.admission.shares import ShareGranter
 from cassiashift_core.admission.shares import ShareHolder
 from cassiashift_core.admission.shares import ShareLease
@@ -18,6 +20,8 @@
     'AdmissionConfig',
     'AdmissionRequest',
     'Admitted',
+    'LEASE_S',
+    'DemandMeter',
     'DemandSummary',
     'Queued',
     'Refused',
--- a/packages/cassiashift-core/cassiashift_core/experiment/entry.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/entry.py
@@ -67,6 +67,17 @@
     gate: admission.Admission
     budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
     records: list[CallRecord] = attrs.field(factory=list)
+    demand: admission.DemandMeter = attrs.field(
+        default=attrs.Factory(
+            lambda self: admission.DemandMeter(self.id), takes_self=True
+        )
+    )
+    holder: admission.ShareHolder = attrs.field(
+        default=attrs.Factory(
+            lambda self: admission.ShareHolder(self.cfg.entries),
+            takes_self=True,
+        )
+    )
     in_flight: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
@@ -98,6 +109,7 @@
             POOL,
             call.prompt_tokens + call.expected_tokens,
         )
+        self.demand.offered(call.workspace, req.tokens)
         found = self.gate.offer(req, now)
         if isinstance(found, admission.Refused):
             record.refused = True
@@ -108,6 +120,16 @@
             return
         self._refuse(found.evicted)
 
+    def renew_shares(
+        self, granter: admission.ShareGranter, now: float
+    ) -> None:
+        """Ask for shares and weigh workspaces by them."""
+        for summary in self.demand.summaries(now):
+            self.holder.granted(granter.request(summary, now))
+            share = self.holder.share(summary.workspace, now)
+            limits = admission.WorkspaceLimits(weight=share)
+            self.gate.set_limits(summary.workspace, limits, now)
+
     def tick(self, now: float) -> None:
         """Give up on late calls and start those that may start."""
         self._refuse(self.gate.expire(now))
--- a/packages/cassiashift-core/cassiashift_core/experiment/measures.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/measures.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from cassiashift_core.experiment import arrivals
 from cassiashift_core.experiment import engine as engines
 from cassiashift_core.experiment import entry as entries
 from cassiashift_core.experiment import model
@@ -31,6 +32,11 @@
     ]
     served = [item for item in records if item.finished_at is not None]
     waits = [_first_token_s(item) for item in served]
+    others = [
+        _first_token_s(item)
+        for item in served
+        if item.call.workspace != arrivals.FLOODING
+    ]
     gaps: collections.Counter[int] = collections.Counter()
     for engine in found:
         gaps.update(engine.gaps)
@@ -44,9 +50,8 @@
     return model.Cell(
         scenario=scenario,
         policy=policy,
-        first_token_ms=_percentiles(
-            collections.Counter(round(w * GAP_UNITS_PER_S) for w in waits)
-        ),
+        first_token_ms=_tail(waits),
+        others_first_token_ms=_tail(others),
         token_gap_ms=_percentiles(gaps),
         goodput_tokens_per_s=round(good / span_s, 1),
         within_first_token=_ratio(in_time, len(served)),
@@ -95,6 +100,12 @@
     return sum(count for gap, count in gaps.items() if gap <= bound)
 
 
+def _tail(times_s: list[float]) -> model.Percentiles:
+    return _percentiles(
+        collections.Counter(round(time * GAP_UNITS_PER_S) for time in times_s)
+    )
+
+
 def _percentiles(counts: collections.Counter[int]) -> model.Percentiles:
     """Return percentiles of counted times in units of 0.1 ms."""
     values = [_percentile(counts, part) / 10 for part in (0.5, 0.95, 0.99)]
--- a/packages/cassiashift-core/cassiashift_core/experiment/model.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/model.py
@@ -137,6 +137,7 @@
 
     Attributes:
         first_token_ms: from the arrival to the first token.
+        others_first_token_ms: the same, without the flooding workspace.
         token_gap_ms: between two tokens of a call.
         goodput_tokens_per_s: output of calls that met both targets.
         within_first_token: share of served calls in the target.
@@ -154,6 +155,7 @@
     scenario: str
     policy: str
     first_token_ms: Percentiles
+    others_first_token_ms: Percentiles
     token_gap_ms: Percentiles
     goodput_tokens_per_s: float
     within_first_token: float
--- a/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from cassiashift_core import admission
 from cassiashift_core import directory
 from cassiashift_core.experiment import engine as engines
 from cassiashift_core.experiment import entry as entries
@@ -19,6 +20,7 @@
 NETWORK_S = 0.001
 EVENT_PERIOD_S = 0.2
 SLOTS_PERIOD_S = 0.5
+SHARES_PERIOD_S = 1.0
 RESYNC_S = 1.0
 DRAIN_S = 20.0
 SLOWDOWN = 10.0
@@ -36,6 +38,9 @@
     engines: dict[str, engines.Engine]
     entries: list[entries.Entry]
     rng: random.Random
+    granter: admission.ShareGranter = attrs.field(
+        factory=lambda: admission.ShareGranter(-admission.LEASE_S)
+    )
     _queue: list[tuple[float, int, Action]] = attrs.field(factory=list)
     _numbers: int = 0
     _owners: dict[str, entries.Entry] = attrs.field(factory=dict)
@@ -75,6 +80,8 @@
             self._at(call.arrives_at, arrive)
         for owner in self.entries:
             self._at(0.0, functools.partial(self._tick, owner))
+            renew = functools.partial(self._renew_shares, owner)
+            self._at(SHARES_PERIOD_S, renew)
         for index, engine in enumerate(self.engines.values()):
             offset = index / len(self.engines)
             period = self.cfg.engine.report_period_s
@@ -134,6 +141,11 @@
         for owner in self.entries:
             owner.policy.update_upstreams(views, now)
 
+    def _renew_shares(self, owner: entries.Entry, now: float) -> None:
+        owner.renew_shares(self.granter, now)
+        renew = functools.partial(self._renew_shares, owner)
+        self._at(now + SHARES_PERIOD_S, renew)
+
     def _tick(self, owner: entries.Entry, now: float) -> None:
         owner.tick(now)
         self._ask_slots(owner, now)
