--- a/packages/cassiashift-core/cassiashift_core/admission/gate.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/gate.py
@@ -14,6 +14,7 @@
 from cassiashift_core.admission import fair_queue
 from cassiashift_core.admission import limits
 from cassiashift_core.admission import model
+from cassiashift_core.admission import pools
 from cassiashift_core import errors
 from cassiashift_core import hashing
 
@@ -21,88 +22,6 @@
 _HASH_SPAN = 2.0**64
 
 
-@attrs.define
-class _ServiceRate:
-    """Tokens that a pool completes each second while calls wait."""
-
-    window_s: float
-    tokens_per_s: float | None = None
-    _since: float | None = None
-    _tokens: float = 0.0
-
-    def record(self, tokens: float, saturated: bool, now: float) -> None:
-        """Count completed tokens."""
-        if not saturated:
-            self._since = None
-            return
-        if self._since is None:
-            self._since = now
-            self._tokens = 0.0
-            return
-        self._tokens += tokens
-        elapsed = now - self._since
-        if elapsed < self.window_s / 10:
-            return
-        sample = self._tokens / elapsed
-        if self.tokens_per_s is None:
-            self.tokens_per_s = sample
-        else:
-            share = 1 - math.exp(-elapsed / self.window_s)
-            self.tokens_per_s += share * (sample - self.tokens_per_s)
-        self._since = now
-        self._tokens = 0.0
-
-
-@attrs.define
-class _StartTime:
-    """Time from admission to the first token, with its deviation.
-
-    The bound is the mean and four mean deviations, as for the time-out of
-    a TCP sender: Jacobson, "Congestion avoidance and control", 1988.
-    """
-
-    mean_s: float = 0.0
-    deviation_s: float = 0.0
-
-    def record(self, elapsed_s: float) -> None:
-        """Count one first token."""
-        error_s = elapsed_s - self.mean_s
-        self.mean_s += error_s / 8
-        self.deviation_s += (abs(error_s) - self.deviation_s) / 4
-
-    @property
-    def bound_s(self) -> float:
-        """Return a time that few first tokens exceed."""
-        return self.mean_s + 4 * self.deviation_s
-
-
-@attrs.define
-class _Running:
-    """A call in progress."""
-
-    waiting: fair_queue.Waiting
-    admitted_at: float
-    has_first_token: bool = False
-
-
-@attrs.define
-class _Pool:
-    """Calls of one model or service."""
-
-    capacity: int
-    rate: _ServiceRate
-    start_time: _StartTime = attrs.field(factory=_StartTime)
-    in_flight: int = 0
-    queue: fair_queue.FairQueue = attrs.field(factory=fair_queue.FairQueue)
-
-    def wait_s(self, req: model.AdmissionRequest) -> float:
-        """Estimate how long a new call would wait for its turn."""
-        tokens = self.queue.tokens_before(req)
-        if not tokens or not self.rate.tokens_per_s:
-            return 0.0
-        return tokens / self.rate.tokens_per_s
-
-
 @attrs.define
 class Admission:
     """Admission of one entry.
@@ -113,11 +32,11 @@
     """
 
     cfg: model.AdmissionConfig
-    _pools: dict[str, _Pool] = attrs.field(factory=dict, init=False)
+    _pools: dict[str, pools.Pool] = attrs.field(factory=dict, init=False)
     _meters: dict[str, limits.WorkspaceMeter] = attrs.field(
         factory=dict, init=False
     )
-    _running: dict[str, _Running] = attrs.field(factory=dict, init=False)
+    _running: dict[str, pools.Running] = attrs.field(factory=dict, init=False)
 
     @classmethod
     def from_config(cls, cfg: Any = None) -> Self:
@@ -265,11 +184,10 @@
                 refused.append(self._expired(pool, waiting, now))
         return refused
 
-    def _pool(self, name: str) -> _Pool:
+    def _pool(self, name: str) -> pools.Pool:
         pool = self._pools.get(name)
         if pool is None:
-            rate = _ServiceRate(self.cfg.rate_window_s)
-            pool = _Pool(self.cfg.capacity, rate)
+            pool = pools.Pool.from_config(self.cfg)
             self._pools[name] = pool
         return pool
 
@@ -282,7 +200,7 @@
 
     @staticmethod
     def _starts_at_once(
-        pool: _Pool,
+        pool: pools.Pool,
         meter: limits.WorkspaceMeter,
         req: model.AdmissionRequest,
         now: float,
@@ -297,7 +215,7 @@
 
     @staticmethod
     def _limit_wait(
-        pool: _Pool,
+        pool: pools.Pool,
         meter: limits.WorkspaceMeter,
         req: model.AdmissionRequest,
         now: float,
@@ -318,7 +236,7 @@
         if now + wait + req.service_s > deadline:
             code = ErrorCode.DEADLINE_EXCEEDED
             return self._refusal(req, code, wait, 'cannot meet the deadline')
-        max_wait_s = self._max_wait_s(self._pool(req.pool))
+        max_wait_s = self._pool(req.pool).max_wait_s(self.cfg)
         if limit_wait > max_wait_s:
             code = ErrorCode.LIMIT_EXCEEDED
             return self._refusal(req, code, wait, 'workspace limit')
@@ -327,12 +245,6 @@
             return self._refusal(req, code, wait, 'queue too long')
         return None
 
-    def _max_wait_s(self, pool: _Pool) -> float:
-        """Return the wait that leaves time for the first token."""
-        cfg = self.cfg
-        left_s = cfg.first_token_target_s - pool.start_time.bound_s
-        return max(cfg.min_wait_s, min(cfg.max_wait_s, left_s))
-
     def _too_large(self, req: model.AdmissionRequest) -> bool:
         return req.body_bytes > self.cfg.max_queued_bytes
 
@@ -360,7 +272,9 @@
             or self.queued_bytes > self.cfg.max_queued_bytes
         )
 
-    def _start_waiting(self, pool: _Pool, now: float) -> list[model.Admitted]:
+    def _start_waiting(
+        self, pool: pools.Pool, now: float
+    ) -> list[model.Admitted]:
         admitted = []
         while pool.in_flight < pool.capacity:
             waiting = pool.queue.pop(
@@ -373,26 +287,26 @@
         return admitted
 
     def _start(
-        self, pool: _Pool, waiting: fair_queue.Waiting, now: float
+        self, pool: pools.Pool, waiting: fair_queue.Waiting, now: float
     ) -> model.Admitted:
         req = waiting.req
         meter = self._meter(req.workspace)
         meter.start(req.tokens, now)
         pool.queue.charge(req.workspace, req.tokens, meter.limits.weight)
         pool.in_flight += 1
-        self._running[req.request_id] = _Running(waiting, now)
+        self._running[req.request_id] = pools.Running(waiting, now)
         return model.Admitted(req.request_id, now - waiting.since)
 
     def _is_late(self, waiting: fair_queue.Waiting, now: float) -> bool:
         req = waiting.req
-        if now - waiting.since > self._max_wait_s(self._pool(req.pool)):
+        if now - waiting.since > self._pool(req.pool).max_wait_s(self.cfg):
             return True
         if req.deadline is None:
             return False
         return now + req.service_s > req.deadline
 
     def _expired(
-        self, pool: _Pool, waiting: fair_queue.Waiting, now: float
+        self, pool: pools.Pool, waiting: fair_queue.Waiting, now: float
     ) -> model.Refused:
         req = waiting.req
         late = req.deadline is not None and now + req.service_s > req.deadline
--- a/packages/cassiashift-core/cassiashift_core/routing/router.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/router.py
@@ -9,7 +9,6 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 import random
-import statistics
 from typing import Any
 from typing import Self
 
@@ -20,6 +19,7 @@
 from cassiashift_core.routing import aperture
 from cassiashift_core.routing import limits
 from cassiashift_core.routing import model
+from cassiashift_core.routing import pools
 from cassiashift_core.routing import prefixes
 from cassiashift_core.routing import scores
 from cassiashift_core.routing import upstream
@@ -27,16 +27,6 @@
 ErrorCode = errors.ErrorCode
 FULL_RETRY_AFTER_S = 0.2
 NO_UPSTREAM_RETRY_AFTER_S = 2.0
-HEALTH_PERIOD_S = 0.5
-
-
-@attrs.define
-class _Pool:
-    """Upstreams of one model version or service, in ring order."""
-
-    ring: list[str]
-    checked_at: float = -1e9
-    gap_s: float = 0.0
 
 
 @attrs.define
@@ -49,7 +39,7 @@
     _upstreams: dict[str, upstream.UpstreamState] = attrs.field(
         factory=dict, init=False
     )
-    _pools: dict[str, _Pool] = attrs.field(factory=dict, init=False)
+    _pools: dict[str, pools.Pool] = attrs.field(factory=dict, init=False)
     _attempts: dict[str, str] = attrs.field(factory=dict, init=False)
     _prefixes: prefixes.PrefixIndex = attrs.field(init=False)
 
@@ -84,7 +74,7 @@
         first_time = not self._upstreams
         for view in known.values():
             self._update_one(view, None if first_time else now)
-        self._pools = _build_pools(known.values())
+        self._pools = pools.build(known.values())
 
     def choose(
         self,
@@ -96,7 +86,7 @@
         pool = self._pools.get(req.pool)
         if pool is None:
             return _refuse_unknown(req.pool)
-        self._check_health(pool, now)
+        pool.check_health(self._upstreams, self.cfg, now)
         ring = [
             name
             for name in pool.ring
@@ -234,7 +224,7 @@
         )
 
     def _with_prefill(
-        self, choice: model.Choice, pool: _Pool, now: float
+        self, choice: model.Choice, pool: pools.Pool, now: float
     ) -> model.Choice:
         """Add an upstream for the prefill if the chosen only decodes."""
         chosen = self._upstreams[choice.upstream_id]
@@ -265,35 +255,6 @@
             return allowed
         return roomy
 
-    def _check_health(self, pool: _Pool, now: float) -> None:
-        """Trip the breakers of stragglers, at most twice a second."""
-        if now - pool.checked_at < HEALTH_PERIOD_S:
-            return
-        pool.checked_at = now
-        states = [self._upstreams[name] for name in pool.ring]
-        slowness = [state.current_slowness(now) for state in states]
-        median = statistics.median(slowness)
-        gaps = [state.gap_s for state in states if state.gap_s is not None]
-        pool.gap_s = statistics.median(gaps) if gaps else self.cfg.step_s
-        for state, value in zip(states, slowness, strict=True):
-            state.slowness_bound = self.cfg.slow_ratio * median
-            if value > state.slowness_bound and not state.tripped:
-                state.trip(now)
-
-
-def _build_pools(views: Iterable[model.UpstreamView]) -> dict[str, _Pool]:
-    members: dict[str, list[str]] = {}
-    for view in views:
-        if view.service is not None:
-            members.setdefault(view.service, []).append(view.id)
-        for offer in view.offers:
-            name = model.pool_name(offer.model, offer.version, None)
-            members.setdefault(name, []).append(view.id)
-    return {
-        name: _Pool(aperture.ring_order(set(ids)))
-        for name, ids in members.items()
-    }
-
 
 def _refuse_unknown(pool: str) -> model.Refusal:
     return model.Refusal(
