--- a/packages/cassiashift-core/cassiashift_core/routing/breaker.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/breaker.py
@@ -56,7 +56,8 @@
     def sent(self, now: float) -> None:
         """Note that a call is sent; the first after a pause probes."""
         self.now = now
-        self.probe()
+        if self.state == 'open':
+            self.probe()
 
     def failed(self, now: float) -> None:
         """Open the breaker."""
--- /dev/null
+++ b/tests/core/routing/test_router.py
@@ -0,0 +1,241 @@
+"""Tests of the router's choices."""
+
+import collections
+import random
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import ErrorCode
+from cassiashift_core import manifest
+from cassiashift_core import routing
+
+OK = routing.Outcome.OK
+FAILED = routing.Outcome.FAILED
+
+
+def view(name, **more):
+    more.setdefault('offers', (manifest.Offer('m', '1', ('lora',)),))
+    return routing.UpstreamView(name, **more)
+
+
+def request(number=0, **more):
+    return routing.RouteRequest(f'r{number}', model='m', **more)
+
+
+@pytest.fixture
+def views():
+    return [view(f'u{number}') for number in range(4)]
+
+
+@pytest.fixture
+def router(views):
+    return make_router(views)
+
+
+def make_router(views, **more):
+    cfg = routing.RoutingConfig(**more)
+    found = routing.Router.from_config(cfg, random.Random(5))
+    found.update_upstreams(views, 0.0)
+    return found
+
+
+def chosen(router, now=0.0, count=40, **more):
+    found = [router.choose(request(n, **more), now) for n in range(count)]
+    return {choice.upstream_id for choice in found}
+
+
+def call(router, upstream, number, now, first_s, outcome=OK):
+    attempt = f'{upstream}-{number}'
+    router.started(upstream, attempt, 100, now)
+    if outcome is OK:
+        router.first_token(attempt, now + first_s)
+    router.finished(attempt, outcome, now + first_s)
+
+
+@pytest.mark.parametrize('state', [{'draining': True}, {'alive': False}])
+def test_leaving_or_dead_upstream_gets_nothing(router, views, state):
+    changed = [attrs.evolve(views[0], **state), *views[1:]]
+    router.update_upstreams(changed, 1.0)
+    assert_that('u0' in chosen(router, 1.0), matchers.Equals(False))
+
+
+def test_model_version_and_adapter_must_be_offered(router):
+    unknown = router.choose(routing.RouteRequest('r', model='x'), 0.0)
+    assert_that(unknown.code, matchers.Is(ErrorCode.NO_UPSTREAM))
+    other = router.choose(request(version='2'), 0.0)
+    assert_that(other.code, matchers.Is(ErrorCode.NO_UPSTREAM))
+    none = router.choose(request(adapter='none'), 0.0)
+    assert_that(none.code, matchers.Is(ErrorCode.NO_UPSTREAM))
+    found = router.choose(request(adapter='lora'), 0.0)
+    assert_that(found, matchers.IsInstance(routing.Choice))
+
+
+def test_service_is_routed_beside_models(views):
+    kind = manifest.UpstreamKind.SERVICE
+    booking = view('s1', offers=(), service='booking', kind=kind)
+    router = make_router([*views, booking])
+    req = routing.RouteRequest('r1', service='booking')
+    found = router.choose(req, 0.0)
+    assert_that(found.upstream_id, matchers.Equals('s1'))
+
+
+def test_excluded_upstreams_are_not_tried_again(router):
+    tried = {'u0', 'u1', 'u2'}
+    found = router.choose(request(), 0.0, tried)
+    assert_that(found.upstream_id, matchers.Equals('u3'))
+    found = router.choose(request(), 0.0, {*tried, 'u3'})
+    assert_that(found, matchers.IsInstance(routing.Refusal))
+
+
+def test_prefix_brings_calls_back_unless_the_upstream_is_busy(views):
+    router = make_router(views, move_latency_s=9.0)
+    more = {'prompt_tokens': 1000, 'prefix_blocks': tuple(range(15))}
+    first = router.choose(request(**more), 0.0)
+    router.started(first.upstream_id, 'a', 0, 0.0, first)
+    router.first_token('a', 0.1)
+    assert_that(chosen(router, **more), matchers.Equals({first.upstream_id}))
+    for number in range(4):
+        router.started(first.upstream_id, f'b{number}', 2000, 0.2)
+    found = chosen(router, 0.2, **more)
+    assert_that(first.upstream_id in found, matchers.Equals(False))
+
+
+def test_blocks_are_moved_when_that_is_cheaper(router):
+    more = {'prompt_tokens': 1000, 'prefix_blocks': tuple(range(15))}
+    first = router.choose(request(**more), 0.0)
+    router.started(first.upstream_id, 'a', 0, 0.0, first)
+    router.started(first.upstream_id, 'b', 9000, 0.0)
+    found = router.choose(request(**more), 0.1)
+    assert_that(found.move_from, matchers.Equals(first.upstream_id))
+    assert_that(found.move_blocks, matchers.Equals(15))
+    assert_that(found.uncached_tokens, matchers.Equals(1000 - 15 * 64))
+
+
+def test_own_sends_correct_a_lagged_report(router):
+    for number in range(4):
+        busy = 0 if number == 0 else 5
+        report = routing.LoadReport(f'u{number}', 0.0, busy, busy * 1000)
+        router.report(report, 1.0)
+    assert_that(chosen(router, 1.0), matchers.Equals({'u0'}))
+    for number in range(10):
+        router.started('u0', f'a{number}', 1000, 1.0)
+    assert_that('u0' in chosen(router, 1.0), matchers.Equals(False))
+
+
+def test_report_does_not_count_own_calls_twice(router):
+    router.started('u0', 'a', 1000, 0.0)
+    report = routing.LoadReport('u0', 0.05, 1, 1000)
+    router.report(report, 0.1)
+    router.first_token('a', 0.13)
+    router.finished('a', OK, 0.2)
+    assert_that('u0' in chosen(router, 0.2), matchers.Equals(True))
+
+
+def test_equal_upstreams_share_the_calls_without_a_herd(views):
+    cfg = routing.RoutingConfig()
+    counts = collections.Counter()
+    for entry in range(50):
+        rng = random.Random(entry)
+        router = routing.Router.from_config(cfg, rng)
+        router.update_upstreams(views, 0.0)
+        counts[router.choose(request(), 0.0).upstream_id] += 1
+    assert_that(len(counts), matchers.Equals(4))
+    assert_that(max(counts.values()), matchers.LessThan(25))
+
+
+def test_failing_upstream_is_left_and_probed_with_one_call(router):
+    for number in range(3):
+        call(router, 'u0', number, 0.0, 0.1, FAILED)
+    assert_that('u0' in chosen(router, 0.5), matchers.Equals(False))
+    assert_that('u0' in chosen(router, 2.0), matchers.Equals(True))
+    router.started('u0', 'probe', 0, 2.0)
+    assert_that('u0' in chosen(router, 2.0), matchers.Equals(False))
+    router.finished('probe', FAILED, 2.1)
+    assert_that('u0' in chosen(router, 3.5), matchers.Equals(False))
+    assert_that('u0' in chosen(router, 4.5), matchers.Equals(True))
+
+
+def test_recovered_upstream_starts_slowly(router):
+    for number in range(3):
+        call(router, 'u0', number, 0.0, 0.1, FAILED)
+    call(router, 'u0', 'probe', 2.0, 0.03)
+    for number in range(4):
+        router.started('u0', f'a{number}', 0, 2.5)
+        router.first_token(f'a{number}', 2.53)
+    assert_that('u0' in chosen(router, 2.6), matchers.Equals(False))
+    assert_that('u0' in chosen(router, 14.0), matchers.Equals(True))
+
+
+def test_breakers_that_leave_no_upstream_are_ignored(router):
+    for upstream in ('u0', 'u1', 'u2', 'u3'):
+        for number in range(3):
+            call(router, upstream, number, 0.0, 0.1, FAILED)
+    assert_that(chosen(router, 0.2), matchers.HasLength(4))
+
+
+def test_overdue_first_token_marks_a_straggler_before_it_ends(router):
+    for number in range(4):
+        call(router, f'u{number}', 0, 0.0, 0.04)
+    router.started('u0', 'stuck', 100, 1.0)
+    assert_that('u0' in chosen(router, 3.0), matchers.Equals(False))
+
+
+def test_full_upstreams_refuse(views):
+    small = [attrs.evolve(item, concurrency=2) for item in views]
+    router = make_router(small)
+    for number in range(8):
+        found = router.choose(request(number), 0.0)
+        router.started(found.upstream_id, f'a{number}', 10, 0.0)
+    assert_that(router.capacity('m@1', 0.0), matchers.Equals(8))
+    found = router.choose(request(9), 0.0)
+    assert_that(found.code, matchers.Is(ErrorCode.OVERLOADED))
+    assert_that(found.retry_after_s, matchers.GreaterThan(0.0))
+
+
+def test_slots_of_the_agent_bound_the_calls(router):
+    for number in range(4):
+        slots = 1 if number == 0 else 0
+        report = routing.LoadReport(f'u{number}', 0.0, 0, 0, slots)
+        router.report(report, 0.0)
+    assert_that(router.capacity('m@1', 0.0), matchers.Equals(1))
+    assert_that(chosen(router), matchers.Equals({'u0'}))
+
+
+def test_missed_targets_lower_the_limit(router):
+    before = router.capacity('m@1', 0.0)
+    for number in range(40):
+        call(router, 'u0', number, number * 0.1, 2.5)
+    assert_that(router.capacity('m@1', 9.0), matchers.LessThan(before))
+
+
+def test_decoding_upstream_gets_help_with_the_prefill():
+    decode = view('d', role=manifest.Role.DECODE)
+    prefill = view('p', role=manifest.Role.PREFILL)
+    router = make_router([decode, prefill])
+    found = router.choose(request(prompt_tokens=500), 0.0)
+    assert_that(found.upstream_id, matchers.Equals('d'))
+    assert_that(found.prefill_on, matchers.Equals('p'))
+
+
+def test_unknown_attempts_change_nothing(router):
+    router.first_token('x', 0.0)
+    router.progressed('x', 3, 0.0)
+    router.finished('x', OK, 0.0)
+    router.report(routing.LoadReport('gone', 0.0, 3), 0.0)
+
+
+@pytest.mark.parametrize(('entries', 'upstreams'), [(7, 100), (40, 90)])
+def test_aperture_covers_evenly(entries, upstreams):
+    ring = [f'u{number}' for number in range(upstreams)]
+    counts = collections.Counter()
+    for index in range(entries):
+        part = routing.Aperture(index, entries, minimum=16)
+        width = part.width(upstreams)
+        counts.update(part.select(ring, width))
+        assert_that(width, matchers.LessThan(upstreams))
+    found = [counts[name] for name in ring]
+    assert_that(max(found) - min(found), matchers.LessThan(2))
+    assert_that(min(found), matchers.GreaterThan(0))
