--- a/packages/cassiashift-core/cassiashift_core/admission/gate.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/gate.py
@@ -14,6 +14,7 @@
 from cassiashift_core.admission import fair_queue
 from cassiashift_core.admission import limits
 from cassiashift_core.admission import model
+from cassiashift_core.admission import pools
 from cassiashift_core import errors
 from cassiashift_core import hashing
 
@@ -21,55 +22,6 @@
 _HASH_SPAN = 2.0**64
 
 
-@attrs.define
-class _ServiceRate:
-    """Tokens that a pool completes each second while calls wait."""
-
-    window_s: float
-    tokens_per_s: float | None = None
-    _since: float | None = None
-    _tokens: float = 0.0
-
-    def record(self, tokens: float, saturated: bool, now: float) -> None:
-        """Count completed tokens."""
-        if not saturated:
-            self._since = None
-            return
-        if self._since is None:
-            self._since = now
-            self._tokens = 0.0
-            return
-        self._tokens += tokens
-        elapsed = now - self._since
-        if elapsed < self.window_s / 10:
-            return
-        sample = self._tokens / elapsed
-        if self.tokens_per_s is None:
-            self.tokens_per_s = sample
-        else:
-            share = 1 - math.exp(-elapsed / self.window_s)
-            self.tokens_per_s += share * (sample - self.tokens_per_s)
-        self._since = now
-        self._tokens = 0.0
-
-
-@attrs.define
-class _Pool:
-    """Calls of one model or service."""
-
-    capacity: int
-    rate: _ServiceRate
-    in_flight: int = 0
-    queue: fair_queue.FairQueue = attrs.field(factory=fair_queue.FairQueue)
-
-    def wait_s(self, req: model.AdmissionRequest) -> float:
-        """Estimate how long a new call would wait for its turn."""
-        tokens = self.queue.tokens_before(req)
-        if not tokens or not self.rate.tokens_per_s:
-            return 0.0
-        return tokens / self.rate.tokens_per_s
-
-
 @attrs.define
 class Admission:
     """Admission of one entry.
@@ -80,13 +32,11 @@
     """
 
     cfg: model.AdmissionConfig
-    _pools: dict[str, _Pool] = attrs.field(factory=dict, init=False)
+    _pools: dict[str, pools.Pool] = attrs.field(factory=dict, init=False)
     _meters: dict[str, limits.WorkspaceMeter] = attrs.field(
         factory=dict, init=False
     )
-    _running: dict[str, model.AdmissionRequest] = attrs.field(
-        factory=dict, init=False
-    )
+    _running: dict[str, pools.Running] = attrs.field(factory=dict, init=False)
 
     @classmethod
     def from_config(cls, cfg: Any = None) -> Self:
@@ -122,6 +72,14 @@
         """Return the calls in progress."""
         return len(self._running)
 
+    def active_weight(self, pool: str) -> float:
+        """Return the weights of workspaces that wait or run in a pool."""
+        return self._pool(pool).queue.active_weight()
+
+    def queued_in(self, pool: str) -> int:
+        """Return the waiting calls of a pool."""
+        return self._pool(pool).queue.count
+
     @property
     def queued(self) -> int:
         """Return the waiting calls."""
@@ -154,13 +112,23 @@
                 return refusal
         return model.Queued(req.request_id, wait, evicted)
 
+    def first_token(self, request_id: str, now: float) -> None:
+        """Count the first token of a call in progress."""
+        running = self._running.get(request_id)
+        if running is None or running.has_first_token:
+            return
+        running.has_first_token = True
+        pool = self._pool(running.waiting.req.pool)
+        pool.start_time.record(now - running.admitted_at)
+
     def release(
         self, request_id: str, used_tokens: float, now: float
     ) -> list[model.Admitted]:
         """Count the end of a call; return the calls that start now."""
-        req = self._running.pop(request_id, None)
-        if req is None:
+        running = self._running.pop(request_id, None)
+        if running is None:
             return []
+        req = running.waiting.req
         pool = self._pool(req.pool)
         correction = used_tokens - req.tokens
         pool.in_flight -= 1
@@ -169,6 +137,24 @@
         self._meter(req.workspace).finish(correction, now)
         return self._start_waiting(pool, now)
 
+    def requeue(self, request_id: str, now: float) -> bool:
+        """Put an admitted call that found no upstream back in front.
+
+        It may start again from the next release or ``admit_ready`` on,
+        and ``expire`` gives up on it by the time of its arrival.
+        """
+        running = self._running.pop(request_id, None)
+        if running is None:
+            return False
+        req = running.waiting.req
+        pool = self._pool(req.pool)
+        pool.in_flight -= 1
+        meter = self._meter(req.workspace)
+        meter.finish(-req.tokens, now)
+        pool.queue.push(running.waiting, meter.limits.weight, front=True)
+        pool.queue.settle(req.workspace, -req.tokens)
+        return True
+
     def cancel(self, request_id: str) -> bool:
         """Remove a waiting call whose caller left; tell if it waited."""
         for pool in self._pools.values():
@@ -198,11 +184,10 @@
                 refused.append(self._expired(pool, waiting, now))
         return refused
 
-    def _pool(self, name: str) -> _Pool:
+    def _pool(self, name: str) -> pools.Pool:
         pool = self._pools.get(name)
         if pool is None:
-            rate = _ServiceRate(self.cfg.rate_window_s)
-            pool = _Pool(self.cfg.capacity, rate)
+            pool = pools.Pool.from_config(self.cfg)
             self._pools[name] = pool
         return pool
 
@@ -215,7 +200,7 @@
 
     @staticmethod
     def _starts_at_once(
-        pool: _Pool,
+        pool: pools.Pool,
         meter: limits.WorkspaceMeter,
         req: model.AdmissionRequest,
         now: float,
@@ -230,7 +215,7 @@
 
     @staticmethod
     def _limit_wait(
-        pool: _Pool,
+        pool: pools.Pool,
         meter: limits.WorkspaceMeter,
         req: model.AdmissionRequest,
         now: float,
@@ -251,10 +236,11 @@
         if now + wait + req.service_s > deadline:
             code = ErrorCode.DEADLINE_EXCEEDED
             return self._refusal(req, code, wait, 'cannot meet the deadline')
-        if limit_wait > self.cfg.max_wait_s:
+        max_wait_s = self._pool(req.pool).max_wait_s(self.cfg)
+        if limit_wait > max_wait_s:
             code = ErrorCode.LIMIT_EXCEEDED
             return self._refusal(req, code, wait, 'workspace limit')
-        if wait > self.cfg.max_wait_s:
+        if wait > max_wait_s:
             code = ErrorCode.OVERLOADED
             return self._refusal(req, code, wait, 'queue too long')
         return None
@@ -286,7 +272,9 @@
             or self.queued_bytes > self.cfg.max_queued_bytes
         )
 
-    def _start_waiting(self, pool: _Pool, now: float) -> list[model.Admitted]:
+    def _start_waiting(
+        self, pool: pools.Pool, now: float
+    ) -> list[model.Admitted]:
         admitted = []
         while pool.in_flight < pool.capacity:
             waiting = pool.queue.pop(
@@ -299,26 +287,26 @@
         return admitted
 
     def _start(
-        self, pool: _Pool, waiting: fair_queue.Waiting, now: float
+        self, pool: pools.Pool, waiting: fair_queue.Waiting, now: float
     ) -> model.Admitted:
         req = waiting.req
         meter = self._meter(req.workspace)
         meter.start(req.tokens, now)
         pool.queue.charge(req.workspace, req.tokens, meter.limits.weight)
         pool.in_flight += 1
-        self._running[req.request_id] = req
+        self._running[req.request_id] = pools.Running(waiting, now)
         return model.Admitted(req.request_id, now - waiting.since)
 
     def _is_late(self, waiting: fair_queue.Waiting, now: float) -> bool:
         req = waiting.req
-        if now - waiting.since > self.cfg.max_wait_s:
+        if now - waiting.since > self._pool(req.pool).max_wait_s(self.cfg):
             return True
         if req.deadline is None:
             return False
         return now + req.service_s > req.deadline
 
     def _expired(
-        self, pool: _Pool, waiting: fair_queue.Waiting, now: float
+        self, pool: pools.Pool, waiting: fair_queue.Waiting, now: float
     ) -> model.Refused:
         req = waiting.req
         late = req.deadline is not None and now + req.service_s > req.deadline
