--- a/packages/cassiashift-core/cassiashift_core/hashing.py
+++ b/packages/cassiashift-core/cassiashift_core/hashing.py
@@ -11,7 +11,7 @@
 
 def stable_hash(*parts: str) -> int:
     """Return a 64-bit hash that is equal on every host and run."""
-    return xxhash.xxh3_64_intdigest('\x1f'.join(parts))
+    return xxhash.xxh3_64_intdigest('\x1f'.join(parts).encode())
 
 
 def rendezvous(key: str, candidates: Iterable[str]) -> list[str]:
