Add membership of entries and agents

Cause: nothing tells which entries and upstreams are alive. Change: SWIM with Lifeguard's local health among the entries of a data centre, agents that send heartbeats to three holders, one merge rule by incarnation, repair by bucket hashes, summaries of other data centres. A seeded network with a virtual clock drives the tests.

--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/membership/__init__.py
@@ -0,0 +1,41 @@
+"""Liveness of entries and upstreams, and summaries of data centres."""
+
+from cassiashift_core.membership.announcer import Announcer
+from cassiashift_core.membership.events import Announced
+from cassiashift_core.membership.events import Changed
+from cassiashift_core.membership.events import LoadChanged
+from cassiashift_core.membership.events import Leaving
+from cassiashift_core.membership.events import MembershipConfig
+from cassiashift_core.membership.events import Received
+from cassiashift_core.membership.events import Send
+from cassiashift_core.membership.events import Tick
+from cassiashift_core.membership.health import TICK_INTERVAL_S
+from cassiashift_core.membership.member import Membership
+from cassiashift_core.membership.records import Announcement
+from cassiashift_core.membership.records import Capacity
+from cassiashift_core.membership.records import Contact
+from cassiashift_core.membership.records import Kind
+from cassiashift_core.membership.records import Record
+from cassiashift_core.membership.records import Status
+from cassiashift_core.membership.records import Summary
+
+__all__ = [
+    'TICK_INTERVAL_S',
+    'Announced',
+    'Announcement',
+    'Announcer',
+    'Capacity',
+    'Changed',
+    'Contact',
+    'Kind',
+    'Leaving',
+    'LoadChanged',
+    'Membership',
+    'MembershipConfig',
+    'Received',
+    'Record',
+    'Send',
+    'Status',
+    'Summary',
+    'Tick',
+]
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/membership/prober.py
@@ -0,0 +1,172 @@
+"""Probes of random peers, directly and through others.
+
+Das, Gupta and Motivala, "SWIM", DSN 2002; negative acknowledgements after
+Dadgar, Phillips and Currey, "Lifeguard", DSN-W 2018.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import random
+
+import attrs
+
+from cassiashift_core.membership import events
+from cassiashift_core.membership import health
+from cassiashift_core.membership import messages
+from cassiashift_core.membership import records
+
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.3
+NACK_TIMEOUT_S = 0.3
+INDIRECT_PROBES = 3
+MAX_RELAYED = 64
+
+Piggyback = Callable[[str], tuple[records.Record, ...]]
+
+
+@attrs.define
+class _Probe:
+    target: str
+    sequence: int
+    started_s: float
+    helpers: int = 0
+    nacks: int = 0
+
+
+@attrs.define
+class _Relayed:
+    origin: str
+    sequence: int
+    deadline_s: float
+
+
+@attrs.define
+class Prober:
+    """Probes one peer in each interval and relays probes for others."""
+
+    rng: random.Random
+    local_health: health.LocalHealth
+    piggyback: Piggyback
+    _round: list[str] = attrs.field(factory=list)
+    _probe: _Probe | None = None
+    _next_s: float = 0.0
+    _sequence: int = 0
+    _relayed: dict[int, _Relayed] = attrs.field(factory=dict)
+
+    def void(self, now: float) -> None:
+        """Drop the probe in progress without blaming its target."""
+        self._probe = None
+        self._next_s = now
+
+    def failed_target(self, now: float) -> str | None:
+        """Return the target of a probe that has failed, once."""
+        probe = self._probe
+        if probe is None or now < self._next_s:
+            return None
+        self._probe = None
+        missed = probe.helpers - probe.nacks
+        self.local_health.add(missed if probe.helpers else 1)
+        return probe.target
+
+    def advance(
+        self, now: float, peers: Collection[str]
+    ) -> list[events.Effect]:
+        """Start or continue a probe and end overdue relayed ones."""
+        effects = self._overdue_relayed(now)
+        if self._probe is None and now >= self._next_s:
+            effects.extend(self._start(now, peers))
+        elif self._probe is not None:
+            effects.extend(self._ask_helpers(now, peers))
+        return effects
+
+    def relay(
+        self, origin: str, request: messages.PingRequest, now: float
+    ) -> list[events.Effect]:
+        """Ping a target on behalf of another entry."""
+        if len(self._relayed) >= MAX_RELAYED:
+            return []
+        ping = self._ping(request.target)
+        self._relayed[ping.sequence] = _Relayed(
+            origin, request.sequence, now + NACK_TIMEOUT_S
+        )
+        return [events.Send(request.target, ping)]
+
+    def ping(self, target: str) -> events.Send:
+        """Return a ping whose answer nobody waits for."""
+        return events.Send(target, self._ping(target))
+
+    def on_ack(self, ack: messages.Ack) -> list[events.Effect]:
+        """End the probe that an answer belongs to."""
+        probe = self._probe
+        if probe is not None and ack.sequence == probe.sequence:
+            self._probe = None
+            self.local_health.add(-1)
+            return []
+        relayed = self._relayed.pop(ack.sequence, None)
+        if relayed is None:
+            return []
+        return [events.Send(relayed.origin, messages.Ack(relayed.sequence))]
+
+    def on_nack(self, nack: messages.Nack) -> None:
+        """Count a helper that is alive and did not reach the target."""
+        probe = self._probe
+        if probe is not None and nack.sequence == probe.sequence:
+            probe.nacks = min(probe.helpers, probe.nacks + 1)
+
+    def _ping(self, target: str) -> messages.Ping:
+        self._sequence += 1
+        return messages.Ping(self._sequence, self.piggyback(target))
+
+    def _start(
+        self, now: float, peers: Collection[str]
+    ) -> list[events.Effect]:
+        self._next_s = now + PROBE_INTERVAL_S * self.local_health.factor
+        target = self._next_target(peers)
+        if target is None:
+            return []
+        ping = self._ping(target)
+        self._probe = _Probe(target, ping.sequence, now)
+        return [events.Send(target, ping)]
+
+    def _next_target(self, peers: Collection[str]) -> str | None:
+        while self._round:
+            target = self._round.pop()
+            if target in peers:
+                return target
+        self._round = sorted(peers)
+        self.rng.shuffle(self._round)
+        return self._round.pop() if self._round else None
+
+    def _ask_helpers(
+        self, now: float, peers: Collection[str]
+    ) -> list[events.Effect]:
+        probe = self._probe
+        waited = now - probe.started_s
+        timeout_s = PROBE_TIMEOUT_S * self.local_health.factor
+        if probe.helpers or waited < timeout_s:
+            return []
+        others = sorted(host for host in peers if host != probe.target)
+        helpers = self.rng.sample(others, min(INDIRECT_PROBES, len(others)))
+        probe.helpers = len(helpers)
+        return [
+            events.Send(
+                helper,
+                messages.PingRequest(
+                    probe.sequence, probe.target, self.piggyback(helper)
+                ),
+            )
+            for helper in helpers
+        ]
+
+    def _overdue_relayed(self, now: float) -> list[events.Effect]:
+        overdue = [
+            sequence
+            for sequence, relayed in self._relayed.items()
+            if now >= relayed.deadline_s
+        ]
+        effects = []
+        for sequence in overdue:
+            relayed = self._relayed.pop(sequence)
+            nack = messages.Nack(relayed.sequence)
+            effects.append(events.Send(relayed.origin, nack))
+        return effects
--- /dev/null
+++ b/tests/core/membership/builders.py
@@ -0,0 +1,88 @@
+"""Data centres of entries and agents on a seeded network."""
+
+import random
+
+from cassiashift_core import manifest
+from cassiashift_core import membership
+from cassiashift_core.membership import events
+from tests.scenarios import network
+
+
+def contact(host):
+    """Return the contact of a host."""
+    return membership.Contact(host, f'{host}:7000')
+
+
+def entry_names(count, data_centre='trnava'):
+    """Return the names of entries."""
+    return [f'{data_centre}-entry-{index}' for index in range(count)]
+
+
+def agent_names(count, data_centre='trnava'):
+    """Return the names of agents."""
+    return [f'{data_centre}-agent-{index}' for index in range(count)]
+
+
+def config(host, seeds, incarnation=1000, **options):
+    """Return settings of a process."""
+    options.setdefault('region', 'zapad')
+    options.setdefault('data_centre', 'trnava')
+    return membership.MembershipConfig(
+        host=host,
+        address=f'{host}:7000',
+        incarnation=incarnation,
+        seeds=tuple(contact(seed) for seed in seeds if seed != host),
+        **options,
+    )
+
+
+def start_entry(net, host, seeds, incarnation=1000, **options):
+    """Start an entry and return its machine."""
+    machine = membership.Membership.from_config(
+        config(host, seeds, incarnation, **options),
+        random.Random(f'{net.seed} {host} {incarnation}'),
+    )
+    net.add(host, machine, events)
+    return machine
+
+
+def start_agent(net, host, seeds, incarnation=1000, **options):
+    """Start an agent with one upstream and return its machine."""
+    machine = membership.Announcer.from_config(
+        config(host, seeds, incarnation, **options),
+        random.Random(f'{net.seed} {host} {incarnation}'),
+    )
+    net.add(host, machine, events)
+    net.deliver(host, events.Announced((upstream_of(host),)))
+    return machine
+
+
+def upstream_of(agent, **options):
+    """Return the announcement of an agent's upstream."""
+    offer = manifest.Offer('draft', '1')
+    return membership.Announcement(
+        upstream=f'up-{agent}', offers=(offer,), **options
+    )
+
+
+def start_data_centre(
+    seed, entries=6, agents=9, faults=None, data_centre='trnava', net=None
+):
+    """Return a network with one settled data centre."""
+    faults = faults or network.Faults()
+    net = net or network.Network(seed=seed, faults=faults)
+    names = entry_names(entries, data_centre)
+    for host in names:
+        start_entry(net, host, names[:3], data_centre=data_centre)
+    for host in agent_names(agents, data_centre):
+        start_agent(net, host, names[:3], data_centre=data_centre)
+    return net
+
+
+def views(net, prefix):
+    """Return the sets of alive entries, one for each running entry."""
+    return {
+        host: {record.host for record in node.machine.alive_entries()}
+        for host, node in net.nodes.items()
+        if node.running and prefix in host and 'entry' in host
+    }
--- /dev/null
+++ b/tests/core/membership/test_entries.py
@@ -0,0 +1,175 @@
+"""Tests of liveness among entries."""
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import membership
+from cassiashift_core.membership import events
+from cassiashift_core.membership import messages
+from cassiashift_core.membership import records
+from tests.core.membership import builders
+from tests.core.membership import checks
+from tests.scenarios import network
+
+ENTRIES = builders.entry_names(6)
+BAD_LINKS = network.Faults(delay_s=(0.001, 0.15), loss=0.1, copies=0.1)
+
+
+def build(seed, entries=6, agents=4, faults=None):
+    """Return a settled data centre and the watch over its effects."""
+    net = builders.start_data_centre(seed, entries, agents, faults)
+    net.on_effect = checks.StatusWatch()
+    net.run(15)
+    return net, net.on_effect
+
+
+def assert_views(net, wanted):
+    for view in builders.views(net, 'trnava').values():
+        assert_that(view, matchers.Equals(set(wanted)))
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_entries_find_each_other_and_bury_nobody_on_bad_links(seed):
+    net, watch = build(seed, faults=BAD_LINKS)
+    net.run(60)
+    assert_views(net, ENTRIES)
+    assert_that(watch.deaths, matchers.Equals([]))
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_killed_entries_are_buried_by_all(seed):
+    net, watch = build(seed)
+    net.stop(ENTRIES[1])
+    net.stop(ENTRIES[4])
+    net.run(20)
+    assert_views(net, set(ENTRIES) - {ENTRIES[1], ENTRIES[4]})
+
+
+def test_suspicion_comes_before_death():
+    net, watch = build(7)
+    seen = []
+    net.on_effect = lambda host, effect: seen.append(effect.status)
+    net.stop(ENTRIES[2])
+    net.run(20)
+    first_death = seen.index(membership.Status.DEAD)
+    assert_that(
+        seen[:first_death], matchers.Contains(membership.Status.SUSPECT)
+    )
+
+
+@pytest.mark.parametrize('incarnation', [2000, 500])
+def test_restarted_entry_replaces_its_former_self(incarnation):
+    net, watch = build(3)
+    net.stop(ENTRIES[2])
+    net.run(20)
+    machine = builders.start_entry(
+        net, ENTRIES[2], ENTRIES[:2], incarnation=incarnation
+    )
+    net.run(20)
+    assert_views(net, ENTRIES)
+    assert_that(machine.own.incarnation, matchers.GreaterThan(1000))
+    assert_that(watch.revivals, matchers.Equals([]))
+
+
+def replay_old_announcement(seed):
+    """Return the watch after a dead entry's old record arrives late."""
+    net, watch = build(seed)
+    former = net.nodes[ENTRIES[2]].machine.own
+    net.stop(ENTRIES[2])
+    net.run(20)
+    ping = messages.Ping(1, (former,))
+    net.deliver(ENTRIES[0], events.Received(ENTRIES[1], ping))
+    net.run(3)
+    return watch
+
+
+def test_old_announcement_does_not_revive_the_dead():
+    watch = replay_old_announcement(5)
+    assert_that(watch.revivals, matchers.Equals([]))
+
+
+def test_check_catches_a_merge_that_ignores_incarnations(monkeypatch):
+    monkeypatch.setattr(
+        records.Record,
+        'supersedes',
+        lambda self, other: self.status is not other.status,
+    )
+    watch = replay_old_announcement(5)
+    assert_that(watch.revivals, matchers.Not(matchers.Equals([])))
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_paused_entry_blames_nobody_when_it_goes_on(seed):
+    net, watch = build(seed)
+    for _ in range(6):
+        net.nodes[ENTRIES[0]].paused_until_s = net.now + 2.5
+        net.run(4)
+    blamed = {target for host, target in watch.deaths if host == ENTRIES[0]}
+    assert_that(blamed, matchers.Equals(set()))
+
+
+def test_entry_that_hears_nothing_does_not_bury_the_others():
+    net, watch = build(2)
+    others = ENTRIES[1:]
+    net.cut([*others, *builders.agent_names(4)], [ENTRIES[0]], both=False)
+    net.run(8)
+    net.heal()
+    net.run(40)
+    assert_views(net, ENTRIES)
+    buried = {target for _, target in watch.deaths}
+    assert_that(buried - {ENTRIES[0]}, matchers.Equals(set()))
+
+
+def test_halves_that_lost_each_other_join_again():
+    net, watch = build(4)
+    net.cut(ENTRIES[:3], ENTRIES[3:])
+    net.run(60)
+    views = builders.views(net, 'trnava')
+    assert_that(views[ENTRIES[0]], matchers.Equals(set(ENTRIES[:3])))
+    assert_that(views[ENTRIES[5]], matchers.Equals(set(ENTRIES[3:])))
+    net.heal()
+    net.run(60)
+    assert_views(net, ENTRIES)
+
+
+def test_leaving_entry_is_gone_within_seconds_and_not_buried():
+    net, watch = build(6)
+    net.deliver(ENTRIES[3], events.Leaving())
+    net.run(1)
+    net.stop(ENTRIES[3])
+    net.run(3)
+    assert_views(net, set(ENTRIES) - {ENTRIES[3]})
+    assert_that(watch.deaths, matchers.Equals([]))
+
+
+def test_clock_jump_buries_nobody():
+    net, watch = build(8)
+    net.nodes[ENTRIES[1]].clock_offset_s = 3600.0
+    net.run(20)
+    net.nodes[ENTRIES[1]].clock_offset_s = 0.0
+    net.run(20)
+    assert_that(watch.deaths, matchers.Equals([]))
+
+
+def test_updates_in_one_message_are_bounded():
+    sizes = []
+    net, _ = build(1, entries=20, agents=0)
+    net.drop = lambda sender, receiver, message: sizes.append(
+        len(getattr(message, 'updates', ()))
+    )
+    for host in builders.entry_names(20)[10:]:
+        net.stop(host)
+    net.run(40)
+    assert_that(max(sizes), matchers.LessThan(9))
+
+
+def test_departure_counts_only_from_the_member_itself():
+    net, _ = build(1)
+    own = net.nodes[ENTRIES[2]].machine.own
+    forged = messages.Departure(
+        attrs.evolve(own, status=membership.Status.LEFT)
+    )
+    net.deliver(ENTRIES[0], events.Received(ENTRIES[1], forged))
+    assert_views(net, ENTRIES)
