Test that a paused entry accuses nobody

Cause: on a scratch copy the tests passed without the tick-gap guard, without indirect probes and without the rule on content. Change: a watch over accusations, longer pauses, a cut of two entries, the probe in progress, tombstones and content of unknown incarnations. Result: pytest tests/core/membership: 40 passed; each of the mutations fails at least one test. Conclusion: the guard of a slow entry is covered.

--- a/tests/core/membership/checks.py
+++ b/tests/core/membership/checks.py
@@ -7,15 +7,17 @@
 
 @attrs.define
 class StatusWatch:
-    """Collects deaths and revivals as each entry declares them.
+    """Collects accusations, deaths and revivals as each entry declares them.
 
     Attributes:
         deaths: pairs of the declaring and the declared host.
+        accusations: pairs of an accusing and the accused host.
         revivals: pairs in which a member that was dead or had left came
             back without a higher incarnation.
     """
 
     deaths: list[tuple[str, str]] = attrs.field(factory=list)
+    accusations: list[tuple[str, str]] = attrs.field(factory=list)
     revivals: list[tuple[str, str]] = attrs.field(factory=list)
     _ended: dict[tuple[str, str], int] = attrs.field(factory=dict)
 
@@ -25,6 +27,8 @@
             return
         member = effect.member
         pair = (host, member.host)
+        if effect.status is membership.Status.SUSPECT:
+            self.accusations.append((member.accuser, member.host))
         if effect.status is membership.Status.DEAD:
             self.deaths.append(pair)
         if not member.usable:
--- a/tests/core/membership/test_entries.py
+++ b/tests/core/membership/test_entries.py
@@ -9,6 +9,7 @@
 from cassiashift_core.membership import events
 from cassiashift_core.membership import messages
 from cassiashift_core.membership import records
+from cassiashift_core.membership import table
 from tests.core.membership import builders
 from tests.core.membership import checks
 from tests.scenarios import network
@@ -102,14 +103,69 @@
 
 @pytest.mark.parametrize('seed', range(3))
 def test_paused_entry_blames_nobody_when_it_goes_on(seed):
-    net, watch = build(seed)
-    for _ in range(6):
-        net.nodes[ENTRIES[0]].paused_until_s = net.now + 2.5
-        net.run(4)
-    blamed = {target for host, target in watch.deaths if host == ENTRIES[0]}
+    slow = network.Faults(delay_s=(0.05, 0.14))
+    net, watch = build(seed, entries=4, agents=8, faults=slow)
+    for _ in range(8):
+        net.nodes[ENTRIES[0]].paused_until_s = net.now + 9.0
+        net.run(29.3)
+    blamed = {
+        target
+        for accuser, target in watch.accusations
+        if accuser == ENTRIES[0]
+    }
     assert_that(blamed, matchers.Equals(set()))
 
 
+def test_probe_in_progress_is_void_after_a_pause():
+    net, watch = build(10)
+    machine = net.nodes[ENTRIES[0]].machine
+    start_s = net.now
+    sent = []
+    while not any(isinstance(item, messages.Ping) for item in sent):
+        net.now += net.tick_s
+        effects = machine.handle(events.Tick(), net.now)
+        sent = [getattr(effect, 'message', None) for effect in effects]
+    assert_that(net.now - start_s, matchers.LessThan(5.0))
+    net.deliver(ENTRIES[0], events.Tick())
+    net.now += 5.0
+    net.deliver(ENTRIES[0], events.Tick())
+    assert_that(watch.accusations, matchers.Equals([]))
+
+
+def test_cut_between_two_entries_is_bridged_by_the_others():
+    net, watch = build(9)
+    net.cut([ENTRIES[1]], [ENTRIES[2]])
+    net.run(40)
+    assert_that(watch.accusations, matchers.Equals([]))
+
+
+def test_suspicion_of_an_unknown_incarnation_keeps_the_content_old():
+    rows = table.Table()
+    alive = membership.Record(
+        'a', membership.Kind.AGENT, 5, address='a:1', upstreams=()
+    )
+    rows.merge(alive, 0.0)
+    news = membership.Record(
+        'a', membership.Kind.AGENT, 6, status=membership.Status.SUSPECT
+    )
+    assert_that(rows.merge(news, 1.0), matchers.Is(None))
+    assert_that(rows.get('a'), matchers.Equals(alive))
+
+
+def test_table_forgets_the_dead_after_the_retention_period():
+    rows = table.Table()
+    empty = rows.digest()
+    gone = membership.Record(
+        'a', membership.Kind.ENTRY, 5, status=membership.Status.LEFT
+    )
+    rows.merge(gone, 10.0)
+    rows.expire(10.0 + table.TOMBSTONE_RETENTION_S - 1)
+    assert_that(rows, matchers.HasLength(1))
+    rows.expire(10.0 + table.TOMBSTONE_RETENTION_S)
+    assert_that(rows, matchers.HasLength(0))
+    assert_that(rows.digest(), matchers.Equals(empty))
+
+
 def test_entry_that_hears_nothing_does_not_bury_the_others():
     net, watch = build(2)
     others = ENTRIES[1:]
