Add the spread of accepted revisions

Cause: an accepted manifest has to be in force everywhere within 4 s and must never revert. Checks on each effect and a hypothesis state machine.

--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/spread/__init__.py
@@ -0,0 +1,41 @@
+"""The spread of accepted manifest revisions to every process."""
+
+from cassiashift_core.spread.events import ApplyDelta
+from cassiashift_core.spread.events import ApplySnapshot
+from cassiashift_core.spread.events import CommitAdvanced
+from cassiashift_core.spread.events import Committed
+from cassiashift_core.spread.events import Phase
+from cassiashift_core.spread.events import ProvideSnapshot
+from cassiashift_core.spread.events import Ready
+from cassiashift_core.spread.events import Received
+from cassiashift_core.spread.events import Restarted
+from cassiashift_core.spread.events import Restored
+from cassiashift_core.spread.events import Send
+from cassiashift_core.spread.events import SnapshotTaken
+from cassiashift_core.spread.events import SpreadConfig
+from cassiashift_core.spread.events import SpreadStatus
+from cassiashift_core.spread.events import Tick
+from cassiashift_core.spread.events import VotersChanged
+from cassiashift_core.spread.spreader import Spreader
+from cassiashift_core.spread.spreader import TICK_INTERVAL_S
+
+__all__ = [
+    'TICK_INTERVAL_S',
+    'ApplyDelta',
+    'ApplySnapshot',
+    'CommitAdvanced',
+    'Committed',
+    'Phase',
+    'ProvideSnapshot',
+    'Ready',
+    'Received',
+    'Restarted',
+    'Restored',
+    'Send',
+    'SnapshotTaken',
+    'SpreadConfig',
+    'SpreadStatus',
+    'Spreader',
+    'Tick',
+    'VotersChanged',
+]
--- /dev/null
+++ b/tests/core/spread/test_spread_states.py
@@ -0,0 +1,124 @@
+"""A state machine that explores schedules of the spread."""
+
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from cassiashift_core.spread import events
+from tests.core.spread import builders
+from tests.scenarios import network
+
+SIZES = (3, 2, 3, 3)
+VOTERS = ('c0', 'c1', 'c2')
+FOLLOWERS = ('r0', 'r1', 'e0', 'e1', 'e2', 'a0', 'a1', 'a2')
+FAULTS = network.Faults(delay_s=(0.001, 0.3), loss=0.1, copies=0.1)
+SETTLE_S = 40.0
+
+some_voters = strategies.sets(strategies.sampled_from(VOTERS))
+some_hosts = strategies.sets(
+    strategies.sampled_from(VOTERS + FOLLOWERS), min_size=1, max_size=4
+)
+
+
+class SpreadMachine(stateful.RuleBasedStateMachine):
+    """Commits, restarts, cuts and time in any order."""
+
+    @stateful.initialize(seed=strategies.integers(0, 1000))
+    def build(self, seed):
+        """Start the tree."""
+        self.tree = builders.Tree.build(
+            seed, sizes=SIZES, faults=FAULTS, window_deltas=6
+        )
+
+    @stateful.rule(
+        count=strategies.integers(1, 10),
+        lagging=strategies.sampled_from((*VOTERS, None)),
+        knowing=some_voters,
+    )
+    def commit(self, count, lagging, knowing):
+        """Commit on a majority, of which some know that it is."""
+        holding = [host for host in VOTERS if host != lagging]
+        for _ in range(count):
+            self.tree.commit(
+                knowing=sorted(knowing - {lagging}), holding=holding
+            )
+
+    @stateful.rule(hosts=some_voters)
+    def learn(self, hosts):
+        """Let some control hosts learn what is committed."""
+        self.tree.learn(sorted(hosts))
+
+    @stateful.rule(host=strategies.sampled_from(VOTERS))
+    def hold_an_uncommitted_tail(self, host):
+        """Append to one log what will never be committed."""
+        tail = self.tree.head + 1
+        self.tree.held.setdefault(host, []).append(tail)
+
+    @stateful.rule(host=strategies.sampled_from(VOTERS + FOLLOWERS))
+    def restart(self, host):
+        """Restart a process."""
+        self.tree.start(host)
+
+    @stateful.rule(host=strategies.sampled_from(FOLLOWERS))
+    def stop(self, host):
+        """Kill a process."""
+        self.tree.net.stop(host)
+
+    @stateful.rule(hosts=some_hosts, both=strategies.booleans())
+    def cut(self, hosts, both):
+        """Cut some hosts off, perhaps in one direction only."""
+        others = [host for host in self.tree.hosts() if host not in hosts]
+        self.tree.net.cut(sorted(hosts), others, both=both)
+
+    @stateful.rule()
+    def heal(self):
+        """End all cuts."""
+        self.tree.net.heal()
+
+    @stateful.rule(
+        host=strategies.sampled_from(FOLLOWERS),
+        ahead_s=strategies.sampled_from((2.0, 600.0)),
+    )
+    def jump(self, host, ahead_s):
+        """Let a monotonic clock jump ahead, as after a suspension."""
+        self.tree.net.nodes[host].clock_offset_s += ahead_s
+
+    @stateful.rule(seconds=strategies.floats(0.1, 5.0))
+    def run_for(self, seconds):
+        """Let time pass."""
+        self.tree.net.run(seconds)
+
+    @stateful.invariant()
+    def revisions_only_rise(self):
+        """Check what every host has had in force."""
+        if hasattr(self, 'tree'):
+            assert not self.tree.violations, self.tree.violations
+
+    def teardown(self):
+        """Check that all is in force once the faults are over."""
+        if not hasattr(self, 'tree'):
+            return
+        tree = self.tree
+        tree.net.heal()
+        for host in tree.hosts():
+            if not tree.net.nodes[host].running:
+                tree.start(host)
+        tree.learn(VOTERS)
+        for host in VOTERS:
+            tree.net.deliver(host, events.CommitAdvanced(tree.head + 1))
+        tree.net.run(SETTLE_S)
+        assert tree.behind() == []
+        assert not tree.violations, tree.violations
+
+
+SpreadMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=int(os.environ.get('SEEDS', '25')),
+    stateful_step_count=25,
+    suppress_health_check=list(hypothesis.HealthCheck),
+    phases=(hypothesis.Phase.generate,),
+)
+TestSpread = SpreadMachine.TestCase
