--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/timeline/clocks.py
@@ -0,0 +1,56 @@
+"""Hybrid logical clocks.
+
+Kulkarni, Demirbas, Madappa, Avva and Leone, "Logical Physical Clocks",
+OPODIS 2014.
+"""
+
+import attrs
+
+MAX_DRIFT_US = 60_000_000
+
+
+@attrs.frozen(order=True)
+class Timestamp:
+    """A reading: microseconds of wall time and a logical counter."""
+
+    wall_us: int = 0
+    logical: int = 0
+
+    def __str__(self) -> str:
+        """Return seconds since 1970 and the counter."""
+        seconds, micros = divmod(self.wall_us, 1_000_000)
+        return f'{seconds}.{micros:06d}+{self.logical}'
+
+
+@attrs.define
+class Clock:
+    """The clock of one process.
+
+    Attributes:
+        last: the latest reading; readings only rise.
+        refused: receipts whose sender was too far ahead.
+    """
+
+    last: Timestamp = Timestamp()
+    refused: int = 0
+
+    def tick(self, wall_us: int) -> Timestamp:
+        """Return the reading of a local event or a send."""
+        if wall_us > self.last.wall_us:
+            self.last = Timestamp(wall_us)
+        else:
+            self.last = Timestamp(self.last.wall_us, self.last.logical + 1)
+        return self.last
+
+    def receive(self, remote: Timestamp, wall_us: int) -> Timestamp:
+        """Return the reading of a receipt, above the sender's reading.
+
+        A sender that is more than ``MAX_DRIFT_US`` ahead of this host's
+        wall time is not followed.
+        """
+        if remote.wall_us - wall_us > MAX_DRIFT_US:
+            self.refused += 1
+            return self.tick(wall_us)
+        if remote > self.last:
+            self.last = remote
+        return self.tick(wall_us)
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/timeline/rendering.py
@@ -0,0 +1,71 @@
+"""Time lines as aligned text and as JSON lines."""
+
+from collections.abc import Iterable
+import datetime
+
+import msgspec
+
+from cassiashift_core.timeline import events
+
+COLUMNS = ('time', 'process', 'kind', 'request', 'facts')
+
+
+def facts(event: events.Event) -> str:
+    """Return the less common attributes and fields on one line."""
+    parts = []
+    for name in ('attempt', 'workspace', 'group', 'revision', 'message'):
+        value = getattr(event, name)
+        if value:
+            parts.append(f'{name}={value}')
+    parts.extend(f'{name}={value}' for name, value in event.fields.items())
+    return ' '.join(parts)
+
+
+def wall_time(event: events.Event) -> str:
+    """Return the time of day in UTC with microseconds and counter."""
+    seconds, micros = divmod(event.clock.wall_us, 1_000_000)
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return f'{moment:%H:%M:%S}.{micros:06d}+{event.clock.logical}'
+
+
+def as_text(merged: Iterable[events.Event]) -> str:
+    """Return one line for each event, in aligned columns."""
+    rows = [COLUMNS]
+    rows.extend(
+        (
+            wall_time(event),
+            event.process,
+            event.kind,
+            event.request or '-',
+            facts(event),
+        )
+        for event in merged
+    )
+    widths = [max(len(row[index]) for row in rows) for index in range(4)]
+    lines = []
+    for row in rows:
+        cells = [
+            cell.ljust(width)
+            for cell, width in zip(row[:4], widths, strict=True)
+        ]
+        lines.append('  '.join([*cells, row[4]]).rstrip())
+    return '\n'.join(lines) + '\n'
+
+
+def as_json_lines(merged: Iterable[events.Event]) -> bytes:
+    """Return one JSON object for each event and line."""
+    return b''.join(msgspec.json.encode(event) + b'\n' for event in merged)
+
+
+def from_json_lines(data: bytes) -> list[events.Event]:
+    """Return the events of JSON lines; empty lines are skipped.
+
+    Raises:
+        msgspec.ValidationError: a line is no event.
+        msgspec.DecodeError: a line is no JSON.
+    """
+    return [
+        msgspec.json.decode(line, type=events.Event)
+        for line in data.splitlines()
+        if line.strip()
+    ]
