--- a/tests/scenarios/network.py
+++ b/tests/scenarios/network.py
@@ -61,6 +61,7 @@
     cuts: set[tuple[str, str]] = attrs.field(factory=set)
     drop: Any = None
     on_effect: Any = None
+    tracer: Any = None
     _queue: list[Any] = attrs.field(factory=list)
     _order: int = 0
     rng: random.Random = attrs.field(init=False)
@@ -100,11 +101,17 @@
         for effect in effects:
             if isinstance(effect, node.events.Send):
                 self._send(host, node, effect)
-            elif self.on_effect is not None:
-                self.on_effect(host, effect)
+            else:
+                self._note(host, effect)
         node.effects = effects
         return effects
 
+    def _note(self, host: str, effect: Any) -> None:
+        if self.tracer is not None:
+            self.tracer.noted(host, effect)
+        if self.on_effect is not None:
+            self.on_effect(host, effect)
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         end = self.now + seconds
@@ -134,9 +141,11 @@
             self._push(self.now + self.tick_s, host, node, None, None)
             self.deliver(host, node.events.Tick())
             return
-        kind, data = message
+        number, kind, data = message
         node.received_messages += 1
         node.received_bytes += len(data)
+        if self.tracer is not None:
+            self.tracer.received(host, number, kind.__name__)
         decoded = msgspec.msgpack.decode(data, type=kind)
         self.deliver(host, node.events.Received(sender, decoded))
 
@@ -145,6 +154,11 @@
         node.sent_messages += 1
         node.sent_bytes += len(data)
         receiver = effect.receiver
+        self._order += 1
+        number = self._order
+        if self.tracer is not None:
+            name = type(effect.message).__name__
+            self.tracer.sent(sender, receiver, number, name)
         if (sender, receiver) in self.cuts:
             return
         if self.drop is not None and self.drop(
@@ -156,5 +170,5 @@
         copies = 1 + (self.rng.random() < self.faults.copies)
         for _ in range(copies):
             delay_s = self.rng.uniform(*self.faults.delay_s)
-            message = (type(effect.message), data)
+            message = (number, type(effect.message), data)
             self._push(self.now + delay_s, receiver, None, sender, message)
