--- a/packages/cassiashift-net/cassiashift_net/administration.py
+++ b/packages/cassiashift-net/cassiashift_net/administration.py
@@ -8,7 +8,7 @@
 
 PREFIX = '/admin/v1'
 MAX_REQUEST_ID_CHARACTERS = 128
-MAX_REVISION = 2**62
+MAX_REVISION = 2**63 - 1
 
 RequestId = Annotated[
     str, msgspec.Meta(min_length=1, max_length=MAX_REQUEST_ID_CHARACTERS)
