Let the retry budget cover the calls on a lost third of the upstreams

Cause: in the loss scenario a reserve of 10 retries for each entry ended while calls of lost upstreams still waited for their retry. Change: the reserve is 50; the share of first tries stays 0.1. Retries remain under 0.1 of first tries plus 50.

--- a/packages/cassiashift-core/cassiashift_core/retries/budget.py
+++ b/packages/cassiashift-core/cassiashift_core/retries/budget.py
@@ -17,7 +17,7 @@
     """
 
     ratio: float = 0.1
-    reserve: float = 10.0
+    reserve: float = 50.0
     first_tries: int = attrs.field(default=0, init=False)
     retries: int = attrs.field(default=0, init=False)
     denied: int = attrs.field(default=0, init=False)
