Plan orders to load models and change roles

Cause: nothing moved upstreams between models and roles as demand drifts. Change: a planner gives an order where a shortage has lasted, to an upstream that its own pool can spare, within the rate of the weight store; role changes come first since they move no weights. Result: tests hold the hold time, the rest of each upstream, the bytes of the store, and no order under demand that swings every 4 s. Conclusion: the decision is there; no part of the daemon gives orders yet.

--- a/packages/cassiashift-core/cassiashift_core/routing/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/__init__.py
@@ -10,16 +10,28 @@
 from cassiashift_core.routing.model import RouteRequest
 from cassiashift_core.routing.model import RoutingConfig
 from cassiashift_core.routing.model import UpstreamView
+from cassiashift_core.routing.placement import LoadOrder
+from cassiashift_core.routing.placement import PlacementConfig
+from cassiashift_core.routing.placement import PlacementPlanner
+from cassiashift_core.routing.placement import Placed
+from cassiashift_core.routing.placement import PoolKey
+from cassiashift_core.routing.placement import RoleOrder
 from cassiashift_core.routing.router import Router
 
 __all__ = [
     'Aperture',
     'CacheEvent',
     'Choice',
+    'LoadOrder',
     'LoadReport',
     'Outcome',
+    'Placed',
+    'PlacementConfig',
+    'PlacementPlanner',
+    'PoolKey',
     'Refusal',
     'ResyncNeeded',
+    'RoleOrder',
     'RouteRequest',
     'Router',
     'RoutingConfig',
