--- a/packages/cassiashift-core/cassiashift_core/manifest/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/manifest/__init__.py
@@ -5,6 +5,11 @@
 from cassiashift_core.manifest.changes import changes
 from cassiashift_core.manifest.checks import check
 from cassiashift_core.manifest.fields import unknown_fields
+from cassiashift_core.manifest.items import Delta
+from cassiashift_core.manifest.items import difference
+from cassiashift_core.manifest.items import from_items
+from cassiashift_core.manifest.items import Items
+from cassiashift_core.manifest.items import to_items
 from cassiashift_core.manifest.model import Call
 from cassiashift_core.manifest.model import DataCentre
 from cassiashift_core.manifest.model import Group
@@ -24,15 +29,19 @@
 from cassiashift_core.manifest.problems import Problem
 from cassiashift_core.manifest.problems import Step
 from cassiashift_core.manifest.schema import schema
+from cassiashift_core.manifest.view import ManifestView
 
 __all__ = [
     'Call',
     'Change',
     'ChangeKind',
     'DataCentre',
+    'Delta',
     'Group',
+    'Items',
     'Limits',
     'Manifest',
+    'ManifestView',
     'Measures',
     'Model',
     'Offer',
@@ -47,7 +56,10 @@
     'Workspace',
     'changes',
     'check',
+    'difference',
+    'from_items',
     'path_text',
     'schema',
+    'to_items',
     'unknown_fields',
 ]
--- a/packages/cassiashift-core/cassiashift_core/membership/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/__init__.py
@@ -11,6 +11,7 @@
 from cassiashift_core.membership.events import Tick
 from cassiashift_core.membership.health import TICK_INTERVAL_S
 from cassiashift_core.membership.member import Membership
+from cassiashift_core.membership.messages import MESSAGE_TYPES
 from cassiashift_core.membership.records import Announcement
 from cassiashift_core.membership.records import Capacity
 from cassiashift_core.membership.records import Contact
@@ -20,6 +21,7 @@
 from cassiashift_core.membership.records import Summary
 
 __all__ = [
+    'MESSAGE_TYPES',
     'TICK_INTERVAL_S',
     'Announced',
     'Announcement',
--- a/packages/cassiashift-core/cassiashift_core/membership/announcer.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/announcer.py
@@ -22,6 +22,7 @@
     rng: random.Random
     record: records.Record
     in_flight: int = 0
+    revision: int = 0
     left: bool = False
     _holders: dict[str, records.Contact] = attrs.field(factory=dict)
     _heard_s: dict[str, float] = attrs.field(factory=dict)
@@ -37,6 +38,7 @@
             kind=records.Kind.AGENT,
             incarnation=cfg.incarnation,
             address=cfg.address,
+            epoch=cfg.epoch,
         )
         return cls(cfg=cfg, rng=rng, record=record)
 
@@ -65,7 +67,9 @@
             return []
         self._next_s = now + holders.HEARTBEAT_INTERVAL_S
         self._drop_silent(now)
-        heartbeat = messages.Heartbeat(self.record.incarnation, self.in_flight)
+        heartbeat = messages.Heartbeat(
+            self.record.incarnation, self.in_flight, self.revision
+        )
         return [events.Send(host, heartbeat) for host in self._receivers()]
 
     @_handle.register
@@ -78,6 +82,7 @@
     @_handle.register
     def _(self, event: events.LoadChanged, now: float) -> list[events.Effect]:
         self.in_flight = event.in_flight
+        self.revision = event.revision
         return []
 
     @_handle.register
--- a/packages/cassiashift-core/cassiashift_core/membership/events.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/events.py
@@ -15,6 +15,8 @@
         incarnation: start time of the process in milliseconds since 1970.
         seeds: some entries of the same data centre.
         remote_seeds: some entries of other data centres.
+        http: where callers connect to an entry.
+        epoch: the start of an agent's process.
     """
 
     host: str
@@ -24,6 +26,8 @@
     incarnation: int
     seeds: tuple[records.Contact, ...] = ()
     remote_seeds: tuple[records.Contact, ...] = ()
+    http: str = ''
+    epoch: int = 0
 
 
 @attrs.frozen
@@ -48,9 +52,10 @@
 
 @attrs.frozen
 class LoadChanged:
-    """The agent now counts this many requests in progress."""
+    """The agent's load and revision are now the given ones."""
 
     in_flight: int
+    revision: int = 0
 
 
 @attrs.frozen
--- a/packages/cassiashift-core/cassiashift_core/membership/holders.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/holders.py
@@ -5,6 +5,7 @@
 import attrs
 
 from cassiashift_core import hashing
+from cassiashift_core.membership import messages
 
 HOLDERS = 3
 HEARTBEAT_INTERVAL_S = 1.0
@@ -21,6 +22,7 @@
     heard_s: float
     first_holder: bool
     in_flight: int = 0
+    revision: int = 0
 
 
 @attrs.define
@@ -49,12 +51,15 @@
             watched[agent] = known
         self._watched = watched
 
-    def heard(self, agent: str, in_flight: int, now: float) -> None:
+    def heard(
+        self, agent: str, heartbeat: messages.Heartbeat, now: float
+    ) -> None:
         """Note a heartbeat."""
         watched = self._watched.get(agent)
         if watched is not None:
             watched.heard_s = now
-            watched.in_flight = in_flight
+            watched.in_flight = heartbeat.in_flight
+            watched.revision = heartbeat.revision
 
     def shift(self, gap_s: float) -> None:
         """Move all deadlines by a gap in which this entry did not run."""
@@ -70,6 +75,12 @@
             if now - watched.heard_s > limit
         ]
 
+    def revisions(self) -> dict[str, int]:
+        """Return the revision in force at each watched agent."""
+        return {
+            agent: watched.revision for agent, watched in self._watched.items()
+        }
+
     def in_flight(self) -> int:
         """Return the requests in progress that this entry reports."""
         return sum(
--- a/packages/cassiashift-core/cassiashift_core/membership/member.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/member.py
@@ -66,6 +66,7 @@
             kind=records.Kind.ENTRY,
             incarnation=cfg.incarnation,
             address=cfg.address,
+            http=cfg.http,
         )
         member = cls(cfg=cfg, rng=rng, own=own)
         member.rows.merge(own, 0.0)
@@ -92,6 +93,10 @@
         """Return the agents of the data centre that may be used."""
         return list(self.rows.usable(records.Kind.AGENT).values())
 
+    def watched_revisions(self) -> dict[str, int]:
+        """Return the revision in force at each agent watched here."""
+        return self._watch.revisions()
+
     def summaries(self) -> tuple[records.Summary, ...]:
         """Return one summary for each known data centre."""
         return self._summaries.all()
@@ -397,7 +402,7 @@
     def _on_heartbeat(
         self, sender: str, heartbeat: messages.Heartbeat, now: float
     ) -> events.Effect:
-        self._watch.heard(sender, heartbeat.in_flight, now)
+        self._watch.heard(sender, heartbeat, now)
         entries = self.rows.usable(records.Kind.ENTRY)
         contacts = tuple(
             records.Contact(host, entries[host].address)
--- a/packages/cassiashift-core/cassiashift_core/membership/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/messages.py
@@ -64,10 +64,12 @@
 
     Attributes:
         in_flight: requests in progress as the agent counts them.
+        revision: revision in force at the agent.
     """
 
     incarnation: int
     in_flight: int = 0
+    revision: int = 0
 
 
 @attrs.frozen
@@ -120,3 +122,20 @@
     """Newer summaries."""
 
     summaries: tuple[records.Summary, ...]
+
+
+MESSAGE_TYPES = (
+    Ping,
+    PingRequest,
+    Ack,
+    Nack,
+    SyncDigest,
+    SyncRows,
+    Heartbeat,
+    Announce,
+    HeartbeatAck,
+    Departure,
+    LoadReport,
+    SummaryPull,
+    SummaryPush,
+)
--- a/packages/cassiashift-core/cassiashift_core/membership/records.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/records.py
@@ -40,6 +40,7 @@
         role: phase that an engine serves: ``prefill``, ``decode``, ``both``.
         concurrency: requests in progress that the upstream can hold.
         draining: the upstream is leaving and takes no new work.
+        healthy: the upstream answers its agent.
     """
 
     upstream: str
@@ -49,6 +50,7 @@
     service: str = ''
     concurrency: int = 32
     draining: bool = False
+    healthy: bool = True
 
 
 @attrs.frozen
@@ -58,6 +60,8 @@
     Attributes:
         incarnation: number that only the member itself raises.
         address: empty in an update that only changes the status.
+        http: where callers connect to an entry.
+        epoch: the start of an agent's process, for which attempts are meant.
         upstreams: the upstreams behind an agent.
         accuser: entry that suspects the member, in a suspicion only.
     """
@@ -69,6 +73,8 @@
     address: str = ''
     upstreams: tuple[Announcement, ...] = ()
     accuser: str = ''
+    http: str = ''
+    epoch: int = 0
 
     @property
     def usable(self) -> bool:
@@ -84,7 +90,7 @@
 
     def without_content(self) -> 'Record':
         """Return the status alone, for small updates."""
-        return attrs.evolve(self, address='', upstreams=())
+        return attrs.evolve(self, address='', upstreams=(), http='', epoch=0)
 
 
 @attrs.frozen
--- a/packages/cassiashift-core/cassiashift_core/spread/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/spread/__init__.py
@@ -16,10 +16,12 @@
 from cassiashift_core.spread.events import SpreadStatus
 from cassiashift_core.spread.events import Tick
 from cassiashift_core.spread.events import VotersChanged
+from cassiashift_core.spread.messages import MESSAGE_TYPES
 from cassiashift_core.spread.spreader import Spreader
 from cassiashift_core.spread.spreader import TICK_INTERVAL_S
 
 __all__ = [
+    'MESSAGE_TYPES',
     'TICK_INTERVAL_S',
     'ApplyDelta',
     'ApplySnapshot',
--- a/packages/cassiashift-core/cassiashift_core/spread/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/spread/messages.py
@@ -82,3 +82,14 @@
 
     nonce: int
     revision: int
+
+
+MESSAGE_TYPES = (
+    Known,
+    Pull,
+    Deltas,
+    SnapshotPull,
+    SnapshotPart,
+    RevisionQuery,
+    RevisionReply,
+)
--- a/packages/cassiashift-core/cassiashift_core/state/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/state/__init__.py
@@ -8,7 +8,6 @@
 from cassiashift_core.state.ledger import CallRecord
 from cassiashift_core.state.ledger import CallState
 from cassiashift_core.state.ledger import Ledger
-from cassiashift_core.state.machine import Shared
 from cassiashift_core.state.machine import StateMachine
 from cassiashift_core.state.results import Accepted
 from cassiashift_core.state.results import CallInDoubt
@@ -17,6 +16,8 @@
 from cassiashift_core.state.results import Conflict
 from cassiashift_core.state.results import KeyReused
 from cassiashift_core.state.results import Rejected
+from cassiashift_core.state.shared import Shared
+from cassiashift_core.state.shared import SharedDelta
 
 __all__ = [
     'CODEC',
@@ -35,5 +36,6 @@
     'Rejected',
     'SetDrain',
     'Shared',
+    'SharedDelta',
     'StateMachine',
 ]
--- a/packages/cassiashift-core/cassiashift_core/state/commands.py
+++ b/packages/cassiashift-core/cassiashift_core/state/commands.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cassiashift_core import codec
+from cassiashift_core.manifest import items
 from cassiashift_core import verdicts
 
 CODEC = codec.Codec()
@@ -10,18 +11,18 @@
 
 @attrs.frozen
 class ApplyManifest:
-    """Replace the manifest if the revision is still the expected one.
+    """Change the manifest if the revision is still the expected one.
 
     Attributes:
         request_id: a resend with the same id gets the first answer.
         expected_revision: the revision that the operator has seen.
-        manifest: the manifest as JSON.
+        delta: what turns the manifest of that revision into the new one.
         operator: who asked.
     """
 
     request_id: str
     expected_revision: int
-    manifest: bytes
+    delta: items.Delta
     operator: str = ''
 
 
--- a/packages/cassiashift-core/cassiashift_core/state/machine.py
+++ b/packages/cassiashift-core/cassiashift_core/state/machine.py
@@ -7,44 +7,20 @@
 import msgspec
 
 from cassiashift_core import codec
-from cassiashift_core import manifest
 from cassiashift_core.state import commands
 from cassiashift_core.state import ledger
 from cassiashift_core.state import results
+from cassiashift_core.state import shared as shared_state
 
 REMEMBERED_REQUESTS = 10_000
 EXPIRY_INTERVAL_COMMANDS = 256
 
 
-@attrs.define
-class Shared:
-    """The part of the state that every process holds.
-
-    Attributes:
-        revision: log index of the last change of configuration.
-        manifest: the manifest in force as JSON; empty before the first.
-        drains: ids of draining upstreams and entries.
-    """
-
-    revision: int = 0
-    manifest: bytes = b''
-    drains: set[str] = attrs.field(factory=set)
-
-    def encode(self) -> bytes:
-        """Return the shared state as bytes."""
-        return msgspec.msgpack.encode(self, order='deterministic')
-
-    @classmethod
-    def decode(cls, data: bytes) -> 'Shared':
-        """Return the shared state that ``encode`` gave as bytes."""
-        return msgspec.msgpack.decode(data, type=cls)
-
-
 @attrs.define
 class _Saved:
     """The layout of a snapshot."""
 
-    shared: Shared
+    shared: shared_state.Shared
     calls: ledger.Ledger
     answers: list[tuple[str, bytes]]
     applied: int
@@ -53,11 +29,16 @@
 
 @attrs.define
 class StateMachine:
-    """Applies commands in log order; equal logs give equal states."""
+    """Applies commands in log order; equal logs give equal states.
+
+    Attributes:
+        deltas: changes of the shared state that the owner has not taken.
+    """
 
-    shared: Shared = attrs.field(factory=Shared)
+    shared: shared_state.Shared = attrs.field(factory=shared_state.Shared)
     calls: ledger.Ledger = attrs.field(factory=ledger.Ledger)
     applied: int = 0
+    deltas: list[shared_state.SharedDelta] = attrs.field(factory=list)
     _answers: dict[str, bytes] = attrs.field(factory=dict)
     _commands_applied: int = 0
 
@@ -114,12 +95,13 @@
         known = self._answers.get(command.request_id)
         if known is not None:
             return results.CODEC.decode(known)
-        if command.draining:
-            self.shared.drains.add(command.target)
-        else:
-            self.shared.drains.discard(command.target)
-        self.shared.revision = index
-        result = results.Accepted(index)
+        targets = (command.target,)
+        delta = shared_state.SharedDelta(
+            index,
+            drained=targets if command.draining else (),
+            undrained=() if command.draining else targets,
+        )
+        result = self._change(delta)
         self._remember(command.request_id, result)
         return result
 
@@ -136,13 +118,21 @@
     ) -> results.Accepted | results.Conflict | results.Rejected:
         if command.expected_revision != self.shared.revision:
             return results.Conflict(self.shared.revision)
-        try:
-            msgspec.json.decode(command.manifest, type=manifest.Manifest)
-        except msgspec.DecodeError as exc:
-            return results.Rejected(str(exc))
-        self.shared.manifest = command.manifest
-        self.shared.revision = index
-        return results.Accepted(index)
+        problem = command.delta.problem()
+        if problem:
+            return results.Rejected(problem)
+        return self._change(shared_state.SharedDelta(index, command.delta))
+
+    def take_deltas(self) -> list[shared_state.SharedDelta]:
+        """Return the changes of the shared state since the last call."""
+        taken = self.deltas
+        self.deltas = []
+        return taken
+
+    def _change(self, delta: shared_state.SharedDelta) -> results.Accepted:
+        self.shared.apply(delta)
+        self.deltas.append(delta)
+        return results.Accepted(delta.revision)
 
     def _remember(self, request_id: str, result: Any) -> None:
         self._answers[request_id] = results.CODEC.encode(result)
--- a/packages/cassiashift-daemon/cassiashift_daemon/access.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/access.py
@@ -98,30 +98,6 @@
         return operator
 
 
-@attrs.define(eq=False)
-class _KeyIndex:
-    """The workspace of each key hash in one manifest."""
-
-    content: manifest.Manifest | None = None
-    owners: dict[str, manifest.Workspace] = attrs.field(factory=dict)
-
-    def owner(
-        self, content: manifest.Manifest, key_hash: str
-    ) -> manifest.Workspace | None:
-        """Return a workspace; build the index for a new manifest."""
-        if content is not self.content:
-            self.owners = {
-                stored: workspace
-                for workspace in content.workspaces
-                for stored in workspace.key_hashes
-            }
-            self.content = content
-        return self.owners.get(key_hash)
-
-
-_INDEX = _KeyIndex()
-
-
 def key_hash(key: str) -> str:
     """Return the SHA-256 of a key, in lower-case hex."""
     return keys.token_hash(key)
@@ -146,7 +122,7 @@
 
 
 def workspace_of(
-    current: manifest.Manifest, key: str
+    view: manifest.ManifestView, key: str
 ) -> manifest.Workspace | None:
     """Return the workspace that a key belongs to.
 
@@ -155,7 +131,7 @@
     that helps to find one. The hash is then compared in constant time.
     """
     given = key_hash(key)
-    found = _INDEX.owner(current, given)
+    found = view.workspace_of_key(given)
     stored = found.key_hashes if found else (NO_KEY_HASH,)
     matches = [hmac.compare_digest(given, item) for item in stored]
     return found if any(matches) else None
--- a/packages/cassiashift-daemon/cassiashift_daemon/admin.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/admin.py
@@ -14,12 +14,13 @@
 from cassiashift_core import state
 from cassiashift_core import Verdict
 from cassiashift_daemon import access
+from cassiashift_daemon import collecting
 from cassiashift_daemon import logs
 from cassiashift_daemon import members
 from cassiashift_daemon import proposals
-from cassiashift_daemon import recorder
 from cassiashift_daemon import settings
 from cassiashift_daemon import shared_state
+from cassiashift_daemon import surveys
 from cassiashift_net import administration
 from cassiashift_net import problems
 
@@ -40,7 +41,8 @@
     holder: shared_state.SharedHolder
     members: members.Members
     proposer: proposals.Proposer
-    events: recorder.Recorder
+    collector: collecting.EventCollector
+    surveyor: surveys.Surveyor
     voter_status: Any
     operators: access.Operators = attrs.field(
         default=attrs.Factory(
@@ -53,7 +55,7 @@
         """Return the routes of this interface."""
         return [
             web.get(f'{PREFIX}/status', self.handled(self.status)),
-            web.get(f'{PREFIX}/manifest', self.handled(self.manifest)),
+            web.get(f'{PREFIX}/manifest', self.handled(self.show_manifest)),
             web.put(f'{PREFIX}/manifest', self.handled(self.apply, OPERATOR)),
             web.get(f'{PREFIX}/upstreams', self.handled(self.upstreams)),
             web.get(f'{PREFIX}/groups', self.handled(self.groups)),
@@ -85,40 +87,35 @@
         self, req: web.Request, operator: access.Operator
     ) -> administration.Status:
         """Return the revision in force on every known host."""
-        hosts = {self.cfg.host: self.holder.revision}
-        for host, record in self.members.entries.items():
-            hosts[host] = record.state.revision
-        for host, record in self.members.agents.items():
-            hosts[host] = record.announce.revision
+        findings = await self.surveyor.survey()
+        hosts = {item.host: item.revision for item in findings.hosts.values()}
         return administration.Status(
             host=self.cfg.host,
             data_centre=self.cfg.data_centre,
             revision=self.holder.revision,
             confirmed=self.holder.confirmed,
-            drains=tuple(sorted(self.holder.shared.drains)),
+            drains=tuple(sorted(self.holder.drains)),
             hosts=hosts,
             **self.voter_status(),
         )
 
-    async def manifest(
+    async def show_manifest(
         self, req: web.Request, operator: access.Operator
     ) -> administration.ManifestAnswer:
         """Return the manifest in force and its revision."""
-        shared = self.holder.shared
-        content = msgspec.Raw(shared.manifest) if shared.manifest else None
-        return administration.ManifestAnswer(shared.revision, content)
+        content = self.holder.view.manifest()
+        return administration.ManifestAnswer(self.holder.revision, content)
 
     async def apply(
         self, req: web.Request, operator: access.Operator
     ) -> administration.Revision:
         """Replace the manifest."""
         wish = await _decoded(req, ApplyRequest)
-        content = bytes(wish.manifest)
-        _check_manifest(content)
+        content = _checked_manifest(bytes(wish.manifest))
         command = state.ApplyManifest(
             request_id=wish.request_id,
             expected_revision=wish.expected_revision,
-            manifest=content,
+            delta=self._delta(wish.expected_revision, content),
             operator=operator.name,
         )
         return await self._change(command, operator)
@@ -138,9 +135,9 @@
         self, req: web.Request, operator: access.Operator
     ) -> administration.Upstreams:
         """Return expected, missing and unexpected upstreams."""
-        announced = self.members.upstreams()
-        expected = self._expected()
-        drains = self.holder.shared.drains
+        announced = (await self.surveyor.survey()).upstreams
+        expected = self.holder.view.ids('upstreams')
+        drains = self.holder.drains
         rows = tuple(
             administration.UpstreamRow(
                 id=item,
@@ -148,9 +145,6 @@
                 announced=item in announced,
                 healthy=item in announced and announced[item].healthy,
                 draining=item in drains,
-                in_flight=(
-                    announced[item].in_flight if item in announced else 0
-                ),
             )
             for item in sorted(expected | set(announced))
         )
@@ -164,8 +158,8 @@
         self, req: web.Request, operator: access.Operator
     ) -> administration.Groups:
         """Return the groups of the manifest in force."""
-        current = self.holder.manifest
-        groups = current.groups if current else ()
+        view = self.holder.view
+        groups = [view.group(item) for item in sorted(view.ids('groups'))]
         return administration.Groups(
             tuple(
                 administration.GroupRow(
@@ -177,20 +171,16 @@
 
     async def timeline(
         self, req: web.Request, operator: access.Operator
-    ) -> dict[str, Any]:
-        """Return the events that this process still holds."""
-        wanted = req.query.get('request')
-        events = [
-            event
-            for event in self.events.events()
-            if not wanted or event.request == wanted
-        ]
-        return {
-            'host': self.cfg.host,
-            'now_s': time.time(),
-            'dropped': self.events.dropped(),
-            'events': events,
-        }
+    ) -> administration.Timeline:
+        """Return the events held here and by the agents watched here."""
+        wanted = req.query.get('request', '')
+        gathered = await self.collector.collect(wanted)
+        return administration.Timeline(
+            host=self.cfg.host,
+            now_s=time.time(),
+            dropped=gathered.dropped,
+            events=tuple(gathered.events),
+        )
 
     def _authorise(
         self, req: web.Request, needed: access.OperatorRole
@@ -211,22 +201,43 @@
         )
         return _revision(result)
 
-    def _expected(self) -> set[str]:
-        current = self.holder.manifest
-        return {item.id for item in current.upstreams} if current else set()
+    def _delta(
+        self, expected_revision: int, content: manifest.Manifest
+    ) -> manifest.Delta:
+        """Return what turns the expected revision into the new manifest.
+
+        A revision that is past can't be replaced; the log decides what the
+        operator is told, and the difference does not matter.
+        """
+        revision = self.holder.revision
+        if revision < expected_revision:
+            raise CassiashiftError(
+                ErrorCode.NO_QUORUM,
+                f'revision {expected_revision} is not in force here yet',
+                retry_after_s=1.0,
+            )
+        if revision > expected_revision:
+            return manifest.Delta()
+        new = manifest.to_items(content)
+        return manifest.difference(self.holder.shared.items, new)
 
     def _check_target(self, wish: DrainRequest) -> None:
-        known = self._expected() | set(self.members.upstreams())
+        known = self.holder.view.ids('upstreams')
+        known |= set(self.members.member.upstreams())
         if not wish.draining:
-            known |= self.holder.shared.drains
+            known |= self.holder.drains
         if wish.target not in known:
             raise CassiashiftError(
                 ErrorCode.NOT_FOUND, f'there is no upstream {wish.target!r}'
             )
 
 
-def _check_manifest(data: bytes) -> None:
-    """Raise ``MANIFEST_INVALID`` unless the manifest may be applied."""
+def _checked_manifest(data: bytes) -> manifest.Manifest:
+    """Return a manifest that may be applied.
+
+    Raises:
+        CassiashiftError: with ``MANIFEST_INVALID`` for any other.
+    """
     try:
         content = msgspec.json.decode(data, type=manifest.Manifest)
         found = manifest.unknown_fields(msgspec.json.decode(data))
@@ -234,7 +245,7 @@
         raise CassiashiftError(ErrorCode.MANIFEST_INVALID, str(exc)) from exc
     found.extend(manifest.check(content))
     if not found:
-        return
+        return content
     shown = '; '.join(str(item) for item in found[:MAX_SHOWN_PROBLEMS])
     raise CassiashiftError(
         ErrorCode.MANIFEST_INVALID, f'{len(found)} problems: {shown}'
--- a/packages/cassiashift-daemon/cassiashift_daemon/agent.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/agent.py
@@ -1,20 +1,27 @@
 """The role ``agent``: stands between entries and a host's upstreams."""
 
 import asyncio
+import random
 import time
-from typing import Any
 
 import aiohttp
 
+from cassiashift_core import membership
 from cassiashift_core import retries
+from cassiashift_core import spread
 from cassiashift_daemon import attempts
+from cassiashift_daemon import dispatch
 from cassiashift_daemon import lifecycle
 from cassiashift_daemon import logs
+from cassiashift_daemon import members
 from cassiashift_daemon import metrics
-from cassiashift_daemon import puller
+from cassiashift_daemon import peers
+from cassiashift_daemon import presence
 from cassiashift_daemon import recorder
 from cassiashift_daemon import settings
 from cassiashift_daemon import shared_state
+from cassiashift_daemon import spreading
+from cassiashift_net import keys
 from cassiashift_net import links
 from cassiashift_net import messages
 
@@ -26,15 +33,17 @@
     """One agent."""
 
     def __init__(self, cfg: settings.AgentSettings) -> None:
-        """Keep the settings; nothing is opened yet."""
+        """Build the parts that need no loop."""
         super().__init__()
         self.cfg = cfg
-        self.holder = shared_state.SharedHolder()
+        self.epoch = time.time_ns()
+        self.rng = random.Random(self.epoch)
+        self.holder = shared_state.SharedHolder(keep=self._keeps)
+        self.holder.on_change = self._announce
         self.metrics = metrics.Metrics.from_config(cfg.statsd, 'agent')
         self.events = recorder.Recorder.from_config(cfg, 'agent')
         self.healthy: dict[str, bool] = {}
         self.leaving = False
-        self.link_address = ''
 
     @classmethod
     def from_config(cls, cfg: settings.AgentSettings) -> 'AgentProcess':
@@ -49,23 +58,28 @@
     async def open(self) -> None:
         """Open the link, the pool to the upstreams and the timers."""
         cfg = self.cfg
-        self.links = links.Links.from_config(cfg.host, self._received)
-        self.link_address = self.links.bind(cfg.link)
+        self.dispatcher = dispatch.Dispatcher()
+        self.links = links.Links.from_config(
+            cfg.host,
+            self.dispatcher.dispatch,
+            keys.KeyRing.from_files(cfg.curve_secret_file, cfg.curve_keys_dir),
+        )
+        link = self.links.bind(cfg.link)
+        self.voters = cfg.voter_addresses()
+        self.peers = peers.Peers(self.links, self._address_of)
         self.sessions = attempts.Sessions.from_config(cfg.connect_timeout_s)
         self.attempts = attempts.AttemptServer(
             urls=cfg.upstream_urls(),
             admits=self._refusal,
             sessions=self.sessions,
             record=self.events.record,
-            fences=retries.FenceTable(time.time_ns()),
+            fences=retries.FenceTable(self.epoch),
         )
-        self.voters = tuple(cfg.voter_addresses().values())
-        self.puller = puller.Puller(self.links, self.holder, self.voters)
-        self.spawn(self.every(cfg.pull_interval_s, self.puller.pull))
-        self.spawn(self.every(cfg.announce_interval_s, self._announce))
-        for upstream, url in cfg.upstream_urls().items():
-            self.spawn(self._watch(upstream, url))
-        logs.info('agent_started', host=cfg.host, link=self.link_address)
+        self._open_membership(link)
+        self._open_spread()
+        self._register_handlers()
+        self._start_timers()
+        logs.info('agent_started', host=cfg.host, link=link)
 
     async def drain(self) -> None:
         """Refuse new attempts and wait for those in progress."""
@@ -73,6 +87,7 @@
         self._announce()
         await asyncio.sleep(LEAVING_NOTICE_S)
         await self.attempts.idle()
+        self.presence.handle(membership.Leaving())
         logs.info('agent_drained', host=self.cfg.host)
 
     async def close(self) -> None:
@@ -81,47 +96,111 @@
         await self.sessions.close()
         self.links.close()
 
-    def _received(self, sender: links.Sender, message: Any) -> None:
-        match message:
-            case messages.CallStart():
-                self.attempts.start(message, sender.reply)
-            case messages.CallCredit():
-                self.attempts.credit(message)
-            case messages.CallCancel():
-                self.attempts.cancel(message)
-            case messages.Fence():
-                self.attempts.fence(message, sender.reply)
-            case messages.SharedState():
-                self.puller.received(message)
+    def _open_membership(self, link: str) -> None:
+        cfg = self.cfg
+        announcer = membership.Announcer.from_config(
+            membership.MembershipConfig(
+                host=cfg.host,
+                address=link,
+                region=cfg.region,
+                data_centre=cfg.data_centre,
+                incarnation=presence.incarnation_now(),
+                seeds=presence.contacts(cfg.entry_addresses()),
+                epoch=self.epoch,
+            ),
+            self.rng,
+        )
+        self.presence = presence.PresenceRunner(announcer, self.peers)
+
+    def _open_spread(self) -> None:
+        self.spread = spreading.SpreadRunner.from_config(
+            spread.SpreadConfig(
+                host=self.cfg.host,
+                voters=tuple(self.voters),
+                parents=tuple(self.cfg.entry_addresses()),
+                max_children=0,
+            ),
+            self.rng,
+            self.peers,
+            self.holder,
+        )
+        self.spread.handle(spread.Restarted())
+
+    def _register_handlers(self) -> None:
+        register = self.dispatcher.register
+        register(
+            messages.CallStart,
+            lambda sender, message: self.attempts.start(message, sender.reply),
+        )
+        register(
+            messages.CallCredit,
+            lambda sender, message: self.attempts.credit(message),
+        )
+        register(
+            messages.CallCancel,
+            lambda sender, message: self.attempts.cancel(message),
+        )
+        register(
+            messages.Fence,
+            lambda sender, message: self.attempts.fence(message, sender.reply),
+        )
+        register(messages.EventsQuery, self._answer_events)
+        for cls in membership.MESSAGE_TYPES:
+            register(cls, self.presence.received)
+        for cls in spread.MESSAGE_TYPES:
+            register(cls, self.spread.received)
+
+    def _start_timers(self) -> None:
+        self.spawn(self.every(membership.TICK_INTERVAL_S, self._tick))
+        self.spawn(self.every(spread.TICK_INTERVAL_S, self.spread.tick))
+        for upstream, url in self.cfg.upstream_urls().items():
+            self.spawn(self._watch(upstream, url))
+
+    def _tick(self) -> None:
+        in_flight = sum(self.attempts.in_flight.values())
+        load = membership.LoadChanged(in_flight, self.holder.revision)
+        self.presence.handle(load)
+        self.presence.tick()
+        holders = self.presence.member.holders()
+        if holders:
+            self.spread.follow(tuple(holders))
+
+    def _answer_events(
+        self, sender: links.Sender, message: messages.EventsQuery
+    ) -> None:
+        sender.reply(
+            messages.EventsAnswer(
+                message.token,
+                tuple(self.events.events(message.request)),
+                self.events.dropped(),
+            )
+        )
+
+    def _address_of(self, host: str) -> str | None:
+        return self.voters.get(host) or self.presence.member.address_of(host)
+
+    def _keeps(self, key: str) -> bool:
+        section, _, item = key.partition('/')
+        return section == 'upstreams' and item in self.cfg.upstream_urls()
 
     def _refusal(self, upstream: str) -> str:
         if self.leaving:
             return 'the agent is leaving'
-        if upstream in self.holder.shared.drains:
+        if upstream in self.holder.drains:
             return 'the upstream is draining'
         return ''
 
     def _announce(self) -> None:
-        upstreams = tuple(
-            messages.UpstreamState(
-                id=upstream,
-                url=url,
-                healthy=self.healthy.get(upstream, False),
-                draining=bool(self._refusal(upstream)),
-                in_flight=self.attempts.in_flight.get(upstream, 0),
+        announced = tuple(
+            members.announcement(
+                upstream,
+                self.holder.view.upstream(upstream),
+                self.healthy.get(upstream, False),
+                bool(self._refusal(upstream)),
             )
-            for upstream, url in self.cfg.upstream_urls().items()
-        )
-        announcement = messages.Announce(
-            host=self.cfg.host,
-            data_centre=self.cfg.data_centre,
-            incarnation=self.attempts.fences.incarnation,
-            link=self.link_address,
-            revision=self.holder.revision,
-            upstreams=upstreams,
+            for upstream in self.cfg.upstream_urls()
         )
-        for address in self.voters:
-            self.links.send(address, announcement)
+        self.presence.handle(membership.Announced(announced))
 
     async def _watch(self, upstream: str, url: str) -> None:
         timeout = aiohttp.ClientTimeout(total=self.cfg.connect_timeout_s)
--- a/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
@@ -10,6 +10,7 @@
 import attrs
 
 from cassiashift_core import retries
+from cassiashift_core import timeline
 from cassiashift_core import Verdict
 from cassiashift_daemon import logs
 from cassiashift_net import messages
@@ -114,7 +115,7 @@
     urls: dict[str, str]
     admits: Callable[[str], str]
     sessions: Sessions
-    record: Callable[..., None]
+    record: Callable[..., timeline.Timestamp]
     fences: retries.FenceTable
     in_flight: dict[str, int] = attrs.field(factory=dict)
     _running: dict[str, _Attempt] = attrs.field(factory=dict)
@@ -123,8 +124,14 @@
         """Run an attempt, or refuse it."""
         refusal = self._refusal(message)
         if refusal is not None:
-            self.record('refused', message.request_id, message.attempt)
-            reply(refusal)
+            clock = self.record(
+                'attempt_refused',
+                message.request_id,
+                message.attempt,
+                remote=message.clock,
+                code=refusal.code,
+            )
+            reply(attrs.evolve(refusal, clock=clock))
             return
         attempt = _Attempt(message, reply)
         self._running[message.attempt] = attempt
@@ -181,7 +188,13 @@
 
     async def _run(self, attempt: _Attempt) -> None:
         start = attempt.start
-        self.record('started', start.request_id, start.attempt)
+        self.record(
+            timeline.RECEIVE,
+            start.request_id,
+            start.attempt,
+            remote=start.clock,
+            message=f'{start.attempt}/start',
+        )
         began = time.monotonic()
         try:
             async with asyncio.timeout(start.deadline_s):
@@ -195,7 +208,7 @@
             del self._running[start.attempt]
             self.in_flight[start.upstream] -= 1
             self.record(
-                'ended',
+                'attempt_ended',
                 start.request_id,
                 start.attempt,
                 seconds=round(time.monotonic() - began, 6),
@@ -223,7 +236,16 @@
             )
             attempt.reply(messages.CallHead(start.attempt, resp.status, kept))
             await self._forward(attempt, resp)
-        attempt.reply(messages.CallEnd(start.attempt, attempt.pieces))
+        clock = self._sent_last(start)
+        attempt.reply(messages.CallEnd(start.attempt, attempt.pieces, clock))
+
+    def _sent_last(self, start: messages.CallStart) -> timeline.Timestamp:
+        return self.record(
+            timeline.SEND,
+            start.request_id,
+            start.attempt,
+            message=f'{start.attempt}/end',
+        )
 
     async def _forward(
         self, attempt: _Attempt, resp: aiohttp.ClientResponse
@@ -246,6 +268,7 @@
                 failure.code,
                 failure.message,
                 failure.verdict,
+                self._sent_last(attempt.start),
             )
         )
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/callers.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/callers.py
@@ -13,6 +13,7 @@
 from cassiashift_core import CassiashiftError
 from cassiashift_core import directory
 from cassiashift_core import ErrorCode
+from cassiashift_core import manifest
 from cassiashift_core import Verdict
 from cassiashift_daemon import access
 from cassiashift_daemon import calls
@@ -129,7 +130,7 @@
         body = await self._body(req)
         call = requests.service_call(
             self.cfg,
-            self.holder.manifest,
+            self.holder.view,
             workspace,
             request_id,
             requests.ServiceRequest(
@@ -231,16 +232,16 @@
         if req.transport is not None:
             req.transport.close()
 
-    def _workspace(self, req: web.Request):
+    def _workspace(self, req: web.Request) -> manifest.Workspace:
         key = access.bearer_key(req.headers.get('Authorization'))
-        current = self.holder.manifest
-        if current is None or not self.is_ready():
+        view = self.holder.view
+        if view.is_empty or not self.is_ready():
             raise CassiashiftError(
                 ErrorCode.NO_QUORUM,
                 'no manifest is in force here yet',
                 retry_after_s=1.0,
             )
-        workspace = access.workspace_of(current, key)
+        workspace = access.workspace_of(view, key)
         if workspace is None:
             raise CassiashiftError(
                 ErrorCode.UNAUTHENTICATED, 'the key is not known'
--- a/packages/cassiashift-daemon/cassiashift_daemon/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/calls.py
@@ -69,7 +69,7 @@
     """An upstream chosen for an attempt, and the attempt's id."""
 
     choice: routing.Choice
-    agent: messages.Announce
+    agent: members.AgentAddress
     attempt: str
 
     @property
@@ -91,6 +91,7 @@
     budget: retries.RetryBudget
     record: Any
     _numbers: Any = attrs.field(factory=itertools.count)
+    _near_pools: set[str] = attrs.field(factory=set)
 
     async def enter(self, call: Call) -> None:
         """Wait for admission.
@@ -98,8 +99,14 @@
         Raises:
             CassiashiftError: the call is refused; it was not run.
         """
-        now = time.monotonic()
-        self.gate.set_capacity(call.pool, self.router.capacity(call.pool, now))
+        capacity = self.router.capacity(call.pool, time.monotonic())
+        await self.members.lent.ensure(
+            call.pool, call.pool in self._near_pools
+        )
+        if capacity == 0:
+            self.refresh()
+            capacity = self.router.capacity(call.pool, time.monotonic())
+        self.gate.set_capacity(call.pool, capacity)
         await self.gate.enter(
             admission.AdmissionRequest(
                 request_id=call.request_id,
@@ -112,6 +119,13 @@
             )
         )
 
+    def refresh(self) -> None:
+        """Tell the router which upstreams there are now."""
+        self.router.update_upstreams(
+            self.members.upstream_views(), time.monotonic()
+        )
+        self._near_pools = self.members.near_pools()
+
     def leave(self, call: Call, used_tokens: float) -> None:
         """Count the end of an admitted call."""
         self.gate.leave(call.request_id, used_tokens)
@@ -159,7 +173,7 @@
                 retry_after_s=NO_UPSTREAM_RETRY_S,
             )
         attempt = retries.AttemptId(
-            self.host, self.epoch, next(self._numbers), agent.incarnation
+            self.host, self.epoch, next(self._numbers), agent.epoch
         )
         return Target(choice, agent, str(attempt))
 
@@ -179,12 +193,6 @@
             time.monotonic(),
             target.choice,
         )
-        self.record(
-            'attempt_sent',
-            call.request_id,
-            target.attempt,
-            upstream=target.upstream,
-        )
         running = self.attempts.start(
             target.agent.host, target.agent.link, self._start(call, target)
         )
@@ -279,7 +287,7 @@
         return messages.CallStart(
             request_id=call.request_id,
             attempt=target.attempt,
-            incarnation=target.agent.incarnation,
+            incarnation=target.agent.epoch,
             upstream=target.upstream,
             method=call.method,
             path=call.path,
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -12,34 +12,43 @@
 from cassiashift_core import consensus
 from cassiashift_core import directory
 from cassiashift_core import draining
+from cassiashift_core import membership
 from cassiashift_core import retries
 from cassiashift_core import routing
+from cassiashift_core import spread
 from cassiashift_core import state
 from cassiashift_daemon import admin
 from cassiashift_daemon import callers
 from cassiashift_daemon import calls
+from cassiashift_daemon import collecting
+from cassiashift_daemon import dispatch
 from cassiashift_daemon import gate
+from cassiashift_daemon import lending
 from cassiashift_daemon import lifecycle
 from cassiashift_daemon import logs
 from cassiashift_daemon import members
 from cassiashift_daemon import metrics
 from cassiashift_daemon import once
+from cassiashift_daemon import peers
+from cassiashift_daemon import presence
 from cassiashift_daemon import proposals
-from cassiashift_daemon import puller
 from cassiashift_daemon import recorder
 from cassiashift_daemon import remote
 from cassiashift_daemon import settings
 from cassiashift_daemon import shared_state
+from cassiashift_daemon import spreading
 from cassiashift_daemon import storage
-from cassiashift_daemon import views
+from cassiashift_daemon import surveys
 from cassiashift_daemon import voter
+from cassiashift_net import keys
 from cassiashift_net import links
 from cassiashift_net import messages
+from cassiashift_net import tls
 
-SHUTDOWN_TIMEOUT_S = 1.0
 GATE_INTERVAL_S = 0.02
 VIEW_INTERVAL_S = 0.2
 DRAIN_INTERVAL_S = 0.1
+SHUTDOWN_TIMEOUT_S = 1.0
 MAX_HEADER_BYTES = 16 * 1024
 
 
@@ -50,17 +59,17 @@
         """Build the parts that need no loop."""
         super().__init__()
         self.cfg = cfg
-        self.incarnation = time.time_ns()
-        seed = cfg.seed or self.incarnation
-        self.rng = random.Random(seed)
+        self.epoch = time.time_ns()
+        self.rng = random.Random(cfg.seed or self.epoch)
         self.holder = shared_state.SharedHolder()
         self.holder.on_change = self._shared_changed
         self.metrics = metrics.Metrics.from_config(cfg.statsd, 'entry')
         self.events = recorder.Recorder.from_config(cfg, 'entry')
         self.voter: voter.Voter | None = None
         self.leaving = False
-        self.http_address = cfg.advertise or f'http://{cfg.http}'
-        self._agent_senders: dict[str, links.Sender] = {}
+        self.tls = tls.server_context(cfg.tls_cert_file, cfg.tls_key_file)
+        scheme = 'https' if self.tls else 'http'
+        self.http_address = cfg.advertise or f'{scheme}://{cfg.http}'
 
     @classmethod
     def from_config(cls, cfg: settings.EntrySettings) -> 'EntryProcess':
@@ -73,17 +82,29 @@
         return self.cfg.stop_timeout_s
 
     async def open(self) -> None:
-        """Open the link, the replica, the timers and the HTTP server."""
-        self.links = links.Links.from_config(self.cfg.host, self._received)
-        self.link_address = self.links.bind(self.cfg.link)
+        """Open the link, the state, the timers and the HTTP server."""
+        cfg = self.cfg
+        self.dispatcher = dispatch.Dispatcher()
+        self.links = links.Links.from_config(
+            cfg.host,
+            self.dispatcher.dispatch,
+            keys.KeyRing.from_files(cfg.curve_secret_file, cfg.curve_keys_dir),
+        )
+        link = self.links.bind(cfg.link)
+        self.peers = peers.Peers(self.links, self._address_of)
+        self.voters = cfg.voter_addresses()
+        self._open_membership(link)
+        self._open_spread()
         self._build_decisions()
-        self._open_state()
+        self._build_interfaces()
+        self._open_log()
+        self._register_handlers()
         self._start_timers()
         await self._serve_http()
         logs.info(
             'entry_started',
-            host=self.cfg.host,
-            link=self.link_address,
+            host=cfg.host,
+            link=link,
             http=self.http_address,
             votes=self.voter is not None,
         )
@@ -91,7 +112,7 @@
     async def drain(self) -> None:
         """Leave the directory, serve old answers, then end."""
         self.leaving = True
-        self._announce()
+        self.presence.handle(membership.Leaving())
         if self.voter is not None:
             self.voter.handle(consensus.HandOver())
         machine = draining.EntryDrain.from_config(
@@ -115,70 +136,98 @@
         if self.voter is not None:
             self.voter.store.close()
 
-    def _build_decisions(self) -> None:
+    def _open_membership(self, link: str) -> None:
         cfg = self.cfg
-        self.members = members.Members(
-            cfg.liveness_timeout_s, self._agent_lost
+        member = membership.Membership.from_config(
+            membership.MembershipConfig(
+                host=cfg.host,
+                address=link,
+                region=cfg.region,
+                data_centre=cfg.data_centre,
+                incarnation=presence.incarnation_now(),
+                seeds=presence.contacts(cfg.entry_addresses()),
+                remote_seeds=presence.contacts(cfg.remote_entry_addresses()),
+                http=self.http_address,
+            ),
+            self.rng,
+        )
+        self.presence = presence.PresenceRunner(
+            member, self.peers, self._member_changed
         )
+        self.lent = lending.LentUpstreams(member, self.links)
+        self.members = members.Members(member, self.lent, self.holder)
+
+    def _open_spread(self) -> None:
+        self.spread = spreading.SpreadRunner.from_config(
+            spread.SpreadConfig(
+                host=self.cfg.host,
+                voters=tuple(self.voters),
+                parents=tuple(self.voters),
+            ),
+            self.rng,
+            self.peers,
+            self.holder,
+        )
+
+    def _build_decisions(self) -> None:
+        cfg = self.cfg
         self.directory = directory.Directory.from_config(
             directory.DirectoryConfig(ttl_s=cfg.directory_ttl_s), self.rng
         )
-        self.router = routing.Router.from_config(None, self.rng)
         self.gate = gate.Gate(admission.Admission.from_config())
-        self.attempts = remote.RemoteAttempts(self.links)
-        self.proposer = proposals.Proposer(
-            cfg.host, self.links, cfg.voter_addresses()
-        )
-        call_runner = calls.CallRunner(
+        self.attempts = remote.RemoteAttempts(self.links, self.events.record)
+        self.proposer = proposals.Proposer(cfg.host, self.links, self.voters)
+        self.calls = calls.CallRunner(
             host=cfg.host,
-            epoch=self.incarnation,
+            epoch=self.epoch,
             gate=self.gate,
-            router=self.router,
+            router=routing.Router.from_config(None, self.rng),
             members=self.members,
             attempts=self.attempts,
             budget=retries.RetryBudget(),
             record=self.events.record,
         )
+
+    def _build_interfaces(self) -> None:
+        cfg = self.cfg
+        member = self.presence.member
         self.callers = callers.CallerApi(
             cfg=cfg,
             holder=self.holder,
             directory=self.directory,
-            runner=call_runner,
+            runner=self.calls,
             once=once.OnceRunner(
-                call_runner, self.proposer, cfg.ledger_retention_s
+                self.calls, self.proposer, cfg.ledger_retention_s
             ),
             record=self.events.record,
             is_ready=lambda: self.holder.confirmed,
             is_leaving=lambda: self.leaving,
         )
+        self.surveyor = surveys.Surveyor(
+            cfg.host, member, self.holder, self.links
+        )
+        self.collector = collecting.EventCollector(
+            self.events, member, self.links
+        )
         self.admin = admin.AdminApi(
             cfg=cfg,
             holder=self.holder,
             members=self.members,
             proposer=self.proposer,
-            events=self.events,
+            collector=self.collector,
+            surveyor=self.surveyor,
             voter_status=self._voter_status,
         )
 
-    def _open_state(self) -> None:
+    def _open_log(self) -> None:
         cfg = self.cfg
-        addresses = cfg.voter_addresses()
-        self.puller = puller.Puller(
-            self.links,
-            self.holder,
-            tuple(
-                address
-                for host, address in addresses.items()
-                if host != cfg.host
-            ),
-        )
         if not cfg.data_dir:
-            self.spawn(self.every(cfg.pull_interval_s, self.puller.pull))
+            self.spread.handle(spread.Restarted())
             return
         store = storage.Storage.open(cfg.data_dir, cfg.deployment, cfg.host)
         saved = store.load()
         replica = consensus.Replica.from_config(
-            consensus.ReplicaConfig(host=cfg.host, voters=tuple(addresses)),
+            consensus.ReplicaConfig(host=cfg.host, voters=tuple(self.voters)),
             saved,
             self.rng,
         )
@@ -187,18 +236,55 @@
             store=store,
             machine=state.StateMachine(),
             links=self.links,
-            addresses=addresses,
-            on_change=self._voter_changed,
+            addresses=self.voters,
+            on_event=self.spread.handle,
         )
+        held = saved.entries[-1].index if saved.entries else 0
+        if saved.snapshot is not None:
+            held = max(held, saved.snapshot.index)
+        self.spread.handle(spread.Restarted(held))
         self.spawn(self.voter.sync_forever())
         self.spawn(self.every(cfg.tick_interval_s, self.voter.tick))
-        self.spawn(self.every(cfg.pull_interval_s, self._confirm))
+
+    def _register_handlers(self) -> None:
+        register = self.dispatcher.register
+        register(messages.Proposal, self._proposal)
+        register(
+            messages.ProposalAnswer,
+            lambda sender, message: self.proposer.answered(message),
+        )
+        register(messages.Survey, self._answer_survey)
+        register(
+            messages.SurveyAnswer,
+            lambda sender, message: self.surveyor.received(message),
+        )
+        register(messages.PoolQuery, self._lend)
+        register(
+            messages.PoolAnswer,
+            lambda sender, message: self.lent.received(message),
+        )
+        register(
+            messages.EventsAnswer,
+            lambda sender, message: self.collector.received(message),
+        )
+        for cls in remote.MESSAGE_TYPES:
+            register(
+                cls, lambda sender, message: self.attempts.received(message)
+            )
+        for cls in membership.MESSAGE_TYPES:
+            register(cls, self.presence.received)
+        for cls in spread.MESSAGE_TYPES:
+            register(cls, self.spread.received)
+        if self.voter is not None:
+            for cls in consensus.MESSAGE_TYPES.values():
+                register(cls, self.voter.received)
 
     def _start_timers(self) -> None:
-        cfg = self.cfg
         self.spawn(self.every(GATE_INTERVAL_S, self.gate.tick))
         self.spawn(self.every(VIEW_INTERVAL_S, self._refresh))
-        self.spawn(self.every(cfg.announce_interval_s, self._announce))
+        self.spawn(self.every(lending.REFRESH_INTERVAL_S, self.lent.refresh))
+        self.spawn(self.every(membership.TICK_INTERVAL_S, self.presence.tick))
+        self.spawn(self.every(spread.TICK_INTERVAL_S, self.spread.tick))
 
     async def _serve_http(self) -> None:
         app = web.Application(
@@ -216,32 +302,14 @@
         await self.runner.setup()
         parts = urllib.parse.urlsplit(f'//{self.cfg.http}')
         site = web.TCPSite(
-            self.runner, parts.hostname, parts.port, reuse_address=True
+            self.runner,
+            parts.hostname,
+            parts.port,
+            reuse_address=True,
+            ssl_context=self.tls,
         )
         await site.start()
 
-    def _received(self, sender: links.Sender, message: Any) -> None:
-        now = time.monotonic()
-        match message:
-            case messages.Replication():
-                if self.voter is not None:
-                    self.voter.received(sender, message.data)
-            case messages.Proposal():
-                self._proposal(sender, message)
-            case messages.ProposalAnswer():
-                self.proposer.answered(message)
-            case messages.Announce():
-                self._agent_senders[message.host] = sender
-                self.members.announced(message, now)
-            case messages.EntryState():
-                self.members.entry_heard(message, now)
-            case messages.PullState():
-                self._answer_pull(sender, message)
-            case messages.SharedState():
-                self.puller.received(message)
-            case _:
-                self.attempts.received(message)
-
     def _proposal(
         self, sender: links.Sender, message: messages.Proposal
     ) -> None:
@@ -250,91 +318,48 @@
             return
         sender.reply(messages.ProposalAnswer(message.token, b'', 'not_leader'))
 
-    def _answer_pull(
-        self, sender: links.Sender, message: messages.PullState
+    def _answer_survey(
+        self, sender: links.Sender, message: messages.Survey
     ) -> None:
-        if self.voter is None:
-            return
-        if not message.confirm:
-            self._send_state(sender, message.revision, confirmed=False)
-            return
+        self.spawn(self.surveyor.answer(sender, message))
 
-        def done(is_ready: bool) -> None:
-            if is_ready:
-                self._send_state(sender, message.revision, confirmed=True)
+    def _lend(self, sender: links.Sender, message: messages.PoolQuery) -> None:
+        answer = lending.lend(self.presence.member, message, sender.host)
+        sender.reply(answer)
 
-        self.voter.read(done)
-
-    def _send_state(
-        self, sender: links.Sender, known: int, confirmed: bool
-    ) -> None:
-        data = b''
-        if self.holder.revision > known:
-            data = self.holder.shared.encode()
-        sender.reply(
-            messages.SharedState(self.holder.revision, data, confirmed)
-        )
-
-    def _voter_changed(self) -> None:
-        shared = self.voter.machine.shared
-        if shared.revision > self.holder.revision:
-            self.holder.take(state.Shared.decode(shared.encode()))
-
-    def _confirm(self) -> None:
-        """Have the state of the log confirmed by a quorum after a start."""
-        if self.holder.confirmed:
-            return
-
-        def done(is_ready: bool) -> None:
-            self.holder.confirmed = self.holder.confirmed or is_ready
-
-        self.voter.read(done)
-        self.puller.confirm()
+    def _address_of(self, host: str) -> str | None:
+        return self.voters.get(host) or self.presence.member.address_of(host)
 
     def _shared_changed(self) -> None:
         logs.info('revision_in_force', revision=self.holder.revision)
         self.events.record('revision', revision=self.holder.revision)
         self._refresh()
-        if self.voter is None or self.voter.replica.role.value != 'leader':
-            return
-        push = messages.SharedState(
-            self.holder.revision, self.holder.shared.encode()
-        )
-        for sender in self._agent_senders.values():
-            sender.reply(push)
 
     def _refresh(self) -> None:
-        now = time.monotonic()
-        self.members.expire(now)
-        self.router.update_upstreams(
-            views.upstream_views(self.holder, self.members), now
-        )
+        self.calls.refresh()
         self.directory.update_entries(
-            views.entry_views(self._own_state(), self.members), now
-        )
-
-    def _agent_lost(self, host: str) -> None:
-        self._agent_senders.pop(host, None)
-        self.attempts.host_lost(host)
-        logs.warning('agent_lost', host=host)
-
-    def _own_state(self) -> messages.EntryState:
-        return messages.EntryState(
-            host=self.cfg.host,
-            data_centre=self.cfg.data_centre,
-            incarnation=self.incarnation,
-            link=self.link_address,
-            http=self.http_address,
-            revision=self.holder.revision,
-            in_flight=self.callers.in_flight,
-            draining=self.leaving,
+            self.members.entry_views(), time.monotonic()
         )
+        if self.voter is None:
+            entries = [
+                record.host for record in self.presence.member.alive_entries()
+            ]
+            self.spread.follow(
+                spreading.parents_of_entry(
+                    self.cfg.host,
+                    self.cfg.data_centre,
+                    entries,
+                    list(self.voters),
+                )
+            )
 
-    def _announce(self) -> None:
-        own = self._own_state()
-        for host, address in self.cfg.voter_addresses().items():
-            if host != self.cfg.host:
-                self.links.send(address, own)
+    def _member_changed(self, changed: membership.Changed) -> None:
+        member = changed.member
+        if member.kind is not membership.Kind.AGENT:
+            return
+        if changed.status is membership.Status.DEAD:
+            self.attempts.host_lost(member.host)
+            logs.warning('agent_lost', host=member.host)
 
     def _voter_status(self) -> dict[str, Any]:
         if self.voter is None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/members.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/members.py
@@ -1,80 +1,119 @@
-"""What an entry knows of the agents, upstreams and other entries."""
-
-from collections.abc import Callable
+"""The upstreams that an entry may use, near and lent."""
 
 import attrs
 
-from cassiashift_net import messages
-
-
-@attrs.define
-class AgentRecord:
-    """The newest announcement of an agent."""
+from cassiashift_core import directory
+from cassiashift_core import manifest
+from cassiashift_core import membership
+from cassiashift_core import routing
+from cassiashift_daemon import lending
+from cassiashift_daemon import shared_state
 
-    announce: messages.Announce
-    heard_at: float
 
+@attrs.frozen
+class AgentAddress:
+    """How to reach the agent of an upstream.
 
-@attrs.define
-class EntryRecord:
-    """The newest state of another entry."""
+    Attributes:
+        epoch: the start of the agent, for which attempts are meant.
+    """
 
-    state: messages.EntryState
-    heard_at: float
+    host: str
+    link: str
+    epoch: int
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Members:
-    """Agents and entries that were heard of lately.
-
-    An announcement of an older incarnation is dropped, so that a late
-    message can't bring back a former process.
-    """
-
-    timeout_s: float
-    on_agent_lost: Callable[[str], None]
-    agents: dict[str, AgentRecord] = attrs.field(factory=dict)
-    entries: dict[str, EntryRecord] = attrs.field(factory=dict)
-
-    def announced(self, message: messages.Announce, now: float) -> None:
-        """Take an agent's announcement."""
-        known = self.agents.get(message.host)
-        if known is not None:
-            if message.incarnation < known.announce.incarnation:
-                return
-            if message.incarnation > known.announce.incarnation:
-                self.on_agent_lost(message.host)
-        self.agents[message.host] = AgentRecord(message, now)
-
-    def entry_heard(self, message: messages.EntryState, now: float) -> None:
-        """Take the state of another entry."""
-        known = self.entries.get(message.host)
-        if known and message.incarnation < known.state.incarnation:
-            return
-        self.entries[message.host] = EntryRecord(message, now)
-
-    def expire(self, now: float) -> None:
-        """Forget whoever was silent for too long."""
-        for host, record in list(self.agents.items()):
-            if now - record.heard_at > self.timeout_s:
-                del self.agents[host]
-                self.on_agent_lost(host)
-        for host, record in list(self.entries.items()):
-            if now - record.heard_at > self.timeout_s:
-                del self.entries[host]
-
-    def agent_of(self, upstream: str) -> messages.Announce | None:
-        """Return the announcement of the agent that has an upstream."""
-        for record in self.agents.values():
-            for item in record.announce.upstreams:
-                if item.id == upstream:
-                    return record.announce
-        return None
-
-    def upstreams(self) -> dict[str, messages.UpstreamState]:
-        """Return the announced upstreams by id."""
+    """Joins membership, lent upstreams and the manifest in force."""
+
+    member: membership.Membership
+    lent: lending.LentUpstreams
+    holder: shared_state.SharedHolder
+
+    def agent_of(self, upstream: str) -> AgentAddress | None:
+        """Return the agent of an upstream."""
+        for record in self.member.agents():
+            if any(item.upstream == upstream for item in record.upstreams):
+                return AgentAddress(record.host, record.address, record.epoch)
+        found = self.lent.find(upstream)
+        if found is None:
+            return None
+        return AgentAddress(found.host, found.address, found.epoch)
+
+    def upstream_views(self) -> list[routing.UpstreamView]:
+        """Return the announced upstreams that the manifest expects."""
+        announced = dict(self.lent.announcements())
+        announced.update(self.member.upstreams())
+        views = (self._view(item) for item in announced.values())
+        return [view for view in views if view is not None]
+
+    def near_pools(self) -> set[str]:
+        """Return the pools that the data centre's upstreams can serve."""
         return {
-            item.id: item
-            for record in self.agents.values()
-            for item in record.announce.upstreams
+            pool
+            for item in self.member.upstreams().values()
+            if item.healthy
+            and not item.draining
+            and item.upstream not in self.holder.drains
+            for pool in lending.pools(item)
         }
+
+    def entry_views(self) -> list[directory.EntryView]:
+        """Return the entries of the data centre that may be named."""
+        return [
+            directory.EntryView(
+                id=record.host,
+                address=record.http,
+                data_centre=self.member.cfg.data_centre,
+            )
+            for record in self.member.alive_entries()
+            if record.http
+        ]
+
+    def _view(
+        self, announced: membership.Announcement
+    ) -> routing.UpstreamView | None:
+        expected = self.holder.view.upstream(announced.upstream)
+        if expected is None:
+            return None
+        draining = announced.draining or expected.id in self.holder.drains
+        return routing.UpstreamView(
+            id=expected.id,
+            host=expected.host,
+            data_centre=expected.data_centre,
+            kind=expected.kind,
+            role=expected.role,
+            offers=expected.offers,
+            service=expected.service,
+            concurrency=expected.concurrency,
+            draining=draining,
+            alive=announced.healthy,
+        )
+
+
+def announcement(
+    upstream: str,
+    expected: manifest.Upstream | None,
+    healthy: bool,
+    draining: bool,
+) -> membership.Announcement:
+    """Return what an agent announces of an upstream.
+
+    The manifest says what an expected upstream serves; an unexpected one
+    is announced bare, so that operators can see it.
+    """
+    if expected is None:
+        return membership.Announcement(
+            upstream, healthy=healthy, draining=draining
+        )
+    return membership.Announcement(
+        upstream=upstream,
+        kind=expected.kind.value,
+        role=expected.role.value,
+        offers=expected.offers,
+        service=expected.service or '',
+        concurrency=expected.concurrency,
+        draining=draining,
+        healthy=healthy,
+    )
--- a/packages/cassiashift-daemon/cassiashift_daemon/recorder.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/recorder.py
@@ -1,65 +1,67 @@
 """Records events for the time line, in bounded memory."""
 
-import collections
 import time
 from typing import Any
 
 import attrs
 
+from cassiashift_core import timeline
 from cassiashift_daemon import settings
 
+NANOSECONDS_PER_MICROSECOND = 1000
+COLUMNS = ('workspace', 'group', 'revision', 'message')
 
-@attrs.frozen
-class Event:
-    """One event of one process; ``at_s`` is wall-clock time."""
 
-    at_s: float
-    host: str
-    role: str
-    kind: str
-    request: str = ''
-    attempt: str = ''
-    fields: dict[str, str] = attrs.field(factory=dict)
-
-
-@attrs.define
+@attrs.define(eq=False)
 class Recorder:
-    """The last events of this process."""
+    """The events of this process, stamped by its hybrid clock."""
 
-    host: str
-    role: str
-    limit: int
-    recorded: int = 0
-    _events: collections.deque = attrs.field(factory=collections.deque)
+    ring: timeline.Recorder
 
     @classmethod
     def from_config(cls, cfg: settings.Settings, role: str) -> 'Recorder':
         """Return the recorder of a process."""
-        events = collections.deque(maxlen=cfg.timeline_events)
-        return cls(cfg.host, role, cfg.timeline_events, 0, events)
+        return cls(timeline.Recorder(cfg.host, role, cfg.timeline_events))
 
     def record(
-        self, kind: str, request: str = '', attempt: str = '', **fields: Any
-    ) -> None:
-        """Add an event."""
-        self.recorded += 1
-        texts = {name: str(value) for name, value in fields.items()}
-        self._events.append(
-            Event(
-                time.time(),
-                self.host,
-                self.role,
-                kind,
-                request,
-                attempt,
-                texts,
-            )
+        self,
+        kind: str,
+        request: str = '',
+        attempt: str = '',
+        remote: timeline.Timestamp | None = None,
+        **fields: Any,
+    ) -> timeline.Timestamp:
+        """Add an event and return its reading of the clock.
+
+        Args:
+            kind: what happened.
+            request: the request's id.
+            attempt: the attempt's id.
+            remote: the sender's reading, for a receipt.
+            fields: columns of the time line by name, and further facts.
+        """
+        columns = {
+            name: fields.pop(name) for name in COLUMNS if name in fields
+        }
+        event = self.ring.record(
+            kind,
+            time.time_ns() // NANOSECONDS_PER_MICROSECOND,
+            remote,
+            {name: str(value) for name, value in fields.items()},
+            request=request,
+            attempt=attempt,
+            **columns,
         )
+        return event.clock
 
-    def events(self) -> list[Event]:
+    def events(self, request: str = '') -> list[timeline.Event]:
         """Return the events that are still held, oldest first."""
-        return list(self._events)
+        return [
+            event
+            for event in self.ring.events()
+            if not request or event.request == request
+        ]
 
     def dropped(self) -> int:
         """Return how many events are no longer held."""
-        return self.recorded - len(self._events)
+        return self.ring.dropped
--- a/packages/cassiashift-daemon/cassiashift_daemon/remote.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/remote.py
@@ -3,16 +3,25 @@
 import asyncio
 import collections
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 
 from cassiashift_core import CassiashiftError
 from cassiashift_core import ErrorCode
+from cassiashift_core import timeline
 from cassiashift_core import Verdict
 from cassiashift_net import links
 from cassiashift_net import messages
 
+MESSAGE_TYPES = (
+    messages.CallHead,
+    messages.CallData,
+    messages.CallEnd,
+    messages.CallFailed,
+    messages.Fenced,
+)
 CREDIT_STEP_BYTES = 64 * 1024
 FENCE_TIMEOUT_S = 0.5
 
@@ -31,6 +40,7 @@
     host: str
     address: str
     owner: 'RemoteAttempts'
+    request_id: str = ''
     head: messages.CallHead | None = None
     began: bool = False
     whole: bool = False
@@ -85,8 +95,10 @@
             case messages.CallData():
                 self._take(message)
             case messages.CallEnd():
+                self._received_last(message)
                 self._end(message)
             case messages.CallFailed():
+                self._received_last(message)
                 self.fail(
                     CassiashiftError(
                         _code(message.code), message.message, message.verdict
@@ -103,6 +115,17 @@
         self._failure = failure
         self._news.set()
 
+    def _received_last(
+        self, message: messages.CallEnd | messages.CallFailed
+    ) -> None:
+        self.owner.record(
+            timeline.RECEIVE,
+            self.request_id,
+            self.id,
+            remote=message.clock,
+            message=f'{self.id}/end',
+        )
+
     def _take(self, message: messages.CallData) -> None:
         if message.sequence != self._next:
             self._break('a piece of the answer is missing')
@@ -147,6 +170,7 @@
     """
 
     links: links.Links
+    record: Callable[..., timeline.Timestamp]
     late: int = 0
     _open: dict[str, RemoteAttempt] = attrs.field(factory=dict)
     _fences: dict[str, asyncio.Future] = attrs.field(factory=dict)
@@ -155,9 +179,18 @@
         self, host: str, address: str, message: messages.CallStart
     ) -> RemoteAttempt:
         """Send an attempt to an agent."""
-        attempt = RemoteAttempt(message.attempt, host, address, self)
+        attempt = RemoteAttempt(
+            message.attempt, host, address, self, message.request_id
+        )
         self._open[message.attempt] = attempt
-        self.links.send(address, message)
+        clock = self.record(
+            timeline.SEND,
+            message.request_id,
+            message.attempt,
+            message=f'{message.attempt}/start',
+            upstream=message.upstream,
+        )
+        self.links.send(address, attrs.evolve(message, clock=clock))
         return attempt
 
     def received(self, message: Any) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/requests.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/requests.py
@@ -105,7 +105,7 @@
 
 def service_call(
     cfg: settings.EntrySettings,
-    current: manifest.Manifest,
+    view: manifest.ManifestView,
     workspace: manifest.Workspace,
     request_id: str,
     req: ServiceRequest,
@@ -121,7 +121,7 @@
         raise CassiashiftError(
             ErrorCode.FORBIDDEN, 'the workspace may not use this service'
         )
-    found = _service_call(current, req)
+    found = _service_call(view, req)
     deadline = _deadline(cfg, headers)
     priority = _priority(headers)
     route = routing.RouteRequest(
@@ -148,16 +148,14 @@
 
 
 def _service_call(
-    current: manifest.Manifest, req: ServiceRequest
+    view: manifest.ManifestView, req: ServiceRequest
 ) -> manifest.Call:
-    for service in current.services:
-        if service.id != req.name:
-            continue
-        for call in service.calls:
-            if call.method == req.method and fnmatch.fnmatchcase(
-                req.path, call.path
-            ):
-                return call
+    service = view.service(req.name)
+    for call in service.calls if service is not None else ():
+        if call.method == req.method and fnmatch.fnmatchcase(
+            req.path, call.path
+        ):
+            return call
     raise CassiashiftError(
         ErrorCode.NOT_FOUND, 'the manifest has no such call of a service'
     )
--- a/packages/cassiashift-daemon/cassiashift_daemon/settings.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/settings.py
@@ -10,6 +10,8 @@
 import cyclopts
 
 ENV_PREFIX = 'CASSIASHIFT_'
+REQUIRED = ('host', 'data_centre')
+PAIRS = ('voters', 'entries', 'remote_entries', 'upstreams')
 HASH_HEX_DIGITS = 64
 
 _HASH = re.compile(r'[0-9a-f]{64}\Z')
@@ -48,6 +50,7 @@
 
     host: str = _setting('', 'Name of this host, unique in the deployment.')
     data_centre: str = _setting('', 'Data centre of this host.')
+    region: str = _setting('', 'Region of this host.')
     deployment: str = _setting('cassiashift', 'Name of the deployment.')
     link: str = _setting(
         'tcp://127.0.0.1:7100', 'Address that other processes reach.'
@@ -59,17 +62,14 @@
         '', 'Folder with the public key of every known host.'
     )
     voters: str = _setting('', 'Voters as HOST=ADDRESS, separated by commas.')
-    statsd: str = _setting('', 'HOST:PORT of the statsd server, or empty.')
-    log_level: int = _setting(0, 'Verbosity of the logs.', low=-2, high=2)
-    pull_interval_s: float = _setting(
-        1.0, 'Seconds between pulls of the state.', low=0.05, high=10.0
-    )
-    announce_interval_s: float = _setting(
-        0.5, 'Seconds between announcements.', low=0.05, high=10.0
+    entries: str = _setting(
+        '', 'Some entries of this data centre as HOST=ADDRESS,...'
     )
-    liveness_timeout_s: float = _setting(
-        2.0, 'Seconds without news before a peer is dead.', low=0.2, high=60.0
+    remote_entries: str = _setting(
+        '', 'Some entries of other data centres as HOST=ADDRESS,...'
     )
+    statsd: str = _setting('', 'HOST:PORT of the statsd server, or empty.')
+    log_level: int = _setting(0, 'Verbosity of the logs.', low=-2, high=2)
     stop_timeout_s: float = _setting(
         600.0, 'Seconds that a planned stop may take.', low=0.0, high=86400.0
     )
@@ -79,8 +79,15 @@
 
     def voter_addresses(self) -> dict[str, str]:
         """Return the link address of each voter by host."""
-        pairs = [pair for pair in self.voters.split(',') if pair]
-        return dict(pair.split('=', 1) for pair in pairs)
+        return _pairs(self.voters)
+
+    def entry_addresses(self) -> dict[str, str]:
+        """Return the link addresses of some entries of the data centre."""
+        return _pairs(self.entries)
+
+    def remote_entry_addresses(self) -> dict[str, str]:
+        """Return the link addresses of some entries elsewhere."""
+        return _pairs(self.remote_entries)
 
 
 @attrs.frozen(kw_only=True)
@@ -140,8 +147,7 @@
 
     def upstream_urls(self) -> dict[str, str]:
         """Return the base URL of each upstream by id."""
-        pairs = [pair for pair in self.upstreams.split(',') if pair]
-        return dict(pair.split('=', 1) for pair in pairs)
+        return _pairs(self.upstreams)
 
 
 EntryArguments = Annotated[EntrySettings, cyclopts.Parameter(name='*')]
@@ -196,14 +202,19 @@
     return f'{flag(name)} ({variable(name)}): {problem}'
 
 
+def _pairs(text: str) -> dict[str, str]:
+    pairs = [pair for pair in text.split(',') if pair]
+    return dict(pair.split('=', 1) for pair in pairs)
+
+
 def _problem(field: attrs.Attribute, value: Any) -> str:
     low = field.metadata.get('low', -math.inf)
     high = field.metadata.get('high', math.inf)
     if isinstance(value, int | float) and not low <= value <= high:
         return f'{value} is not between {low} and {high}'
-    if field.name in ('host', 'data_centre') and not value:
+    if field.name in REQUIRED and not value:
         return 'is missing'
-    if field.name in ('voters', 'upstreams'):
+    if field.name in PAIRS:
         return _pairs_problem(value)
     if isinstance(value, str):
         return _text_problem(field.name, value)
--- a/packages/cassiashift-daemon/cassiashift_daemon/shared_state.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/shared_state.py
@@ -3,37 +3,69 @@
 from collections.abc import Callable
 
 import attrs
-import msgspec
 
-from cassiashift_core.manifest import Manifest
+from cassiashift_core import manifest
 from cassiashift_core import state
 
 
-@attrs.define
+def keep_all(key: str) -> bool:
+    """Keep every item of the manifest."""
+    return True
+
+
+@attrs.define(eq=False)
 class SharedHolder:
-    """The newest shared state that this process has seen.
+    """The shared state in force, and a view of its manifest.
 
     Attributes:
-        on_change: called after a newer state was taken.
+        keep: tells which items of the manifest this process needs.
         confirmed: a quorum of voters has vouched for the state.
+        on_change: called after each change.
     """
 
-    shared: state.Shared = attrs.field(factory=state.Shared)
-    manifest: Manifest | None = None
-    confirmed: bool = False
+    keep: Callable[[str], bool] = keep_all
     on_change: Callable[[], None] = lambda: None
+    confirmed: bool = False
+    shared: state.Shared = attrs.field(factory=state.Shared)
+    view: manifest.ManifestView = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Let the view follow the items of the state."""
+        self.view = manifest.ManifestView(self.shared.items)
 
     @property
     def revision(self) -> int:
         """Return the revision in force."""
         return self.shared.revision
 
-    def take(self, shared: state.Shared) -> bool:
-        """Put a state in force if it is newer; tell whether it was."""
-        if shared.revision <= self.shared.revision:
-            return False
-        if shared.manifest and shared.manifest != self.shared.manifest:
-            self.manifest = msgspec.json.decode(shared.manifest, type=Manifest)
+    @property
+    def drains(self) -> set[str]:
+        """Return the ids of draining upstreams."""
+        return self.shared.drains
+
+    def take_snapshot(self, data: bytes) -> None:
+        """Put a whole state in force, unless it is older."""
+        shared = state.Shared.decode(data)
+        if shared.revision <= self.revision:
+            return
+        shared.items = {
+            key: item for key, item in shared.items.items() if self.keep(key)
+        }
         self.shared = shared
+        self.view = manifest.ManifestView(shared.items)
+        self.on_change()
+
+    def take_delta(self, data: bytes) -> None:
+        """Put a change in force, unless it is older."""
+        delta = state.SharedDelta.decode(data)
+        if delta.revision <= self.revision:
+            return
+        kept = manifest.Delta(
+            tuple(
+                item for item in delta.manifest.changed if self.keep(item[0])
+            ),
+            delta.manifest.removed,
+        )
+        self.view.apply(kept)
+        self.shared.apply(attrs.evolve(delta, manifest=manifest.Delta()))
         self.on_change()
-        return True
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/surveys.py
@@ -0,0 +1,151 @@
+"""Gathers what entries know, for an operator's command.
+
+Nothing of this runs by itself: the cost is that of the commands.
+"""
+
+import asyncio
+import itertools
+from typing import Any
+
+import attrs
+
+from cassiashift_core import membership
+from cassiashift_daemon import shared_state
+from cassiashift_net import links
+from cassiashift_net import messages
+
+NEAR_TIMEOUT_S = 0.3
+FAR_TIMEOUT_S = 0.8
+
+
+@attrs.define
+class Findings:
+    """Hosts and upstreams by name."""
+
+    hosts: dict[str, messages.HostState] = attrs.field(factory=dict)
+    upstreams: dict[str, messages.UpstreamState] = attrs.field(factory=dict)
+
+    def add(self, answer: messages.SurveyAnswer) -> None:
+        """Take an answer in; the lowest revision of a host counts."""
+        for host in answer.hosts:
+            known = self.hosts.get(host.host)
+            if known is None or host.revision < known.revision:
+                self.hosts[host.host] = host
+        for upstream in answer.upstreams:
+            self.upstreams[upstream.id] = upstream
+
+    def answer(self, token: str) -> messages.SurveyAnswer:
+        """Return the findings as an answer."""
+        return messages.SurveyAnswer(
+            token, tuple(self.hosts.values()), tuple(self.upstreams.values())
+        )
+
+
+@attrs.define(eq=False)
+class _Running:
+    """A survey whose answers are still coming."""
+
+    findings: Findings
+    missing: int
+    done: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+@attrs.define(eq=False)
+class Surveyor:
+    """Asks the entries here, and one entry of each other data centre."""
+
+    host: str
+    member: membership.Membership
+    holder: shared_state.SharedHolder
+    links: links.Links
+    _running: dict[str, _Running] = attrs.field(factory=dict)
+    _numbers: Any = attrs.field(factory=itertools.count)
+
+    async def survey(self) -> Findings:
+        """Return what the entries of all data centres know."""
+        requests = [
+            (record.address, False) for record in self._other_entries()
+        ]
+        for summary in self.member.summaries():
+            if summary.data_centre != self.member.cfg.data_centre:
+                contacts = summary.contacts[:1]
+                requests += [(item.address, True) for item in contacts]
+        return await self._gather(requests, FAR_TIMEOUT_S)
+
+    async def answer(
+        self, sender: links.Sender, message: messages.Survey
+    ) -> None:
+        """Answer a survey, after asking the entries here if told to."""
+        requests = []
+        if message.spread:
+            requests = [
+                (record.address, False) for record in self._other_entries()
+            ]
+        findings = await self._gather(requests, NEAR_TIMEOUT_S)
+        sender.reply(findings.answer(message.token))
+
+    def received(self, message: messages.SurveyAnswer) -> None:
+        """Take an answer."""
+        running = self._running.get(message.token)
+        if running is None:
+            return
+        running.findings.add(message)
+        running.missing -= 1
+        if running.missing == 0:
+            running.done.set()
+
+    async def _gather(
+        self, requests: list[tuple[str, bool]], timeout_s: float
+    ) -> Findings:
+        findings = Findings()
+        findings.add(self._own_answer())
+        if not requests:
+            return findings
+        token = f'{self.host}/{next(self._numbers)}'
+        running = _Running(findings, len(requests))
+        self._running[token] = running
+        for address, spread in requests:
+            self.links.send(address, messages.Survey(token, spread))
+        try:
+            async with asyncio.timeout(timeout_s):
+                await running.done.wait()
+        except TimeoutError:
+            pass
+        finally:
+            del self._running[token]
+        return findings
+
+    def _other_entries(self) -> list[membership.Record]:
+        return [
+            record
+            for record in self.member.alive_entries()
+            if record.host != self.host
+        ]
+
+    def _own_answer(self) -> messages.SurveyAnswer:
+        data_centre = self.member.cfg.data_centre
+        hosts = [
+            messages.HostState(
+                self.host, data_centre, 'entry', self.holder.revision
+            )
+        ]
+        for agent, revision in self.member.watched_revisions().items():
+            hosts.append(
+                messages.HostState(agent, data_centre, 'agent', revision)
+            )
+        return messages.SurveyAnswer(
+            '', tuple(hosts), tuple(self._upstreams(data_centre))
+        )
+
+    def _upstreams(self, data_centre: str) -> list[messages.UpstreamState]:
+        return [
+            messages.UpstreamState(
+                id=item.upstream,
+                host=record.host,
+                data_centre=data_centre,
+                healthy=item.healthy,
+                draining=item.draining,
+            )
+            for record in self.member.agents()
+            for item in record.upstreams
+        ]
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -3,20 +3,19 @@
 import asyncio
 from collections.abc import Callable
 import functools
-import itertools
 import time
 from typing import Any
 
 import attrs
 
 from cassiashift_core import consensus
+from cassiashift_core import spread
 from cassiashift_core import state
 from cassiashift_core.state import results
 from cassiashift_daemon import logs
 from cassiashift_daemon import storage
 from cassiashift_net import links
 from cassiashift_net import messages
-from cassiashift_net import replication
 
 
 @attrs.define(eq=False)
@@ -30,18 +29,20 @@
 
 @attrs.define(eq=False)
 class Voter:
-    """Connects the replica with the links, the disk and the state."""
+    """Connects the replica with the links, the disk and the state.
+
+    Attributes:
+        on_event: called with events for the spread of what is committed.
+    """
 
     replica: consensus.Replica
     store: storage.Storage
     machine: state.StateMachine
     links: links.Links
     addresses: dict[str, str]
-    on_change: Any
+    on_event: Callable[[Any], None]
     _senders: dict[str, links.Sender] = attrs.field(factory=dict)
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
-    _reads: dict[str, Callable[[bool], None]] = attrs.field(factory=dict)
-    _numbers: Any = attrs.field(factory=itertools.count)
     _unsynced: list = attrs.field(factory=list)
     _work: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -54,9 +55,8 @@
         """Tell the replica that time has passed."""
         self.handle(consensus.Tick())
 
-    def received(self, sender: links.Sender, data: bytes) -> None:
+    def received(self, sender: links.Sender, message: Any) -> None:
         """Take a message from another voter."""
-        message = replication.decode(data)
         self.handle(consensus.Received(sender.host, message))
 
     def propose(
@@ -66,12 +66,6 @@
         self._senders[message.token] = sender
         self.handle(consensus.Propose(message.token, message.data))
 
-    def read(self, done: Callable[[bool], None]) -> None:
-        """Call ``done(ready)`` once the applied state answers reads."""
-        token = f'read/{next(self._numbers)}'
-        self._reads[token] = done
-        self.handle(consensus.Read(token))
-
     async def sync_forever(self) -> None:
         """Make what the replica persists durable, many at a time."""
         loop = asyncio.get_running_loop()
@@ -97,8 +91,7 @@
     def _(self, effect: consensus.Send) -> None:
         address = self.addresses.get(effect.receiver)
         if address is not None:
-            data = replication.encode(effect.message)
-            self.links.send(address, messages.Replication(data))
+            self.links.send(address, effect.message)
 
     @_carry_out.register
     def _(self, effect: consensus.Persist) -> None:
@@ -109,14 +102,18 @@
     def _(self, effect: consensus.Apply) -> None:
         for item in effect.entries:
             self._apply(item)
-        self.on_change()
+        for delta in self.machine.take_deltas():
+            self.on_event(spread.Committed(delta.revision, delta.encode()))
+        self._note_commit()
 
     @_carry_out.register
     def _(self, effect: consensus.InstallSnapshot) -> None:
         data = effect.snapshot.data
         self.machine = state.StateMachine.from_snapshot(data)
         self._fail_pending()
-        self.on_change()
+        shared = self.machine.shared
+        self.on_event(spread.Restored(shared.revision, shared.encode()))
+        self._note_commit()
 
     @_carry_out.register
     def _(self, effect: consensus.Proposed) -> None:
@@ -135,14 +132,6 @@
         if sender is not None:
             self._refuse(effect.token, sender, effect.reason.value)
 
-    @_carry_out.register
-    def _(self, effect: consensus.ReadReady) -> None:
-        self._reads.pop(effect.token)(True)
-
-    @_carry_out.register
-    def _(self, effect: consensus.ReadFailed) -> None:
-        self._reads.pop(effect.token)(False)
-
     @_carry_out.register
     def _(self, effect: consensus.TakeSnapshot) -> None:
         taken = consensus.SnapshotTaken(effect.index, self.machine.snapshot())
@@ -157,6 +146,9 @@
             leader=effect.leader,
         )
 
+    def _note_commit(self) -> None:
+        self.on_event(spread.CommitAdvanced(self.replica.commit_index))
+
     def _apply(self, item: consensus.Entry) -> None:
         result = None
         if item.kind is consensus.EntryKind.COMMAND:
--- a/packages/cassiashift-net/cassiashift_net/administration.py
+++ b/packages/cassiashift-net/cassiashift_net/administration.py
@@ -6,6 +6,8 @@
 import attrs
 import msgspec
 
+from cassiashift_core import timeline
+
 PREFIX = '/admin/v1'
 MAX_REQUEST_ID_CHARACTERS = 128
 MAX_REVISION = 2**63 - 1
@@ -87,7 +89,6 @@
     announced: bool
     healthy: bool
     draining: bool
-    in_flight: int = 0
 
 
 @attrs.frozen
@@ -116,24 +117,16 @@
     groups: tuple[GroupRow, ...]
 
 
-@attrs.frozen
-class TimelineEvent:
-    """One event of one process; ``at_s`` is wall-clock time."""
-
-    at_s: float
-    host: str
-    role: str
-    kind: str
-    request: str = ''
-    attempt: str = ''
-    fields: dict[str, str] = attrs.field(factory=dict)
-
-
 @attrs.frozen
 class Timeline:
-    """The events that one process still holds."""
+    """The events that some processes still hold.
+
+    Attributes:
+        host: the entry that gathered them.
+        dropped: events that these processes no longer hold.
+    """
 
     host: str
     now_s: float
     dropped: int
-    events: tuple[TimelineEvent, ...] = ()
+    events: tuple[timeline.Event, ...] = ()
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -3,54 +3,15 @@
 import attrs
 
 from cassiashift_core import codec
+from cassiashift_core import consensus
+from cassiashift_core import membership
+from cassiashift_core import spread
+from cassiashift_core import timeline
 from cassiashift_core import verdicts
 
 CODEC = codec.Codec()
 
 
-@attrs.frozen
-class UpstreamState:
-    """What an agent tells of one upstream."""
-
-    id: str
-    url: str
-    healthy: bool
-    draining: bool
-    in_flight: int
-
-
-@attrs.frozen
-class Announce:
-    """An agent's announcement of itself and its upstreams.
-
-    Attributes:
-        incarnation: larger at each start of the agent.
-        link: address at which entries reach the agent.
-        revision: revision of the configuration in force at the agent.
-    """
-
-    host: str
-    data_centre: str
-    incarnation: int
-    link: str
-    revision: int
-    upstreams: tuple[UpstreamState, ...]
-
-
-@attrs.frozen
-class EntryState:
-    """What an entry tells the other entries of itself."""
-
-    host: str
-    data_centre: str
-    incarnation: int
-    link: str
-    http: str
-    revision: int
-    in_flight: int
-    draining: bool
-
-
 @attrs.frozen
 class CallStart:
     """Start one attempt of a request at an upstream.
@@ -60,6 +21,7 @@
             another incarnation refuses it.
         deadline_s: seconds that the attempt may last.
         idempotent: the exchange may be repeated by the HTTP client.
+        clock: the entry's reading at the send.
     """
 
     request_id: str
@@ -72,6 +34,7 @@
     body: bytes
     deadline_s: float
     idempotent: bool = True
+    clock: timeline.Timestamp = timeline.Timestamp()
 
 
 @attrs.frozen
@@ -94,10 +57,16 @@
 
 @attrs.frozen
 class CallEnd:
-    """The end mark of an answer; ``pieces`` is the number of its pieces."""
+    """The end mark of an answer.
+
+    Attributes:
+        pieces: number of the answer's pieces.
+        clock: the agent's reading at the send.
+    """
 
     attempt: str
     pieces: int
+    clock: timeline.Timestamp = timeline.Timestamp()
 
 
 @attrs.frozen
@@ -108,6 +77,7 @@
     code: str
     message: str
     verdict: verdicts.Verdict
+    clock: timeline.Timestamp = timeline.Timestamp()
 
 
 @attrs.frozen
@@ -166,55 +136,115 @@
 
 
 @attrs.frozen
-class PullState:
-    """Ask for the shared state if it is newer than ``revision``.
+class Survey:
+    """Ask an entry what it knows, for an operator's command.
 
     Attributes:
-        confirm: only a leader that a quorum follows may answer.
+        spread: the receiver asks the entries of its data centre too.
     """
 
+    token: str
+    spread: bool = False
+
+
+@attrs.frozen
+class HostState:
+    """One process as an entry knows it."""
+
+    host: str
+    data_centre: str
+    role: str
     revision: int
-    confirm: bool = False
 
 
 @attrs.frozen
-class SharedState:
-    """The shared state as of ``revision``.
+class UpstreamState:
+    """One announced upstream as an entry knows it."""
 
-    Attributes:
-        data: its encoding; empty if the asker has it.
-        confirmed: a quorum vouches that no newer one was accepted before
-            the question.
-    """
+    id: str
+    host: str
+    data_centre: str
+    healthy: bool
+    draining: bool
 
-    revision: int
-    data: bytes
-    confirmed: bool = False
+
+@attrs.frozen
+class SurveyAnswer:
+    """What one entry knows."""
+
+    token: str
+    hosts: tuple[HostState, ...]
+    upstreams: tuple[UpstreamState, ...]
 
 
 @attrs.frozen
-class Replication:
-    """A message of the log's replication, encoded by its own codec."""
+class PoolQuery:
+    """Ask an entry of another data centre for upstreams of a pool."""
 
-    data: bytes
+    pool: str
 
 
-for _tag, _cls in (
-    ('announce', Announce),
-    ('entry', EntryState),
-    ('start', CallStart),
-    ('head', CallHead),
-    ('data', CallData),
-    ('end', CallEnd),
-    ('failed', CallFailed),
-    ('credit', CallCredit),
-    ('cancel', CallCancel),
-    ('fence', Fence),
-    ('fenced', Fenced),
-    ('propose', Proposal),
-    ('proposed', ProposalAnswer),
-    ('pull', PullState),
-    ('state', SharedState),
-    ('raft', Replication),
-):
+@attrs.frozen
+class LentUpstream:
+    """An upstream of another data centre and how to reach its agent."""
+
+    announcement: membership.Announcement
+    host: str
+    address: str
+    epoch: int
+
+
+@attrs.frozen
+class PoolAnswer:
+    """Usable upstreams of a pool, a bounded number of them."""
+
+    pool: str
+    data_centre: str
+    upstreams: tuple[LentUpstream, ...]
+
+
+@attrs.frozen
+class EventsQuery:
+    """Ask a process for its events of a request, or for all."""
+
+    token: str
+    request: str = ''
+
+
+@attrs.frozen
+class EventsAnswer:
+    """The events that a process still holds."""
+
+    token: str
+    events: tuple[timeline.Event, ...]
+    dropped: int
+
+
+_OWN_TYPES = {
+    'start': CallStart,
+    'head': CallHead,
+    'data': CallData,
+    'end': CallEnd,
+    'failed': CallFailed,
+    'credit': CallCredit,
+    'cancel': CallCancel,
+    'fence': Fence,
+    'fenced': Fenced,
+    'propose': Proposal,
+    'proposed': ProposalAnswer,
+    'survey': Survey,
+    'surveyed': SurveyAnswer,
+    'pool': PoolQuery,
+    'lent': PoolAnswer,
+    'events': EventsQuery,
+    'recorded': EventsAnswer,
+}
+
+for _tag, _cls in _OWN_TYPES.items():
     CODEC.register(_tag, _cls)
+for _cls in consensus.MESSAGE_TYPES.values():
+    CODEC.register(f'log.{_cls.__name__}', _cls)
+for _cls in membership.MESSAGE_TYPES:
+    CODEC.register(f'member.{_cls.__name__}', _cls)
+for _cls in spread.MESSAGE_TYPES:
+    CODEC.register(f'spread.{_cls.__name__}', _cls)
--- a/tests/core/test_state.py
+++ b/tests/core/test_state.py
@@ -3,14 +3,16 @@
 from testtools.assertions import assert_that
 from testtools import matchers
 
+from cassiashift_core import manifest
 from cassiashift_core import state
 from cassiashift_core import Verdict
 
-MANIFEST = b'{"name":"x","regions":[]}'
+ITEMS = {'header': b'{"name":"x"}', 'models/m': b'{"id":"m"}'}
+DELTA = manifest.difference({}, ITEMS)
 
 
-def apply_manifest(machine, index, request_id, expected, manifest=MANIFEST):
-    command = state.ApplyManifest(request_id, expected, manifest)
+def apply_manifest(machine, index, request_id, expected, delta=DELTA):
+    command = state.ApplyManifest(request_id, expected, delta)
     return machine.apply(index, state.CODEC.encode(command))
 
 
@@ -51,7 +53,8 @@
 
 def test_malformed_commands_change_nothing():
     machine = state.StateMachine()
-    result = apply_manifest(machine, 1, 'a', 0, b'{"name": 3}')
+    delta = manifest.Delta((('models/m', b'{"id": 3}'),))
+    result = apply_manifest(machine, 1, 'a', 0, delta)
     assert_that(result, matchers.IsInstance(state.Rejected))
     result = machine.apply(2, b'\x05junk')
     assert_that(result, matchers.IsInstance(state.Rejected))
@@ -118,3 +121,17 @@
     machine.calls.clock_s = 11.5
     machine.calls.expire()
     assert_that(machine.calls.count(), matchers.Equals(0))
+
+
+def test_deltas_lead_others_to_the_same_shared_state():
+    machine = state.StateMachine()
+    other = state.Shared()
+    apply_manifest(machine, 3, 'a', 0)
+    removal = manifest.Delta((), ('models/m',))
+    apply_manifest(machine, 5, 'b', 3, removal)
+    drain = state.SetDrain('c', 'u', True)
+    machine.apply(6, state.CODEC.encode(drain))
+    for delta in machine.take_deltas():
+        other.apply(state.SharedDelta.decode(delta.encode()))
+    assert_that(other, matchers.Equals(machine.shared))
+    assert_that(other.items, matchers.Equals({'header': ITEMS['header']}))
--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -12,7 +12,13 @@
 from tools.cluster import Operator
 from tools.cluster import Placement
 
-ENTRIES = {'entry-1': 'trnava', 'entry-2': 'nitra', 'entry-3': 'senec'}
+ENTRIES = {
+    'entry-1': 'trnava',
+    'entry-2': 'nitra',
+    'entry-3': 'trnava',
+    'entry-4': 'nitra',
+}
+VOTERS = 3
 WORKSPACE = 'bakery'
 KEY = 'bakery-key'
 
@@ -43,7 +49,7 @@
         {'method': 'POST', 'path': '/bookings', 'idempotent': False},
         {'method': 'GET', 'path': '/stock/*'},
     ]
-    centres = [{'id': name} for name in ENTRIES.values()]
+    centres = [{'id': name} for name in sorted(set(ENTRIES.values()))]
     key_hash = hashlib.sha256(KEY.encode()).hexdigest()
     return {
         'name': 'small',
@@ -75,7 +81,7 @@
 async def deployment(tmp_path):
     """Return a deployment of three entries and four upstreams."""
     cluster = Cluster.in_folder(tmp_path, entry=['--directory-ttl-s', '1.0'])
-    cluster.add_entries(ENTRIES, voters=3)
+    cluster.add_entries(ENTRIES, voters=VOTERS)
     manifest = small_manifest()
     for item in manifest['upstreams']:
         await cluster.add_upstream(
--- a/tools/cluster/processes.py
+++ b/tools/cluster/processes.py
@@ -18,6 +18,7 @@
 
 OPERATOR_KEY = 'operator-key'
 STOP_TIMEOUT_S = 5.0
+REGION = 'zapad'
 
 
 @attrs.define
@@ -62,6 +63,7 @@
         factory=standin_host.StandinHost
     )
     voters: dict[str, str] = attrs.field(factory=dict)
+    entries: dict[str, tuple[str, str]] = attrs.field(factory=dict)
 
     @classmethod
     def in_folder(cls, folder: pathlib.Path, **options: list[str]):
@@ -71,6 +73,9 @@
     def add_entries(self, hosts: dict[str, str], voters: int) -> None:
         """Prepare entries, given as data centre by host."""
         ips = {host: self.addresses.take() for host in hosts}
+        for host, data_centre in hosts.items():
+            link = f'tcp://{ips[host]}:{addresses.LINK_PORT}'
+            self.entries[host] = (data_centre, link)
         for host in list(hosts)[:voters]:
             self.voters[host] = f'tcp://{ips[host]}:{addresses.LINK_PORT}'
         for host, data_centre in hosts.items():
@@ -178,9 +183,16 @@
     def _common(
         self, role: str, host: str, data_centre: str, ip: str
     ) -> list[str]:
-        voters = ','.join(
-            f'{voter}={address}' for voter, address in self.voters.items()
-        )
+        near = {
+            name: link
+            for name, (centre, link) in self.entries.items()
+            if centre == data_centre
+        }
+        far = {
+            name: link
+            for name, (centre, link) in self.entries.items()
+            if centre != data_centre
+        }
         return [
             role,
             '--host',
@@ -189,7 +201,19 @@
             data_centre,
             '--link',
             f'tcp://{ip}:{addresses.LINK_PORT}',
+            '--region',
+            REGION,
             '--voters',
-            voters,
+            _pairs(self.voters),
+            '--entries',
+            _pairs(near),
+            '--remote-entries',
+            _pairs(far),
             *self.options.get(role, []),
         ]
+
+
+def _pairs(addresses_by_host: dict[str, str]) -> str:
+    return ','.join(
+        f'{host}={address}' for host, address in addresses_by_host.items()
+    )
--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -20,7 +20,15 @@
 from tools.demo import promises
 
 EXAMPLE = pathlib.Path('docs/examples/smotana.yaml')
-ENTRIES = {'entry-1': 'trnava', 'entry-2': 'nitra', 'entry-3': 'senec'}
+ENTRIES = {
+    'entry-1': 'trnava',
+    'entry-2': 'nitra',
+    'entry-3': 'senec',
+    'entry-4': 'trnava',
+    'entry-5': 'nitra',
+    'entry-6': 'senec',
+}
+VOTERS = 3
 CALLERS = 24
 PHASE_S = 4.0
 SEED = 7
@@ -33,7 +41,7 @@
 
 async def prepare(cluster: Cluster, manifest: dict) -> None:
     """Prepare entries and, for each upstream, a stand-in and an agent."""
-    cluster.add_entries(ENTRIES, voters=len(ENTRIES))
+    cluster.add_entries(ENTRIES, voters=VOTERS)
     for item in manifest['upstreams']:
         placement = Placement(
             item['host'],
