--- a/packages/cassiashift-daemon/cassiashift_daemon/requests.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/requests.py
@@ -30,6 +30,7 @@
 MAX_PREFIX_BLOCKS = 64
 MAX_KEY_LENGTH = 200
 MAX_PRIORITY = 9
+MAX_NUMBER_DIGITS = 9
 
 
 @attrs.frozen
@@ -182,7 +183,7 @@
     limit_s = cfg.request_timeout_s
     text = headers.get(DEADLINE_HEADER)
     if text is not None:
-        if not text.isdecimal() or len(text) > 9:
+        if not _is_number(text):
             raise CassiashiftError(
                 ErrorCode.BAD_REQUEST, f'{DEADLINE_HEADER} is not a number'
             )
@@ -192,7 +193,7 @@
 
 def _priority(headers: Mapping[str, str]) -> int:
     text = headers.get(PRIORITY_HEADER, '0')
-    if not text.isdecimal() or int(text[:3]) > MAX_PRIORITY:
+    if not _is_number(text) or int(text) > MAX_PRIORITY:
         raise CassiashiftError(
             ErrorCode.BAD_REQUEST,
             f'{PRIORITY_HEADER} is not from 0 to {MAX_PRIORITY}',
@@ -200,6 +201,11 @@
     return int(text)
 
 
+def _is_number(text: str) -> bool:
+    is_short = len(text) <= MAX_NUMBER_DIGITS
+    return is_short and text.isascii() and text.isdecimal()
+
+
 def _key(headers: Mapping[str, str]) -> str:
     key = headers.get(KEY_HEADER, '')
     if len(key) > MAX_KEY_LENGTH:
