--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,6 @@
 
 lock:
 	@tools/lock
+
+bench:
+	@tools/run python -m tools.bench
