--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: setup demo test lint format lock bench explore slopes schema
+.PHONY: setup demo test lint format lock bench explore slopes schema pages settings-page examples
 
 PYTHON_TREES = packages tests tools
 SEEDS ?= 200
@@ -26,3 +26,15 @@
 
 bench:
 	@tools/run python -m tools.bench
+
+# Writes the pages that are made from the code.
+pages: settings-page schema
+
+settings-page:
+	@tools/run python -m tools.settings_page
+
+schema:
+	@bin/cassiashift schema > docs/manifest.schema.json
+
+examples:
+	@tools/run python -m tools.examples
--- a/packages/cassiashift-daemon/cassiashift_daemon/main.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/main.py
@@ -1,15 +1,13 @@
 """The daemon's command: one subcommand for each role."""
 
-import logging as python_logging
 import os
 import sys
 
-from absl import flags
-from absl import logging
 import aiomisc
 import cyclopts
 import uvloop
 
+from cassiashift_daemon import logs
 from cassiashift_daemon import settings
 
 VERSION = '0.1.0'
@@ -84,10 +82,7 @@
 
 
 def _serve(process: aiomisc.Service, cfg: settings.Settings) -> int:
-    flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    python_logging.getLogger('transitions').setLevel(python_logging.WARNING)
-    logging.set_verbosity(cfg.log_level)
+    logs.configure(cfg.log_level)
     with aiomisc.entrypoint(
         process, log_config=False, pool_size=1, catch_signals=()
     ) as loop:
--- a/tests/daemon/test_logs.py
+++ b/tests/daemon/test_logs.py
@@ -1,7 +1,9 @@
 """Tests of the quoting of logs."""
 
 import json
+import logging
 import re
+import sys
 
 import hypothesis
 from hypothesis import strategies as st
@@ -61,3 +63,28 @@
         _parsed(line),
         matchers.Equals({'event': 'seen', 'peer': value, 'last': 'x'}),
     )
+
+
+def _record(message, exc_info=None):
+    return logging.LogRecord(
+        'aiohttp', logging.ERROR, 'x.py', 1, message, (), exc_info
+    )
+
+
+def test_records_of_libraries_and_tracebacks_keep_to_one_line():
+    formatter = logs.LineFormatter()
+    try:
+        raise ValueError('two\nlines')
+    except ValueError:
+        record = _record('a\nevent=forged', sys.exc_info())
+    text = formatter.format(record)
+    pairs = _parsed(text)
+    assert_that(text.splitlines(), matchers.HasLength(1))
+    assert_that(pairs['event'], matchers.Equals('message'))
+    assert_that(pairs['text'], matchers.Equals('a\nevent=forged'))
+    assert_that(pairs['trace'], matchers.Contains('ValueError: two'))
+
+
+def test_an_event_is_written_as_it_is():
+    text = logs.LineFormatter().format(_record('event=seen peer=a'))
+    assert_that(text, matchers.EndsWith(' level=error event=seen peer=a'))
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -6,6 +6,7 @@
 from testtools import matchers
 
 from cassiashift_daemon import settings
+from tools import settings_page
 
 GOOD = settings.EntrySettings(host='entry-1', data_centre='trnava')
 
@@ -77,3 +78,8 @@
     assert_that(found['http'], matchers.Equals('CASSIASHIFT_HTTP'))
     assert_that(found['seed'], matchers.Equals('--seed'))
     assert_that(found['voters'], matchers.Equals('default'))
+
+
+def test_the_page_of_the_settings_is_current():
+    written = settings_page.PAGE.read_text(encoding='utf-8')
+    assert_that(written, matchers.Equals(settings_page.page()))
