End the drain of an owner that reports no calls again and again

Cause: the entry reports its calls in progress every 0.1 s; each report of none began the quiet time of 0.2 s anew, so that a planned stop lasted until its time limit of 600 s. Seen when entries were restarted by hand. Change: a report of no calls begins the quiet time only if there were some.

--- a/packages/cassiashift-core/cassiashift_core/draining/machine.py
+++ b/packages/cassiashift-core/cassiashift_core/draining/machine.py
@@ -52,7 +52,10 @@
     @_apply.register
     def _(self, event: model.InFlightChanged) -> None:
         self.in_flight = event.count
-        self._idle_since = None if event.count else self._now
+        if event.count:
+            self._idle_since = None
+        elif self._idle_since is None:
+            self._idle_since = self._now
 
     @_apply.register
     def _(self, event: model.Tick) -> None:
--- a/tests/core/draining/test_drains.py
+++ b/tests/core/draining/test_drains.py
@@ -71,3 +71,12 @@
     drain.handle(draining.StopRequested(), 1.0)
     effects = drain.handle(draining.StopRequested(), 2.0)
     assert_that(effects, matchers.Equals([]))
+
+
+def test_an_owner_that_reports_no_calls_again_and_again_gets_to_the_end(cfg):
+    drain = draining.EntryDrain.from_config(cfg)
+    drain.handle(draining.StopRequested(), 0.0)
+    effects = []
+    for tenths in range(1, 200):
+        effects += drain.handle(draining.InFlightChanged(0), tenths / 10)
+    assert_that(effects, matchers.Contains(draining.End()))
