Run the fault schedules on real storage

Cause: the core and the storage were tested apart. Change: a cluster whose replicas keep their state in the storage on a faulty file system, which loses power at any file operation.

--- /dev/null
+++ b/tests/daemon/storage/stored.py
@@ -0,0 +1,64 @@
+"""A cluster of replicas on real storage and faulty file systems."""
+
+from cassiashift_core import consensus
+from tests.core.consensus import cluster
+from tests.daemon.storage import faulty_files
+
+
+class StoredDisk(cluster.Disk):
+    """A disk that is a real storage on a faulty file system."""
+
+    def __init__(self, seed):
+        super().__init__('')
+        self.files = faulty_files.FaultyFiles(seed)
+        self.storage = None
+
+    def sync(self):
+        """Write the oldest change."""
+        self.storage.persist([self.pending[0]])
+        return super().sync()
+
+    def lose_power(self):
+        """Write all changes at once and crash at some step."""
+        self.files.crash_at = self.files.steps + self.files.rng.randint(1, 9)
+        try:
+            self.storage.persist(self.pending)
+        except faulty_files.Crash:
+            pass
+        self.pending.clear()
+        self.files = self.files.reboot()
+        self.storage = None
+
+    def load(self):
+        """Open the folder and return what it holds."""
+        self.storage = faulty_files.open_storage(
+            self.files, segment_bytes=2000
+        )
+        saved = self.storage.load()
+        self.incarnation = saved.incarnation
+        self.hard_state = saved.hard_state
+        self.entries = list(saved.entries)
+        self.snapshot = saved.snapshot
+        return saved
+
+
+class StoredCluster(cluster.Cluster):
+    """A cluster of replicas with real storage."""
+
+    def start(self, host):
+        """Start a process from its folder."""
+        node = self.nodes[host]
+        if not node.is_up:
+            super().start(host)
+            held = consensus.Persist(0, entries=tuple(node.disk.entries))
+            self.checker.on_synced(node, held)
+
+    def crash(self, host, synced=0):
+        """End a process; its storage ends at any point."""
+        node = self.nodes[host]
+        if node.is_up:
+            node.disk.lose_power()
+        super().crash(host)
+
+    def _new_disk(self):
+        return StoredDisk(self.rng.random())
