Split roles and reads from the replica and the leader

Change: the chart's guards and entry actions move to roles, linearizable reads to a module of their own.

--- a/packages/cassiashift-core/cassiashift_core/consensus/leader.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/leader.py
@@ -1,24 +1,13 @@
-"""The leader's side of replication, commits, reads and handover."""
-
-import attrs
+"""The leader's side of replication, commits and handover."""
 
 from cassiashift_core.consensus import changes
-from cassiashift_core.consensus import effects
 from cassiashift_core.consensus import messages
 from cassiashift_core.consensus import progress
+from cassiashift_core.consensus import reads
 from cassiashift_core.consensus import records
 from cassiashift_core.consensus import rounds
 
 
-@attrs.frozen
-class PendingRead:
-    """A read that waits for a round of heartbeats and for an index."""
-
-    token: str
-    round: int
-    index: int
-
-
 class Leader:
     """The state of one leader in one term."""
 
@@ -26,8 +15,8 @@
         """Take over after an election has been won."""
         self._replica = replica
         self._cfg = replica.cfg
-        self._rounds = rounds.Rounds(replica.host, replica.now)
-        self._reads: list[PendingRead] = []
+        self.rounds = rounds.Rounds(replica.host, replica.now)
+        self.reads = reads.Reads(replica, self)
         self._next_heartbeat = replica.now
         self._handover_deadline: float | None = None
         self._is_lease_void = False
@@ -66,7 +55,7 @@
         if self._is_lease_void or not self.has_committed:
             return None
         voters = self._replica.log.voters
-        return self._rounds.lease_until(voters, self._cfg.lease_s, now)
+        return self.rounds.lease_until(voters, self._cfg.lease_s, now)
 
     def has_lease(self, now: float) -> bool:
         """Tell whether no other leader can exist yet."""
@@ -75,13 +64,13 @@
 
     def on_clock_step(self) -> None:
         """Give up the lease until it is earned again."""
-        self._rounds.void(self._replica.now)
+        self.rounds.void(self._replica.now)
 
     def on_tick(self) -> None:
         """Send heartbeats, and step down without a quorum."""
         now = self._replica.now
         voters = self._replica.log.voters
-        silent_s = now - self._rounds.quorum_time(voters, now)
+        silent_s = now - self.rounds.quorum_time(voters, now)
         if silent_s > self._cfg.election_timeout_s:
             self._replica.step_down()
             return
@@ -95,7 +84,7 @@
         """Start a round: reach every follower, with entries or without."""
         now = self._replica.now
         self._next_heartbeat = now + self._cfg.heartbeat_s
-        self._rounds.start(now)
+        self.rounds.start(now)
         for peer in self.peers.values():
             self._beat(peer)
 
@@ -129,38 +118,6 @@
         peer.offset = msg.received
         self._send_chunk(peer)
 
-    def read(self, token: str) -> None:
-        """Answer a read by the lease, or by a round of heartbeats."""
-        replica = self._replica
-        index = max(replica.commit_index, self.term_start)
-        if self.has_lease(replica.now):
-            self._reads.append(PendingRead(token, 0, index))
-            return
-        self._reads.append(PendingRead(token, self._rounds.current + 1, index))
-        if len(replica.log.voters.voter_hosts) > 1:
-            self.heartbeat()
-
-    def finish_reads(self) -> None:
-        """Report the reads that the applied state can answer."""
-        replica = self._replica
-        answered = self._rounds.answered_by_quorum(replica.log.voters)
-        waiting = []
-        for item in self._reads:
-            if item.round <= answered and item.index <= replica.applied_index:
-                replica.outbox.emit(
-                    effects.ReadReady(item.token, replica.applied_index)
-                )
-            else:
-                waiting.append(item)
-        self._reads = waiting
-
-    def fail_reads(self) -> None:
-        """Report all waiting reads as failed."""
-        for item in self._reads:
-            failed = effects.ReadFailed(item.token, self._replica.leader)
-            self._replica.outbox.emit(failed)
-        self._reads = []
-
     def hand_over(self) -> None:
         """Stop taking proposals and pass leadership on."""
         replica = self._replica
@@ -185,7 +142,7 @@
         ]
         if not ready:
             return
-        best = max(ready, key=lambda host: (self._rounds.last(host), host))
+        best = max(ready, key=lambda host: (self.rounds.last(host), host))
         self._is_lease_void = True
         self._is_appointed = True
         timeout_now = messages.TimeoutNow(replica.term)
@@ -228,7 +185,7 @@
             return None
         if peer.incarnation != msg.incarnation:
             peer.restart(msg.incarnation)
-        self._rounds.answer(sender, msg.round)
+        self.rounds.answer(sender, msg.round)
         return peer
 
     def _next_after_reject(self, msg: messages.AppendReply) -> int:
@@ -278,7 +235,7 @@
             return
         msg = messages.AppendEntries(
             replica.term,
-            self._rounds.current,
+            self.rounds.current,
             prev_index,
             prev_term,
             replica.commit_index,
@@ -292,7 +249,7 @@
         chunk = progress.chunk_of(
             peer,
             replica.term,
-            self._rounds.current,
+            self.rounds.current,
             self._cfg.snapshot_chunk_bytes,
         )
         replica.outbox.send(peer.host, chunk)
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/consensus/reads.py
@@ -0,0 +1,60 @@
+"""Linearizable reads, by the lease or by a round of heartbeats."""
+
+import attrs
+
+from cassiashift_core.consensus import effects
+
+
+@attrs.frozen
+class PendingRead:
+    """A read that waits for a round of heartbeats and for an index."""
+
+    token: str
+    round: int
+    index: int
+
+
+class Reads:
+    """The reads that a leader has not answered yet."""
+
+    def __init__(self, replica, leader) -> None:
+        """Work on the state of a replica that leads."""
+        self._replica = replica
+        self._leader = leader
+        self._pending: list[PendingRead] = []
+
+    def add(self, token: str) -> None:
+        """Answer a read by the lease, or by a round of heartbeats."""
+        replica = self._replica
+        index = max(replica.commit_index, self._leader.term_start)
+        if self._leader.has_lease(replica.now):
+            self._pending.append(PendingRead(token, 0, index))
+            return
+        self._pending.append(
+            PendingRead(token, self._leader.rounds.current + 1, index)
+        )
+        if len(replica.log.voters.voter_hosts) > 1:
+            self._leader.heartbeat()
+
+    def finish(self) -> None:
+        """Report the reads that the applied state can answer."""
+        if not self._pending:
+            return
+        replica = self._replica
+        answered = self._leader.rounds.answered_by_quorum(replica.log.voters)
+        waiting = []
+        for item in self._pending:
+            if item.round <= answered and item.index <= replica.applied_index:
+                replica.outbox.emit(
+                    effects.ReadReady(item.token, replica.applied_index)
+                )
+            else:
+                waiting.append(item)
+        self._pending = waiting
+
+    def fail(self) -> None:
+        """Report all pending reads as failed."""
+        for item in self._pending:
+            failed = effects.ReadFailed(item.token, self._replica.leader)
+            self._replica.outbox.emit(failed)
+        self._pending = []
--- a/packages/cassiashift-core/cassiashift_core/consensus/replica.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/replica.py
@@ -3,23 +3,16 @@
 import functools
 import random
 
-from cassiashift_core import charts
 from cassiashift_core.consensus import config
 from cassiashift_core.consensus import effects
-from cassiashift_core.consensus import election
 from cassiashift_core.consensus import events
 from cassiashift_core.consensus import follower
-from cassiashift_core.consensus import leader as leader_state
 from cassiashift_core.consensus import messages
-from cassiashift_core.consensus import proposals
 from cassiashift_core.consensus import records
-from cassiashift_core.consensus import state as shared_state
+from cassiashift_core.consensus import roles
 
 
-ROLES = {role.value: role for role in effects.Role}
-
-
-class Replica(shared_state.ReplicaState):
+class Replica(roles.RoleState):
     """A voter, a learner, or a host that waits to become one.
 
     ``handle`` takes one event and returns the effects that the owner must
@@ -38,14 +31,10 @@
         super().__init__(cfg, saved, rng)
         self._is_started = False
         self._snapshot_asked = False
-        self._election = election.Election(self)
         self._follower = follower.Follower(self)
-        self._proposals = proposals.Proposals(self)
-        self.leading: leader_state.Leader | None = None
         # Binding a singledispatchmethod costs more than the call itself.
         self._dispatch = self._on_event
         self._dispatch_message = self._receive
-        _chart().bind(self)
         self._announced = self._standing()
 
     @classmethod
@@ -58,11 +47,6 @@
         """Return a replica that goes on from a saved state."""
         return cls(cfg, saved, rng)
 
-    @property
-    def role(self) -> effects.Role:
-        """Return the role."""
-        return ROLES[self.state]
-
     def has_lease(self, now: float) -> bool:
         """Tell whether this replica leads and no other one can yet."""
         if self.leading is None:
@@ -112,7 +96,7 @@
         if self.leading is None:
             self.outbox.emit(effects.ReadFailed(event.token, self.leader))
             return
-        self.leading.read(event.token)
+        self.leading.reads.add(event.token)
 
     @_on_event.register
     def _(self, event: events.Synced) -> None:
@@ -187,104 +171,6 @@
         if message.incarnation != self.incarnation:
             self.identity_refused()
 
-    # Guards and entry actions of the chart.
-
-    def may_campaign(self) -> bool:
-        """Tell whether this host is a voter that may be elected."""
-        own = self.log.voters
-        if self.host not in own.voter_hosts:
-            return False
-        return own.find(self.host).incarnation in ('', self.incarnation)
-
-    def enter_follower(self) -> None:
-        """Give up what belongs to other roles."""
-        self._stop_leading()
-        self.defer_election()
-
-    def enter_pre_candidate(self) -> None:
-        """Ask whether an election could be won."""
-        self.leader = None
-        self.defer_election()
-        self._election.ask_for_pre_votes()
-
-    def enter_candidate(self) -> None:
-        """Start an election in a new term."""
-        self.leader = None
-        self.defer_election()
-        self._election.ask_for_votes()
-
-    def enter_leader(self) -> None:
-        """Take over: bind the voters on the first term, or add a no-op."""
-        self.leader = self.host
-        self.leading = leader_state.Leader(self)
-        self.leading.update_peers()
-        voters = self.log.voters
-        if voters.is_bound:
-            self.append_own(records.EntryKind.NOOP)
-        else:
-            bound = voters.bind(self._election.incarnations)
-            self.append_own(records.EntryKind.VOTERS, voters=bound)
-        self.leading.heartbeat()
-
-    def enter_refused(self) -> None:
-        """Vote no more under an identity whose data folder was lost."""
-        self.leader = None
-        self.outbox.drop_held()
-
-    def enter_failed(self) -> None:
-        """Promise nothing more; the owner must restart the replica."""
-        self.leader = None
-        self._stop_leading()
-        self._proposals.fail_all()
-        self.outbox.drop_held()
-
-    # Shared with the parts of the replica.
-
-    def observe_term(self, term: int) -> None:
-        """Follow a newer term, whose leader is not known yet."""
-        if term <= self.term:
-            return
-        self.leader = None
-        self.save_hard_state(records.HardState(term, '', self.commit_index))
-        self._follow()
-
-    def accept_leader(self, sender: str, msg) -> bool:
-        """Tell whether a message comes from the leader of the term."""
-        if msg.term < self.term:
-            self._refuse_leader(sender, msg)
-            return False
-        if msg.incarnation not in ('', self.incarnation):
-            self.identity_refused()
-            self._refuse_leader(sender, msg)
-            return False
-        if self.role is effects.Role.REFUSED:
-            self.identity_accepted()
-        self.observe_term(msg.term)
-        self._follow()
-        self.note_leader(sender)
-        return True
-
-    def hears_leader(self) -> bool:
-        """Tell whether this replica must not help another to lead."""
-        return self.leading is not None or self.was_leader_heard()
-
-    def append_own(
-        self,
-        kind: records.EntryKind,
-        token: str = '',
-        data: bytes = b'',
-        voters: records.VoterSet | None = None,
-    ) -> None:
-        """Append an entry of the leader's own term and replicate it."""
-        index = self.log.last_index + 1
-        entry = records.Entry(index, self.term, kind, data, voters)
-        self.append((entry,))
-        if token:
-            self._proposals.add(token, index, self.term)
-        if voters is not None:
-            self.leading.update_peers()
-        self.leading.replicate()
-
     # Private parts.
 
     def _advance_clock(self, now: float) -> None:
@@ -307,7 +193,7 @@
             released = self.outbox.release()
         self._apply()
         if self.leading is not None:
-            self.leading.finish_reads()
+            self.leading.reads.finish()
 
     def _deliver(self, released) -> None:
         for item in released:
@@ -334,22 +220,6 @@
             self._snapshot_asked = True
             self.outbox.emit(effects.TakeSnapshot(self.applied_index))
 
-    def _follow(self) -> None:
-        if self.role is not effects.Role.FOLLOWER:
-            self.step_down()
-
-    def _stop_leading(self) -> None:
-        if self.leading is not None:
-            self.leader = None
-            self.leading.fail_reads()
-            self.leading = None
-
-    def _refuse_leader(self, sender: str, msg) -> None:
-        reply = messages.AppendReply(
-            self.term, msg.round, False, 0, self.incarnation
-        )
-        self.outbox.send_synced(sender, reply)
-
     def _fail(self, token: str, reason: effects.Reason) -> None:
         failed = effects.ProposalFailed(token, reason, self.leader)
         self.outbox.emit(failed)
@@ -362,8 +232,3 @@
         if standing != self._announced:
             self._announced = standing
             self.outbox.emit(standing)
-
-
-@functools.cache
-def _chart() -> charts.Chart:
-    return charts.load('cassiashift_core.consensus', 'voter.toml', Replica)
--- a/tests/core/consensus/test_planted_faults.py
+++ b/tests/core/consensus/test_planted_faults.py
@@ -12,6 +12,7 @@
 from cassiashift_core.consensus import leader
 from cassiashift_core.consensus import log
 from cassiashift_core.consensus import outbox
+from cassiashift_core.consensus import reads
 from cassiashift_core.consensus import records
 from cassiashift_core.consensus import state
 from tests.core.consensus import checks
@@ -54,7 +55,7 @@
 
 def read_at_once(self, token):
     index = self._replica.commit_index
-    self._reads.append(leader.PendingRead(token, 0, index))
+    self._pending.append(reads.PendingRead(token, 0, index))
 
 
 real_appoint = leader.Leader.appoint
@@ -120,8 +121,8 @@
         'holds a lease beside a newer leader',
     ),
     'read by a lease that has ended': Fault(
-        leader.Leader,
-        'read',
+        reads.Reads,
+        'add',
         read_at_once,
         'answers a stale read',
         scenarios.cut_off_after_handover,
