Step down when the own storage stalls

Cause: a leader whose disk hangs went on leading, for its followers still acknowledged; it applied nothing and answered nobody. Change: a leader whose oldest change is not durable after an election timeout appoints a successor and steps down. Schedules may stall disks.

--- a/packages/cassiashift-core/cassiashift_core/consensus/leader.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/leader.py
@@ -67,11 +67,13 @@
         self.rounds.void(self._replica.now)
 
     def on_tick(self) -> None:
-        """Send heartbeats, and step down without a quorum."""
+        """Send heartbeats; step down without a quorum or a storage."""
         now = self._replica.now
-        voters = self._replica.log.voters
-        silent_s = now - self.rounds.quorum_time(voters, now)
-        if silent_s > self._cfg.election_timeout_s:
+        if self._is_storage_stalled():
+            self.appoint()
+            self._replica.step_down()
+            return
+        if self._is_quorum_lost():
             self._replica.step_down()
             return
         if self.is_handing_over and now > self._handover_deadline:
@@ -165,6 +167,16 @@
             and replica.log.term_at(index) == replica.term
         )
 
+    def _is_storage_stalled(self) -> bool:
+        waiting_s = self._replica.outbox.waiting_s(self._replica.now)
+        return waiting_s > self._cfg.election_timeout_s
+
+    def _is_quorum_lost(self) -> bool:
+        now = self._replica.now
+        voters = self._replica.log.voters
+        silent_s = now - self.rounds.quorum_time(voters, now)
+        return silent_s > self._cfg.election_timeout_s
+
     def _synced_indexes(self) -> dict[str, int]:
         found = {host: peer.match for host, peer in self.peers.items()}
         found[self._replica.host] = self._replica.outbox.durable_index
--- a/packages/cassiashift-core/cassiashift_core/consensus/outbox.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/outbox.py
@@ -2,10 +2,21 @@
 
 import collections
 
+import attrs
+
 from cassiashift_core.consensus import effects
 from cassiashift_core.consensus import records
 
 
+@attrs.define
+class Mark:
+    """A Persist effect that is not durable yet, and where its log ends."""
+
+    sequence: int
+    last_index: int
+    saved_at: float
+
+
 class Outbox:
     """Effects of one event, and messages that wait for the storage."""
 
@@ -64,16 +75,15 @@
     def limit_durable(self, index: int) -> None:
         """Take back the durability of entries after an index."""
         self.durable_index = min(self.durable_index, index)
-        self._marks = collections.deque(
-            (sequence, min(mark, index)) for sequence, mark in self._marks
-        )
+        for mark in self._marks:
+            mark.last_index = min(mark.last_index, index)
 
     def synced(self, sequence: int) -> list[effects.Send]:
         """Note that changes are durable; return the released messages."""
         self.synced_sequence = max(self.synced_sequence, sequence)
-        while self._marks and self._marks[0][0] <= sequence:
-            mark = self._marks.popleft()[1]
-            self.durable_index = max(self.durable_index, mark)
+        while self._marks and self._marks[0].sequence <= sequence:
+            last_index = self._marks.popleft().last_index
+            self.durable_index = max(self.durable_index, last_index)
         return self.release()
 
     def release(self) -> list[effects.Send]:
@@ -87,12 +97,18 @@
         """Forget all messages that wait for the storage."""
         self._held.clear()
 
-    def save(self, hard_state: records.HardState, last_index: int) -> None:
+    def waiting_s(self, now: float) -> float:
+        """Return for how long the oldest change has not become durable."""
+        return now - self._marks[0].saved_at if self._marks else 0.0
+
+    def save(
+        self, hard_state: records.HardState, last_index: int, now: float
+    ) -> None:
         """Turn the collected changes into one Persist effect."""
         if not self._dirty:
             return
         self.sequence += 1
-        self._marks.append((self.sequence, last_index))
+        self._marks.append(Mark(self.sequence, last_index, now))
         self._effects.append(
             effects.Persist(
                 self.sequence,
--- a/packages/cassiashift-core/cassiashift_core/consensus/state.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/state.py
@@ -123,7 +123,7 @@
 
     def save_changes(self) -> None:
         """Turn the changes so far into one Persist effect."""
-        self.outbox.save(self._hard_state, self.log.last_index)
+        self.outbox.save(self._hard_state, self.log.last_index, self.now)
 
     def raise_commit(self, index: int) -> None:
         """Note that entries up to an index are committed."""
--- a/tests/core/consensus/cluster.py
+++ b/tests/core/consensus/cluster.py
@@ -74,6 +74,7 @@
     starts: int = 0
     applied: int = 0
     is_syncing: bool = False
+    is_stalled: bool = False
 
     @property
     def is_up(self):
@@ -159,9 +160,11 @@
             self.cuts |= {(host, other), (other, host)}
 
     def heal(self):
-        """Mend all links."""
+        """Mend all links and disks."""
         self.cuts.clear()
         self.faults = Faults()
+        for node in self.nodes.values():
+            node.is_stalled = False
 
     def step_clock(self, host, seconds):
         """Step a host's clock."""
@@ -279,6 +282,9 @@
     def _sync(self, node, starts):
         if node.starts != starts or not node.is_up:
             return
+        if node.is_stalled:
+            self._at(0.05, self._sync, node, starts)
+            return
         node.is_syncing = False
         for _ in range(self.rng.randint(1, len(node.disk.pending))):
             effect = node.disk.sync()
--- a/tests/core/consensus/schedules.py
+++ b/tests/core/consensus/schedules.py
@@ -96,6 +96,11 @@
     )
 
 
+def stall_disk(cluster, rng):
+    """Let a disk hang until the next recovery."""
+    cluster.nodes[_host(cluster, rng)].is_stalled = True
+
+
 def step_clock(cluster, rng):
     """Step a monotonic clock, though it should never."""
     cluster.step_clock(_host(cluster, rng), rng.choice((-3, -0.5, 0.4, 5)))
@@ -137,6 +142,7 @@
     recover,
     recover,
     disturb,
+    stall_disk,
     step_clock,
     hand_over,
     change_voters,
--- a/tests/core/consensus/test_scenarios.py
+++ b/tests/core/consensus/test_scenarios.py
@@ -172,6 +172,19 @@
     assert_that(old.replica.role, matchers.Is(consensus.Role.FAILED))
 
 
+def test_leader_with_a_stalled_disk_steps_down():
+    cluster = scenarios.elected()
+    old = cluster.leader()
+    rest = scenarios.followers(cluster)
+    old.is_stalled = True
+    cluster.propose()
+    cluster.run_until(lambda: cluster.leader() not in (None, old), 5)
+    cluster.settle(rest)
+    assert_that(cluster.leader().host, matchers.Not(matchers.Equals(old.host)))
+    old.is_stalled = False
+    cluster.settle()
+
+
 def test_read_without_a_quorum_is_not_answered():
     cluster = scenarios.elected()
     old = cluster.leader()
