Measure commits on slower disks

Cause: a sync of 0.1 ms hides what a commit costs beside syncs. Change: the bench can make each sync slower.

--- a/tools/bench_commit.py
+++ b/tools/bench_commit.py
@@ -1,7 +1,7 @@
 """Measures commits and recovery on a disk.
 
 Usage: tools/run python -m tools.bench_commit commits|recovery
-       [--folder DIR] [--seconds N]
+       [--folder DIR] [--seconds N] [--sync-delay-ms N]
 
 ``commits`` runs three replicas in this process, each with its own thread for
 its storage, and compares them with a plain append and sync on the same disk.
@@ -32,6 +32,29 @@
 LOG_LENGTHS = (1_000, 10_000, 100_000)
 
 
+class SlowFile(storage.File):
+    """A file whose syncs take longer, as on a disk without a cache."""
+
+    delay_s = 0.0
+
+    def sync(self) -> None:
+        """Sync and wait."""
+        super().sync()
+        time.sleep(self.delay_s)
+
+
+class SlowFiles(storage.FileSystem):
+    """A file system of slow files."""
+
+    def create(self, path: pathlib.Path) -> storage.File:
+        """Open an empty slow file."""
+        return SlowFile(path.open('wb', buffering=0))
+
+    def append(self, path: pathlib.Path) -> storage.File:
+        """Open a slow file for appending."""
+        return SlowFile(path.open('ab', buffering=0))
+
+
 @attrs.define
 class Load:
     """What a run has measured."""
@@ -60,7 +83,9 @@
         self._at: dict[tuple[int, int], str] = {}
         self._load = Load()
         for host in hosts:
-            opened = storage.Storage.open(folder / host, 'bench', host)
+            opened = storage.Storage.open(
+                folder / host, 'bench', host, SlowFiles()
+            )
             cfg = consensus.ReplicaConfig(host=host, voters=tuple(hosts))
             self._storages[host] = opened
             self._replicas[host] = consensus.Replica.from_config(
@@ -163,7 +188,9 @@
     parser.add_argument('what', choices=sorted(MEASUREMENTS))
     parser.add_argument('--folder', default=None)
     parser.add_argument('--seconds', type=float, default=5.0)
+    parser.add_argument('--sync-delay-ms', type=float, default=0.0)
     args = parser.parse_args()
+    SlowFile.delay_s = args.sync_delay_ms / 1000
     folder = pathlib.Path(tempfile.mkdtemp(dir=args.folder))
     try:
         MEASUREMENTS[args.what](folder, args.seconds)
@@ -196,7 +223,7 @@
 def plain_appends(path: pathlib.Path, seconds: float) -> float:
     """Return the median time of one append with a sync, in seconds."""
     times = []
-    handle = storage.FileSystem().create(path)
+    handle = SlowFiles().create(path)
     end = time.monotonic() + seconds
     while time.monotonic() < end:
         start = time.perf_counter()
