Repeat unanswered requests for votes

Cause: one lost request or reply cost a whole election timeout. And an appointment that could not be used was kept, so that a later election might have passed over another leader's lease. Change: a candidate asks again every heartbeat those who have not given their vote, and gives way to a rival once in a term. An appointment counts for the next term only; a check and a planted fault see to it.

--- a/packages/cassiashift-core/cassiashift_core/consensus/election.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/election.py
@@ -5,6 +5,9 @@
 from cassiashift_core.consensus import records
 
 
+ASKING_ROLES = (effects.Role.PRE_CANDIDATE, effects.Role.CANDIDATE)
+
+
 class Election:
     """The votes asked for and given by one replica."""
 
@@ -12,20 +15,29 @@
         """Work on the state of a replica."""
         self._replica = replica
         self._incarnations: dict[str, str] = {}
-        self.handover = False
+        self._next_request = 0.0
+        self._appointed_term = 0
+        self._contested_term = 0
 
     @property
     def incarnations(self) -> dict[str, str]:
         """Return the data folders of the hosts that gave their vote."""
         return self._incarnations
 
+    @property
+    def is_appointed(self) -> bool:
+        """Tell whether a leader gave up its lease for the current term."""
+        return self._appointed_term == self._replica.term
+
+    def note_appointment(self) -> None:
+        """Note that the leader gave up its lease for the next term."""
+        self._appointed_term = self._replica.term + 1
+
     def ask_for_pre_votes(self) -> None:
         """Ask whether an election in the next term could be won."""
         replica = self._replica
         self._incarnations = {replica.host: replica.incarnation}
-        request = self._request(replica.term + 1, pre_vote=True)
-        for host in replica.other_voters:
-            replica.outbox.send(host, request)
+        self._send_requests()
         self._count(pre_vote=True)
 
     def ask_for_votes(self) -> None:
@@ -36,14 +48,17 @@
             replica.term + 1, replica.host, replica.commit_index
         )
         replica.save_hard_state(hard_state)
-        request = self._request(replica.term, pre_vote=False)
-        for host in replica.other_voters:
-            replica.outbox.send_synced(host, request)
+        self._send_requests()
         own = messages.VoteReply(
             replica.term, replica.term, True, replica.incarnation
         )
         replica.outbox.send_synced(replica.host, own)
-        self.handover = False
+
+    def on_tick(self) -> None:
+        """Ask those again who have not given their vote."""
+        is_asking = self._replica.role in ASKING_ROLES
+        if is_asking and self._replica.now >= self._next_request:
+            self._send_requests()
 
     def answer(self, sender: str, request: messages.VoteRequest) -> None:
         """Answer a request for a vote or a pre-vote."""
@@ -98,9 +113,11 @@
         replica = self._replica
         is_asking = replica.role is effects.Role.CANDIDATE
         same_term = request.term == replica.term
-        return is_asking and same_term and not request.pre_vote
+        is_new = self._contested_term != replica.term
+        return is_asking and same_term and is_new and not request.pre_vote
 
     def _on_rival(self, sender: str, request: messages.VoteRequest) -> None:
+        self._contested_term = request.term
         log = self._replica.log
         rank = (request.last_term, request.last_index, sender)
         own_rank = (log.last_term, log.last_index, self._replica.host)
@@ -135,13 +152,18 @@
         else:
             replica.vote_won()
 
-    def _request(self, term: int, pre_vote: bool) -> messages.VoteRequest:
+    def _send_requests(self) -> None:
         replica = self._replica
-        return messages.VoteRequest(
-            term,
+        self._next_request = replica.now + replica.cfg.heartbeat_s
+        is_pre_vote = replica.role is effects.Role.PRE_CANDIDATE
+        request = messages.VoteRequest(
+            replica.term + 1 if is_pre_vote else replica.term,
             replica.log.last_index,
             replica.log.last_term,
             replica.incarnation,
-            pre_vote,
-            self.handover,
+            is_pre_vote,
+            self.is_appointed and not is_pre_vote,
         )
+        for host in replica.other_voters:
+            if host not in self._incarnations:
+                replica.outbox.send_synced(host, request)
--- a/packages/cassiashift-core/cassiashift_core/consensus/replica.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/replica.py
@@ -75,6 +75,8 @@
             self.leading.on_tick()
         elif self.is_election_due:
             self.election_due()
+        else:
+            self._election.on_tick()
         self.save_commit()
 
     @_on_event.register
@@ -163,7 +165,7 @@
     @_receive.register
     def _(self, message: messages.TimeoutNow, sender: str) -> None:
         if message.term == self.term and sender == self.leader:
-            self._election.handover = True
+            self._election.note_appointment()
             self.handover_received()
 
     @_receive.register
--- a/tests/core/consensus/checks.py
+++ b/tests/core/consensus/checks.py
@@ -25,6 +25,7 @@
         self.committed = {}
         self.max_committed = 0
         self.reads = {}
+        self.appointed = set()
 
     def on_persist(self, node, effect):
         """Check that logs match and that nothing applied is dropped."""
@@ -60,6 +61,11 @@
         """Check that a message promises only what is synced."""
         message = effect.message
         saved = node.disk.hard_state
+        if isinstance(message, consensus.TimeoutNow):
+            self.appointed.add((effect.receiver, message.term + 1))
+        if isinstance(message, consensus.VoteRequest) and message.handover:
+            appointed = (node.host, message.term) in self.appointed
+            demand(appointed, node.host, 'campaigns without an appointment')
         if isinstance(message, consensus.VoteReply):
             self._on_vote(node, effect, saved)
         if isinstance(message, consensus.AppendReply) and message.success:
--- a/tests/core/consensus/test_planted_faults.py
+++ b/tests/core/consensus/test_planted_faults.py
@@ -127,6 +127,12 @@
         'answers a stale read',
         scenarios.cut_off_after_handover,
     ),
+    'campaign on an old appointment': Fault(
+        election.Election,
+        'is_appointed',
+        property(lambda self: self._appointed_term > 0),
+        'campaigns without an appointment',
+    ),
     'vote twice in a term': Fault(
         election.Election, 'may_grant', grant_by_log_only, 'votes twice'
     ),
