Report additions that a leader can't finish

Cause: the token of an addition was lost with the lead or with its learner, and a voter with an older log could send a bound one to the refused role. Change: such additions fail as unknown or replaced; a host whose own log has its data folder in the voter set ignores a refusal.

--- a/packages/cassiashift-core/cassiashift_core/consensus/changes.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/changes.py
@@ -46,6 +46,15 @@
                 self._token = ''
                 return
 
+    def fail(self, reason: effects.Reason) -> None:
+        """Report the addition under way, if any, as failed."""
+        if self._token:
+            failed = effects.ProposalFailed(
+                self._token, reason, self._replica.leader
+            )
+            self._token = ''
+            self._replica.outbox.emit(failed)
+
     def is_caught_up(self, peer) -> bool:
         """Tell whether a learner has synced everything committed."""
         return bool(
@@ -73,6 +82,8 @@
             return effects.Reason.INVALID_CHANGE
         if voters.learners and rest.learners:
             return effects.Reason.CHANGE_PENDING
+        if event.remove not in voters.voter_hosts:
+            self.fail(effects.Reason.REPLACED)
         self._append(rest, event.token)
         return None
 
--- a/packages/cassiashift-core/cassiashift_core/consensus/replica.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/replica.py
@@ -170,7 +170,7 @@
 
     @_receive.register
     def _(self, message: messages.IdentityRefused, sender: str) -> None:
-        if message.incarnation != self.incarnation:
+        if not self.is_bound_here():
             self.identity_refused()
 
     # Private parts.
--- a/packages/cassiashift-core/cassiashift_core/consensus/roles.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/roles.py
@@ -143,6 +143,7 @@
         if self.leading is not None:
             self.leader = None
             self.leading.reads.fail()
+            self.leading.changes.fail(effects.Reason.UNKNOWN)
             self.leading = None
 
     def _refuse_leader(self, sender: str, msg) -> None:
--- a/packages/cassiashift-core/cassiashift_core/consensus/state.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/state.py
@@ -94,6 +94,14 @@
         self.outbox.send(sender, refused)
         return False
 
+    def is_bound_here(self) -> bool:
+        """Tell whether the own log has this data folder in the voter set.
+
+        Then a host that says otherwise has an older log.
+        """
+        known = self.log.voters.find(self.host)
+        return known is not None and known.incarnation == self.incarnation
+
     def defer_election(self) -> None:
         """Wait for a random time, not below the election timeout."""
         low, high = config.WAIT_SHARES
--- a/tests/core/consensus/test_scenarios.py
+++ b/tests/core/consensus/test_scenarios.py
@@ -127,6 +127,42 @@
     assert_that(voters.voter_hosts, matchers.Equals(('a', 'b', 'c')))
 
 
+def test_removed_learner_ends_its_addition():
+    cluster = scenarios.elected(spares='x')
+    leading = cluster.leader().host
+    cluster.crash('x')
+    added = cluster.post(leading, consensus.ChangeVoters, add='x')
+    cluster.run(1)
+    cluster.post(leading, consensus.ChangeVoters, remove='x')
+    cluster.settle('abc')
+    assert_that(
+        cluster.outcomes[added].reason,
+        matchers.Is(consensus.Reason.REPLACED),
+    )
+
+
+def test_addition_of_a_deposed_leader_is_reported_as_unknown():
+    cluster = scenarios.elected(spares='x')
+    old = cluster.leader()
+    cluster.crash('x')
+    added = cluster.post(old.host, consensus.ChangeVoters, add='x')
+    cluster.isolate(old.host)
+    cluster.run(5)
+    assert_that(
+        cluster.outcomes[added].reason,
+        matchers.Is(consensus.Reason.UNKNOWN),
+    )
+
+
+def test_bound_voter_ignores_a_refusal_from_an_older_log():
+    cluster = scenarios.elected()
+    host = scenarios.followers(cluster)[0]
+    node = cluster.nodes[host]
+    refused = consensus.IdentityRefused(1, 'older')
+    cluster.handle(node, consensus.Received('x', refused))
+    assert_that(node.replica.role, matchers.Is(consensus.Role.FOLLOWER))
+
+
 def test_leader_leaves_the_voter_set():
     cluster = scenarios.elected()
     old = cluster.leader()
