--- a/packages/cassiashift-core/cassiashift_core/consensus/state.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/state.py
@@ -94,10 +94,18 @@
         self.outbox.send(sender, refused)
         return False
 
+    def is_bound_here(self) -> bool:
+        """Tell whether the own log has this data folder in the voter set.
+
+        Then a host that says otherwise has an older log.
+        """
+        known = self.log.voters.find(self.host)
+        return known is not None and known.incarnation == self.incarnation
+
     def defer_election(self) -> None:
-        """Wait for a random election timeout from now on."""
-        timeout_s = self.cfg.election_timeout_s
-        self._election_at = self.now + timeout_s * (1 + self._rng.random())
+        """Wait for a random time, not below the election timeout."""
+        low, high = config.WAIT_SHARES
+        self._wait_for_election(low, high)
 
     def retry_election(self) -> None:
         """Wait for a random part of the election timeout from now on.
@@ -106,8 +114,7 @@
         which may be slow.
         """
         low, high = config.RETRY_SHARES
-        share = self._rng.uniform(low, high)
-        self._election_at = self.now + self.cfg.election_timeout_s * share
+        self._wait_for_election(low, high)
 
     def save_hard_state(self, hard_state: records.HardState) -> None:
         """Change the term, the vote and the commit index durably."""
@@ -124,7 +131,7 @@
 
     def save_changes(self) -> None:
         """Turn the changes so far into one Persist effect."""
-        self.outbox.save(self._hard_state, self.log.last_index)
+        self.outbox.save(self._hard_state, self.log.last_index, self.now)
 
     def raise_commit(self, index: int) -> None:
         """Note that entries up to an index are committed."""
@@ -178,6 +185,10 @@
         self.applied_index = last
         return entries
 
+    def _wait_for_election(self, low: float, high: float) -> None:
+        share = self._rng.uniform(low, high)
+        self._election_at = self.now + self.cfg.election_timeout_s * share
+
     def _restore(self, saved: records.SavedState) -> None:
         voters = records.VoterSet(
             tuple(records.Voter(host) for host in self.cfg.voters)
--- a/tests/core/consensus/schedules.py
+++ b/tests/core/consensus/schedules.py
@@ -8,11 +8,11 @@
 STEPS = 60
 
 
-def explore(seed, steps=STEPS):
+def explore(seed, steps=STEPS, cluster_class=clusters.Cluster):
     """Run one schedule, heal everything and check that work goes on."""
     rng = random.Random(seed)
     hosts = rng.choice(('abc', 'abc', 'abcde'))
-    cluster = clusters.Cluster(seed, hosts, spares='x')
+    cluster = cluster_class(seed, hosts, spares='x')
     for node in cluster.nodes.values():
         node.rate = rng.uniform(0.97, 1.03)
     cluster.run(rng.uniform(1, 4))
@@ -96,6 +96,11 @@
     )
 
 
+def stall_disk(cluster, rng):
+    """Let a disk hang until the next recovery."""
+    cluster.nodes[_host(cluster, rng)].is_stalled = True
+
+
 def step_clock(cluster, rng):
     """Step a monotonic clock, though it should never."""
     cluster.step_clock(_host(cluster, rng), rng.choice((-3, -0.5, 0.4, 5)))
@@ -137,6 +142,7 @@
     recover,
     recover,
     disturb,
+    stall_disk,
     step_clock,
     hand_over,
     change_voters,
