Put answers together from numbered frames

Cause: nothing decided which frames belong to a call, or whether a resumed stream is whole. Change: AnswerStream takes frames by attempt and position; frames that are late, crossed, repeated or follow a gap are dropped and counted.

--- a/packages/cassiashift-core/cassiashift_core/retries/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/retries/__init__.py
@@ -1,5 +1,10 @@
 """Attempts of a call: verdicts, retries, their budget, and fences."""
 
+from cassiashift_core.retries.answers import Accepted
+from cassiashift_core.retries.answers import AnswerStream
+from cassiashift_core.retries.answers import Dropped
+from cassiashift_core.retries.answers import Frame
+from cassiashift_core.retries.answers import FrameFault
 from cassiashift_core.retries.attempts import AttemptEnd
 from cassiashift_core.retries.attempts import AttemptPlan
 from cassiashift_core.retries.attempts import CallTraits
@@ -13,14 +18,19 @@
 from cassiashift_core.retries.fences import FenceTable
 
 __all__ = [
+    'Accepted',
+    'AnswerStream',
     'Arrival',
     'AttemptEnd',
     'AttemptId',
     'AttemptPlan',
     'CallTraits',
     'Decision',
+    'Dropped',
     'FenceAnswer',
     'FenceTable',
+    'Frame',
+    'FrameFault',
     'RetryBudget',
     'RetryConfig',
     'verdict_of',
--- a/packages/cassiashift-core/cassiashift_core/routing/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/__init__.py
@@ -11,9 +11,9 @@
 from cassiashift_core.routing.model import RoutingConfig
 from cassiashift_core.routing.model import UpstreamView
 from cassiashift_core.routing.placement import LoadOrder
+from cassiashift_core.routing.placement import Placed
 from cassiashift_core.routing.placement import PlacementConfig
 from cassiashift_core.routing.placement import PlacementPlanner
-from cassiashift_core.routing.placement import Placed
 from cassiashift_core.routing.placement import PoolKey
 from cassiashift_core.routing.placement import RoleOrder
 from cassiashift_core.routing.router import Router
