--- a/packages/cassiashift-core/cassiashift_core/admission/slots.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/slots.py
@@ -11,6 +11,7 @@
 import attrs
 
 FORGET_S = 3.0
+SHARES_PERIOD_S = 0.05
 
 
 @attrs.define
@@ -39,6 +40,8 @@
 
     concurrency: int
     _users: dict[str, _User] = attrs.field(factory=dict, init=False)
+    _kept_shares: dict[str, int] = attrs.field(factory=dict, init=False)
+    _shared_at: float = attrs.field(default=-1e9, init=False)
 
     @property
     def in_flight(self) -> int:
@@ -73,9 +76,17 @@
             other.taken for name, other in self._users.items() if name != entry
         )
         free = max(0, self.concurrency - taken)
-        user.told = min(self._shares()[entry], free)
+        user.told = min(self._share(entry, now), free)
         return user.told
 
+    def _share(self, entry: str, now: float) -> int:
+        """Return the share of an entry, worked out anew now and then."""
+        stale = now - self._shared_at >= SHARES_PERIOD_S
+        if stale or entry not in self._kept_shares:
+            self._kept_shares = self._shares()
+            self._shared_at = now
+        return self._kept_shares[entry]
+
     def _shares(self) -> dict[str, int]:
         """Return whole slots for each entry, with the concurrency as sum."""
         shares = dict.fromkeys(self._users, 0.0)
