Keep the queues inside upstreams short

Cause: in flood the other workspaces waited 592 ms for a first token (p50), most of it in the queues inside full engines, where fairness cannot reach; the concurrency limit shrank only when a first token took over 2 s. Change: the limit shrinks when calls wait over 0.3 s before their prefill.

--- a/packages/cassiashift-core/cassiashift_core/routing/model.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/model.py
@@ -22,7 +22,8 @@
             with nothing to prefill.
         prefill_s_per_token: nominal time to prefill one token.
         step_s: nominal time of a decoding step with one sequence.
-        first_token_target_s: bound on the time to the first token.
+        queue_target_s: bound on the time that a call waits in an upstream
+            before its own prefill.
         token_gap_target_s: bound on the time between tokens.
         gap_price: weight of the time between tokens against the time to
             the first token.
@@ -46,7 +47,7 @@
     first_token_floor_s: float = 0.03
     prefill_s_per_token: float = 0.0001
     step_s: float = 0.01
-    first_token_target_s: float = 2.0
+    queue_target_s: float = 0.3
     token_gap_target_s: float = 0.045
     gap_price: float = 0.2
     move_latency_s: float = 0.01
--- a/packages/cassiashift-core/cassiashift_core/routing/upstream.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/upstream.py
@@ -160,7 +160,10 @@
         ratio = waited / attempt.expected_s
         share = PROBE_SHARE if self.tripped else EWMA_SHARE
         self.slowness += share * (ratio - self.slowness)
-        met = waited <= self.cfg.first_token_target_s
+        prefill_s = (
+            attempt.tokens * self.cfg.prefill_s_per_token * self.slowness
+        )
+        met = waited - prefill_s <= self.cfg.queue_target_s
         self.limit.record(met, self.running(now), now)
         self._remember(now)
 
