Probe stragglers and use them again once they are well

Cause: a slowed upstream was avoided by its price alone; no breaker tripped, so nothing ever found out that it was well again. Change: a time between tokens over four times the pool's median trips the breaker too; a call probes a tripped upstream after its pause, first 5 s for a straggler, and the probe alone decides.

--- a/packages/cassiashift-core/cassiashift_core/routing/breaker.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/breaker.py
@@ -16,13 +16,12 @@
     """Breaker that runs the chart in ``breaker.toml``.
 
     Attributes:
-        reopen_s: first pause.
         max_reopen_s: longest pause.
     """
 
-    reopen_s: float
     max_reopen_s: float
     now: float = attrs.field(default=0.0, init=False)
+    _first_pause_s: float = attrs.field(default=0.0, init=False)
     _pause_s: float = attrs.field(default=0.0, init=False)
     _open_until: float = attrs.field(default=0.0, init=False)
 
@@ -36,7 +35,7 @@
 
     def pause(self) -> None:
         """Start a pause, on entry of the open state."""
-        doubled = max(self.reopen_s, 2 * self._pause_s)
+        doubled = max(self._first_pause_s, 2 * self._pause_s)
         self._pause_s = min(self.max_reopen_s, doubled)
         self._open_until = self.now + self._pause_s
 
@@ -59,9 +58,10 @@
         if self.state == 'open':
             self.probe()
 
-    def failed(self, now: float) -> None:
-        """Open the breaker."""
+    def failed(self, now: float, first_pause_s: float) -> None:
+        """Open the breaker; the first pause is given, later ones double."""
         self.now = now
+        self._first_pause_s = first_pause_s
         self.trip()
 
     def succeeded(self, now: float) -> None:
--- a/packages/cassiashift-core/cassiashift_core/routing/model.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/model.py
@@ -33,10 +33,12 @@
         tie_margin_s: scores within this margin are equal.
         report_max_age_s: an older load report is not used.
         slow_start_s: time over which a new upstream gets its full share.
-        slow_ratio: slowness against the pool's median that trips the
-            breaker.
+        slow_ratio: slowness, or time between tokens, against the pool's
+            median that trips the breaker.
         trip_failures: failures in a row that trip the breaker.
         reopen_s: first pause of a tripped breaker; it doubles each time.
+        slow_reopen_s: the same after a trip for slowness, where each probe
+            costs a caller a slow answer.
         max_reopen_s: longest pause of a tripped breaker.
     """
 
@@ -59,6 +61,7 @@
     slow_ratio: float = 4.0
     trip_failures: int = 3
     reopen_s: float = 1.0
+    slow_reopen_s: float = 5.0
     max_reopen_s: float = 30.0
 
 
--- a/packages/cassiashift-core/cassiashift_core/routing/pools.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/pools.py
@@ -39,10 +39,11 @@
         bound = cfg.slow_ratio * statistics.median(slowness)
         gaps = [state.gap_s for state in states if state.gap_s is not None]
         self.gap_s = statistics.median(gaps) if gaps else cfg.step_s
-        for state, value in zip(states, slowness, strict=True):
+        for state in states:
             state.slowness_bound = bound
-            if value > bound and not state.tripped:
-                state.trip(now)
+            state.gap_bound_s = cfg.slow_ratio * self.gap_s
+            if state.is_slow(now) and not state.tripped:
+                state.trip_slow(now)
 
 
 def build(views: Iterable[model.UpstreamView]) -> dict[str, Pool]:
--- a/packages/cassiashift-core/cassiashift_core/routing/router.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/router.py
@@ -102,7 +102,7 @@
             names = self._aperture.select(ring, width)
             scored = [
                 scorer.score(self._upstreams[name], now)
-                for name in self._open(names, now)
+                for name in self._probe(names, now) or self._open(names, now)
             ]
             if scored:
                 margin_s = self.cfg.tie_margin_s
@@ -241,6 +241,12 @@
             return choice
         return attrs.evolve(choice, prefill_on=helper.view.id)
 
+    def _probe(self, names: list[str], now: float) -> list[str]:
+        """Return an upstream that should be probed now, if there is one."""
+        return [
+            name for name in names if self._upstreams[name].wants_probe(now)
+        ][:1]
+
     def _open(self, names: list[str], now: float) -> list[str]:
         """Return the upstreams with room whose breaker allows a call.
 
--- a/packages/cassiashift-core/cassiashift_core/routing/upstream.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/upstream.py
@@ -10,7 +10,7 @@
 from cassiashift_core.routing import model
 
 EWMA_SHARE = 0.2
-PROBE_SHARE = 0.8
+PROBE_SHARE = 1.0
 HISTORY_S = 10.0
 OVERDUE_MIN_S = 0.5
 MIN_RAMP = 0.1
@@ -47,8 +47,9 @@
 
     Attributes:
         slowness: observed over predicted time to the first token.
-        slowness_bound: slowness above which it counts as a straggler.
         gap_s: mean time between tokens.
+        slowness_bound: slowness above which it counts as a straggler.
+        gap_bound_s: time between tokens above which it does.
         joined_at: when it came or came back, for the slow start.
     """
 
@@ -57,8 +58,9 @@
     joined_at: float | None
     limit: limits.AdaptiveLimit
     slowness: float = 1.0
-    slowness_bound: float = math.inf
     gap_s: float | None = None
+    slowness_bound: float = math.inf
+    gap_bound_s: float = math.inf
     failures: int = 0
     attempts: dict[str, Attempt] = attrs.field(factory=dict)
     pending: int = 0
@@ -139,6 +141,16 @@
             break
         return slowness
 
+    def is_slow(self, now: float) -> bool:
+        """Tell whether the upstream is a straggler of its pool."""
+        if self.gap_s is not None and self.gap_s > self.gap_bound_s:
+            return True
+        return self.current_slowness(now) > self.slowness_bound
+
+    def wants_probe(self, now: float) -> bool:
+        """Tell whether a call should find out if it is well again."""
+        return self.tripped and not self.attempts and self.allows(now)
+
     def start(self, attempt_id: str, tokens: int, now: float) -> None:
         """Count the start of an attempt."""
         expected_s = self.nominal_s(tokens, now)
@@ -158,8 +170,7 @@
         self.pending -= attempt.tokens
         waited = now - attempt.started_at
         ratio = waited / attempt.expected_s
-        share = PROBE_SHARE if self.tripped else EWMA_SHARE
-        self.slowness += share * (ratio - self.slowness)
+        self.slowness += self._share() * (ratio - self.slowness)
         prefill_s = (
             attempt.tokens * self.cfg.prefill_s_per_token * self.slowness
         )
@@ -176,7 +187,7 @@
         attempt.last_progress = now
         if self.gap_s is None:
             self.gap_s = gap_s
-        self.gap_s += EWMA_SHARE * (gap_s - self.gap_s)
+        self.gap_s += self._share() * (gap_s - self.gap_s)
         met = gap_s <= self.cfg.token_gap_target_s
         self.limit.record(met, self.running(now), now)
 
@@ -193,12 +204,14 @@
         elif outcome in (model.Outcome.FAILED, model.Outcome.TIMEOUT):
             self._fail(now)
 
-    def trip(self, now: float) -> None:
-        """Open the breaker."""
+    def trip_slow(self, now: float) -> None:
+        """Open the breaker of a straggler."""
+        self._trip(now, self.cfg.slow_reopen_s)
+
+    def _trip(self, now: float, first_pause_s: float) -> None:
         if self._breaker is None:
-            cfg = self.cfg
-            self._breaker = breaker.Breaker(cfg.reopen_s, cfg.max_reopen_s)
-        self._breaker.failed(now)
+            self._breaker = breaker.Breaker(self.cfg.max_reopen_s)
+        self._breaker.failed(now, first_pause_s)
 
     @property
     def tripped(self) -> bool:
@@ -217,6 +230,10 @@
         self._others_running = max(0, report.running - own.running)
         self._others_pending = max(0, report.pending_tokens - own.pending)
 
+    def _share(self) -> float:
+        """Return the weight of a new observation; a probe's is high."""
+        return PROBE_SHARE if self.tripped else EWMA_SHARE
+
     def _others(self, now: float) -> tuple[int, int]:
         if now - self._reported_at > self.cfg.report_max_age_s:
             return 0, 0
@@ -226,8 +243,8 @@
         self.failures = 0
         if self._breaker is None or not self.tripped:
             return
-        if self.slowness > self.slowness_bound:
-            self._breaker.failed(now)
+        if self.is_slow(now):
+            self.trip_slow(now)
         else:
             self._breaker.succeeded(now)
             self.joined_at = now
@@ -236,7 +253,7 @@
         self.failures += 1
         if self.tripped or self.failures >= self.cfg.trip_failures:
             self.failures = 0
-            self.trip(now)
+            self._trip(now, self.cfg.reopen_s)
 
     def _remember(self, now: float) -> None:
         self._history.append(_Own(now, len(self.attempts), self.pending))
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -183,6 +183,25 @@
     assert_that('u0' in chosen(router, 3.0), matchers.Equals(False))
 
 
+def test_straggler_is_used_again_once_it_is_well(router):
+    now = 0.0
+    used = []
+    for number in range(400):
+        choice = router.choose(request(number, expected_tokens=50), now)
+        name = choice.upstream_id
+        slow = 20.0 if name == 'u0' and 5.0 < now < 40.0 else 1.0
+        router.started(name, f'a{number}', 0, now)
+        router.first_token(f'a{number}', now + 0.03 * slow)
+        router.progressed(f'a{number}', 10, now + 0.13 * slow)
+        router.finished(f'a{number}', OK, now + 0.13 * slow)
+        used.append((now, name))
+        now += 0.2 * slow if slow > 1 else 0.2
+    during = [name for at, name in used if 10.0 < at < 40.0]
+    after = [name for at, name in used if at > 72.0]
+    assert_that(during.count('u0'), matchers.LessThan(5))
+    assert_that(after.count('u0'), matchers.GreaterThan(len(after) // 10))
+
+
 def test_full_upstreams_refuse(views):
     small = [attrs.evolve(item, concurrency=2) for item in views]
     router = make_router(small)
