Move calls off stragglers

Change: the router names the attempts at a paused straggler; a call that may be repeated and resumed gives the attempt up, within the retry budget, and goes on elsewhere after the tokens that were delivered. A probe is left to judge.

--- a/packages/cassiashift-core/cassiashift_core/experiment/engine.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/engine.py
@@ -36,6 +36,7 @@
     moved_blocks: int = 0
     left_to_prefill: int = 0
     generated: int = 0
+    cancelled: bool = False
 
 
 @attrs.frozen
@@ -159,6 +160,21 @@
         self._first = []
         return events
 
+    def cancel(self, attempt_id: str) -> None:
+        """Stop an attempt that its caller gave up."""
+        work = self.works.pop(attempt_id, None)
+        if work is None:
+            return
+        self.slots.finish(work.entry)
+        work.cancelled = True
+        if work in self._waiting:
+            self._waiting.remove(work)
+        elif work in self._prefilling:
+            self._prefilling.remove(work)
+            self._first = [item for item in self._first if item is not work]
+        else:
+            self._decoding -= 1
+
     def lose(self) -> list[str]:
         """Stop for good; return the attempts that were in progress."""
         self.alive = False
@@ -223,6 +239,8 @@
         events: list[StepEvent] = []
         while self._due and self._due[0][0] <= self._steps:
             _, _, work = heapq.heappop(self._due)
+            if work.cancelled:
+                continue
             left = work.output_tokens - work.generated
             tokens = min(PROGRESS_TOKENS, left)
             work.generated += tokens
--- a/packages/cassiashift-core/cassiashift_core/experiment/entry.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/entry.py
@@ -137,6 +137,10 @@
         self._start(self.gate.set_capacity(POOL, capacity, now), now)
         self._start(self.gate.admit_ready(now), now)
 
+    def waits_for(self, attempt_id: str) -> bool:
+        """Tell whether an attempt has not ended."""
+        return attempt_id in self._attempts
+
     def wanted(self, upstream_id: str) -> int:
         """Return the calls that the entry wants at an upstream."""
         waiting = self.gate.queued_in(POOL) / self.cfg.engines
@@ -170,17 +174,43 @@
         self, attempt_id: str, end: retries.AttemptEnd, now: float
     ) -> None:
         """Take the end of an attempt and retry if the plan says so."""
-        record = self._attempts.pop(attempt_id)
+        record = self._attempts.pop(attempt_id, None)
+        if record is None:
+            return
         outcome = _OUTCOMES.get(end, routing.Outcome.FAILED)
         self.policy.finished(attempt_id, outcome, now)
         self.in_flight[record.plan.tried[-1]] -= 1
         decision = record.plan.ended(end, now)
         if decision.retry and self._attempt(record, now):
             return
-        if end is End.ANSWERED:
-            record.finished_at = now
-        else:
-            record.broken = True
+        if end is not End.ANSWERED:
+            self._give_up(record, now)
+            return
+        record.finished_at = now
+        used = record.call.prompt_tokens + record.delivered
+        self._start(self.gate.release(record.call.id, used, now), now)
+
+    def move_from_stragglers(
+        self, cancel: Callable[[str, str], None], now: float
+    ) -> None:
+        """Try calls at stragglers elsewhere, as far as that is allowed."""
+        if not isinstance(self.policy, routing.Router):
+            return
+        for attempt_id in self.policy.attempts_to_move(now):
+            record = self._attempts[attempt_id]
+            if record.plan.try_move(now) is None:
+                continue
+            upstream_id = record.plan.tried[-1]
+            cancel(upstream_id, attempt_id)
+            del self._attempts[attempt_id]
+            self.in_flight[upstream_id] -= 1
+            cancelled = routing.Outcome.CANCELLED
+            self.policy.finished(attempt_id, cancelled, now)
+            if not self._attempt(record, now):
+                self._give_up(record, now)
+
+    def _give_up(self, record: CallRecord, now: float) -> None:
+        record.broken = True
         used = record.call.prompt_tokens + record.delivered
         self._start(self.gate.release(record.call.id, used, now), now)
 
--- a/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
@@ -148,9 +148,13 @@
 
     def _tick(self, owner: entries.Entry, now: float) -> None:
         owner.tick(now)
+        owner.move_from_stragglers(self._cancel, now)
         self._ask_slots(owner, now)
         self._at(now + TICK_S, functools.partial(self._tick, owner))
 
+    def _cancel(self, upstream_id: str, attempt_id: str) -> None:
+        self.engines[upstream_id].cancel(attempt_id)
+
     def _ask_slots(self, owner: entries.Entry, now: float) -> None:
         """Exchange wants and slots with the agents, in turn."""
         turn = round(now / TICK_S)
@@ -164,6 +168,8 @@
     ) -> None:
         engine = self.engines[sent.upstream_id]
         attempt_id = sent.work.attempt_id
+        if not owner.waits_for(attempt_id):
+            return
         if not engine.alive:
             end = retries.AttemptEnd.CONNECT_FAILED
             failed = functools.partial(owner.ended, attempt_id, end)
--- a/packages/cassiashift-core/cassiashift_core/retries/attempts.py
+++ b/packages/cassiashift-core/cassiashift_core/retries/attempts.py
@@ -198,6 +198,27 @@
             resume_from=self._tokens_delivered,
         )
 
+    def try_move(self, now: float) -> Decision | None:
+        """Give up the open attempt for another one, if that is allowed.
+
+        For an attempt at an upstream that has become a straggler. Returns
+        None, and changes nothing, where another attempt is not allowed.
+        The caller then cancels the attempt and drops its late frames.
+        """
+        moved = self.verdict.combine(Verdict.MAY_HAVE_RUN)
+        if not self._open or not self.traits.idempotent:
+            return None
+        if self._obstacle(now):
+            return None
+        self._open = False
+        self.verdict = moved
+        return Decision(
+            verdict=moved,
+            retry=True,
+            reason='moved from a straggler',
+            resume_from=self._tokens_delivered,
+        )
+
     def unsent(self, end: AttemptEnd) -> Decision:
         """Return the decision on a call that ends with no attempt open."""
         return self._stop(end, end.value)
--- a/packages/cassiashift-core/cassiashift_core/routing/router.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/router.py
@@ -171,6 +171,15 @@
         if state is not None:
             state.finish(attempt_id, outcome, now)
 
+    def attempts_to_move(self, now: float) -> list[str]:
+        """Return the attempts at stragglers, for a try elsewhere."""
+        return [
+            attempt_id
+            for state in self._upstreams.values()
+            if state.paused and state.is_slow(now)
+            for attempt_id in state.attempts
+        ]
+
     def report(self, report: model.LoadReport, now: float) -> None:
         """Take a load report, late or not."""
         state = self._upstreams.get(report.upstream_id)
--- a/packages/cassiashift-core/cassiashift_core/routing/upstream.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/upstream.py
@@ -190,6 +190,8 @@
         self.gap_s += self._share() * (gap_s - self.gap_s)
         met = gap_s <= self.cfg.token_gap_target_s
         self.limit.record(met, self.running(now), now)
+        if self.tripped and not self.paused and self.is_slow(now):
+            self.trip_slow(now)
 
     def finish(
         self, attempt_id: str, outcome: model.Outcome, now: float
@@ -218,6 +220,11 @@
         """Tell whether the breaker is not closed."""
         return self._breaker is not None and self._breaker.state != 'closed'
 
+    @property
+    def paused(self) -> bool:
+        """Tell whether the breaker is open, with no probe on its way."""
+        return self._breaker is not None and self._breaker.state == 'open'
+
     def report(self, report: model.LoadReport, now: float) -> None:
         """Take a load report; own calls at its time are subtracted."""
         if report.slots is not None and now >= self._slots_at:
--- a/tests/core/retries/test_attempts.py
+++ b/tests/core/retries/test_attempts.py
@@ -121,3 +121,28 @@
             again = attempts.ended(End.CONNECT_FAILED, 0.0).retry
     assert_that(sent, matchers.LessThan(1.1 * calls + 10.0 + 1e-6))
     assert_that(budget.retries, matchers.Equals(sent - calls))
+
+
+def test_attempt_at_a_straggler_moves_and_resumes():
+    attempts = plan(resumable=True)
+    attempts.begin('u1')
+    attempts.delivered(5)
+    decision = attempts.try_move(0.0)
+    assert_that(decision.resume_from, matchers.Equals(5))
+    assert_that(attempts.try_move(0.0), matchers.Is(None))
+    attempts.begin('u2')
+    decision = attempts.ended(End.ANSWERED, 1.0)
+    assert_that(decision.verdict, matchers.Is(Verdict.RAN))
+
+
+def test_attempt_that_may_not_be_repeated_does_not_move():
+    attempts = plan(idempotent=False)
+    attempts.begin('u1')
+    assert_that(attempts.try_move(0.0), matchers.Is(None))
+    attempts = plan()
+    attempts.begin('u1')
+    attempts.delivered(5)
+    assert_that(attempts.try_move(0.0), matchers.Is(None))
+    assert_that(attempts.budget.retries, matchers.Equals(0))
+    decision = attempts.ended(End.ANSWERED, 1.0)
+    assert_that(decision.verdict, matchers.Is(Verdict.RAN))
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -202,6 +202,21 @@
     assert_that(after.count('u0'), matchers.GreaterThan(len(after) // 10))
 
 
+def test_attempts_at_a_straggler_are_to_be_moved_but_not_a_probe(router):
+    for number in range(4):
+        call(router, f'u{number}', 0, 0.0, 0.04)
+    for number in range(3):
+        router.started('u0', f'stuck{number}', 0, 1.0)
+    assert_that(router.attempts_to_move(1.1), matchers.Equals([]))
+    router.choose(request(), 3.0)
+    found = router.attempts_to_move(3.0)
+    assert_that(found, matchers.Equals(['stuck0', 'stuck1', 'stuck2']))
+    for name in found:
+        router.finished(name, routing.Outcome.CANCELLED, 3.0)
+    router.started('u0', 'probe', 0, 9.0)
+    assert_that(router.attempts_to_move(9.1), matchers.Equals([]))
+
+
 def test_full_upstreams_refuse(views):
     small = [attrs.evolve(item, concurrency=2) for item in views]
     router = make_router(small)
