--- a/packages/cassiashift-core/cassiashift_core/routing/model.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/model.py
@@ -35,6 +35,9 @@
         slow_start_s: time over which a new upstream gets its full share.
         slow_ratio: slowness, or time between tokens, against the pool's
             median that trips the breaker.
+        refused_pause_s: time without new calls after a refusal.
+        draining_pause_s: the same after the refusal of one that leaves,
+            until membership knows.
         trip_failures: failures in a row that trip the breaker.
         reopen_s: first pause of a tripped breaker; it doubles each time.
         slow_reopen_s: the same after a trip for slowness, where each probe
@@ -59,6 +62,8 @@
     report_max_age_s: float = 10.0
     slow_start_s: float = 10.0
     slow_ratio: float = 4.0
+    refused_pause_s: float = 0.1
+    draining_pause_s: float = 5.0
     trip_failures: int = 3
     reopen_s: float = 1.0
     slow_reopen_s: float = 5.0
@@ -153,10 +158,14 @@
 
 
 class Outcome(enum.Enum):
-    """How an attempt ended, as far as routing cares."""
+    """How an attempt ended, as far as routing cares.
+
+    ``REFUSED`` is an agent that is full, ``DRAINING`` one that leaves.
+    """
 
     OK = 'ok'
     REFUSED = 'refused'
+    DRAINING = 'draining'
     FAILED = 'failed'
     TIMEOUT = 'timeout'
     CANCELLED = 'cancelled'
--- a/packages/cassiashift-core/cassiashift_core/routing/scores.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/scores.py
@@ -57,7 +57,9 @@
     ) -> Self:
         """Return a scorer for a call."""
         depths = index.depths(req.prefix_blocks)
-        deepest = max(depths, key=lambda name: depths[name], default=None)
+        deepest = max(
+            depths, key=lambda name: (depths[name], name), default=None
+        )
         if deepest is not None and not upstreams[deepest].view.alive:
             deepest = None
         return cls(cfg, req, depths, deepest, gap_s)
--- a/packages/cassiashift-core/cassiashift_core/routing/upstream.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/upstream.py
@@ -68,6 +68,7 @@
     _others_running: int = 0
     _others_pending: int = 0
     _reported_at: float = -1e9
+    _refuses_until: float = -1e9
     _slots: int | None = None
     _slots_at: float = -1e9
     _history: list[_Own] = attrs.field(factory=list)
@@ -99,6 +100,8 @@
         With slots from the agent, the entry uses its part of the limit;
         without, it counts the calls of other entries.
         """
+        if now < self._refuses_until:
+            return 0.0
         limit = self.effective_limit(now)
         age = now - self._slots_at
         if self._slots is None or age > self.cfg.report_max_age_s:
@@ -203,6 +206,10 @@
         self._remember(now)
         if outcome is model.Outcome.OK:
             self._succeed(now)
+        elif outcome is model.Outcome.REFUSED:
+            self._refuses_until = now + self.cfg.refused_pause_s
+        elif outcome is model.Outcome.DRAINING:
+            self._refuses_until = now + self.cfg.draining_pause_s
         elif outcome in (model.Outcome.FAILED, model.Outcome.TIMEOUT):
             self._fail(now)
 
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -217,6 +217,17 @@
     assert_that(router.attempts_to_move(9.1), matchers.Equals([]))
 
 
+@pytest.mark.parametrize(
+    ('outcome', 'pause_s'),
+    [(routing.Outcome.REFUSED, 0.1), (routing.Outcome.DRAINING, 5.0)],
+)
+def test_refusal_keeps_new_calls_away_for_a_while(router, outcome, pause_s):
+    call(router, 'u0', 0, 0.0, 0.0, outcome)
+    at_once = chosen(router, 0.9 * pause_s)
+    assert_that('u0' in at_once, matchers.Equals(False))
+    assert_that('u0' in chosen(router, pause_s), matchers.Equals(True))
+
+
 def test_full_upstreams_refuse(views):
     small = [attrs.evolve(item, concurrency=2) for item in views]
     router = make_router(small)
