--- /dev/null
+++ b/tests/core/mapswitch/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the map switch."""
