--- a/packages/cassiashift-core/cassiashift_core/membership/announcer.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/announcer.py
@@ -65,7 +65,11 @@
             return []
         self._next_s = now + holders.HEARTBEAT_INTERVAL_S
         self._drop_silent(now)
-        heartbeat = messages.Heartbeat(self.record.incarnation, self.in_flight)
+        heartbeat = messages.Heartbeat(
+            incarnation=self.record.incarnation,
+            in_flight=self.in_flight,
+            holders=holders.digest_of(self._holders),
+        )
         return [events.Send(host, heartbeat) for host in self._receivers()]
 
     @_handle.register
@@ -97,12 +101,8 @@
         self, sender: str, ack: messages.HeartbeatAck, now: float
     ) -> list[events.Effect]:
         self._heard_s[sender] = now
-        before = set(self._holders)
-        self._holders = {
-            contact.host: contact for contact in ack.holders[: holders.HOLDERS]
-        }
-        for host in self._holders.keys() - before:
-            self._heard_s[host] = now
+        if ack.holders:
+            self._take_holders(ack.holders, now)
         if self.left:
             return self._on_ack_while_left(sender, ack)
         if self._is_outdated(ack):
@@ -112,6 +112,16 @@
             return []
         return [events.Send(sender, messages.Announce(self.record))]
 
+    def _take_holders(
+        self, contacts: tuple[records.Contact, ...], now: float
+    ) -> None:
+        before = set(self._holders)
+        self._holders = {
+            contact.host: contact for contact in contacts[: holders.HOLDERS]
+        }
+        for host in self._holders.keys() - before:
+            self._heard_s[host] = now
+
     def _on_ack_while_left(
         self, sender: str, ack: messages.HeartbeatAck
     ) -> list[events.Effect]:
--- a/packages/cassiashift-core/cassiashift_core/membership/holders.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/holders.py
@@ -9,6 +9,7 @@
 HOLDERS = 3
 HEARTBEAT_INTERVAL_S = 1.0
 SILENCE_S = 3.0
+ASSIGN_GRACE_S = 3.0
 
 
 def holders_of(agent: str, entries: Iterable[str]) -> list[str]:
@@ -16,10 +17,15 @@
     return hashing.rendezvous(agent, entries)[:HOLDERS]
 
 
+def digest_of(holders: Iterable[str]) -> int:
+    """Return a 32-bit digest of a set of holders, whatever its order."""
+    return hashing.stable_hash(*sorted(holders)) & 0xFFFF_FFFF
+
+
 @attrs.define
 class _Watched:
     heard_s: float
-    first_holder: bool
+    holders: list[str] = attrs.field(factory=list)
     in_flight: int = 0
 
 
@@ -44,11 +50,18 @@
             holders = holders_of(agent, entries)
             if self.host not in holders:
                 continue
-            known = self._watched.get(agent) or _Watched(now, False)
-            known.first_holder = holders[0] == self.host
+            known = self._watched.get(agent) or _Watched(now)
+            if known.holders != holders:
+                known.holders = holders
+                known.heard_s = now + ASSIGN_GRACE_S
             watched[agent] = known
         self._watched = watched
 
+    def holders_of(self, agent: str, entries: Iterable[str]) -> list[str]:
+        """Return an agent's holders, as last assigned if it is watched."""
+        watched = self._watched.get(agent)
+        return watched.holders if watched else holders_of(agent, entries)
+
     def heard(self, agent: str, in_flight: int, now: float) -> None:
         """Note a heartbeat."""
         watched = self._watched.get(agent)
@@ -56,6 +69,11 @@
             watched.heard_s = now
             watched.in_flight = in_flight
 
+    def excuse(self, now: float) -> None:
+        """Give all agents time to send heartbeats here again."""
+        for watched in self._watched.values():
+            watched.heard_s = now + ASSIGN_GRACE_S
+
     def shift(self, gap_s: float) -> None:
         """Move all deadlines by a gap in which this entry did not run."""
         for watched in self._watched.values():
@@ -75,5 +93,5 @@
         return sum(
             watched.in_flight
             for watched in self._watched.values()
-            if watched.first_holder
+            if watched.holders[0] == self.host
         )
--- a/packages/cassiashift-core/cassiashift_core/membership/member.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/member.py
@@ -43,6 +43,7 @@
     _synchroniser: synchroniser.Synchroniser = attrs.field(init=False)
     _assigned: tuple[int, float] = (-1, 0.0)
     _next_summary_s: float = 0.0
+    _next_pull_s: float = 0.0
     _next_rejoin_s: float = 0.0
 
     def __attrs_post_init__(self) -> None:
@@ -291,6 +292,8 @@
             return
         if record.status is records.Status.SUSPECT:
             self.local_health.add(1)
+        if record.status is records.Status.DEAD:
+            self._watch.excuse(now)
         self.own = attrs.evolve(self.own, incarnation=record.incarnation + 1)
         self.rows.merge(self.own, now)
         self._broadcasts.add(self.own)
@@ -399,10 +402,14 @@
     ) -> events.Effect:
         self._watch.heard(sender, heartbeat.in_flight, now)
         entries = self.rows.usable(records.Kind.ENTRY)
-        contacts = tuple(
-            records.Contact(host, entries[host].address)
-            for host in holders.holders_of(sender, entries)
-        )
+        hosts = self._watch.holders_of(sender, entries)
+        contacts = ()
+        if heartbeat.holders != holders.digest_of(hosts):
+            contacts = tuple(
+                records.Contact(host, entries[host].address)
+                for host in hosts
+                if host in entries
+            )
         record = self.rows.get(sender)
         ack = messages.HeartbeatAck(
             incarnation=record.incarnation if record else 0,
@@ -413,13 +420,14 @@
         return events.Send(sender, ack)
 
     def _summarise(self, now: float) -> list[events.Effect]:
-        if now < self._next_summary_s:
+        if now < self._next_pull_s:
             return []
-        self._next_summary_s = now + summaries.SUMMARY_INTERVAL_S
+        self._next_pull_s = now + summaries.PULL_INTERVAL_S
         entries = self.rows.usable(records.Kind.ENTRY)
         speakers = summaries.reporters(self.cfg.data_centre, entries)
         effects = self._report_load(speakers[0], now)
-        if speakers[0] == self.cfg.host:
+        if speakers[0] == self.cfg.host and now >= self._next_summary_s:
+            self._next_summary_s = now + summaries.SUMMARY_INTERVAL_S
             self._summaries.renew(entries, self.agents(), self.rng, now)
         peers = self._peers()
         if peers:
--- a/packages/cassiashift-core/cassiashift_core/membership/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/messages.py
@@ -64,10 +64,12 @@
 
     Attributes:
         in_flight: requests in progress as the agent counts them.
+        holders: digest of the holders that the agent knows.
     """
 
     incarnation: int
     in_flight: int = 0
+    holders: int = 0
 
 
 @attrs.frozen
@@ -85,7 +87,8 @@
         incarnation: the incarnation of the agent that the entry holds.
         status: the status of the agent that the entry holds.
         known: whether the entry holds the content of this incarnation.
-        holders: the entries that should get the agent's heartbeats.
+        holders: the entries that should get the agent's heartbeats; empty
+            if they are the ones that the agent knows.
     """
 
     incarnation: int
--- a/packages/cassiashift-core/cassiashift_core/membership/summaries.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/summaries.py
@@ -9,8 +9,9 @@
 from cassiashift_core.membership import messages
 from cassiashift_core.membership import records
 
-SUMMARY_INTERVAL_S = 5.0
-LOAD_RETENTION_S = 3 * SUMMARY_INTERVAL_S
+SUMMARY_INTERVAL_S = 15.0
+PULL_INTERVAL_S = 5.0
+LOAD_RETENTION_S = 3 * PULL_INTERVAL_S
 REPORTERS = 3
 MAX_CONTACTS = 4
 MAX_CAPACITIES = 64
--- /dev/null
+++ b/tools/import_costs.py
@@ -0,0 +1,79 @@
+"""Measures the memory of imports, each in a fresh interpreter."""
+
+import json
+import subprocess
+import sys
+
+CONTROL = (
+    'uvloop',
+    'zmq.asyncio',
+    'msgspec',
+    'absl.logging',
+    'statsd',
+    'cassiashift_core.membership',
+    'cassiashift_core.spread',
+    'cassiashift_core.fencing',
+    'cassiashift_core.timeline',
+)
+CORE = (
+    'cassiashift_core.membership',
+    'cassiashift_core.spread',
+    'cassiashift_core.fencing',
+    'cassiashift_core.timeline',
+)
+SETS = {
+    'bare interpreter': (),
+    'asyncio': ('asyncio',),
+    'uvloop': ('uvloop',),
+    'aiomisc': ('aiomisc',),
+    'zmq.asyncio': ('zmq.asyncio',),
+    'attrs': ('attrs',),
+    'msgspec': ('msgspec',),
+    'xxhash': ('xxhash',),
+    'absl.logging': ('absl.logging',),
+    'statsd': ('statsd',),
+    'hdrh.histogram': ('hdrh.histogram',),
+    'transitions': ('transitions',),
+    'cyclopts': ('cyclopts',),
+    'aiohttp': ('aiohttp',),
+    'numpy': ('numpy',),
+    'core of control': CORE,
+    'control': CONTROL,
+    'control and aiomisc': (*CONTROL, 'aiomisc'),
+    'control, aiomisc and aiohttp': (*CONTROL, 'aiomisc', 'aiohttp'),
+    'operator command': ('cyclopts', 'aiohttp', 'jsonschema', 'yaml'),
+}
+PROBE = """
+import sys
+for name in {names!r}:
+    __import__(name)
+values = {{'Rss': 0, 'Private_Clean': 0, 'Private_Dirty': 0}}
+for line in open('/proc/self/smaps_rollup'):
+    key = line.split(':')[0]
+    if key in values:
+        values[key] = int(line.split()[1])
+print(values['Rss'], values['Private_Clean'] + values['Private_Dirty'])
+"""
+
+
+def measure() -> list[dict[str, object]]:
+    """Return resident and private KiB for each set of imports."""
+    found = []
+    for name, modules in SETS.items():
+        code = PROBE.format(names=tuple(modules))
+        ran = subprocess.run(
+            [sys.executable, '-c', code],
+            check=True,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        resident, private = (int(word) for word in ran.stdout.split())
+        found.append(
+            {'name': name, 'rss_kib': resident, 'private_kib': private}
+        )
+    return found
+
+
+if __name__ == '__main__':
+    print(json.dumps(measure(), indent=1))
