Add the capacity page, worked out from measured slopes

Heartbeats every 2 s, summaries pulled from one source at a time. Conclusion: log, ledger and the paths of requests are not in it yet.

--- a/packages/cassiashift-core/cassiashift_core/membership/announcer.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/announcer.py
@@ -11,7 +11,7 @@
 from cassiashift_core.membership import messages
 from cassiashift_core.membership import records
 
-HOLDER_SILENCE_S = 5.0
+HOLDER_SILENCE_S = 9.0
 
 
 @attrs.define
--- a/packages/cassiashift-core/cassiashift_core/membership/holders.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/holders.py
@@ -7,9 +7,9 @@
 from cassiashift_core import hashing
 
 HOLDERS = 3
-HEARTBEAT_INTERVAL_S = 1.0
-SILENCE_S = 3.0
-ASSIGN_GRACE_S = 3.0
+HEARTBEAT_INTERVAL_S = 2.0
+SILENCE_S = 5.0
+ASSIGN_GRACE_S = 4.0
 
 
 def holders_of(agent: str, entries: Iterable[str]) -> list[str]:
--- a/packages/cassiashift-core/cassiashift_core/membership/member.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/member.py
@@ -20,6 +20,7 @@
 
 ASSIGN_INTERVAL_S = 1.0
 REJOIN_INTERVAL_S = 10.0
+REMOTE_SHARE = 0.5
 REJOIN_ALONE_INTERVAL_S = 1.0
 
 
@@ -429,12 +430,17 @@
         if speakers[0] == self.cfg.host and now >= self._next_summary_s:
             self._next_summary_s = now + summaries.SUMMARY_INTERVAL_S
             self._summaries.renew(entries, self.agents(), self.rng, now)
-        peers = self._peers()
-        if peers:
-            effects.append(self._pull_from(self.rng.choice(peers)))
-        if self.cfg.host in speakers:
-            effects.extend(self._pull_remote())
-        return effects
+        return effects + self._pull_summaries(speakers)
+
+    def _pull_summaries(self, speakers: list[str]) -> list[events.Effect]:
+        sources = self._peers()
+        speaks = self.cfg.host in speakers
+        if speaks and (not sources or self.rng.random() < REMOTE_SHARE):
+            sources = self._remote_sources() or sources
+        if not sources:
+            return []
+        source = self.rng.choice(sources)
+        return [events.Send(source, self._summaries.pull())]
 
     def _report_load(self, reporter: str, now: float) -> list[events.Effect]:
         in_flight = self._watch.in_flight()
@@ -443,13 +449,8 @@
             return []
         return [events.Send(reporter, messages.LoadReport(in_flight))]
 
-    def _pull_from(self, host: str) -> events.Effect:
-        return events.Send(host, self._summaries.pull())
-
-    def _pull_remote(self) -> list[events.Effect]:
+    def _remote_sources(self) -> list[str]:
         contacts = self._summaries.remote_contacts()
         hosts = {contact.host for contact in contacts}
         hosts.update(contact.host for contact in self.cfg.remote_seeds)
-        if not hosts:
-            return []
-        return [self._pull_from(self.rng.choice(sorted(hosts)))]
+        return sorted(hosts)
--- a/tests/core/spread/builders.py
+++ b/tests/core/spread/builders.py
@@ -37,6 +37,7 @@
     states: dict[str, State] = attrs.field(factory=dict)
     violations: list[str] = attrs.field(factory=list)
     window_deltas: int = 1024
+    max_children: int = 64
     starts: int = 0
 
     @classmethod
@@ -83,7 +84,7 @@
             host=host,
             voters=self.voters,
             parents=tuple(self.levels[depth - 1]) if depth else (),
-            max_children=0 if depth == 3 else 64,
+            max_children=0 if depth == 3 else self.max_children,
             window_deltas=self.window_deltas,
         )
         rng = random.Random(f'{self.net.seed} {host} {self.starts}')
--- a/tools/import_costs.py
+++ b/tools/import_costs.py
@@ -21,6 +21,15 @@
     'cassiashift_core.fencing',
     'cassiashift_core.timeline',
 )
+SERVING = (
+    'uvloop',
+    'aiomisc',
+    'aiohttp',
+    'zmq.asyncio',
+    'msgspec',
+    'absl.logging',
+    'statsd',
+)
 SETS = {
     'bare interpreter': (),
     'asyncio': ('asyncio',),
@@ -38,9 +47,10 @@
     'aiohttp': ('aiohttp',),
     'numpy': ('numpy',),
     'core of control': CORE,
+    'serving': SERVING,
+    'serving and control': (*SERVING, *CORE),
     'control': CONTROL,
     'control and aiomisc': (*CONTROL, 'aiomisc'),
-    'control, aiomisc and aiohttp': (*CONTROL, 'aiomisc', 'aiohttp'),
     'operator command': ('cyclopts', 'aiohttp', 'jsonschema', 'yaml'),
 }
 PROBE = """
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -1,13 +1,13 @@
 """Measures how state, messages and time of the core grow.
 
 Writes ``docs/figures/slopes.json``: for each series the points, the fitted
-line and its largest residual as a share of the mean. Processor times include
-encoding, decoding and the seeded network that stands in for links.
+line and its largest residual as a share of the mean. Then writes the page
+that follows from it. Processor times include encoding, decoding and the
+seeded network that stands in for links.
 """
 
 from collections.abc import Callable
 import json
-import pathlib
 import platform
 import random
 import sys
@@ -21,15 +21,15 @@
 
 from cassiashift_core import manifest
 from cassiashift_core import membership
+from cassiashift_core.membership import events
 from cassiashift_core import spread
 from cassiashift_core import timeline
-from cassiashift_core.membership import events
 from tests.core.membership import builders as members
 from tests.core.spread import builders as trees
 from tests.scenarios import network
+from tools import capacity
 from tools import import_costs
 
-FIGURES = pathlib.Path(__file__).parent.parent / 'docs/figures/slopes.json'
 SETTLE_S = 40.0
 MEASURE_S = 30.0
 DELTA_BYTES = 300
@@ -264,7 +264,9 @@
     sizes: tuple[int, ...], rate_per_s: float, seconds: float = MEASURE_S
 ) -> tuple[trees.Tree, MeasuredNetwork]:
     """Return a tree after a measured period of changes."""
-    tree = trees.Tree(net=MeasuredNetwork(seed=1, faults=LINKS))
+    tree = trees.Tree(
+        net=MeasuredNetwork(seed=1, faults=LINKS), max_children=1024
+    )
     for name, size in zip('crea', sizes, strict=False):
         tree.levels.append([f'{name}{index}' for index in range(size)])
     # The stand-in for the log is not part of what is measured.
@@ -294,7 +296,7 @@
         found.extend(rate_series(f'spread.{name}', 'changes/s', measured))
     daily = CHANGES_PER_DAY / SECONDS_PER_DAY
     by_children, by_nodes = {}, {}
-    for children in (8, 16, 32, 64):
+    for children in (16, 64, 256, 512):
         tree, net = measure_tree((3, 1, children), daily)
         by_children[children] = net.mean(tree.levels[1], MEASURE_S)
     for nodes in (64, 128, 256, 512):
@@ -462,8 +464,9 @@
         'whole data centre': whole_data_centre(),
         'imports': import_costs.measure(),
     }
-    FIGURES.parent.mkdir(parents=True, exist_ok=True)
-    FIGURES.write_text(json.dumps(figures, indent=1) + '\n', 'utf-8')
+    capacity.FIGURES.parent.mkdir(parents=True, exist_ok=True)
+    capacity.FIGURES.write_text(json.dumps(figures, indent=1) + '\n', 'utf-8')
+    capacity.main()
 
 
 if __name__ == '__main__':
