Let random schedules catch all planted faults of the spread

Change: rules for a commit known by one voter and for restarts beside a lost voter; a test plants each fault; bounds on parts and incarnations.

--- a/packages/cassiashift-core/cassiashift_core/membership/announcer.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/announcer.py
@@ -132,6 +132,8 @@
 
     def _is_outdated(self, ack: messages.HeartbeatAck) -> bool:
         own = self.record.incarnation
+        if ack.incarnation > records.MAX_INCARNATION:
+            return False
         if ack.incarnation == own:
             return ack.status is not records.Status.ALIVE
         return ack.incarnation > own
--- a/packages/cassiashift-core/cassiashift_core/membership/member.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/member.py
@@ -273,6 +273,8 @@
     def _learn(
         self, record: records.Record, now: float
     ) -> list[events.Effect]:
+        if record.incarnation > records.MAX_INCARNATION:
+            return []
         if record.host == self.cfg.host:
             self._refute(record, now)
             return []
--- a/packages/cassiashift-core/cassiashift_core/membership/records.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/records.py
@@ -6,6 +6,8 @@
 
 from cassiashift_core import manifest
 
+MAX_INCARNATION = 2**53
+
 
 class Status(enum.IntEnum):
     """State of a member; at equal incarnations the higher value wins."""
--- a/packages/cassiashift-core/cassiashift_core/spread/snapshots.py
+++ b/packages/cassiashift-core/cassiashift_core/spread/snapshots.py
@@ -114,6 +114,8 @@
             return False
         if part.index != len(self._parts) or part.count > MAX_PARTS:
             return False
+        if len(part.data) > PART_BYTES:
+            return False
         self._parts.append(part.data)
         self.retries = 0
         return True
--- a/tests/core/membership/test_entries.py
+++ b/tests/core/membership/test_entries.py
@@ -229,3 +229,38 @@
     )
     net.deliver(ENTRIES[0], events.Received(ENTRIES[1], forged))
     assert_views(net, ENTRIES)
+
+
+def test_incarnation_beyond_the_limit_is_ignored():
+    net, _ = build(1)
+    forged = records.Record(
+        ENTRIES[0],
+        membership.Kind.ENTRY,
+        incarnation=2**62,
+        status=membership.Status.DEAD,
+    )
+    ping = messages.Ping(1, (forged,))
+    net.deliver(ENTRIES[0], events.Received(ENTRIES[1], ping))
+    net.deliver(ENTRIES[1], events.Received(ENTRIES[2], ping))
+    assert_views(net, ENTRIES)
+    own = net.nodes[ENTRIES[0]].machine.own
+    assert_that(own.incarnation, matchers.Equals(1000))
+
+
+def test_messages_of_any_size_leave_an_entry_alive():
+    net, _ = build(1)
+    hostile = [
+        messages.SyncDigest(()),
+        messages.SyncDigest(tuple(range(1000))),
+        messages.SyncRows((), tuple(range(-5, 1000))),
+        messages.PingRequest(1, 'nobody'),
+        messages.Ack(2**40),
+        messages.Nack(0),
+        messages.SummaryPull({'x' * 100: 2**40}),
+        messages.Heartbeat(0),
+        messages.LoadReport(-1),
+    ]
+    for message in hostile:
+        net.deliver(ENTRIES[0], events.Received('stranger', message))
+    net.run(10)
+    assert_views(net, ENTRIES)
--- a/tests/core/spread/test_spread.py
+++ b/tests/core/spread/test_spread.py
@@ -10,6 +10,7 @@
 from cassiashift_core.spread import events
 from cassiashift_core.spread import messages
 from cassiashift_core.spread import quorum
+from cassiashift_core.spread import snapshots
 from cassiashift_core.spread import spreader
 from cassiashift_core.spread import window
 from tests.core.spread import builders
@@ -321,3 +322,22 @@
     assert_that(held.since(40), matchers.Is(None))
     assert_that(held.since(46), matchers.HasLength(3))
     assert_that(held.since(49), matchers.Equals(()))
+
+
+def test_snapshot_part_over_the_size_or_out_of_order_is_refused():
+    assembly = snapshots.Assembly('r0', 0.0)
+    large = b'x' * (snapshots.PART_BYTES + 1)
+    refused = [
+        messages.SnapshotPart(5, 0, 2, 1, large),
+        messages.SnapshotPart(5, 0, snapshots.MAX_PARTS + 1, 1, b'x'),
+        messages.SnapshotPart(5, 1, 2, 1, b'x'),
+    ]
+    for part in refused:
+        assert_that(assembly.add(part), matchers.Equals(False))
+
+
+def test_damaged_snapshot_is_not_applied():
+    assembly = snapshots.Assembly('r0', 0.0)
+    part = messages.SnapshotPart(5, 0, 1, 12345, b'damaged')
+    assert_that(assembly.add(part), matchers.Equals(True))
+    assert_that(assembly.data(part), matchers.Is(None))
--- a/tests/core/spread/test_spread_states.py
+++ b/tests/core/spread/test_spread_states.py
@@ -5,8 +5,12 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
+from cassiashift_core.spread import control
 from cassiashift_core.spread import events
+from cassiashift_core.spread import quorum
+from cassiashift_core.spread import spreader
 from tests.core.spread import builders
 from tests.scenarios import network
 
@@ -45,6 +49,26 @@
                 knowing=sorted(knowing - {lagging}), holding=holding
             )
 
+    @stateful.rule(knowing=strategies.sampled_from(VOTERS))
+    def commit_known_by_one(self, knowing):
+        """Commit what one control host knows, and let time pass."""
+        others = [host for host in VOTERS if host != knowing]
+        self.tree.commit(knowing=[knowing], holding=[knowing, others[0]])
+        self.tree.net.run(1.0)
+
+    @stateful.rule(
+        voter=strategies.sampled_from(VOTERS),
+        followers=strategies.booleans(),
+    )
+    def restart_beside_lost_voter(self, voter, followers):
+        """Cut a control host off and restart the hosts that read."""
+        others = [host for host in self.tree.hosts() if host != voter]
+        self.tree.net.cut([voter], others)
+        hosts = FOLLOWERS if followers else FOLLOWERS[:3]
+        for host in hosts:
+            self.tree.start(host)
+        self.tree.net.run(4.0)
+
     @stateful.rule(hosts=some_voters)
     def learn(self, hosts):
         """Let some control hosts learn what is committed."""
@@ -113,12 +137,42 @@
         assert not tree.violations, tree.violations
 
 
-SpreadMachine.TestCase.settings = hypothesis.settings(
+SETTINGS = hypothesis.settings(
     derandomize=True,
     deadline=None,
-    max_examples=int(os.environ.get('SEEDS', '25')),
+    max_examples=int(os.environ.get('SEEDS', '40')),
     stateful_step_count=25,
     suppress_health_check=list(hypothesis.HealthCheck),
     phases=(hypothesis.Phase.generate,),
 )
+SpreadMachine.TestCase.settings = SETTINGS
 TestSpread = SpreadMachine.TestCase
+
+
+def apply_anything(self, message, sender, now):
+    """Apply deltas whatever their revision: a planted fault."""
+    return [
+        effect
+        for delta in message.items
+        for effect in self._apply_delta(delta)
+    ]
+
+
+@pytest.mark.parametrize(
+    ('owner', 'name', 'fault'),
+    [
+        (spreader.Spreader, '_take_deltas', apply_anything),
+        (
+            quorum.QuorumRead,
+            'is_complete',
+            lambda self, voters: bool(self.answers),
+        ),
+        (control.Control, 'released', control.Control.known),
+        (control.Control, 'is_settled', True),
+    ],
+    ids=['lower revision', 'trust one peer', 'release', 'answer'],
+)
+def test_schedules_catch_a_planted_fault(monkeypatch, owner, name, fault):
+    monkeypatch.setattr(owner, name, fault)
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(SpreadMachine, settings=SETTINGS)
