Take no round of an older term for evidence

Cause: a refusal echoed the round of the older term. If its receiver led the newer term by the time it came, it counted for rounds yet to start, and so for a lease that nobody had granted. And a larger voter set, whose majority had answered an older round, found no time for it: the leader stepped down. Change: refusals echo round 0, answers to rounds not started are ignored, and the times of the last 256 rounds are kept.

--- a/packages/cassiashift-core/cassiashift_core/consensus/roles.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/roles.py
@@ -101,11 +101,11 @@
     def accept_leader(self, sender: str, msg) -> bool:
         """Tell whether a message comes from the leader of the term."""
         if msg.term < self.term:
-            self._refuse_leader(sender, msg)
+            self._refuse_leader(sender)
             return False
         if msg.incarnation not in ('', self.incarnation):
             self.identity_refused()
-            self._refuse_leader(sender, msg)
+            self._refuse_leader(sender)
             return False
         if self.role is effects.Role.REFUSED:
             self.identity_accepted()
@@ -146,10 +146,10 @@
             self.leading.changes.fail(effects.Reason.UNKNOWN)
             self.leading = None
 
-    def _refuse_leader(self, sender: str, msg) -> None:
-        reply = messages.AppendReply(
-            self.term, msg.round, False, 0, self.incarnation
-        )
+    def _refuse_leader(self, sender: str) -> None:
+        # Round 0 is evidence of nothing: the sender may lead this replica's
+        # term by now, and the round was one of an older term.
+        reply = messages.AppendReply(self.term, 0, False, 0, self.incarnation)
         self.outbox.send_synced(sender, reply)
 
 
--- a/packages/cassiashift-core/cassiashift_core/consensus/rounds.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/rounds.py
@@ -10,6 +10,7 @@
 from cassiashift_core.consensus import records
 
 OWN_ROUND = 1 << 62
+KEPT_ROUNDS = 256
 
 
 class Rounds:
@@ -18,7 +19,9 @@
     def __init__(self, host: str, now: float) -> None:
         """Start without evidence."""
         self._host = host
-        self._started: collections.deque = collections.deque()
+        self._started: collections.deque = collections.deque(
+            maxlen=KEPT_ROUNDS
+        )
         self.current = 0
         self.void(now)
 
@@ -32,11 +35,11 @@
     def start(self, now: float) -> None:
         """Start a round."""
         self.current += 1
-        self._started.append((self.current, now))
+        self._started.append(now)
 
     def answer(self, host: str, number: int) -> None:
-        """Note that a follower has answered a round."""
-        if number >= self._first:
+        """Note that a follower has answered a round of this term."""
+        if self._first <= number <= self.current:
             self._answered[host] = max(self._answered.get(host, 0), number)
 
     def last(self, host: str) -> int:
@@ -64,8 +67,7 @@
     def _time_of(self, number: int, now: float) -> float:
         if number == OWN_ROUND:
             return now
-        while len(self._started) > 1 and self._started[1][0] <= number:
-            self._started.popleft()
-        if self._started and self._started[0][0] <= number:
-            return self._started[0][1]
-        return self._since
+        position = number - (self.current - len(self._started) + 1)
+        if position < 0 or not number:
+            return self._since
+        return self._started[position]
