Let reads without a lease share rounds

Cause: each read without a lease started a round of heartbeats; and the appointment by a leader with a stalled disk waited for that disk. Change: reads gather while a round is under way; an appointment is sent at once, for it promises nothing that must be durable.

--- a/packages/cassiashift-core/cassiashift_core/consensus/leader.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/leader.py
@@ -147,8 +147,7 @@
         best = max(ready, key=lambda host: (self.rounds.last(host), host))
         self._is_lease_void = True
         self._is_appointed = True
-        timeout_now = messages.TimeoutNow(replica.term)
-        replica.outbox.send_synced(best, timeout_now)
+        replica.outbox.send(best, messages.TimeoutNow(replica.term))
 
     def advance(self) -> None:
         """Commit what a majority has synced, and what follows from it."""
--- a/packages/cassiashift-core/cassiashift_core/consensus/reads.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/reads.py
@@ -30,11 +30,9 @@
         if self._leader.has_lease(replica.now):
             self._pending.append(PendingRead(token, 0, index))
             return
-        self._pending.append(
-            PendingRead(token, self._leader.rounds.current + 1, index)
-        )
-        if len(replica.log.voters.voter_hosts) > 1:
-            self._leader.heartbeat()
+        following = self._leader.rounds.current + 1
+        self._pending.append(PendingRead(token, following, index))
+        self._start_round()
 
     def finish(self) -> None:
         """Report the reads that the applied state can answer."""
@@ -51,6 +49,8 @@
             else:
                 waiting.append(item)
         self._pending = waiting
+        if waiting and waiting[-1].round > self._leader.rounds.current:
+            self._start_round()
 
     def fail(self) -> None:
         """Report all pending reads as failed."""
@@ -58,3 +58,11 @@
             failed = effects.ReadFailed(item.token, self._replica.leader)
             self._replica.outbox.emit(failed)
         self._pending = []
+
+    def _start_round(self) -> None:
+        """Start a round, unless one is under way: then reads gather."""
+        voters = self._replica.log.voters
+        rounds = self._leader.rounds
+        is_answered = rounds.answered_by_quorum(voters) >= rounds.current
+        if is_answered and len(voters.voter_hosts) > 1:
+            self._leader.heartbeat()
--- a/tests/core/consensus/test_scenarios.py
+++ b/tests/core/consensus/test_scenarios.py
@@ -233,6 +233,20 @@
     )
 
 
+def test_many_reads_without_a_lease_share_rounds():
+    cluster = scenarios.elected()
+    leader = cluster.leader()
+    cluster.step_clock(leader.host, 100)
+    before = cluster.sent
+    tokens = [cluster.post(leader.host, consensus.Read) for _ in range(200)]
+    cluster.run(0.5)
+    assert_that(cluster.sent - before, matchers.LessThan(60))
+    for token in tokens:
+        assert_that(
+            cluster.outcomes[token], matchers.IsInstance(consensus.ReadReady)
+        )
+
+
 def test_proposal_of_a_deposed_leader_is_reported_as_replaced():
     cluster = scenarios.elected()
     old = cluster.leader()
