Script the runs for three planted faults

Change: scripted runs for stepping clocks, a lease after a handover and an old appointment; they also run without the fault.

--- a/tests/core/consensus/scenarios.py
+++ b/tests/core/consensus/scenarios.py
@@ -149,6 +149,35 @@
     return cluster
 
 
+def handed_over_twice_then_cut():
+    """An appointment counts for one election only."""
+    cluster = elected(hosts='ab')
+    for _ in range(2):
+        old = cluster.leader()
+        cluster.handle(old, consensus.HandOver())
+        cluster.run_until(lambda o=old: cluster.leader() not in (None, o))
+        cluster.settle()
+    cluster.isolate('a')
+    cluster.run(5)
+    cluster.heal()
+    cluster.settle()
+    return cluster
+
+
+def clocks_of_all_followers_step():
+    """Clocks that step forward together end no lease."""
+    cluster = elected()
+    old = cluster.leader()
+    others = followers(cluster)
+    cluster.cuts = {(host, old.host) for host in others}
+    for _ in range(8):
+        for host in others:
+            cluster.step_clock(host, 5)
+        cluster.run(0.11)
+    checks.demand(cluster.leader() is old, 'is deposed')
+    return cluster
+
+
 def lost_right_after_repair():
     """Replace a lost voter, then lose another one at once."""
     cluster = elected(hosts='abc', spares='x')
--- a/tests/core/consensus/test_planted_faults.py
+++ b/tests/core/consensus/test_planted_faults.py
@@ -113,12 +113,14 @@
         'read',
         lambda self, reading_s: (reading_s, False),
         'holds a lease beside a newer leader',
+        scenarios.clocks_of_all_followers_step,
     ),
     'keep the lease after a handover': Fault(
         leader.Leader,
         'appoint',
         appoint_and_keep_lease,
         'holds a lease beside a newer leader',
+        scenarios.cut_off_after_handover,
     ),
     'read by a lease that has ended': Fault(
         reads.Reads,
@@ -132,6 +134,7 @@
         'is_appointed',
         property(lambda self: self._appointed_term > 0),
         'campaigns without an appointment',
+        scenarios.handed_over_twice_then_cut,
     ),
     'vote twice in a term': Fault(
         election.Election, 'may_grant', grant_by_log_only, 'votes twice'
