Allow a replica's settings by position

Cause: callers may give host and voters by position. Change: the settings are no longer keyword-only. Result: tests/core/consensus/test_rounds.py and test_scenarios.py pass.

--- a/packages/cassiashift-core/cassiashift_core/consensus/config.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/config.py
@@ -19,7 +19,7 @@
 RETRY_SHARES = (0.1, 0.2)
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen
 class ReplicaConfig:
     """Settings of a replica.
 
