--- a/packages/cassiashift-core/cassiashift_core/consensus/follower.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/follower.py
@@ -102,8 +102,10 @@
         replica.outbox.send_synced(sender, reply)
 
     def _collect(self, msg: messages.SnapshotChunk) -> None:
-        if self._partial != (msg.index, msg.entry_term):
-            self._partial = (msg.index, msg.entry_term)
+        # Two leaders may hold different bytes for the same index.
+        key = (msg.term, msg.index)
+        if self._partial != key:
+            self._partial = key
             self._data = bytearray()
         if msg.offset == len(self._data):
             self._data += msg.data
