--- a/packages/cassiashift-core/cassiashift_core/experiment/run.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/run.py
@@ -1,5 +1,7 @@
 """Runs every policy through every scenario with the same arrivals."""
 
+import attrs
+
 from cassiashift_core.experiment import arrivals
 from cassiashift_core.experiment import measures
 from cassiashift_core.experiment import model
@@ -26,6 +28,8 @@
     policy: str,
     seed: int,
 ) -> model.Cell:
+    lasting_s = cfg.duration_s * scenario.duration_part
+    cfg = attrs.evolve(cfg, duration_s=lasting_s)
     calls = arrivals.generate(cfg, scenario, seed)
     world = simulation.Simulation.create(cfg, scenario, policy, seed)
     world.run(calls)
