Give an attempt up only once another upstream is chosen

Cause: at twice the load one upstream was taken for a straggler by mistake (slowness 2.99 against a bound of 2.82) and its 12 calls were given up while every other upstream was full: 12 broken calls. The new test fails on the old entry with 31 broken calls.

--- a/packages/cassiashift-core/cassiashift_core/experiment/entry.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/entry.py
@@ -198,7 +198,8 @@
             return
         for attempt_id in self.policy.attempts_to_move(now):
             record = self._attempts[attempt_id]
-            if record.plan.try_move(now) is None:
+            choice = self._choose(record, now)
+            if choice is None or record.plan.try_move(now) is None:
                 continue
             upstream_id = record.plan.tried[-1]
             cancel(upstream_id, attempt_id)
@@ -206,8 +207,7 @@
             self.in_flight[upstream_id] -= 1
             cancelled = routing.Outcome.CANCELLED
             self.policy.finished(attempt_id, cancelled, now)
-            if not self._attempt(record, now):
-                self._give_up(record, now)
+            self._send_to(choice, record, now)
 
     def _give_up(self, record: CallRecord, now: float) -> None:
         record.broken = True
@@ -230,6 +230,13 @@
 
     def _attempt(self, record: CallRecord, now: float) -> bool:
         """Send an attempt; return whether an upstream was found."""
+        choice = self._choose(record, now)
+        if choice is None:
+            return False
+        self._send_to(choice, record, now)
+        return True
+
+    def _choose(self, record: CallRecord, now: float) -> routing.Choice | None:
         call = record.call
         req = routing.RouteRequest(
             call.id,
@@ -240,17 +247,21 @@
             prefix_blocks=call.blocks,
         )
         choice = self.policy.choose(req, now, set(record.plan.tried))
-        if isinstance(choice, routing.Refusal):
-            return False
+        return choice if isinstance(choice, routing.Choice) else None
+
+    def _send_to(
+        self, choice: routing.Choice, record: CallRecord, now: float
+    ) -> None:
+        call = record.call
         record.plan.begin(choice.upstream_id)
         self.in_flight[choice.upstream_id] += 1
         attempt_id = f'{call.id}.{record.plan.attempts}'
         self._attempts[attempt_id] = record
+        tokens = call.prompt_tokens + record.delivered
         self.policy.started(
-            choice.upstream_id, attempt_id, req.prompt_tokens, now, choice
+            choice.upstream_id, attempt_id, tokens, now, choice
         )
         self.send(self, self._sent(choice, attempt_id, record), now)
-        return True
 
     def _sent(
         self, choice: routing.Choice, attempt_id: str, record: CallRecord
--- a/packages/cassiashift-core/cassiashift_core/experiment/run.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/run.py
@@ -18,16 +18,17 @@
         for policy in policies.POLICIES:
             if cfg.policies and policy not in cfg.policies:
                 continue
-            cells.append(_run_one(cfg, scenario, policy, seed))
+            cells.append(run_one(cfg, scenario, policy, seed))
     return model.ExperimentResult(seed, tuple(cells))
 
 
-def _run_one(
+def run_one(
     cfg: model.ExperimentConfig,
     scenario: model.Scenario,
     policy: str,
     seed: int,
 ) -> model.Cell:
+    """Return the cell of one policy in one scenario."""
     lasting_s = cfg.duration_s * scenario.duration_part
     cfg = attrs.evolve(cfg, duration_s=lasting_s)
     calls = arrivals.generate(cfg, scenario, seed)
--- a/packages/cassiashift-core/cassiashift_core/routing/pools.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/pools.py
@@ -36,7 +36,7 @@
         self._checked_at = now
         states = [upstreams[name] for name in self.ring]
         slowness = [state.current_slowness(now) for state in states]
-        bound = cfg.slow_ratio * statistics.median(slowness)
+        bound = cfg.slow_ratio * max(1.0, statistics.median(slowness))
         gaps = [state.gap_s for state in states if state.gap_s is not None]
         self.gap_s = statistics.median(gaps) if gaps else cfg.step_s
         for state in states:
--- a/packages/cassiashift-core/cassiashift_core/routing/router.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/router.py
@@ -172,7 +172,11 @@
             state.finish(attempt_id, outcome, now)
 
     def attempts_to_move(self, now: float) -> list[str]:
-        """Return the attempts at stragglers, for a try elsewhere."""
+        """Return the attempts at stragglers, for a try elsewhere.
+
+        The entry must have chosen another upstream before it gives an
+        attempt up.
+        """
         return [
             attempt_id
             for state in self._upstreams.values()
--- a/tests/core/experiment/test_routing_experiment.py
+++ b/tests/core/experiment/test_routing_experiment.py
@@ -11,6 +11,7 @@
 from cassiashift_core.experiment import engine as engines
 from cassiashift_core.experiment import measures
 from cassiashift_core.experiment import model
+from cassiashift_core.experiment.run import run_one
 
 SMALL = experiment.ExperimentConfig(
     engines=4,
@@ -50,6 +51,16 @@
     total = cell.served + cell.refused + cell.broken
     assert_that(total, matchers.Equals(cell.offered))
     assert_that(cell.served, matchers.GreaterThan(0))
+    if scenario.fault != 'loss':
+        assert_that(cell.broken, matchers.Equals(0))
+
+
+def test_no_call_in_progress_is_given_up_when_all_upstreams_are_full():
+    scenario = attrs.evolve(model.SCENARIOS[0], load=3.0, fault='slow')
+    scenario = attrs.evolve(scenario, fault_at_s=3.0)
+    cell = run_one(SMALL, scenario, 'cassiashift', 1)
+    assert_that(cell.refused, matchers.GreaterThan(0))
+    assert_that(cell.broken, matchers.Equals(0))
 
 
 def test_overload_keeps_the_targets_and_the_fair_shares():
