--- a/packages/cassiashift-net/cassiashift_net/authenticator.py
+++ b/packages/cassiashift-net/cassiashift_net/authenticator.py
@@ -21,7 +21,9 @@
 MECHANISM = b'CURVE'
 REQUEST_FRAMES = 7
 ACCEPTED = b'200'
-REFUSED = b'400'
+# A temporary refusal: the peer tries again, and its key may be known then.
+REFUSED = b'300'
+LOG_INTERVAL_S = 10
 
 
 @attrs.define(eq=False)
@@ -59,7 +61,12 @@
         request = frames[1] if len(frames) > 1 else b''
         if host is None:
             self.refused += 1
-            logging.warning('event=peer_refused reason=unknown_key')
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                'event=peer_refused reason=unknown_key count=%d',
+                LOG_INTERVAL_S,
+                self.refused,
+            )
             answer = [VERSION, request, REFUSED, b'unknown key', b'', b'']
         else:
             user = host.encode()
--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -25,6 +25,7 @@
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 1000
+HANDSHAKE_TIMEOUT_MS = 2000
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 4000
 OUTBOUND_MESSAGES = 10_000
@@ -81,6 +82,11 @@
             )
         return found
 
+    @property
+    def refused(self) -> int:
+        """Return how many handshakes of unknown peers were refused."""
+        return self._authenticator.refused if self._authenticator else 0
+
     def bind(self, address: str) -> str:
         """Listen at an address and return the address in use."""
         sock = self._socket(zmq.ROUTER)
@@ -144,6 +150,7 @@
         sock.setsockopt(zmq.RCVHWM, OUTBOUND_MESSAGES)
         sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        sock.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
         sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         return sock
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -198,6 +198,28 @@
     assert_that(ring.host_of(added.own.public), matchers.Equals('b'))
 
 
+def test_a_peer_that_was_refused_is_heard_once_its_key_is_known(folders):
+    async def scenario():
+        server = Peer.opened('a', _make(folders, 'a'))
+        address = server.own.bind('tcp://127.0.0.1:*')
+        _move(folders, 'a', address)
+        caller = Peer.opened('b', _make(folders, 'b', is_known=False))
+        caller.own.send(address, QUESTION)
+        while not server.own.refused:
+            await asyncio.sleep(0.01)
+        early = list(server.received)
+        source = folders[0] / 'b.key'
+        (folders[1] / 'b.key').write_bytes(source.read_bytes())
+        await caller.waited()
+        for peer in (server, caller):
+            peer.own.close()
+        return early, server.received
+
+    early, late = asyncio.run(scenario())
+    assert_that(early, matchers.HasLength(0))
+    assert_that(late, matchers.Equals([('b', QUESTION)]))
+
+
 def test_a_secret_that_others_may_read_is_refused(folders):
     _make(folders, 'a')
     path = folders[0] / f'a{keys.SECRET_SUFFIX}'
