--- a/packages/cassiashift-core/cassiashift_core/routing/model.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/model.py
@@ -22,7 +22,8 @@
             with nothing to prefill.
         prefill_s_per_token: nominal time to prefill one token.
         step_s: nominal time of a decoding step with one sequence.
-        first_token_target_s: bound on the time to the first token.
+        queue_target_s: bound on the time that a call waits in an upstream
+            before its own prefill.
         token_gap_target_s: bound on the time between tokens.
         gap_price: weight of the time between tokens against the time to
             the first token.
@@ -32,10 +33,15 @@
         tie_margin_s: scores within this margin are equal.
         report_max_age_s: an older load report is not used.
         slow_start_s: time over which a new upstream gets its full share.
-        slow_ratio: slowness against the pool's median that trips the
-            breaker.
+        slow_ratio: slowness, or time between tokens, against the pool's
+            median that trips the breaker.
+        refused_pause_s: time without new calls after a refusal.
+        draining_pause_s: the same after the refusal of one that leaves,
+            until membership knows.
         trip_failures: failures in a row that trip the breaker.
         reopen_s: first pause of a tripped breaker; it doubles each time.
+        slow_reopen_s: the same after a trip for slowness, where each probe
+            costs a caller a slow answer.
         max_reopen_s: longest pause of a tripped breaker.
     """
 
@@ -46,7 +52,7 @@
     first_token_floor_s: float = 0.03
     prefill_s_per_token: float = 0.0001
     step_s: float = 0.01
-    first_token_target_s: float = 2.0
+    queue_target_s: float = 0.3
     token_gap_target_s: float = 0.045
     gap_price: float = 0.2
     move_latency_s: float = 0.01
@@ -56,8 +62,11 @@
     report_max_age_s: float = 10.0
     slow_start_s: float = 10.0
     slow_ratio: float = 4.0
+    refused_pause_s: float = 0.1
+    draining_pause_s: float = 5.0
     trip_failures: int = 3
     reopen_s: float = 1.0
+    slow_reopen_s: float = 5.0
     max_reopen_s: float = 30.0
 
 
@@ -149,10 +158,14 @@
 
 
 class Outcome(enum.Enum):
-    """How an attempt ended, as far as routing cares."""
+    """How an attempt ended, as far as routing cares.
+
+    ``REFUSED`` is an agent that is full, ``DRAINING`` one that leaves.
+    """
 
     OK = 'ok'
     REFUSED = 'refused'
+    DRAINING = 'draining'
     FAILED = 'failed'
     TIMEOUT = 'timeout'
     CANCELLED = 'cancelled'
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -183,6 +183,51 @@
     assert_that('u0' in chosen(router, 3.0), matchers.Equals(False))
 
 
+def test_straggler_is_used_again_once_it_is_well(router):
+    now = 0.0
+    used = []
+    for number in range(400):
+        choice = router.choose(request(number, expected_tokens=50), now)
+        name = choice.upstream_id
+        slow = 20.0 if name == 'u0' and 5.0 < now < 40.0 else 1.0
+        router.started(name, f'a{number}', 0, now)
+        router.first_token(f'a{number}', now + 0.03 * slow)
+        router.progressed(f'a{number}', 10, now + 0.13 * slow)
+        router.finished(f'a{number}', OK, now + 0.13 * slow)
+        used.append((now, name))
+        now += 0.2 * slow if slow > 1 else 0.2
+    during = [name for at, name in used if 10.0 < at < 40.0]
+    after = [name for at, name in used if at > 72.0]
+    assert_that(during.count('u0'), matchers.LessThan(5))
+    assert_that(after.count('u0'), matchers.GreaterThan(len(after) // 10))
+
+
+def test_attempts_at_a_straggler_are_to_be_moved_but_not_a_probe(router):
+    for number in range(4):
+        call(router, f'u{number}', 0, 0.0, 0.04)
+    for number in range(3):
+        router.started('u0', f'stuck{number}', 0, 1.0)
+    assert_that(router.attempts_to_move(1.1), matchers.Equals([]))
+    router.choose(request(), 3.0)
+    found = router.attempts_to_move(3.0)
+    assert_that(found, matchers.Equals(['stuck0', 'stuck1', 'stuck2']))
+    for name in found:
+        router.finished(name, routing.Outcome.CANCELLED, 3.0)
+    router.started('u0', 'probe', 0, 9.0)
+    assert_that(router.attempts_to_move(9.1), matchers.Equals([]))
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'pause_s'),
+    [(routing.Outcome.REFUSED, 0.1), (routing.Outcome.DRAINING, 5.0)],
+)
+def test_refusal_keeps_new_calls_away_for_a_while(router, outcome, pause_s):
+    call(router, 'u0', 0, 0.0, 0.0, outcome)
+    at_once = chosen(router, 0.9 * pause_s)
+    assert_that('u0' in at_once, matchers.Equals(False))
+    assert_that('u0' in chosen(router, pause_s), matchers.Equals(True))
+
+
 def test_full_upstreams_refuse(views):
     small = [attrs.evolve(item, concurrency=2) for item in views]
     router = make_router(small)
