Count an equal digest as a transmission of waiting updates

Cause: after the start of a data centre updates were repeated for 260 s although all tables agreed. Change: a peer's digest that equals one's own counts as a transmission of each waiting update.

--- a/packages/cassiashift-core/cassiashift_core/membership/broadcasts.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/broadcasts.py
@@ -46,12 +46,19 @@
         chosen = sorted(
             self._pending.values(), key=lambda item: item.transmissions
         )[: MAX_UPDATES_PER_MESSAGE - (first is not None)]
-        limit = TRANSMISSIONS_PER_LOG * math.ceil(math.log10(entries + 1) or 1)
-        for item in chosen:
-            item.transmissions += 1
-            if item.transmissions >= limit:
-                del self._pending[item.record.host]
+        self._count(chosen, entries)
         taken = tuple(item.record for item in chosen)
         if first is None or first in taken:
             return taken
         return (first, *taken)
+
+    def confirm(self, entries: int) -> None:
+        """Count a peer that already holds all that is waiting."""
+        self._count(list(self._pending.values()), entries)
+
+    def _count(self, sent: list[_Pending], entries: int) -> None:
+        limit = TRANSMISSIONS_PER_LOG * math.ceil(math.log10(entries + 1) or 1)
+        for item in sent:
+            item.transmissions += 1
+            if item.transmissions >= limit:
+                del self._pending[item.record.host]
--- a/packages/cassiashift-core/cassiashift_core/membership/member.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/member.py
@@ -220,6 +220,10 @@
     def _(
         self, message: messages.SyncDigest, sender: str, now: float
     ) -> list[events.Effect]:
+        if self._synchroniser.agrees(message):
+            entries = len(self.rows.usable(records.Kind.ENTRY))
+            self._broadcasts.confirm(entries)
+            return []
         return self._synchroniser.on_digest(message, sender)
 
     @_receive.register
--- a/packages/cassiashift-core/cassiashift_core/membership/synchroniser.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/synchroniser.py
@@ -32,6 +32,10 @@
         digest = messages.SyncDigest(self.rows.digest())
         return [events.Send(self.rng.choice(peers), digest)]
 
+    def agrees(self, digest: messages.SyncDigest) -> bool:
+        """Tell whether a peer has the same rows."""
+        return digest.buckets == self.rows.digest()
+
     def on_digest(
         self, digest: messages.SyncDigest, sender: str
     ) -> list[events.Effect]:
