Measure the spread's cost of a process without children

Cause: the page took it from the intercept of a relay's line and gave an agent a negative processor time. Change: leaves of trees of 64 to 512 agents are measured; a test refuses a load below nothing. Conclusion: the page quotes measured rates only.

--- a/tests/scenarios/test_capacity_page.py
+++ b/tests/scenarios/test_capacity_page.py
@@ -33,3 +33,16 @@
     found = capacity.values(raised)
     for name in ('entry_kb_verdict', 'entry_memory_verdict'):
         assert_that(found[name], matchers.Contains('falls short'))
+
+
+def test_no_load_is_extrapolated_below_nothing():
+    figures = capacity.Figures.read()
+    loads = [
+        capacity.entry_load(figures),
+        capacity.agent_load(figures),
+        capacity.relay_load(figures, capacity.RELAYS),
+        capacity.voter_load(figures),
+    ]
+    for load in loads:
+        lowest = min(load.messages, load.payload, load.cpu_us)
+        assert_that(lowest, matchers.GreaterThan(0.0))
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -123,9 +123,11 @@
 def child_load(figures: Figures) -> Load:
     """Return what the spread costs a process without children.
 
-    It is the part of a relay's rates that its children do not cause.
+    It does not grow with the agents: the largest tree measured is taken.
     """
-    return figures.load_at('spread.relay', 'children', 0)
+    points = figures.series('spread.leaf.cpu', 'agents')['points']
+    largest = max(size for size, _ in points)
+    return figures.load_at('spread.leaf', 'agents', largest)
 
 
 def entry_load(figures: Figures) -> Load:
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -295,15 +295,17 @@
     for name, measured in by_rate.items():
         found.extend(rate_series(f'spread.{name}', 'changes/s', measured))
     daily = CHANGES_PER_DAY / SECONDS_PER_DAY
-    by_children, by_nodes = {}, {}
+    by_children, by_nodes, leaves = {}, {}, {}
     for children in (16, 64, 256, 512):
         tree, net = measure_tree((3, 1, children), daily)
         by_children[children] = net.mean(tree.levels[1], MEASURE_S)
     for nodes in (64, 128, 256, 512):
         tree, net = measure_tree((3, 4, nodes // 16, nodes), daily)
         by_nodes[nodes] = net.mean(tree.levels[0], MEASURE_S)
+        leaves[nodes] = net.mean(tree.levels[3], MEASURE_S)
     found.extend(rate_series('spread.relay', 'children', by_children))
     found.extend(rate_series('spread.control', 'agents', by_nodes))
+    found.extend(rate_series('spread.leaf', 'agents', leaves))
     return found
 
 
