Test failures over real processes: restarts, kills, freezes, doubt

Cause: the promises were shown over real processes for the undisturbed path only. Change: six tests with load: a rolling restart of every process in turn, a killed leader, a leader frozen while another one decides, kill -9 of all after twenty changes, a booking whose agents die, a caller who leaves.

--- /dev/null
+++ b/tests/process/test_failures.py
@@ -0,0 +1,196 @@
+"""Tests of failures over real processes."""
+
+import asyncio
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from tests.process import conftest
+from tools.demo import load
+from tools.demo import promises
+
+pytestmark = pytest.mark.process
+
+CALLERS = 6
+ENTRY_HOSTS = list(conftest.ENTRIES)
+
+
+class RunningLoad:
+    """Callers that call while a test disturbs the deployment."""
+
+    def __init__(self, deployment):
+        """Prepare callers of the workspace."""
+        self.deployment = deployment
+        self.callers = load.Load(
+            session=deployment.session,
+            entries=deployment.cluster.entry_urls(),
+            workspaces=[conftest.WORKSPACE],
+            model='drafting',
+            service='warehouse',
+            rng=random.Random(3),
+            key_pattern='{}-key',
+        )
+
+    async def __aenter__(self):
+        """Start calling."""
+        self.task = asyncio.ensure_future(self.callers.run(CALLERS))
+        return self
+
+    async def __aexit__(self, *exc_info):
+        """Let every call end."""
+        self.callers.stop()
+        await self.task
+
+    async def wait_for_calls(self, count):
+        """Return once so many more calls have been answered."""
+        wanted = len(self.callers.done) + count
+        while len(self.callers.done) < wanted:
+            await asyncio.sleep(0.01)
+
+    def broken(self):
+        """Return the broken promises in words."""
+        record = self.deployment.cluster.record()
+        return promises.examine(self.callers.done, record, 0.0).broken
+
+
+async def wait_ended(cluster, name):
+    while cluster.daemons[name].is_running():
+        await asyncio.sleep(0.02)
+
+
+async def wait_leader(operator, other_than=''):
+    while True:
+        for url in operator.cluster.entry_urls():
+            _, status = await operator.request('GET', 'status', url)
+            leader = status.get('leader')
+            if status.get('role') == 'leader' and leader != other_than:
+                return leader
+        await asyncio.sleep(0.05)
+
+
+async def test_rolling_restart_cuts_nothing_off(deployment):
+    cluster, operator = deployment.cluster, deployment.operator
+    upstreams = [item['id'] for item in deployment.manifest['upstreams']]
+    async with RunningLoad(deployment) as running:
+        for name in cluster.daemons:
+            await running.wait_for_calls(5)
+            cluster.terminate(name)
+            await wait_ended(cluster, name)
+            cluster.start(name)
+            await operator.wait_in_force(deployment.revision)
+            await operator.wait_healthy(upstreams)
+    done = running.callers.done
+    lost = [item for item in done if item.reply.verdict != 'ran']
+    cut = [item for item in done if item.reply.cut]
+    assert_that(lost, matchers.Equals([]))
+    assert_that(cut, matchers.Equals([]))
+    assert_that(running.broken(), matchers.Equals([]))
+
+
+async def test_killed_leader_loses_no_promise(deployment):
+    cluster, operator = deployment.cluster, deployment.operator
+    async with RunningLoad(deployment) as running:
+        leader = await wait_leader(operator)
+        cluster.kill(leader)
+        await wait_leader(operator, other_than=leader)
+        await running.wait_for_calls(20)
+        cluster.start(leader)
+        await operator.wait_in_force(deployment.revision)
+        await running.wait_for_calls(20)
+    assert_that(running.broken(), matchers.Equals([]))
+
+
+async def test_frozen_leader_changes_nothing_when_it_comes_back(deployment):
+    cluster, operator = deployment.cluster, deployment.operator
+    old = await wait_leader(operator)
+    frozen_url = cluster.url_of(old)
+    cluster.freeze(old)
+    others = [url for url in cluster.entry_urls() if url != frozen_url]
+    status, answer = 0, {}
+    async with asyncio.timeout(30):
+        while status != 200:
+            status, answer = await operator.request(
+                'PUT',
+                'manifest',
+                others[0],
+                json={
+                    'request_id': 'while-frozen',
+                    'expected_revision': deployment.revision,
+                    'manifest': deployment.manifest,
+                },
+            )
+    cluster.thaw(old)
+    late = await operator.request(
+        'PUT',
+        'manifest',
+        frozen_url,
+        json={
+            'request_id': 'late',
+            'expected_revision': deployment.revision,
+            'manifest': deployment.manifest,
+        },
+    )
+    await operator.wait_in_force(answer['revision'])
+    assert_that(late[0], matchers.Not(matchers.Equals(200)))
+    leader = await wait_leader(operator)
+    assert_that(leader, matchers.Not(matchers.Equals(old)))
+
+
+async def test_restart_of_all_brings_back_no_older_state(deployment):
+    cluster, operator = deployment.cluster, deployment.operator
+    caller = deployment.caller()
+    first = await caller.book('warehouse', 'dock-1')
+    revision = deployment.revision
+    for number in range(20):
+        _, answer = await operator.apply(
+            deployment.manifest, revision, f'change-{number}'
+        )
+        revision = answer['revision']
+    for name in list(cluster.daemons):
+        cluster.kill(name)
+    cluster.start_all()
+    await operator.wait_in_force(revision)
+    await operator.wait_healthy(['warehouse-1'])
+    again = await deployment.caller().book('warehouse', 'dock-1')
+    resent = await operator.apply(deployment.manifest, 0, 'change-19')
+    assert_that(again.body, matchers.Equals(first.body))
+    assert_that(resent, matchers.Equals((200, {'revision': revision})))
+    assert_that(cluster.record().booked['dock-1'], matchers.Equals(1))
+
+
+async def test_booking_in_doubt_is_never_run_again(deployment):
+    cluster = deployment.cluster
+    for name in ('warehouse-1', 'warehouse-2'):
+        cluster.standins[name].answer_s = 3.0
+    caller = deployment.caller()
+    booking = asyncio.ensure_future(caller.book('warehouse', 'dock-2'))
+    while not cluster.record().booked:
+        await asyncio.sleep(0.01)
+    for name in ('runner-3', 'runner-4'):
+        cluster.kill(name)
+    reply = await booking
+    for name in ('runner-3', 'runner-4'):
+        cluster.start(name)
+    await deployment.operator.wait_healthy(['warehouse-1', 'warehouse-2'])
+    again = await deployment.caller().book('warehouse', 'dock-2')
+    assert_that(reply.verdict, matchers.Equals('may_have_run'))
+    assert_that(again.verdict, matchers.Equals('may_have_run'))
+    assert_that(again.code, matchers.Equals('outcome_unknown'))
+    assert_that(cluster.record().booked, matchers.Equals({'dock-2': 1}))
+
+
+async def test_cancellation_reaches_the_engine(deployment):
+    cluster = deployment.cluster
+    for name in ('drafting-1', 'drafting-2'):
+        cluster.standins[name].token_gap_s = 0.05
+    caller = deployment.caller()
+    draft = asyncio.ensure_future(caller.draft('drafting', 'long', 400))
+    while not cluster.record().ran:
+        await asyncio.sleep(0.01)
+    draft.cancel()
+    async with asyncio.timeout(30):
+        while not cluster.record().cut:
+            await asyncio.sleep(0.01)
+    assert_that(len(cluster.record().cut), matchers.Equals(1))
--- a/tools/cluster/caller.py
+++ b/tools/cluster/caller.py
@@ -20,6 +20,7 @@
     Attributes:
         verdict: over all tries: ``ran``, ``not_run``, ``may_have_run``.
         whole: the answer came whole and was the caller's own.
+        cut: tries that ended in doubt before the last one.
         tries: requests sent for this call.
     """
 
@@ -29,6 +30,7 @@
     code: str = ''
     body: bytes = b''
     tries: int = 0
+    cut: int = 0
     seconds: float = 0.0
 
 
@@ -90,7 +92,6 @@
     ) -> Reply:
         began = time.monotonic()
         reply = Reply()
-        doubtful = False
         while time.monotonic() - began < CALL_TIMEOUT_S:
             addresses = await self._directory()
             address = addresses[reply.tries % len(addresses)]
@@ -99,12 +100,12 @@
             if reply.verdict == 'ran':
                 reply.whole = is_own(reply)
                 break
-            doubtful = doubtful or reply.verdict == 'may_have_run'
+            reply.cut += reply.verdict == 'may_have_run'
             if reply.code == OUTCOME_UNKNOWN:
                 break
             self._expires_at = 0.0
             await asyncio.sleep(RETRY_PAUSE_S)
-        if reply.verdict != 'ran' and doubtful:
+        if reply.verdict != 'ran' and reply.cut:
             reply.verdict = 'may_have_run'
         reply.seconds = time.monotonic() - began
         return reply
--- a/tools/demo/load.py
+++ b/tools/demo/load.py
@@ -27,7 +27,11 @@
 
 @attrs.define(eq=False)
 class Load:
-    """Callers of several workspaces that call one after another."""
+    """Callers of several workspaces that call one after another.
+
+    Attributes:
+        key_pattern: makes the key of a workspace from its id.
+    """
 
     session: aiohttp.ClientSession
     entries: list[str]
@@ -35,6 +39,7 @@
     model: str
     service: str
     rng: random.Random
+    key_pattern: str = '{}-example-key'
     done: list[Done] = attrs.field(factory=list)
     _stopped: bool = False
 
@@ -50,7 +55,7 @@
 
     async def _call_until_stopped(self, number: int) -> None:
         workspace = self.workspaces[number % len(self.workspaces)]
-        key = f'{workspace}-example-key'
+        key = self.key_pattern.format(workspace)
         caller = Caller(self.session, workspace, key, self.entries)
         count = 0
         while not self._stopped:
