Refuse a voter that went back behind its acknowledgements

Cause: a voter that came back with an old copy of its folder has the right identity; it helped to elect a leader without committed entries. Change: the leader notices a refusal of an index in answer to an append sent after the acknowledgement of that index, counts the voter no more and sends it to the refused role.

--- a/packages/cassiashift-core/cassiashift_core/consensus/leader.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/leader.py
@@ -101,9 +101,10 @@
         if peer is None:
             return
         if msg.success:
-            peer.acknowledge(msg.index)
+            peer.acknowledge(msg.index, self.rounds.current)
         else:
-            peer.reject(msg.index, self._next_after_reject(msg))
+            following = self._next_after_reject(msg)
+            peer.reject(msg.index, following, msg.round)
         self.advance()
         if self._replica.leading is self and sender in self.peers:
             self._send_entries(peer)
@@ -196,6 +197,8 @@
             return None
         if peer.incarnation != msg.incarnation:
             peer.restart(msg.incarnation)
+        if peer.has_lost_entries:
+            return None
         self.rounds.answer(sender, msg.round)
         return peer
 
@@ -207,6 +210,9 @@
         return found + 1 if found else msg.hint_index
 
     def _beat(self, peer: progress.Progress) -> None:
+        if peer.has_lost_entries:
+            self._refuse(peer)
+            return
         if peer.snapshot is not None:
             self._send_chunk(peer)
             return
@@ -255,6 +261,13 @@
         )
         replica.outbox.send(peer.host, msg)
 
+    def _refuse(self, peer: progress.Progress) -> None:
+        replica = self._replica
+        refused = messages.IdentityRefused(
+            replica.term, peer.incarnation, has_lost_entries=True
+        )
+        replica.outbox.send(peer.host, refused)
+
     def _send_chunk(self, peer: progress.Progress) -> None:
         replica = self._replica
         chunk = progress.chunk_of(
--- a/packages/cassiashift-core/cassiashift_core/consensus/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/messages.py
@@ -101,10 +101,17 @@
 
 @attrs.frozen
 class IdentityRefused:
-    """Tell a host that the voter set knows it with another data folder."""
+    """Tell a host that its data folder must not vote.
+
+    Attributes:
+        incarnation: the folder that the voter set knows.
+        has_lost_entries: it is that folder, but the leader has seen it
+            lose entries that it had acknowledged.
+    """
 
     term: int
     incarnation: str
+    has_lost_entries: bool = False
 
 
 Message = (
--- a/packages/cassiashift-core/cassiashift_core/consensus/progress.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/progress.py
@@ -20,6 +20,8 @@
         probing: the point where the logs meet is not known; one append at
             a time is sent.
         paused: the probe waits for its answer.
+        match_round: the leader's round when ``match`` was last acknowledged.
+        has_lost_entries: the follower went back behind ``match``.
         snapshot: the snapshot being sent, from byte ``offset`` on.
     """
 
@@ -30,11 +32,15 @@
     inflight: collections.deque = attrs.field(factory=collections.deque)
     probing: bool = True
     paused: bool = False
+    match_round: int = 0
+    has_lost_entries: bool = False
     snapshot: records.Snapshot | None = None
     offset: int = 0
 
     def may_send(self, max_inflight: int) -> bool:
         """Tell whether one more append may be sent now."""
+        if self.has_lost_entries:
+            return False
         if self.probing:
             return not self.paused
         return len(self.inflight) < max_inflight
@@ -47,9 +53,11 @@
         self.next = last_index + 1
         self.inflight.append(last_index)
 
-    def acknowledge(self, index: int) -> None:
+    def acknowledge(self, index: int, current_round: int) -> None:
         """Note that the follower holds and synced entries to an index."""
-        self.match = max(self.match, index)
+        if index > self.match:
+            self.match = index
+            self.match_round = current_round
         self.next = max(self.next, self.match + 1)
         if self.snapshot and index >= self.snapshot.index:
             self.snapshot = None
@@ -58,9 +66,15 @@
         while self.inflight and self.inflight[0] <= index:
             self.inflight.popleft()
 
-    def reject(self, prev_index: int, next_index: int) -> None:
-        """Go back after the follower refused a previous index."""
+    def reject(self, prev_index: int, next_index: int, number: int) -> None:
+        """Go back after the follower refused a previous index.
+
+        The append was sent in round ``number``. If that was after the
+        acknowledgement of the index, the follower has lost entries.
+        """
         if prev_index <= self.match:
+            is_later = number > self.match_round
+            self.has_lost_entries |= prev_index > 0 and is_later
             return
         self.next = max(self.match + 1, min(prev_index, next_index))
         self.probing = True
@@ -78,6 +92,8 @@
         """Forget everything about a follower with another data folder."""
         self.incarnation = incarnation
         self.match = 0
+        self.match_round = 0
+        self.has_lost_entries = False
         self.snapshot = None
         self.probing = True
         self.paused = False
--- a/packages/cassiashift-core/cassiashift_core/consensus/replica.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/replica.py
@@ -170,7 +170,11 @@
 
     @_receive.register
     def _(self, message: messages.IdentityRefused, sender: str) -> None:
-        if not self.is_bound_here():
+        if message.has_lost_entries:
+            is_refused = message.term >= self.term
+        else:
+            is_refused = not self.is_bound_here()
+        if is_refused:
             self.identity_refused()
 
     # Private parts.
--- a/tests/core/consensus/scenarios.py
+++ b/tests/core/consensus/scenarios.py
@@ -1,5 +1,6 @@
 """Scripted faults; each raises checks.Violation if a promise breaks."""
 
+import copy
 import random
 
 from cassiashift_core import consensus
@@ -38,6 +39,27 @@
     return cluster
 
 
+def voter_back_with_an_older_folder():
+    """A voter with an old copy of its folder helps to elect nobody."""
+    cluster = elected()
+    leading = cluster.leader().host
+    first, second = followers(cluster)
+    old = copy.copy(cluster.nodes[first].disk)
+    old.entries = list(old.entries)
+    cluster.crash(second)
+    cluster.propose(5)
+    cluster.settle([leading, first])
+    cluster.crash(first)
+    cluster.nodes[first].disk = old
+    cluster.start(first)
+    cluster.run(0.9)
+    cluster.crash(leading)
+    cluster.start(second)
+    cluster.run(30)
+    checks.demand(cluster.leader() is None, 'an older folder elects')
+    return cluster
+
+
 def emptied_before_the_first_entry_arrived():
     """A new voter and an emptied one do not found a second log."""
     cluster = clusters.Cluster(3)
--- a/tests/core/consensus/test_planted_faults.py
+++ b/tests/core/consensus/test_planted_faults.py
@@ -12,6 +12,7 @@
 from cassiashift_core.consensus import leader
 from cassiashift_core.consensus import log
 from cassiashift_core.consensus import outbox
+from cassiashift_core.consensus import progress
 from cassiashift_core.consensus import reads
 from cassiashift_core.consensus import records
 from cassiashift_core.consensus import state
@@ -152,6 +153,13 @@
         'leads without the committed entry',
         scenarios.voter_back_with_emptied_folder,
     ),
+    'go on with a voter that went back': Fault(
+        progress.Progress,
+        'has_lost_entries',
+        property(lambda self: False, lambda self, value: None),
+        'leads without the committed entry',
+        scenarios.voter_back_with_an_older_folder,
+    ),
     'found a log by a majority': Fault(
         records.VoterSet,
         'votes_needed',
--- a/tests/core/consensus/test_scenarios.py
+++ b/tests/core/consensus/test_scenarios.py
@@ -62,11 +62,19 @@
     )
 
 
+def test_voter_with_an_old_copy_of_its_folder_is_refused():
+    cluster = scenarios.voter_back_with_an_older_folder()
+    roles = [
+        node.replica.role for node in cluster.nodes.values() if node.is_up
+    ]
+    assert_that(roles, matchers.Contains(consensus.Role.REFUSED))
+
+
 def test_emptied_voter_founds_no_second_log():
     scenarios.emptied_before_the_first_entry_arrived()
 
 
-def test_voter_with_an_older_folder_catches_up():
+def test_voter_that_was_down_for_long_catches_up():
     cluster = scenarios.elected()
     host = scenarios.followers(cluster)[0]
     cluster.crash(host)
