Count no acknowledgement of a voter that went back

Cause: its last acknowledged index still counted for entries that were not committed yet. Change: the index is dropped with the voter.

--- a/packages/cassiashift-core/cassiashift_core/consensus/progress.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/progress.py
@@ -73,8 +73,9 @@
         acknowledgement of the index, the follower has lost entries.
         """
         if prev_index <= self.match:
-            is_later = number > self.match_round
-            self.has_lost_entries |= prev_index > 0 and is_later
+            if prev_index > 0 and number > self.match_round:
+                self.has_lost_entries = True
+                self.match = 0
             return
         self.next = max(self.match + 1, min(prev_index, next_index))
         self.probing = True
--- a/tests/core/consensus/test_planted_faults.py
+++ b/tests/core/consensus/test_planted_faults.py
@@ -59,6 +59,14 @@
     self._pending.append(reads.PendingRead(token, 0, index))
 
 
+real_reject = progress.Progress.reject
+
+
+def reject_and_overlook(self, prev_index, next_index, number):
+    if prev_index > self.match:
+        real_reject(self, prev_index, next_index, number)
+
+
 real_appoint = leader.Leader.appoint
 
 
@@ -155,8 +163,8 @@
     ),
     'go on with a voter that went back': Fault(
         progress.Progress,
-        'has_lost_entries',
-        property(lambda self: False, lambda self, value: None),
+        'reject',
+        reject_and_overlook,
         'leads without the committed entry',
         scenarios.voter_back_with_an_older_folder,
     ),
