--- a/packages/cassiashift-core/cassiashift_core/consensus/replica.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/replica.py
@@ -203,6 +203,8 @@
 
     def _deliver(self, released) -> None:
         for item in released:
+            if item.message.term < self.term:
+                continue
             if item.receiver == self.host:
                 self._dispatch_message(item.message, self.host)
             else:
--- a/tests/core/consensus/test_follower.py
+++ b/tests/core/consensus/test_follower.py
@@ -64,6 +64,27 @@
     assert_that(effects, matchers.Contains(consensus.Send('b', reply)))
 
 
+def test_vote_that_became_durable_too_late_is_not_sent():
+    replica = follower()
+    replica.handle(consensus.Tick(), 1.0)
+    for number in range(1, 30):
+        replica.handle(consensus.Tick(), 1.0 + number * 0.05)
+    now = 1.0 + 29 * 0.05
+    effects = []
+    for term, sender in ((4, 'b'), (5, 'c')):
+        request = consensus.VoteRequest(term, 9, 1, 'j')
+        effects += replica.handle(consensus.Received(sender, request), now)
+    effects += replica.handle(consensus.Synced(replica.outbox.sequence), now)
+    replies = [
+        item
+        for item in effects
+        if isinstance(item, consensus.Send)
+        and isinstance(item.message, consensus.VoteReply)
+    ]
+    reply = consensus.VoteReply(5, 5, True, 'i')
+    assert_that(replies, matchers.Equals([consensus.Send('c', reply)]))
+
+
 def test_acknowledgement_waits_for_the_sync():
     replica = follower()
     append = consensus.AppendEntries(1, 1, 0, 0, 0, (consensus.Entry(1, 1),))
