--- a/tests/core/consensus/test_planted_faults.py
+++ b/tests/core/consensus/test_planted_faults.py
@@ -12,6 +12,7 @@
 from cassiashift_core.consensus import leader
 from cassiashift_core.consensus import log
 from cassiashift_core.consensus import outbox
+from cassiashift_core.consensus import progress
 from cassiashift_core.consensus import reads
 from cassiashift_core.consensus import records
 from cassiashift_core.consensus import state
@@ -58,6 +59,14 @@
     self._pending.append(reads.PendingRead(token, 0, index))
 
 
+real_reject = progress.Progress.reject
+
+
+def reject_and_overlook(self, prev_index, next_index, number):
+    if prev_index > self.match:
+        real_reject(self, prev_index, next_index, number)
+
+
 real_appoint = leader.Leader.appoint
 
 
@@ -152,6 +161,13 @@
         'leads without the committed entry',
         scenarios.voter_back_with_emptied_folder,
     ),
+    'go on with a voter that went back': Fault(
+        progress.Progress,
+        'reject',
+        reject_and_overlook,
+        'leads without the committed entry',
+        scenarios.voter_back_with_an_older_folder,
+    ),
     'found a log by a majority': Fault(
         records.VoterSet,
         'votes_needed',
