--- a/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
@@ -1,6 +1,5 @@
 """Runs one policy through one scenario, event by event."""
 
-from collections.abc import Callable
 import functools
 import heapq
 import random
@@ -11,6 +10,7 @@
 from cassiashift_core import directory
 from cassiashift_core.experiment import engine as engines
 from cassiashift_core.experiment import entry as entries
+from cassiashift_core.experiment import feeds
 from cassiashift_core.experiment import model
 from cassiashift_core import manifest
 from cassiashift_core import retries
@@ -18,15 +18,12 @@
 
 TICK_S = 0.05
 NETWORK_S = 0.001
-EVENT_PERIOD_S = 0.2
 SLOTS_PERIOD_S = 0.5
 SHARES_PERIOD_S = 1.0
-RESYNC_S = 1.0
 DRAIN_S = 20.0
 SLOWDOWN = 10.0
 LOST_PART = 3
 ENTRY_RATE = 40.0
-Action = Callable[[float], None]
 
 
 @attrs.define(eq=False)
@@ -41,11 +38,9 @@
     granter: admission.ShareGranter = attrs.field(
         factory=lambda: admission.ShareGranter(-admission.LEASE_S)
     )
-    _queue: list[tuple[float, int, Action]] = attrs.field(factory=list)
+    _queue: list[tuple[float, int, feeds.Action]] = attrs.field(factory=list)
     _numbers: int = 0
     _owners: dict[str, entries.Entry] = attrs.field(factory=dict)
-    _sequences: dict[str, int] = attrs.field(factory=dict)
-    _resyncs: set[tuple[str, str]] = attrs.field(factory=set)
 
     @classmethod
     def create(
@@ -82,14 +77,14 @@
             self._at(0.0, functools.partial(self._tick, owner))
             renew = functools.partial(self._renew_shares, owner)
             self._at(SHARES_PERIOD_S, renew)
-        for index, engine in enumerate(self.engines.values()):
-            offset = index / len(self.engines)
-            period = self.cfg.engine.report_period_s
-            self._at(offset * period, functools.partial(self._report, engine))
-            self._at(
-                offset * EVENT_PERIOD_S,
-                functools.partial(self._cache_event, engine),
-            )
+        feeds.Feeds(
+            self.cfg.engine,
+            self.scenario.report_lag_s,
+            self.engines,
+            self.entries,
+            self.rng,
+            self._at,
+        ).start()
         self._plan_fault()
         self._at(self.cfg.warm_up_s, self._forget_warm_up)
         end = self.cfg.duration_s + DRAIN_S
@@ -106,7 +101,7 @@
         arrive = functools.partial(self._arrive, owner, sent)
         self._at(now + NETWORK_S, arrive)
 
-    def _at(self, when: float, action: Action) -> None:
+    def _at(self, when: float, action: feeds.Action) -> None:
         self._numbers += 1
         heapq.heappush(self._queue, (when, self._numbers, action))
 
@@ -228,67 +223,6 @@
             )
             owner.policy.report(report, now)
 
-    def _report(self, engine: engines.Engine, now: float) -> None:
-        if not engine.alive:
-            return
-        report = routing.LoadReport(
-            engine.id, now, len(engine.works), engine.pending_tokens
-        )
-        lag = self.scenario.report_lag_s
-        self._at(now + lag, functools.partial(self._deliver_report, report))
-        period = self.cfg.engine.report_period_s
-        self._at(now + period, functools.partial(self._report, engine))
-
-    def _deliver_report(self, report: routing.LoadReport, now: float) -> None:
-        for owner in self.entries:
-            owner.policy.report(report, now)
-
-    def _cache_event(self, engine: engines.Engine, now: float) -> None:
-        if not engine.alive:
-            return
-        again = functools.partial(self._cache_event, engine)
-        self._at(now + EVENT_PERIOD_S, again)
-        if not engine.stored and not engine.evicted:
-            return
-        sequence = self._sequences.get(engine.id, -1) + 1
-        self._sequences[engine.id] = sequence
-        event = routing.CacheEvent(
-            engine.id, 0, sequence, tuple(engine.stored), tuple(engine.evicted)
-        )
-        engine.stored.clear()
-        engine.evicted.clear()
-        if self.rng.random() < self.cfg.engine.event_loss:
-            return
-        deliver = functools.partial(self._deliver_cache_event, event)
-        self._at(now + self.cfg.engine.event_lag_s, deliver)
-
-    def _deliver_cache_event(
-        self, event: routing.CacheEvent, now: float
-    ) -> None:
-        for owner in self.entries:
-            wanted = owner.policy.cache_event(event, now)
-            key = (owner.id, event.upstream_id)
-            if wanted is not None and key not in self._resyncs:
-                self._resyncs.add(key)
-                resync = functools.partial(self._resync, owner, event)
-                self._at(now + RESYNC_S, resync)
-
-    def _resync(
-        self, owner: entries.Entry, event: routing.CacheEvent, now: float
-    ) -> None:
-        self._resyncs.discard((owner.id, event.upstream_id))
-        engine = self.engines[event.upstream_id]
-        if not engine.alive:
-            return
-        snapshot = routing.CacheEvent(
-            engine.id,
-            0,
-            self._sequences[engine.id],
-            engine.cached_blocks(),
-            snapshot=True,
-        )
-        owner.policy.cache_event(snapshot, now)
-
     def _plan_fault(self) -> None:
         if self.scenario.fault == 'slow':
             self._at(self.scenario.fault_at_s, self._slow_one)
