Keep limits over entries to whole calls and say when they bind

Cause: each entry let in one call of a workspace however small its share, so a small limit on concurrency was exceeded with several entries; a call that its own limit held back was told that the system was overloaded. Change: a fraction of a call allows none, and is refused at once; calls that expire under their own limit get LIMIT_EXCEEDED; WorkspaceLimits.for_share makes the part of an entry from the manifest's limits. Result: tests hold limits of 1, 3 and 10 calls over three entries. Conclusion: a limit below the number of entries works only through leases.

--- a/packages/cassiashift-core/cassiashift_core/admission/gate.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/gate.py
@@ -15,11 +15,10 @@
 from cassiashift_core.admission import limits
 from cassiashift_core.admission import model
 from cassiashift_core.admission import pools
+from cassiashift_core.admission import refusals
 from cassiashift_core import errors
-from cassiashift_core import hashing
 
 ErrorCode = errors.ErrorCode
-_HASH_SPAN = 2.0**64
 
 
 @attrs.define
@@ -104,7 +103,9 @@
         if refused is not None:
             return refused
         if self._too_large(req):
-            return self._refusal(req, ErrorCode.OVERLOADED, wait, 'too large')
+            return refusals.build(
+                self.cfg, req, ErrorCode.OVERLOADED, wait, 'too large'
+            )
         pool.queue.push(fair_queue.Waiting(req, now), meter.limits.weight)
         evicted = self._push_out()
         for refusal in evicted:
@@ -213,13 +214,16 @@
             return False
         return meter.may_start(now)
 
-    @staticmethod
     def _limit_wait(
+        self,
         pool: pools.Pool,
         meter: limits.WorkspaceMeter,
         req: model.AdmissionRequest,
         now: float,
     ) -> float:
+        """Return the wait that the workspace's own limits ask for."""
+        if not meter.allows_any:
+            return self.cfg.max_wait_s + self.cfg.min_retry_after_s
         wait = meter.wait_s(now)
         ahead = pool.queue.tokens_waiting(req.workspace)
         rate = meter.limits.tokens_per_second
@@ -235,14 +239,16 @@
         deadline = math.inf if req.deadline is None else req.deadline
         if now + wait + req.service_s > deadline:
             code = ErrorCode.DEADLINE_EXCEEDED
-            return self._refusal(req, code, wait, 'cannot meet the deadline')
+            return refusals.build(
+                self.cfg, req, code, wait, 'cannot meet the deadline'
+            )
         max_wait_s = self._pool(req.pool).max_wait_s(self.cfg)
         if limit_wait > max_wait_s:
             code = ErrorCode.LIMIT_EXCEEDED
-            return self._refusal(req, code, wait, 'workspace limit')
+            return refusals.build(self.cfg, req, code, wait, 'workspace limit')
         if wait > max_wait_s:
             code = ErrorCode.OVERLOADED
-            return self._refusal(req, code, wait, 'queue too long')
+            return refusals.build(self.cfg, req, code, wait, 'queue too long')
         return None
 
     def _too_large(self, req: model.AdmissionRequest) -> bool:
@@ -260,8 +266,12 @@
             waiting = largest.queue.drop_last(workspace)
             wait = largest.wait_s(waiting.req)
             evicted.append(
-                self._refusal(
-                    waiting.req, ErrorCode.OVERLOADED, wait, 'queue full'
+                refusals.build(
+                    self.cfg,
+                    waiting.req,
+                    ErrorCode.OVERLOADED,
+                    wait,
+                    'queue full',
                 )
             )
         return tuple(evicted)
@@ -310,19 +320,12 @@
     ) -> model.Refused:
         req = waiting.req
         late = req.deadline is not None and now + req.service_s > req.deadline
-        code = ErrorCode.DEADLINE_EXCEEDED if late else ErrorCode.OVERLOADED
-        return self._refusal(req, code, pool.wait_s(req), 'waited too long')
-
-    def _refusal(
-        self,
-        req: model.AdmissionRequest,
-        code: ErrorCode,
-        wait: float,
-        reason: str,
-    ) -> model.Refused:
-        cfg = self.cfg
-        spread = hashing.stable_hash(req.request_id) / _HASH_SPAN
-        base = max(cfg.min_retry_after_s, wait)
-        after = base * (1 + cfg.retry_jitter * spread)
-        after = min(after, cfg.max_retry_after_s)
-        return model.Refused(req.request_id, code, after, reason)
+        if late:
+            code = ErrorCode.DEADLINE_EXCEEDED
+        elif not self._meter(req.workspace).may_start(now):
+            code = ErrorCode.LIMIT_EXCEEDED
+        else:
+            code = ErrorCode.OVERLOADED
+        return refusals.build(
+            self.cfg, req, code, pool.wait_s(req), 'waited too long'
+        )
--- a/packages/cassiashift-core/cassiashift_core/admission/limits.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/limits.py
@@ -6,6 +6,8 @@
 
 from cassiashift_core.admission import model
 
+ROUNDING = 1e-9
+
 
 @attrs.define
 class TokenBucket:
@@ -88,10 +90,16 @@
         """Return the seconds until the rates allow a call."""
         return max(self._requests.wait_s(now), self._tokens.wait_s(now))
 
+    @property
+    def allows_any(self) -> bool:
+        """Tell whether the concurrency allows a call at all."""
+        return self.limits.concurrency + ROUNDING >= 1
+
     def may_start(self, now: float) -> bool:
         """Tell whether rates and concurrency allow a call now."""
-        at_most = max(1.0, self.limits.concurrency)
-        return self.in_flight < at_most and self.wait_s(now) <= 0
+        if self.in_flight + 1 > self.limits.concurrency + ROUNDING:
+            return False
+        return self.wait_s(now) <= 0
 
     def start(self, tokens: float, now: float) -> None:
         """Count the start of a call."""
--- a/packages/cassiashift-core/cassiashift_core/admission/model.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/model.py
@@ -1,8 +1,11 @@
 """Data classes of admission."""
 
+from typing import Self
+
 import attrs
 
 from cassiashift_core import errors
+from cassiashift_core import manifest
 from cassiashift_core import verdicts
 
 
@@ -44,7 +47,8 @@
         weight: share of a pool relative to other workspaces.
         requests_per_second: rate of admitted calls.
         tokens_per_second: rate of prompt and output tokens.
-        concurrency: calls in progress.
+        concurrency: calls in progress; a fraction allows none, so that
+            the shares of all entries together keep to the limit.
         burst_s: seconds of the rates that may be used at once.
     """
 
@@ -54,6 +58,24 @@
     concurrency: float = float('inf')
     burst_s: float = 1.0
 
+    @classmethod
+    def for_share(
+        cls, limits: manifest.Limits, weight: float, share: float
+    ) -> Self:
+        """Return the part of a manifest's limits that an entry may use.
+
+        Args:
+            limits: the limits of the workspace over all entries.
+            weight: the weight of the workspace.
+            share: what ``ShareHolder.share`` gives, from 0 to 1.
+        """
+        return cls(
+            weight=weight * share,
+            requests_per_second=limits.requests_per_second * share,
+            tokens_per_second=limits.tokens_per_second * share,
+            concurrency=limits.concurrency * share,
+        )
+
 
 @attrs.frozen
 class AdmissionRequest:
--- a/tests/core/admission/test_gate.py
+++ b/tests/core/admission/test_gate.py
@@ -154,6 +154,23 @@
     assert_that(started(found), matchers.Equals(['r2']))
 
 
+def test_call_held_back_by_its_own_limit_is_told_so(gate):
+    limits = admission.WorkspaceLimits(concurrency=1)
+    gate.set_limits('w1', limits, 0.0)
+    gate.offer(request('r1'), 0.0)
+    gate.offer(request('r2'), 0.0)
+    refused = gate.expire(2.0)
+    assert_that(refused[0].code, matchers.Is(ErrorCode.LIMIT_EXCEEDED))
+
+
+def test_entry_without_a_whole_call_of_the_limit_refuses_at_once(gate):
+    limits = admission.WorkspaceLimits(concurrency=0.4)
+    gate.set_limits('w1', limits, 0.0)
+    found = gate.offer(request('r1'), 0.0)
+    assert_that(found.code, matchers.Is(ErrorCode.LIMIT_EXCEEDED))
+    assert_that(found.retry_after_s, matchers.LessThan(5.0))
+
+
 def test_cancelled_call_leaves_the_queue(gate):
     fill(gate)
     gate.offer(request('r1'), 0.0)
--- a/tests/core/admission/test_shares.py
+++ b/tests/core/admission/test_shares.py
@@ -7,6 +7,7 @@
 from testtools import matchers
 
 from cassiashift_core import admission
+from cassiashift_core import manifest
 
 ENTRIES = 5
 
@@ -58,3 +59,25 @@
     summary = admission.DemandSummary('e1', 'w1', 5.0)
     assert_that(granter.request(summary, 11.0).share, matchers.Equals(0.0))
     assert_that(granter.request(summary, 13.0).share, matchers.Equals(1.0))
+
+
+@pytest.mark.parametrize('concurrency', [1, 3, 10])
+def test_concurrency_holds_over_all_entries(concurrency):
+    limits = manifest.Limits(concurrency=concurrency)
+    granter = admission.ShareGranter(started_at=-10.0)
+    gates = []
+    for index in range(3):
+        holder = admission.ShareHolder(3)
+        summary = admission.DemandSummary(f'e{index}', 'w1', 50.0)
+        holder.granted(granter.request(summary, 0.0))
+        part = admission.WorkspaceLimits.for_share(
+            limits, 1.0, holder.share('w1', 0.0)
+        )
+        gate = admission.Admission.from_config()
+        gate.set_limits('w1', part, 0.0)
+        gates.append(gate)
+    for number in range(60):
+        req = admission.AdmissionRequest(f'r{number}', 'w1', 'm@1')
+        gates[number % 3].offer(req, 0.0)
+    total = sum(gate.in_flight for gate in gates)
+    assert_that(total <= concurrency, matchers.Equals(True))
