Bound the cost of a choice and of a directory answer

Cause: a choice passed over the whole pool and a directory answer over all entries; the kept rankings of 1,000 entries for 23,000 workspaces would take more than 150 MB. Change: a choice looks at the aperture only and widens it where too few can be used; the directory keeps the first 32 entries of 4,096 rankings.

--- a/packages/cassiashift-core/cassiashift_core/directory/answers.py
+++ b/packages/cassiashift-core/cassiashift_core/directory/answers.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Iterable
 import heapq
+import itertools
 import math
 import random
 from typing import Any
@@ -21,6 +22,8 @@
 from cassiashift_core.directory import model
 from cassiashift_core import hashing
 
+ANY_DATA_CENTRE = ''
+
 
 @attrs.define
 class Directory:
@@ -33,7 +36,12 @@
     )
     _overloaded: set[str] = attrs.field(factory=set, init=False)
     _demands: dict[str, float] = attrs.field(factory=dict, init=False)
-    _rankings: dict[str, list[str]] = attrs.field(factory=dict, init=False)
+    _by_data_centre: dict[str, list[str]] = attrs.field(
+        factory=dict, init=False
+    )
+    _rankings: dict[tuple[str, str], list[str]] = attrs.field(
+        factory=dict, init=False
+    )
     _longest_expiry: float = attrs.field(default=0.0, init=False)
 
     @classmethod
@@ -46,9 +54,15 @@
     ) -> None:
         """Replace what is known of all entries."""
         known = {view.id: view for view in views}
-        if self._names(known) != self._names(self._entries):
+        if self._places(known) != self._places(self._entries):
             self._rankings.clear()
         self._entries = known
+        self._by_data_centre = {ANY_DATA_CENTRE: sorted(known)}
+        for name in sorted(known):
+            place = known[name].data_centre
+            self._by_data_centre.setdefault(place, [])
+            if place != ANY_DATA_CENTRE:
+                self._by_data_centre[place].append(name)
         self._overloaded &= set(known)
         for view in known.values():
             if view.load > self.cfg.overloaded_above:
@@ -71,13 +85,11 @@
         Entries of the caller's data centre are preferred while it has any
         that can be used. The addresses are empty when no entry is alive.
         """
-        usable = self._usable(workspace)
-        local = [
-            name
-            for name in usable
-            if self._entries[name].data_centre == data_centre
-        ]
-        chosen = (local or usable)[: self._width(workspace)]
+        chosen: list[str] = []
+        if data_centre is not None:
+            chosen = self._choose(workspace, data_centre)
+        if not chosen:
+            chosen = self._choose(workspace, ANY_DATA_CENTRE)
         ttl_s = self._ttl_s()
         self._longest_expiry = max(self._longest_expiry, now + ttl_s)
         return model.Answer(
@@ -88,30 +100,56 @@
         """Return the time at which the last answer given expires."""
         return self._longest_expiry
 
-    def _usable(self, workspace: str) -> list[str]:
-        """Return the ranked entries, without those to be avoided."""
-        ranking = self._ranking(workspace)
-        live = [
+    def _choose(self, workspace: str, data_centre: str) -> list[str]:
+        """Return the first entries of the ranking that can be used.
+
+        The whole ranking is looked at only when too few of its first
+        entries can be used.
+        """
+        width = self._width(workspace)
+        ranking = self._ranking(workspace, data_centre)
+        calm = self._calm(ranking, width)
+        candidates = self._candidates(data_centre)
+        if len(calm) == width or len(ranking) == len(candidates):
+            return calm or self._live(ranking, width)
+        ranking = self._rank(workspace, candidates, len(candidates))
+        return self._calm(ranking, width) or self._live(ranking, width)
+
+    def _live(self, ranking: list[str], width: int) -> list[str]:
+        live = (name for name in ranking if self._serves(name))
+        return list(itertools.islice(live, width))
+
+    def _calm(self, ranking: list[str], width: int) -> list[str]:
+        calm = (
             name
             for name in ranking
-            if self._entries[name].alive and not self._entries[name].draining
-        ]
-        calm = [name for name in live if name not in self._overloaded]
-        return calm or live
+            if self._serves(name) and name not in self._overloaded
+        )
+        return list(itertools.islice(calm, width))
 
-    def _ranking(self, workspace: str) -> list[str]:
-        ranking = self._rankings.get(workspace)
+    def _serves(self, name: str) -> bool:
+        view = self._entries[name]
+        return view.alive and not view.draining
+
+    def _ranking(self, workspace: str, data_centre: str) -> list[str]:
+        key = (workspace, data_centre)
+        ranking = self._rankings.get(key)
         if ranking is None:
             if len(self._rankings) >= self.cfg.max_cached:
                 self._rankings.clear()
-            ranking = self._rank(workspace)
-            self._rankings[workspace] = ranking
+            candidates = self._candidates(data_centre)
+            ranking = self._rank(workspace, candidates, self.cfg.kept_ranks)
+            self._rankings[key] = ranking
         return ranking
 
-    def _rank(self, workspace: str) -> list[str]:
+    def _candidates(self, data_centre: str) -> list[str]:
+        return self._by_data_centre.get(data_centre, [])
+
+    @staticmethod
+    def _rank(workspace: str, names: list[str], count: int) -> list[str]:
         return heapq.nlargest(
-            len(self._entries),
-            self._entries,
+            count,
+            names,
             key=lambda name: (hashing.stable_hash(workspace, name), name),
         )
 
@@ -125,5 +163,5 @@
         return self.cfg.ttl_s * (1 + spread)
 
     @staticmethod
-    def _names(views: dict[str, model.EntryView]) -> set[str]:
-        return set(views)
+    def _places(views: dict[str, model.EntryView]) -> dict[str, str]:
+        return {name: view.data_centre for name, view in views.items()}
--- a/packages/cassiashift-core/cassiashift_core/directory/model.py
+++ b/packages/cassiashift-core/cassiashift_core/directory/model.py
@@ -17,6 +17,7 @@
         overloaded_above: load above which an entry gets no new workspace.
         recovered_below: load below which it gets new ones again.
         max_cached: rankings kept for workspaces.
+        kept_ranks: entries kept of a ranking.
     """
 
     addresses: int = 2
@@ -26,7 +27,8 @@
     workspace_share: float = 0.5
     overloaded_above: float = 0.9
     recovered_below: float = 0.7
-    max_cached: int = 32_768
+    max_cached: int = 4096
+    kept_ranks: int = 32
 
     @property
     def max_ttl_s(self) -> float:
--- a/packages/cassiashift-core/cassiashift_core/routing/pools.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/pools.py
@@ -27,14 +27,19 @@
     def check_health(
         self,
         upstreams: dict[str, upstream.UpstreamState],
+        part: aperture.Aperture,
         cfg: model.RoutingConfig,
         now: float,
     ) -> None:
-        """Trip the breakers of stragglers, at most twice a second."""
+        """Trip the breakers of stragglers, at most twice a second.
+
+        Only the entry's part of the pool is looked at.
+        """
         if now - self._checked_at < HEALTH_PERIOD_S:
             return
         self._checked_at = now
-        states = [upstreams[name] for name in self.ring]
+        names = part.select(self.ring, part.width(len(self.ring)))
+        states = [upstreams[name] for name in names]
         slowness = [state.current_slowness(now) for state in states]
         bound = cfg.slow_ratio * max(1.0, statistics.median(slowness))
         gaps = [state.gap_s for state in states if state.gap_s is not None]
--- a/packages/cassiashift-core/cassiashift_core/routing/router.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/router.py
@@ -86,20 +86,22 @@
         pool = self._pools.get(req.pool)
         if pool is None:
             return _refuse_unknown(req.pool)
-        pool.check_health(self._upstreams, self.cfg, now)
-        ring = [
-            name
-            for name in pool.ring
-            if name not in exclude and self._serves(name, req)
-        ]
-        if not ring:
-            return _refuse_unknown(req.pool)
+        pool.check_health(self._upstreams, self._aperture, self.cfg, now)
         scorer = scores.Scorer.create(
             self.cfg, req, self._prefixes, self._upstreams, pool.gap_s
         )
-        width = self._aperture.width(len(ring))
+        width = self._aperture.width(len(pool.ring))
         while True:
-            names = self._aperture.select(ring, width)
+            names = [
+                name
+                for name in self._aperture.select(pool.ring, width)
+                if name not in exclude and self._serves(name, req)
+            ]
+            if 2 * len(names) < self.cfg.aperture and width < len(pool.ring):
+                width = min(len(pool.ring), 2 * width)
+                continue
+            if not names:
+                return _refuse_unknown(req.pool)
             scored = [
                 scorer.score(self._upstreams[name], now)
                 for name in self._probe(names, now) or self._open(names, now)
@@ -108,9 +110,9 @@
                 margin_s = self.cfg.tie_margin_s
                 best = scores.pick(scored, margin_s, self.rng)
                 return self._with_prefill(scorer.choice(best), pool, now)
-            if width == len(ring):
+            if width == len(pool.ring):
                 return _refuse_full(req.pool)
-            width = min(len(ring), 2 * width)
+            width = min(len(pool.ring), 2 * width)
 
     def capacity(self, pool_name: str, now: float) -> int:
         """Return the calls that this entry may have in progress."""
--- a/tests/core/directory/test_directory.py
+++ b/tests/core/directory/test_directory.py
@@ -129,3 +129,15 @@
         assert_that(set(found) <= local, matchers.Equals(True))
     found = entries.answer('w1', 0.0, 'trnava').addresses
     assert_that(found, matchers.HasLength(2))
+
+
+def test_entries_far_down_the_ranking_are_found(views):
+    many = [
+        directory.EntryView(f'e{number}', f'a{number}', alive=number == 77)
+        for number in range(100)
+    ]
+    book = directory.Directory.from_config(None, random.Random(1))
+    book.update_entries(many, 0.0)
+    for name in WORKSPACES[:20]:
+        found = book.answer(name, 0.0).addresses
+        assert_that(found, matchers.Equals(('a77',)))
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -272,6 +272,21 @@
     router.report(routing.LoadReport('gone', 0.0, 3), 0.0)
 
 
+def test_dead_aperture_is_widened():
+    views = [view(f'u{number}') for number in range(200)]
+    router = make_router(views)
+    router.set_entries(3, 50)
+    usual = chosen(router, count=200)
+    assert_that(len(usual), matchers.LessThan(17))
+    changed = [
+        attrs.evolve(item, alive=item.id not in usual) for item in views
+    ]
+    router.update_upstreams(changed, 1.0)
+    found = chosen(router, 1.0)
+    assert_that(found & usual, matchers.Equals(set()))
+    assert_that(len(found), matchers.GreaterThan(7))
+
+
 @pytest.mark.parametrize(('entries', 'upstreams'), [(7, 100), (40, 90)])
 def test_aperture_covers_evenly(entries, upstreams):
     ring = [f'u{number}' for number in range(upstreams)]
