Join the command line to the merged time line and the new state

Cause: the daemon now keeps the manifest as items, surveys hosts on demand and stamps events by a hybrid clock; commands and tests spoke the old forms. Result: tests of cli, daemon and net pass. Conclusion: the administration API should tell requests in progress again.

--- a/packages/cassiashift-cli/cassiashift_cli/deployment_commands.py
+++ b/packages/cassiashift-cli/cassiashift_cli/deployment_commands.py
@@ -1,19 +1,14 @@
 """Commands that look at a running deployment or drain a part of it."""
 
-import asyncio
-import time
 from typing import Any
 import uuid
 
 from cassiashift_cli import client
 from cassiashift_cli import output
 from cassiashift_cli import statuses
-from cassiashift_core import CassiashiftError
-from cassiashift_core import ErrorCode
 from cassiashift_net import administration
 
 STATUS = statuses.ExitStatus
-POLL_INTERVAL_S = 0.2
 
 
 def status(
@@ -62,7 +57,6 @@
         'ANNOUNCED',
         'HEALTHY',
         'DRAINING',
-        'IN FLIGHT',
     )
     rows = [
         (
@@ -71,7 +65,6 @@
             row.announced,
             row.healthy,
             row.draining,
-            row.in_flight,
         )
         for row in answer.upstreams
     ]
@@ -109,7 +102,6 @@
     target: str,
     *,
     undo: bool = False,
-    wait: bool = False,
     request_id: str = '',
     json: bool = False,
     cfg: client.Client = client.DEFAULT_CLIENT,
@@ -122,8 +114,6 @@
         Id of the upstream.
     undo: bool
         Give the upstream work again.
-    wait: bool
-        Wait until the upstream has no request in progress.
     request_id: str
         Id of this change; a fresh one is made if missing.
     json: bool
@@ -134,10 +124,7 @@
     )
 
     async def change(admin: client.AdminClient) -> administration.Revision:
-        result = await admin.post('/drains', administration.Revision, wish)
-        if wait and not undo:
-            await _until_idle(admin, target)
-        return result
+        return await admin.post('/drains', administration.Revision, wish)
 
     result = client.run(cfg, change)
     if json:
@@ -154,22 +141,6 @@
     return STATUS.OK
 
 
-async def _until_idle(admin: client.AdminClient, target: str) -> None:
-    deadline = time.monotonic() + admin.timeout_s
-    while True:
-        answer = await admin.get('/upstreams', administration.Upstreams)
-        row = next((x for x in answer.upstreams if x.id == target), None)
-        if row is None or (row.draining and row.in_flight == 0):
-            return
-        admin.progress.update(f'{row.in_flight} requests in progress')
-        if time.monotonic() + POLL_INTERVAL_S > deadline:
-            raise CassiashiftError(
-                ErrorCode.DEADLINE_EXCEEDED,
-                f'{target} still has {row.in_flight} requests in progress',
-            )
-        await asyncio.sleep(POLL_INTERVAL_S)
-
-
 def _ask(cfg: client.ClientSettings, path: str, cls: type) -> Any:
     async def ask(admin: client.AdminClient) -> Any:
         return await admin.get(path, cls)
--- a/packages/cassiashift-cli/cassiashift_cli/timeline_command.py
+++ b/packages/cassiashift-cli/cassiashift_cli/timeline_command.py
@@ -1,82 +1,124 @@
-"""The command that merges the time lines of the entries."""
+"""The command that merges the time lines of all processes."""
 
 import asyncio
 import datetime
+import pathlib
 
 import attrs
+import msgspec
 
 from cassiashift_cli import client
 from cassiashift_cli import output
 from cassiashift_cli import statuses
+from cassiashift_cli import timeline_page
 from cassiashift_core import CassiashiftError
+from cassiashift_core import ErrorCode
+from cassiashift_core import timeline as events
 from cassiashift_net import administration
 
 STATUS = statuses.ExitStatus
+MICROSECONDS_PER_S = 1_000_000
+MAX_FILE_BYTES = 256 * 1024 * 1024
 
 
-@attrs.frozen
-class Filter:
-    """Which events are wanted; an empty field wants all."""
+@attrs.define
+class _Gathered:
+    """Events of several sources, and how many the sources dropped."""
 
-    request: str = ''
-    host: str = ''
-    kind: str = ''
-
-    def wants(self, event: administration.TimelineEvent) -> bool:
-        """Tell whether an event is wanted."""
-        return (
-            self.request in ('', event.request)
-            and self.host in ('', event.host)
-            and self.kind in ('', event.kind)
-        )
+    sources: list[list[events.Event]] = attrs.field(factory=list)
+    dropped: int = 0
 
 
 def timeline(
     *,
     request: str = '',
+    workspace: str = '',
+    group: str = '',
     host: str = '',
-    kind: str = '',
+    since: datetime.datetime | None = None,
+    until: datetime.datetime | None = None,
+    file: tuple[pathlib.Path, ...] = (),
+    html: pathlib.Path | None = None,
     json: bool = False,
     cfg: client.Client = client.DEFAULT_CLIENT,
 ) -> int:
-    """Merge the events of every entry that is named, oldest first.
+    """Merge the events of all processes in causal order.
 
-    Name all entries with --entry to see all of them. Host clocks that
-    differ show as events out of order.
+    Each entry that --entry names adds its own events and those of the
+    agents that it watches. With --file nothing is asked.
 
     Parameters
     ----------
     request: str
         Show this request only.
+    workspace: str
+        Show this workspace only.
+    group: str
+        Show this group only.
     host: str
         Show this host only.
-    kind: str
-        Show this kind of event only.
+    since: datetime
+        Show nothing before this time, UTC.
+    until: datetime
+        Show nothing after this time, UTC.
+    file: tuple
+        Read JSON lines from this file instead; may be given again.
+    html: pathlib.Path
+        Write one self-contained page to this file.
     json: bool
         Print one JSON object a line.
     """
-    wanted = Filter(request, host, kind)
-    answers = client.run(cfg, lambda admin: _answers(admin, request))
-    events = sorted(
-        {
-            (event.at_s, event.host, index): event
-            for answer in answers
-            for index, event in enumerate(answer.events)
-            if wanted.wants(event)
-        }.items(),
-        key=lambda item: item[0],
+    chosen = events.Filter(
+        request,
+        workspace,
+        group,
+        host,
+        _microseconds(since),
+        _microseconds(until),
     )
-    for _, event in events:
-        if json:
-            output.show_json(event)
-        else:
-            output.show(_line(event))
-    for answer in answers:
-        if answer.dropped:
-            output.note(f'{answer.host} dropped {answer.dropped} events')
+    gathered = _from_files(file) if file else _from_entries(cfg, request)
+    merged = events.merge(gathered.sources, chosen)
+    if html is not None:
+        _write_page(html, merged, gathered.dropped)
+    elif json:
+        output.show(events.as_json_lines(merged).decode().rstrip('\n'))
+    else:
+        output.show(events.as_text(merged).rstrip('\n'))
+    if gathered.dropped:
+        output.note(f'{gathered.dropped} events were dropped before')
     return STATUS.OK
 
 
+def _microseconds(moment: datetime.datetime | None) -> int | None:
+    if moment is None:
+        return None
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.UTC)
+    return round(moment.timestamp() * MICROSECONDS_PER_S)
+
+
+def _from_files(paths: tuple[pathlib.Path, ...]) -> _Gathered:
+    gathered = _Gathered()
+    for path in paths:
+        try:
+            with path.open('rb') as file:
+                data = file.read(MAX_FILE_BYTES)
+            gathered.sources.append(events.from_json_lines(data))
+        except (OSError, ValueError, msgspec.DecodeError) as exc:
+            raise CassiashiftError(
+                ErrorCode.BAD_REQUEST, f'{path}: {exc}'
+            ) from exc
+    return gathered
+
+
+def _from_entries(cfg: client.ClientSettings, request: str) -> _Gathered:
+    answers = client.run(cfg, lambda admin: _answers(admin, request))
+    return _Gathered(
+        [list(answer.events) for answer in answers],
+        sum(answer.dropped for answer in answers),
+    )
+
+
 async def _answers(
     admin: client.AdminClient, request: str
 ) -> list[administration.Timeline]:
@@ -101,13 +143,14 @@
     return answers
 
 
-def _line(event: administration.TimelineEvent) -> str:
-    at = datetime.datetime.fromtimestamp(event.at_s, datetime.UTC)
-    fields = ' '.join(
-        f'{name}={value}' for name, value in sorted(event.fields.items())
-    )
-    text = (
-        f'{at:%H:%M:%S.%f}  {event.host:12} {event.role:6} {event.kind:20}'
-        f' {event.request or "-":34} {fields}'
-    )
-    return ''.join(c if c.isprintable() else '?' for c in text).rstrip()
+def _write_page(
+    path: pathlib.Path, merged: list[events.Event], dropped: int
+) -> None:
+    text = timeline_page.page(merged, 'Time line of cassiashift', dropped)
+    try:
+        path.write_text(text, encoding='utf-8')
+    except OSError as exc:
+        raise CassiashiftError(
+            ErrorCode.BAD_REQUEST, f'{path}: {exc.strerror}'
+        ) from exc
+    output.note(f'{len(merged)} events written to {path}')
--- a/packages/cassiashift-core/cassiashift_core/timeline/rendering.py
+++ b/packages/cassiashift-core/cassiashift_core/timeline/rendering.py
@@ -41,6 +41,7 @@
         )
         for event in merged
     )
+    rows = [tuple(map(_on_one_line, row)) for row in rows]
     widths = [max(len(row[index]) for row in rows) for index in range(4)]
     lines = []
     for row in rows:
@@ -52,6 +53,11 @@
     return '\n'.join(lines) + '\n'
 
 
+def _on_one_line(text: str) -> str:
+    """Return a text that can't break the line or steer a terminal."""
+    return ''.join(char if char.isprintable() else '?' for char in text)
+
+
 def as_json_lines(merged: Iterable[events.Event]) -> bytes:
     """Return one JSON object for each event and line."""
     return b''.join(msgspec.json.encode(event) + b'\n' for event in merged)
