--- a/packages/cassiashift-cli/cassiashift_cli/timeline_command.py
+++ b/packages/cassiashift-cli/cassiashift_cli/timeline_command.py
@@ -73,7 +73,7 @@
     merged = core_timeline.merge(sources, chosen)
     if html is not None:
         title = f'Time line of {request}' if request else 'Time line'
-        html.write_text(timeline_page.page(merged, title, dropped), 'utf-8')
+        _write(html, timeline_page.page(merged, title, dropped))
     elif json:
         output.show(core_timeline.as_json_lines(merged).decode().rstrip())
     else:
@@ -96,6 +96,16 @@
         ) from exc
 
 
+def _write(file: pathlib.Path, text: str) -> None:
+    try:
+        file.write_text(text, 'utf-8')
+    except OSError as exc:
+        raise CassiashiftError(
+            ErrorCode.BAD_REQUEST, f'{file}: {exc.strerror}'
+        ) from exc
+    output.note(f'written to {file}')
+
+
 async def _answers(
     admin: client.AdminClient, request: str
 ) -> list[administration.Timeline]:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -197,6 +197,38 @@
     assert_that(out, matchers.Contains('note=two?lines'))
 
 
+def test_the_time_line_is_read_from_files_and_shown_once(
+    cassiashift, tmp_path
+):
+    _, out, _ = cassiashift('timeline', '--json')
+    path = tmp_path / 'events.jsonl'
+    path.write_text(out, encoding='utf-8')
+    status, again, _ = cassiashift('timeline', str(path), str(path), '--json')
+    assert_that(status, matchers.Equals(0))
+    assert_that(again, matchers.Equals(out))
+
+
+def test_the_time_line_is_written_as_one_page(cassiashift, tmp_path):
+    path = tmp_path / 'page.html'
+    status, _, _ = cassiashift('timeline', f'--html={path}')
+    text = path.read_text(encoding='utf-8')
+    assert_that(status, matchers.Equals(0))
+    assert_that(text, matchers.StartsWith('<!DOCTYPE html>'))
+    assert_that(text, matchers.Contains('entry-3'))
+    status, _, err = cassiashift('timeline', f'--html={tmp_path}')
+    assert_that(status, matchers.Equals(2))
+    assert_that(err, matchers.Contains('Is a directory'))
+
+
+def test_a_damaged_file_of_events_is_named(cassiashift, tmp_path):
+    path = tmp_path / 'events.jsonl'
+    for data in (b'{', b'\xff', b'[]', b'{"clock":1}'):
+        path.write_bytes(data)
+        status, _, err = cassiashift('timeline', str(path))
+        assert_that(status, matchers.Equals(2))
+        assert_that(err, matchers.Contains('events.jsonl'))
+
+
 def test_the_time_line_names_an_entry_that_is_silent(cassiashift, deployment):
     urls = f'{deployment.entries[0].url},http://127.0.0.1:9'
     status, out, err = cassiashift('timeline', f'--entry={urls}')
