--- a/packages/cassiashift-daemon/cassiashift_daemon/remote.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/remote.py
@@ -24,6 +24,7 @@
 )
 CREDIT_STEP_BYTES = 64 * 1024
 FENCE_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -32,12 +33,10 @@
 
     Attributes:
         address: link address of the agent.
-        host: the agent's host.
         began: a byte of the answer has come.
     """
 
     id: str
-    host: str
     address: str
     owner: 'RemoteAttempts'
     request_id: str = ''
@@ -175,12 +174,21 @@
     _open: dict[str, RemoteAttempt] = attrs.field(factory=dict)
     _fences: dict[str, asyncio.Future] = attrs.field(factory=dict)
 
-    def start(
-        self, host: str, address: str, message: messages.CallStart
+    async def start(
+        self, address: str, message: messages.CallStart
     ) -> RemoteAttempt:
-        """Send an attempt to an agent."""
+        """Send an attempt to an agent.
+
+        Raises:
+            CassiashiftError: with ``NOT_RUN`` when the agent is not
+                connected; nothing was sent.
+        """
+        if not await self.links.connected(address, CONNECT_TIMEOUT_S):
+            raise CassiashiftError(
+                ErrorCode.UPSTREAM_FAILED, 'the agent can not be reached'
+            )
         attempt = RemoteAttempt(
-            message.attempt, host, address, self, message.request_id
+            message.attempt, address, self, message.request_id
         )
         self._open[message.attempt] = attempt
         clock = self.record(
@@ -213,14 +221,14 @@
             cancel = messages.CallCancel(attempt.id)
             self.links.send(attempt.address, cancel)
 
-    def host_lost(self, host: str) -> None:
-        """End the attempts at a host whose agent is gone."""
+    def link_lost(self, address: str) -> None:
+        """End the attempts at an agent whose connection is lost."""
         for attempt in list(self._open.values()):
-            if attempt.host == host:
+            if attempt.address == address:
                 attempt.fail(
                     CassiashiftError(
                         ErrorCode.UPSTREAM_FAILED,
-                        'the upstream host is gone',
+                        'the connection to the agent is lost',
                         Verdict.MAY_HAVE_RUN,
                     )
                 )
--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -20,6 +20,7 @@
 from cassiashift_net import authenticator
 from cassiashift_net import keys
 from cassiashift_net import messages
+from cassiashift_net import outgoing
 from cassiashift_net import ports
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -55,6 +56,7 @@
         host: the name that peers see.
         on_message: called with the sender and the decoded message.
         ring: the keys that links are encrypted with, or None.
+        on_lost: called with the address of a peer whose connection is lost.
     """
 
     host: str
@@ -64,7 +66,8 @@
     dropped: int = 0
     _context: zmq.Context = attrs.field(factory=zmq.Context)
     _router: ports.Port | None = None
-    _peers: dict[str, ports.Port] = attrs.field(factory=dict)
+    on_lost: Callable[[str], None] = lambda address: None
+    _peers: dict[str, outgoing.Outgoing] = attrs.field(factory=dict)
     _authenticator: authenticator.Authenticator | None = None
 
     @classmethod
@@ -114,23 +117,54 @@
         if public is not None:
             authenticator.secure_client(sock, self.ring, public)
         sock.setsockopt(zmq.ROUTING_ID, self.host.encode())
-        sock.connect(address)
-        port = ports.Port(sock, self.loop, lambda: self._receive_from(address))
-        self._peers[address] = port
-        port.start()
+        self._peers[address] = outgoing.Outgoing.connect(
+            sock,
+            address,
+            self.loop,
+            lambda: self._receive_from(address),
+            self._lost,
+        )
+
+    async def connected(self, address: str, timeout_s: float) -> bool:
+        """Wait for a connection; tell whether there is one."""
+        self._renew(address)
+        link = self._peers.get(address)
+        if link is None:
+            return False
+        try:
+            async with asyncio.timeout(timeout_s):
+                await link.connected.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def disconnect(self, address: str) -> None:
         """Close the link to an address."""
-        port = self._peers.pop(address, None)
-        if port is not None:
-            port.close()
+        link = self._peers.pop(address, None)
+        if link is not None:
+            link.close()
 
     def send(self, address: str, message: Any) -> None:
-        """Send a message to an address; a full link drops it."""
+        """Send a message to an address; it may get lost.
+
+        A link whose peer was not reached for a while is opened anew, so
+        that a peer that comes back gets no old messages.
+        """
+        self._renew(address)
+        link = self._peers.get(address)
+        if link is not None:
+            frames = list(messages.CODEC.frames(message))
+            self._transmit(link.port, frames)
+
+    def _renew(self, address: str) -> None:
+        link = self._peers.get(address)
+        if link is not None and link.is_stale():
+            self.disconnect(address)
         self.connect(address)
-        port = self._peers.get(address)
-        if port is not None:
-            self._transmit(port, list(messages.CODEC.frames(message)))
+
+    def _lost(self, address: str) -> None:
+        self.disconnect(address)
+        self.on_lost(address)
 
     def close(self) -> None:
         """Close every link."""
@@ -175,7 +209,7 @@
         return frames
 
     def _receive_from(self, address: str) -> None:
-        frames = self._peers[address].sock.recv_multipart(zmq.NOBLOCK)
+        frames = self._peers[address].port.sock.recv_multipart(zmq.NOBLOCK)
         sender = Sender(address, lambda message: self.send(address, message))
         self._deliver(sender, frames)
 
