Keep lane names of the time line's page in sight

Cause: on a long page the names scrolled away, and stripes hid the axes. Result: pytest tests/core/timeline tests/core/spread: passed. The page has not been looked at in a browser: none is at hand. Conclusion: its structure is tested, its looks are not.

--- a/packages/cassiashift-cli/cassiashift_cli/timeline_page.py
+++ b/packages/cassiashift-cli/cassiashift_cli/timeline_page.py
@@ -14,7 +14,7 @@
 TIME_WIDTH = 190
 LANE_WIDTH = 200
 ROW_HEIGHT = 24
-HEADER_HEIGHT = 56
+HEADER_HEIGHT = 40
 MARKER_RADIUS = 5
 MAX_LABEL_CHARS = 26
 PALETTE = (
@@ -35,13 +35,14 @@
 p { margin: 0; color: #55606e; }
 .scroll { overflow: auto; max-height: calc(100vh - 80px); }
 svg { display: block; background: #fff; }
+.lanes { position: sticky; top: 0; border-bottom: 1px solid #d5dae1; }
 text { font: 12px ui-monospace, monospace; fill: #1c2430; }
 .time { fill: #55606e; }
 .lane { font-weight: 600; }
 .axis { stroke: #d5dae1; }
 .stripe { fill: #f5f7fa; }
 .arrow { stroke: #55606e; stroke-width: 1.2; stroke-opacity: 0.6; }
-.event:hover .stripe { fill: #e4ecf7; }
+.event:hover text { text-decoration: underline; }
 """
 
 
@@ -57,14 +58,16 @@
     """
     shown = list(merged[:MAX_EVENTS])
     lanes = _lanes(shown)
+    width = TIME_WIDTH + LANE_WIDTH * max(1, len(lanes)) + 20
+    height = ROW_HEIGHT * (len(shown) + 1)
     body = '\n'.join(
         [
-            *_stripes_and_labels(shown, lanes),
+            *_stripes(shown, width),
+            _axes(lanes, height),
             *_arrows(shown, lanes),
+            *_marks(shown, lanes),
         ]
     )
-    width = TIME_WIDTH + LANE_WIDTH * max(1, len(lanes)) + 20
-    height = HEADER_HEIGHT + ROW_HEIGHT * (len(shown) + 1)
     heading = html.escape(title)
     return f"""<!DOCTYPE html>
 <html lang="en">
@@ -79,11 +82,14 @@
 <p>{_summary(merged, shown, lanes, dropped)}</p>
 </header>
 <div class="scroll">
+<svg xmlns="http://www.w3.org/2000/svg" class="lanes"
+ width="{width}" height="{HEADER_HEIGHT}">
+{_lane_names(lanes)}
+</svg>
 <svg xmlns="http://www.w3.org/2000/svg" width="{width}" height="{height}">
 <defs><marker id="head" viewBox="0 0 8 8" refX="8" refY="4"
  markerWidth="7" markerHeight="7" orient="auto">
 <path d="M0 0 L8 4 L0 8 Z" fill="#55606e"/></marker></defs>
-{_axes(lanes, height)}
 {body}
 </svg>
 </div>
@@ -104,7 +110,7 @@
 
 
 def _row_y(row: int) -> int:
-    return HEADER_HEIGHT + ROW_HEIGHT * row + ROW_HEIGHT // 2
+    return ROW_HEIGHT * row + ROW_HEIGHT // 2
 
 
 def _color(lane: int) -> str:
@@ -125,27 +131,36 @@
     return html.escape('; '.join(parts))
 
 
+def _lane_names(lanes: dict[str, int]) -> str:
+    baseline = HEADER_HEIGHT - 14
+    return '\n'.join(
+        f'<text class="lane" x="{_lane_x(lane) - MARKER_RADIUS}" '
+        f'y="{baseline}" style="fill:{_color(lane)}">'
+        f'{html.escape(_shortened(process))}'
+        f'<title>{html.escape(process)}</title></text>'
+        for process, lane in lanes.items()
+    )
+
+
 def _axes(lanes: dict[str, int], height: int) -> str:
-    parts = []
-    for process, lane in lanes.items():
-        x = _lane_x(lane)
-        name = html.escape(_shortened(process))
-        parts.append(
-            f'<line class="axis" x1="{x}" y1="{HEADER_HEIGHT - 12}" '
-            f'x2="{x}" y2="{height}"/>'
-        )
-        parts.append(
-            f'<text class="lane" x="{x - MARKER_RADIUS}" y="30" '
-            f'style="fill:{_color(lane)}">{name}'
-            f'<title>{html.escape(process)}</title></text>'
-        )
-    return '\n'.join(parts)
+    return '\n'.join(
+        f'<line class="axis" x1="{_lane_x(lane)}" y1="0" '
+        f'x2="{_lane_x(lane)}" y2="{height}"/>'
+        for lane in lanes.values()
+    )
+
+
+def _stripes(shown: Sequence[timeline.Event], width: int) -> list[str]:
+    return [
+        f'<rect class="stripe" x="0" y="{ROW_HEIGHT * row}" '
+        f'width="{width}" height="{ROW_HEIGHT}"/>'
+        for row in range(1, len(shown), 2)
+    ]
 
 
-def _stripes_and_labels(
+def _marks(
     shown: Sequence[timeline.Event], lanes: dict[str, int]
 ) -> list[str]:
-    width = TIME_WIDTH + LANE_WIDTH * len(lanes) + 20
     parts = []
     for row, event in enumerate(shown):
         lane = lanes[event.process]
@@ -154,12 +169,9 @@
             f'{event.clock} {event.process} {event.kind} '
             f'{event.request} {rendering.facts(event)}'
         )
-        fill = '' if row % 2 else ' style="fill:#fff"'
         label = html.escape(_shortened(_label(event)))
         parts.append(
             f'<g class="event"><title>{tip}</title>'
-            f'<rect class="stripe"{fill} x="0" y="{y - ROW_HEIGHT // 2}" '
-            f'width="{width}" height="{ROW_HEIGHT}" fill-opacity="0.6"/>'
             f'<text class="time" x="12" y="{y + 4}">'
             f'{rendering.wall_time(event)}</text>'
             f'<circle cx="{_lane_x(lane)}" cy="{y}" r="{MARKER_RADIUS}" '
--- a/tests/core/spread/test_spread.py
+++ b/tests/core/spread/test_spread.py
@@ -341,3 +341,42 @@
     part = messages.SnapshotPart(5, 0, 1, 12345, b'damaged')
     assert_that(assembly.add(part), matchers.Equals(True))
     assert_that(assembly.data(part), matchers.Is(None))
+
+
+def test_new_voters_and_parents_are_asked_from_then_on():
+    tree = build(14, sizes=(3, 2, 2))
+    tree.net.cut(['e0'], ['c0', 'c1', 'r0'])
+    tree.start('e0')
+    tree.net.run(5)
+    phase = tree.status('e0').phase
+    assert_that(phase, matchers.Is(spread.Phase.RECOVERING))
+    changed = events.VotersChanged(voters=('c2',), parents=('r1',))
+    tree.net.deliver('e0', changed)
+    tree.net.run(5)
+    assert_in_force(tree)
+
+
+def test_control_host_that_takes_a_snapshot_late_serves_its_children():
+    tree = build(15, sizes=(3, 2, 2))
+    tree.net.cut(['c0'], [host for host in tree.hosts() if host != 'c0'])
+    for _ in range(30):
+        tree.commit(knowing=['c1', 'c2'], holding=['c1', 'c2'])
+    tree.net.run(5)
+    tree.net.heal()
+    data = msgspec.msgpack.encode(tree.log)
+    tree.net.deliver('c0', events.Restored(tree.head, data))
+    tree.net.stop('c1')
+    tree.commit(knowing=['c0', 'c2'], holding=['c0', 'c2'])
+    tree.net.run(IN_FORCE_S)
+    assert_in_force(tree)
+
+
+def test_unknown_events_and_messages():
+    tree = build(16, sizes=(3, 1))
+    machine = tree.machine('r0')
+    assert_that(
+        machine.handle(events.Received('x', object()), 0.0),
+        matchers.Equals([]),
+    )
+    with pytest.raises(TypeError):
+        machine.handle(object(), 0.0)
--- a/tests/core/timeline/test_page.py
+++ b/tests/core/timeline/test_page.py
@@ -12,6 +12,7 @@
 from cassiashift_core import timeline
 
 START_US = 1_700_000_000_000_000
+GLYPH_WIDTH = 7.25
 SVG = '{http://www.w3.org/2000/svg}'
 
 
@@ -30,7 +31,8 @@
 
 def drawing(text):
     """Return the SVG of a page as a tree."""
-    return ElementTree.fromstring(re.search('<svg.*</svg>', text, re.S)[0])
+    found = re.search('<svg.*</svg>', text, re.S)[0]
+    return ElementTree.fromstring(f'<div>{found}</div>')
 
 
 def test_page_is_well_formed_and_loads_nothing(merged):
@@ -66,6 +68,15 @@
     assert_that({mark.get('cy') for mark in marks}, matchers.HasLength(8))
 
 
+def test_lane_names_stay_in_sight_and_labels_fit_their_lane(merged):
+    text = timeline_page.page(merged, 'title')
+    names = drawing(text).find(f'{SVG}svg[@class="lanes"]')
+    assert_that(list(names.iter(f'{SVG}text')), matchers.HasLength(2))
+    assert_that(text, matchers.Contains('position: sticky'))
+    widest = timeline_page.MAX_LABEL_CHARS * GLYPH_WIDTH + 10
+    assert_that(timeline_page.LANE_WIDTH, matchers.GreaterThan(widest))
+
+
 def test_page_is_bounded_and_says_what_it_left_out(monkeypatch, merged):
     monkeypatch.setattr(timeline_page, 'MAX_EVENTS', 3)
     text = timeline_page.page(merged, 'title', dropped=12)
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -6,29 +6,26 @@
 seeded network that stands in for links.
 """
 
-from collections.abc import Callable
 import json
 import platform
-import random
 import sys
 import time
-import tracemalloc
-from typing import Any
 
 import attrs
-import msgspec
-import numpy
 
 from cassiashift_core import manifest
 from cassiashift_core import membership
 from cassiashift_core.membership import events
 from cassiashift_core import spread
-from cassiashift_core import timeline
 from tests.core.membership import builders as members
 from tests.core.spread import builders as trees
 from tests.scenarios import network
 from tools import capacity
 from tools import import_costs
+from tools.slope_series import MeasuredNetwork
+from tools.slope_series import rate_series
+from tools.slope_series import Series
+from tools import state_slopes
 
 SETTLE_S = 40.0
 MEASURE_S = 30.0
@@ -41,100 +38,6 @@
 AGENTS_PER_DATA_CENTRE = 414
 
 
-@attrs.frozen
-class Series:
-    """One measured dependence.
-
-    Attributes:
-        residual: largest distance from the line, as a share of the mean.
-    """
-
-    name: str
-    x: str
-    unit: str
-    points: tuple[tuple[float, float], ...]
-    slope: float
-    intercept: float
-    residual: float
-
-    @classmethod
-    def fit(
-        cls, name: str, x: str, unit: str, points: list[tuple[float, float]]
-    ) -> 'Series':
-        """Return the series with its least-squares line."""
-        xs, ys = numpy.array(points, dtype=float).T
-        slope, intercept = numpy.polyfit(xs, ys, 1)
-        distance = numpy.abs(ys - (slope * xs + intercept)).max()
-        mean = abs(ys.mean()) or 1.0
-        return cls(
-            name=name,
-            x=x,
-            unit=unit,
-            points=tuple((float(a), round(float(b), 3)) for a, b in points),
-            slope=round(float(slope), 6),
-            intercept=round(float(intercept), 3),
-            residual=round(float(distance / mean), 4),
-        )
-
-
-@attrs.define
-class MeasuredNetwork(network.Network):
-    """A network that counts the processor time of each host."""
-
-    cpu_s: dict[str, float] = attrs.field(factory=dict)
-
-    def _step(self, host, node, sender, message):
-        start = time.process_time()
-        super()._step(host, node, sender, message)
-        spent = time.process_time() - start
-        self.cpu_s[host] = self.cpu_s.get(host, 0.0) + spent
-
-    def reset(self):
-        """Start counting anew."""
-        self.cpu_s.clear()
-        for node in self.nodes.values():
-            node.sent_messages = node.received_messages = 0
-            node.sent_bytes = node.received_bytes = 0
-
-    def mean(self, hosts: list[str], seconds: float) -> dict[str, float]:
-        """Return the mean rates of some hosts."""
-        nodes = [self.nodes[host] for host in hosts]
-        count = len(hosts) * seconds
-        return {
-            'messages': sum(
-                node.sent_messages + node.received_messages for node in nodes
-            )
-            / count,
-            'bytes': sum(
-                node.sent_bytes + node.received_bytes for node in nodes
-            )
-            / count,
-            'cpu': 1e6 * sum(self.cpu_s.get(h, 0.0) for h in hosts) / count,
-        }
-
-
-UNITS = {
-    'messages': 'messages/s',
-    'bytes': 'bytes/s',
-    'cpu': 'microseconds/s',
-}
-
-
-def rate_series(
-    name: str, x: str, measured: dict[int, dict[str, float]]
-) -> list[Series]:
-    """Return one series for each rate that was measured."""
-    return [
-        Series.fit(
-            f'{name}.{rate}',
-            x,
-            unit,
-            [(size, rates[rate]) for size, rates in measured.items()],
-        )
-        for rate, unit in UNITS.items()
-    ]
-
-
 def settle(net: network.Network, hosts: list[str]) -> float:
     """Run until no update waits to be passed on; return the seconds."""
     start_s = net.now
@@ -330,124 +233,14 @@
     return [Series.fit('spread.in force, pushes lost', 'levels', 's', points)]
 
 
-def heap_series(
-    name: str, x: str, sizes: tuple[int, ...], build: Callable[[int], Any]
-) -> Series:
-    """Return the heap bytes of what ``build`` returns, by its size."""
-    points = []
-    build(sizes[0])
-    for size in sizes:
-        tracemalloc.start()
-        kept = build(size)
-        points.append((size, float(tracemalloc.get_traced_memory()[0])))
-        tracemalloc.stop()
-        del kept
-    return Series.fit(name, x, 'heap bytes', points)
-
-
-def build_entry(rows: int) -> membership.Membership:
-    """Return an entry that knows a number of agents."""
-    cfg = members.config('entry', ())
-    entry = membership.Membership.from_config(cfg, random.Random(1))
-    for index in range(rows):
-        host = f'host-{index:05d}'
-        record = membership.Record(
-            host=host,
-            kind=membership.Kind.AGENT,
-            incarnation=1_700_000_000_000 + index,
-            address=f'10.1.{index // 250}.{index % 250}:7001',
-            upstreams=(members.upstream_of(host),),
-        )
-        entry.rows.merge(record, 0.0)
-    return entry
-
-
-def build_workspaces(count: int) -> tuple[manifest.Workspace, ...]:
-    """Return workspaces with one key and two models each."""
-    return tuple(
-        manifest.Workspace(
-            id=f'workspace-{index:05d}',
-            key_hashes=(f'{index:064x}',),
-            models=(f'model-{index % 13}', f'model-{index % 11}'),
-        )
-        for index in range(count)
-    )
-
-
-def build_upstreams(count: int) -> tuple[manifest.Upstream, ...]:
-    """Return upstreams with one offer each."""
-    return tuple(
-        manifest.Upstream(
-            id=f'upstream-{index:05d}',
-            host=f'host-{index:05d}',
-            data_centre=f'data-centre-{index % 29}',
-            offers=(manifest.Offer(f'model-{index % 13}'),),
-        )
-        for index in range(count)
-    )
-
-
-def build_timeline(count: int) -> timeline.Recorder:
-    """Return a recorder with a number of events."""
-    recorder = timeline.Recorder('host', 'entry', capacity=count)
-    for index in range(count):
-        recorder.record(
-            'send',
-            1_700_000_000_000_000 + index,
-            request=f'request-{index:08d}',
-            workspace=f'workspace-{index % 50}',
-            message=f'{index:08d}',
-            fields={'to': f'host-{index % 100}'},
-        )
-    return recorder
-
-
-def memory_series() -> list[Series]:
-    """Measure heap and encoded sizes of state."""
-    sizes = (500, 1000, 2000, 4000)
-    found = [
-        heap_series('membership.table', 'rows', sizes, build_entry),
-        heap_series('manifest', 'workspaces', sizes, build_workspaces),
-        heap_series('manifest', 'upstreams', sizes, build_upstreams),
-        heap_series('timeline.ring', 'events', sizes, build_timeline),
-    ]
-    builders = {'workspaces': build_workspaces, 'upstreams': build_upstreams}
-    for name, build in builders.items():
-        points = [
-            (size, len(msgspec.msgpack.encode(build(size)))) for size in sizes
-        ]
-        found.append(
-            Series.fit('manifest.encoded', name, 'encoded bytes', points)
-        )
-    return found
-
-
-def timeline_times() -> list[Series]:
-    """Measure the time to record events and to merge eight hosts'."""
-    recording, merging = [], []
-    for count in (2000, 4000, 8000):
-        start = time.process_time()
-        recorder = build_timeline(count)
-        recording.append((count, 1e6 * (time.process_time() - start)))
-        parts = [recorder.events()[index::8] for index in range(8)]
-        start = time.process_time()
-        timeline.as_json_lines(timeline.merge(parts))
-        merging.append((count, 1e6 * (time.process_time() - start)))
-    unit = 'microseconds'
-    return [
-        Series.fit('timeline.record', 'events', unit, recording),
-        Series.fit('timeline.merge', 'events', unit, merging),
-    ]
-
-
 MEASUREMENTS = (
     membership_rates,
     summary_rates,
     detection_times,
     spread_rates,
     spread_times,
-    memory_series,
-    timeline_times,
+    state_slopes.memory_series,
+    state_slopes.timeline_times,
 )
 
 
