--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -23,6 +23,7 @@
 VOTERS = 5
 RELAYS = 12
 MEASURED_VOTERS = 3
+RACK_ENTRIES = 8
 TIMELINE_EVENTS = 4_096
 WINDOW_BYTES = 1_048_576
 BOUND_CPU_PERCENT = 2.9
@@ -291,7 +292,9 @@
     death = figures.at(
         'membership.death known', 'entries', ENTRIES / DATA_CENTRES
     )
+    rack = figures.at('membership.rack known', 'entries lost', RACK_ENTRIES)
     return {
+        'rack_s': f'{rack:.1f}',
         'snapshot_mb': f'{size:.1f}',
         'snapshot_s': f'{size * 1e3 / BOUND_KB_PER_S:.0f}',
         'snapshot_per_node': f'{per_node:.3f}',
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -147,7 +147,16 @@
         victim = members.entry_names(count)[1]
         net.stop(victim)
         deaths.append((count, _until(net, wanted - {victim})))
+    together = []
+    for lost in (1, 4, 8):
+        net = members.start_data_centre(2, 32, 64, LINKS)
+        net.run(SETTLE_S)
+        hosts = members.entry_names(32)
+        for host in hosts[:lost]:
+            net.stop(host)
+        together.append((lost, _until(net, set(hosts[lost:]))))
     return [
+        Series.fit('membership.rack known', 'entries lost', 's', together),
         Series.fit('membership.death known', 'entries', 's', deaths),
         Series.fit('membership.all started known', 'entries', 's', starts),
     ]
