Count a workspace's weight without the fixed part of its limit

Cause: the fixed part of the shares is split over all entries, so the weights of a workspace on two entries summed to 0.9 and on four to 1.0. Change: a leased share alone scales the weight.

--- a/packages/cassiashift-core/cassiashift_core/admission/model.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/model.py
@@ -60,7 +60,11 @@
 
     @classmethod
     def for_share(
-        cls, limits: manifest.Limits, weight: float, share: float
+        cls,
+        limits: manifest.Limits,
+        weight: float,
+        share: float,
+        weight_share: float | None = None,
     ) -> Self:
         """Return the part of a manifest's limits that an entry may use.
 
@@ -68,9 +72,11 @@
             limits: the limits of the workspace over all entries.
             weight: the weight of the workspace.
             share: what ``ShareHolder.share`` gives, from 0 to 1.
+            weight_share: what ``ShareHolder.weight_share`` gives; the
+                share when left out.
         """
         return cls(
-            weight=weight * share,
+            weight=weight * (share if weight_share is None else weight_share),
             requests_per_second=limits.requests_per_second * share,
             tokens_per_second=limits.tokens_per_second * share,
             concurrency=limits.concurrency * share,
--- a/packages/cassiashift-core/cassiashift_core/admission/shares.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/shares.py
@@ -144,6 +144,17 @@
             return fixed
         return fixed + (1.0 - self.fixed_part) * lease.share
 
+    def weight_share(self, workspace: str, now: float) -> float:
+        """Return the part of the workspace's weight that counts here.
+
+        Unlike the limit, the weight has no fixed part: the leases of a
+        workspace on few entries then sum to as much as on many.
+        """
+        lease = self._leases.get(workspace)
+        if lease is None or lease.expires_at <= now or not lease.share:
+            return self.share(workspace, now)
+        return lease.share
+
     def shares(
         self, workspaces: Iterable[str], now: float
     ) -> dict[str, float]:
--- a/packages/cassiashift-core/cassiashift_core/experiment/entry.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/entry.py
@@ -126,7 +126,7 @@
         """Ask for shares and weigh workspaces by them."""
         for summary in self.demand.summaries(now):
             self.holder.granted(granter.request(summary, now))
-            share = self.holder.share(summary.workspace, now)
+            share = self.holder.weight_share(summary.workspace, now)
             limits = admission.WorkspaceLimits(weight=share)
             self.gate.set_limits(summary.workspace, limits, now)
 
