Keep a voter with an emptied disk from confirming an older state

Cause: a control host was settled once it had committed what its log held; an emptied log holds nothing, so the host confirmed revision 0 at its start and was ready. Seen when a voter was started again without its folder. Change: a control host with an empty log waits for a commit. One that the others refuse never gets it and stays not ready. Conclusion: safe, but such a host serves nobody until the voters change.

--- a/packages/cassiashift-core/cassiashift_core/spread/control.py
+++ b/packages/cassiashift-core/cassiashift_core/spread/control.py
@@ -26,8 +26,12 @@
 
     @property
     def is_settled(self) -> bool:
-        """Tell whether this host again knows all that it ever knew."""
-        return self.commit_index >= self.held
+        """Tell whether this host again knows all that it ever knew.
+
+        An empty log may be one that was lost: it takes a commit of the
+        other control hosts to tell.
+        """
+        return self.commit_index >= max(self.held, 1)
 
     def learn(self, host: str, revision: int, now: float) -> None:
         """Note what a control host knows."""
