Notice a lost connection to an agent at once, and end on failed storage

Cause: a booking whose agent was killed hung until its deadline, since the entry learned of the death only from membership, after seconds; a message to a dead peer waited in the socket and could reach its successor. A voter whose storage or replica fails ends its process; its clock goes on while the host is suspended.

--- a/packages/cassiashift-core/cassiashift_core/membership/member.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/member.py
@@ -46,6 +46,7 @@
             kind=records.Kind.ENTRY,
             incarnation=self.cfg.incarnation,
             address=self.cfg.address,
+            http=self.cfg.http,
         )
         self._watch = holders.Watch(self.cfg.host)
         self._known = knowledge.Knowledge(
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -239,6 +239,7 @@
             links=self.links,
             addresses=self.voters,
             on_event=self.spread.handle,
+            on_failed=self.fail,
         )
         held = saved.entries[-1].index if saved.entries else 0
         if saved.snapshot is not None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/lifecycle.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/lifecycle.py
@@ -9,6 +9,7 @@
 from cassiashift_daemon import logs
 
 FAST_STOP_SIGNALS = 2
+EXIT_FAILED = 1
 
 
 class Process(aiomisc.Service):
@@ -21,6 +22,7 @@
         """Prepare the service; nothing is opened yet."""
         super().__init__()
         self._stopped = asyncio.Event()
+        self.exit_status = 0
         self._signals = 0
         self._tasks: set[asyncio.Task] = set()
 
@@ -42,6 +44,12 @@
         """Wait until the process has been told to end."""
         await self._stopped.wait()
 
+    def fail(self, reason: str) -> None:
+        """End the process at once, with a status that says so."""
+        logs.error('process_failed', reason=reason)
+        self.exit_status = EXIT_FAILED
+        self._stopped.set()
+
     def spawn(self, coroutine) -> asyncio.Task:
         """Run a coroutine until the process ends; log its failure."""
         task = asyncio.ensure_future(coroutine)
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -18,6 +18,11 @@
 from cassiashift_net import messages
 
 
+def boot_time_s() -> float:
+    """Return a clock that goes on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @attrs.define(eq=False)
 class _Pending:
     """A proposal that was appended and waits to be applied."""
@@ -33,6 +38,8 @@
 
     Attributes:
         on_event: called with events for the spread of what is committed.
+        on_failed: called when the process must end, since its storage or
+            its replica can't be trusted any more.
     """
 
     replica: consensus.Replica
@@ -41,6 +48,7 @@
     links: links.Links
     addresses: dict[str, str]
     on_event: Callable[[Any], None]
+    on_failed: Callable[[str], None]
     _senders: dict[str, links.Sender] = attrs.field(factory=dict)
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
     _unsynced: list = attrs.field(factory=list)
@@ -48,7 +56,12 @@
 
     def handle(self, event: Any) -> None:
         """Give an event to the replica and carry its effects out."""
-        for effect in self.replica.handle(event, time.monotonic()):
+        try:
+            effects = self.replica.handle(event, boot_time_s())
+        except Exception as exc:
+            self.on_failed(f'replica: {exc!r}')
+            raise
+        for effect in effects:
             self._carry_out(effect)
 
     def tick(self) -> None:
@@ -78,8 +91,8 @@
             try:
                 await loop.run_in_executor(None, self.store.persist, batch)
             except Exception as exc:
-                logs.error('storage_failed', error=str(exc))
                 self.handle(consensus.StorageFailed())
+                self.on_failed(f'storage: {exc}')
                 return
             self.handle(consensus.Synced(batch[-1].sequence))
 
--- a/packages/cassiashift-net/cassiashift_net/outgoing.py
+++ b/packages/cassiashift-net/cassiashift_net/outgoing.py
@@ -20,7 +20,7 @@
     Messages sent before the first connection wait in the socket.
 
     Attributes:
-        on_lost: called once the connection is lost.
+        on_lost: called once an established connection is lost.
     """
 
     address: str
@@ -56,8 +56,6 @@
 
     def close(self) -> None:
         """Close the link; what still waits in it is dropped."""
-        if not self.port.sock.closed:
-            self.port.sock.disable_monitor()
         self._monitor.close()
         self.port.close()
 
@@ -66,5 +64,5 @@
         event = monitor.recv_monitor_message(sock, zmq.NOBLOCK)
         if event['event'] == zmq.EVENT_HANDSHAKE_SUCCEEDED:
             self.connected.set()
-        elif event['event'] == zmq.EVENT_DISCONNECTED:
+        elif self.connected.is_set():
             self.on_lost(self.address)
--- a/packages/cassiashift-net/cassiashift_net/ports.py
+++ b/packages/cassiashift-net/cassiashift_net/ports.py
@@ -17,10 +17,12 @@
     loop: asyncio.AbstractEventLoop
     receive: Callable[[], None]
     scheduled: bool = False
+    _descriptor: int = -1
 
     def start(self) -> None:
         """Watch the socket."""
-        self.loop.add_reader(self.sock.FD, self.drain)
+        self._descriptor = self.sock.FD
+        self.loop.add_reader(self._descriptor, self.drain)
         self.schedule()
 
     def schedule(self) -> None:
@@ -32,9 +34,9 @@
     def drain(self) -> None:
         """Receive what has arrived, a bounded number at a time."""
         self.scheduled = False
-        if self.sock.closed:
-            return
         for _ in range(BATCH_MESSAGES):
+            if self.sock.closed:
+                return
             try:
                 self.receive()
             except zmq.Again:
@@ -43,6 +45,7 @@
 
     def close(self) -> None:
         """Stop watching the socket and close it."""
-        if not self.sock.closed:
-            self.loop.remove_reader(self.sock.FD)
-            self.sock.close(linger=0)
+        if self._descriptor >= 0:
+            self.loop.remove_reader(self._descriptor)
+            self._descriptor = -1
+        self.sock.close(linger=0)
