--- a/packages/cassiashift-core/cassiashift_core/mapswitch/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/mapswitch/__init__.py
@@ -1,7 +1,6 @@
 """Switches of a group's expert map: one map per step on every rank."""
 
 from cassiashift_core.mapswitch.coordinator import Coordinator
-from cassiashift_core.mapswitch.coordinator import CoordinatorConfig
 from cassiashift_core.mapswitch.decisions import Decision
 from cassiashift_core.mapswitch.decisions import DecisionKind
 from cassiashift_core.mapswitch.decisions import GroupDecisions
@@ -39,10 +38,11 @@
 from cassiashift_core.mapswitch.messages import Staged
 from cassiashift_core.mapswitch.messages import StageFailed
 from cassiashift_core.mapswitch.messages import Standing
-from cassiashift_core.mapswitch.rank import Hold
-from cassiashift_core.mapswitch.rank import Proceed
-from cassiashift_core.mapswitch.rank import RankConfig
 from cassiashift_core.mapswitch.rank import RankSwitch
+from cassiashift_core.mapswitch.settings import CoordinatorConfig
+from cassiashift_core.mapswitch.settings import RankConfig
+from cassiashift_core.mapswitch.steps import Hold
+from cassiashift_core.mapswitch.steps import Proceed
 
 __all__ = [
     'Acknowledged',
--- a/packages/cassiashift-core/cassiashift_core/mapswitch/coordinator.py
+++ b/packages/cassiashift-core/cassiashift_core/mapswitch/coordinator.py
@@ -13,53 +13,26 @@
 from cassiashift_core.mapswitch import decisions
 from cassiashift_core.mapswitch import events
 from cassiashift_core.mapswitch import messages
-
-ARM_TIMEOUT_S = 5.0
-LEAD_STEPS = 8
-MAX_ROUNDS = 5
-RESEND_INTERVAL_S = 0.25
-STAGE_TIMEOUT_S = 300.0
+from cassiashift_core.mapswitch import orders
+from cassiashift_core.mapswitch import rosters
+from cassiashift_core.mapswitch import settings
 
 _PROPOSING = ('opening', 'committing', 'aborting')
 _UNDECIDED = ('committing', 'aborting')
 
 
-@attrs.frozen
-class CoordinatorConfig:
-    """Settings of a group's coordinator.
-
-    Attributes:
-        lead_steps: steps between the newest report and the first step of
-            the new map; doubled in each further round.
-        stage_timeout_s: time in which all ranks have to load the weights.
-        arm_timeout_s: time in which all ranks have to arm.
-        resend_interval_s: time after which unanswered orders are repeated.
-        max_rounds: arm rounds before the switch is given up.
-    """
-
-    group: str
-    lead_steps: int = LEAD_STEPS
-    stage_timeout_s: float = STAGE_TIMEOUT_S
-    arm_timeout_s: float = ARM_TIMEOUT_S
-    resend_interval_s: float = RESEND_INTERVAL_S
-    max_rounds: int = MAX_ROUNDS
-
-
 @attrs.define(slots=False, eq=False)
 class Coordinator:
     """Lead a group from one map to the next."""
 
-    cfg: CoordinatorConfig
+    cfg: settings.CoordinatorConfig
     log: decisions.GroupDecisions = attrs.field(
         factory=decisions.GroupDecisions
     )
     term: int = 0
     reason: str = ''
     proposal: decisions.Decision | None = None
-    staged: dict[str, messages.Staged] = attrs.field(factory=dict)
-    armed: set[str] = attrs.field(factory=set)
-    gone: set[str] = attrs.field(factory=set)
-    incarnations: dict[str, str] = attrs.field(factory=dict)
+    roster: rosters.Roster = attrs.field(factory=rosters.Roster)
     unaware: set[str] = attrs.field(factory=set)
     round: int = 0
     step: int = 0
@@ -75,7 +48,7 @@
     _effects: list = attrs.field(factory=list)
 
     @classmethod
-    def from_config(cls, cfg: CoordinatorConfig) -> 'Coordinator':
+    def from_config(cls, cfg: settings.CoordinatorConfig) -> 'Coordinator':
         """Return the machine of a host that follows the log."""
         machine = cls(cfg)
         _chart().bind(machine)
@@ -104,7 +77,7 @@
         self.term = event.term
         self.reason = 'the coordinator has changed'
         self._begun_at = self._now
-        self.unaware = self._everyone()
+        self.unaware = self.log.known_ranks - self.roster.gone
         self.lead()
         self._send_decided()
 
@@ -150,10 +123,8 @@
 
     @_on.register
     def _(self, event: events.RankGone) -> None:
-        known = self.incarnations.get(event.rank, event.incarnation)
-        if known != event.incarnation:
+        if not self.roster.leave(event.rank, event.incarnation):
             return
-        self.gone.add(event.rank)
         self.unaware.discard(event.rank)
         opened = self.log.opened
         if opened is not None and event.rank in opened.ranks:
@@ -185,12 +156,7 @@
             return
         self._send(
             ask.rank,
-            messages.Answer(
-                group=self.cfg.group,
-                nonce=ask.nonce,
-                standing=self.log.standing,
-                fence=self._fence(),
-            ),
+            orders.answer(ask, self.log, self._fence()),
         )
 
     @_on.register
@@ -216,8 +182,8 @@
         self._highest_step = max(self._highest_step, message.step)
         if self.state != 'staging' or message.version != self._version():
             return
-        self.staged[message.rank] = message
-        if set(self.log.opened.ranks) <= set(self.staged):
+        self.roster.staged[message.rank] = message
+        if set(self.log.opened.ranks) <= set(self.roster.staged):
             self.all_staged()
 
     @_receive.register
@@ -231,11 +197,10 @@
             return
         if message.round != self.round or message.step != self.step:
             return
-        staged = self.staged.get(message.rank)
-        if staged and staged.incarnation != message.incarnation:
+        if self.roster.has_restarted(message.rank, message.incarnation):
             self._abandon(f'rank {message.rank} has restarted')
             return
-        self.armed.add(message.rank)
+        self.roster.armed[message.rank] = message.incarnation
         self._check_armed()
 
     @_receive.register
@@ -254,16 +219,14 @@
 
     @_receive.register
     def _(self, message: messages.Acknowledged) -> None:
-        self.incarnations[message.rank] = message.incarnation
+        self.roster.incarnations[message.rank] = message.incarnation
         if message.index >= self.log.standing.index:
             self.unaware.discard(message.rank)
 
     @_receive.register
     def _(self, message: messages.Ask) -> None:
-        self.gone.discard(message.rank)
-        self.incarnations[message.rank] = message.incarnation
-        staged = self.staged.get(message.rank)
-        if staged and staged.incarnation != message.incarnation:
+        self.roster.join(message.rank, message.incarnation)
+        if self.roster.has_restarted(message.rank, message.incarnation):
             self._abandon(f'rank {message.rank} has restarted')
         if self.state in _UNDECIDED:
             self._asks[message.rank] = message
@@ -281,6 +244,8 @@
         if accepted and decision == self.proposal:
             self.opened()
         elif accepted:
+            if self.state == 'opening':
+                self._refuse()
             self.reason = 'opened by a former coordinator'
             self.found_foreign()
         elif self.state == 'opening' and decision == self.proposal:
@@ -297,7 +262,8 @@
                 duration_s=self._now - self._begun_at,
             )
         )
-        self.unaware = self._everyone() | set(self.staged)
+        self.unaware = self.log.known_ranks | set(self.roster.staged)
+        self.unaware -= self.roster.gone
         self._forget()
         self.closed()
         self._send_decided()
@@ -308,14 +274,22 @@
     def _check_armed(self) -> None:
         if self.state != 'arming':
             return
-        needed = set(self.log.opened.ranks) | set(self.log.base_ranks)
-        if needed - self.gone <= self.armed:
+        if self._needed() <= set(self.roster.armed):
             self.all_armed()
 
+    def _needed(self) -> set[str]:
+        """Return the ranks that have to arm for the open switch."""
+        opened = self.log.opened
+        return (
+            set(opened.ranks) | set(self.log.base_ranks)
+        ) - self.roster.gone
+
     def _check_timeout(self) -> None:
         waited = self._now - self._phase_since
         if self.state == 'staging' and waited > self.cfg.stage_timeout_s:
-            missing = sorted(set(self.log.opened.ranks) - set(self.staged))
+            missing = sorted(
+                set(self.log.opened.ranks) - set(self.roster.staged)
+            )
             self._abandon(f'not staged in time: {", ".join(missing)}')
         elif self.state == 'arming' and waited > self.cfg.arm_timeout_s:
             self._abandon('not armed in time')
@@ -350,15 +324,6 @@
         error = errors.CassiashiftError(code, text)
         self._effects.append(events.SwitchRefused(error))
 
-    def _everyone(self) -> set[str]:
-        standing = self.log.standing
-        ranks = set(self.log.base_ranks)
-        if standing.former is not None:
-            ranks.update(standing.former.ranks)
-        if self.log.opened is not None:
-            ranks.update(self.log.opened.ranks)
-        return ranks - self.gone
-
     def _version(self) -> int | None:
         return self.log.opened and self.log.opened.version
 
@@ -367,8 +332,7 @@
         return messages.Fence(self.term, index)
 
     def _forget(self) -> None:
-        self.staged = {}
-        self.armed = set()
+        self.roster.forget_switch()
         self.proposal = None
         self.round = 0
 
@@ -376,40 +340,24 @@
         self._effects.append(events.SendToRank(rank, message))
 
     def _send_stage(self) -> None:
-        opened = self.log.opened
-        order = messages.Stage(
-            group=self.cfg.group,
-            version=opened.version,
-            body=opened.body,
-            standing=self.log.standing.stripped(),
-            fence=self._fence(),
-        )
-        for rank in opened.ranks:
-            if rank not in self.staged:
+        order = orders.stage(self.log, self._fence())
+        for rank in self.log.opened.ranks:
+            if rank not in self.roster.staged:
                 self._send(rank, order)
 
     def _send_arm(self) -> None:
-        opened = self.log.opened
-        needed = set(opened.ranks) | set(self.log.base_ranks)
-        for rank in sorted(needed - self.gone - self.armed):
-            order = messages.Arm(
-                group=self.cfg.group,
-                version=opened.version,
-                step=self.step,
-                round=self.round,
-                member=rank in opened.ranks,
-                standing=self.log.standing.stripped(),
-                fence=self._fence(),
+        for rank in sorted(self._needed() - set(self.roster.armed)):
+            self._send(
+                rank,
+                orders.arm(
+                    self.log, self._fence(), rank, self.step, self.round
+                ),
             )
-            self._send(rank, order)
 
     def _send_decided(self) -> None:
-        standing = self.log.standing
-        if standing.index == 0:
+        if self.log.standing.index == 0:
             return
-        order = messages.Decided(
-            self.cfg.group, standing.stripped(), self._fence()
-        )
+        order = orders.decided(self.cfg.group, self.log, self._fence())
         for rank in sorted(self.unaware):
             self._send(rank, order)
 
@@ -446,7 +394,7 @@
         else:
             self._lead *= 2
         self.round += 1
-        self.armed = set()
+        self.roster.armed = {}
         self.step = self.log.first_free_step
         if self.log.standing.current is not None:
             self.step = max(self.step, self._highest_step + self._lead)
--- a/packages/cassiashift-core/cassiashift_core/mapswitch/decisions.py
+++ b/packages/cassiashift-core/cassiashift_core/mapswitch/decisions.py
@@ -56,6 +56,16 @@
         current = self.standing.current
         return current.ranks if current else ()
 
+    @property
+    def known_ranks(self) -> set[str]:
+        """Return the ranks of the open switch and of the last two maps."""
+        found = set(self.base_ranks)
+        if self.standing.former is not None:
+            found.update(self.standing.former.ranks)
+        if self.opened is not None:
+            found.update(self.opened.ranks)
+        return found
+
     @property
     def first_free_step(self) -> int:
         """Return the lowest step that a commit may name."""
--- a/packages/cassiashift-core/cassiashift_core/mapswitch/rank.py
+++ b/packages/cassiashift-core/cassiashift_core/mapswitch/rank.py
@@ -13,40 +13,12 @@
 from cassiashift_core import charts
 from cassiashift_core.mapswitch import events
 from cassiashift_core.mapswitch import messages
+from cassiashift_core.mapswitch import settings
+from cassiashift_core.mapswitch import steps
 
-ASK_INTERVAL_S = 0.2
 NONCE_BITS = 64
 
 
-@attrs.frozen
-class RankConfig:
-    """Settings of a rank's machine.
-
-    Attributes:
-        incarnation: differs for every start of the agent.
-        ask_interval_s: time after which an unanswered question is repeated.
-    """
-
-    group: str
-    rank: str
-    incarnation: str
-    ask_interval_s: float = ASK_INTERVAL_S
-
-
-@attrs.frozen
-class Proceed:
-    """The rank may start the step on a version."""
-
-    version: int
-
-
-@attrs.frozen
-class Hold:
-    """The rank must not start the step yet."""
-
-    reason: str
-
-
 @attrs.define(slots=False, eq=False)
 class RankSwitch:
     """Decide which map each step of a rank runs on.
@@ -57,7 +29,7 @@
         stalled_s: seconds for which steps were held, over all switches.
     """
 
-    cfg: RankConfig
+    cfg: settings.RankConfig
     rng: random.Random
     standing: messages.Standing = messages.Standing()
     highest: messages.Fence = messages.Fence()
@@ -76,14 +48,14 @@
 
     @classmethod
     def from_config(
-        cls, cfg: RankConfig, rng: random.Random | None = None
+        cls, cfg: settings.RankConfig, rng: random.Random | None = None
     ) -> 'RankSwitch':
         """Return the machine of a rank that knows no map yet."""
         machine = cls(cfg, rng or random.Random(cfg.incarnation))
         _chart().bind(machine)
         return machine
 
-    def may_start(self, step: int, now: float) -> Proceed | Hold:
+    def may_start(self, step: int, now: float) -> steps.Proceed | steps.Hold:
         """Tell whether a step may start, and on which version.
 
         ``Proceed`` counts as the start of the step.
@@ -91,7 +63,7 @@
         if self.started is None:
             self.started = step - 1
         verdict = self._judge(step)
-        if isinstance(verdict, Hold):
+        if isinstance(verdict, steps.Hold):
             if self._held_since is None:
                 self._held_since = now
             return verdict
@@ -108,26 +80,22 @@
         self._on(event, now)
         return self._effects
 
-    def _judge(self, step: int) -> Proceed | Hold:
+    def _judge(self, step: int) -> steps.Proceed | steps.Hold:
         if self.state == 'joining':
-            return Hold('the current map is not known yet')
+            return steps.Hold('the current map is not known yet')
         if self.promise is not None and step >= self.promise.step:
-            return Hold(f'outcome of version {self.promise.version} unknown')
-        entry = self._entry(step)
+            return steps.Hold(
+                f'outcome of version {self.promise.version} unknown'
+            )
+        entry = steps.entry_for(self.standing, step)
         if entry is None:
-            return Hold('no map is in force at this step')
+            return steps.Hold('no map is in force at this step')
         if self.cfg.rank not in entry.ranks:
-            return Hold(f'not a rank of version {entry.version}')
+            return steps.Hold(f'not a rank of version {entry.version}')
         if entry.version not in self.loaded:
             self._wanted = entry
-            return Hold(f'weights of version {entry.version} not loaded')
-        return Proceed(entry.version)
-
-    def _entry(self, step: int) -> messages.MapEntry | None:
-        for entry in (self.standing.current, self.standing.former):
-            if entry is not None and step >= entry.step:
-                return entry
-        return None
+            return steps.Hold(f'weights of version {entry.version} not loaded')
+        return steps.Proceed(entry.version)
 
     @functools.singledispatchmethod
     def _on(self, event: events.Event, now: float) -> None:
@@ -259,29 +227,14 @@
         if standing.index < self.standing.index:
             return
         before = self.standing
-        self.standing = self._with_bodies(standing)
+        self.standing = steps.with_bodies(standing, before, self.switch)
         current = standing.current
-        if current is not None and current.step != _first_step(before):
+        if current is not None and current.step != steps.first_step(before):
             self._effects.append(
                 events.ActivateMap(current.version, current.step)
             )
         self._end_switch(standing)
 
-    def _with_bodies(self, standing: messages.Standing) -> messages.Standing:
-        """Return a standing, with the bodies that were received before."""
-        known = {
-            entry.version: entry.body
-            for entry in (self.standing.former, self.standing.current)
-            if entry is not None
-        }
-        if self.switch is not None:
-            known[self.switch.version] = self.switch.body
-        return attrs.evolve(
-            standing,
-            current=_with_body(standing.current, known),
-            former=_with_body(standing.former, known),
-        )
-
     def _end_switch(self, standing: messages.Standing) -> None:
         order = self.promise or self.switch
         if order is None or order.version > standing.decided:
@@ -356,18 +309,6 @@
         )
 
 
-def _first_step(standing: messages.Standing) -> int | None:
-    return standing.current and standing.current.step
-
-
-def _with_body(
-    entry: messages.MapEntry | None, known: dict[int, bytes]
-) -> messages.MapEntry | None:
-    if entry is None or entry.body:
-        return entry
-    return attrs.evolve(entry, body=known.get(entry.version, b''))
-
-
 @functools.cache
 def _chart() -> charts.Chart:
     return charts.load(__package__, 'rank.toml', RankSwitch)
--- a/tests/core/mapswitch/cluster.py
+++ b/tests/core/mapswitch/cluster.py
@@ -155,7 +155,9 @@
             if name == self.leader and name not in self.cut | self.apart:
                 self.apply(name)
                 self.feed(name, mapswitch.BarrierPassed(ticket))
-        elif target not in self.cut | self.stalled | self.deaf:
+        elif target in self.deaf and isinstance(event, mapswitch.Received):
+            return
+        elif target not in self.cut | self.stalled:
             self.feed(target, event)
 
     def try_step(self, name):
--- a/tests/core/mapswitch/test_planted_faults.py
+++ b/tests/core/mapswitch/test_planted_faults.py
@@ -76,6 +76,14 @@
             self.state = state
 
 
+class TrustsArmsOfFormerStarts(mapswitch.Coordinator):
+    """Counts the promise of a rank that has restarted since."""
+
+    def _abandon(self, reason):
+        if 'restarted' not in reason:
+            super()._abandon(reason)
+
+
 class CommitsBeforeArm(mapswitch.Coordinator):
     """Commits when all ranks have staged, and none has to hold."""
 
@@ -169,7 +177,24 @@
     cluster.run(2.0)
 
 
+def restart_of_a_leaving_rank_that_has_armed(cluster):
+    """Restart a leaving rank while another has not armed yet."""
+    cluster.request('a', ranks=['r0', 'r1', 'r2'])
+    cluster.run_until(lambda: cluster.ranks['r1'].state == 'staged')
+    cluster.deaf.add('r1')
+    cluster.paused.add('r1')
+    cluster.run_until(lambda: 'r3' in cluster.hosts['a'].roster.armed)
+    cluster.start_rank('r3')
+    cluster.run(1.0)
+    cluster.deaf.clear()
+    cluster.run_until(lambda: cluster.hosts['a'].state != 'arming')
+    cluster.deaf.add('r3')
+    cluster.paused.clear()
+    cluster.run(2.0)
+
+
 PLANTED = [
+    (TrustsArmsOfFormerStarts, restart_of_a_leaving_rank_that_has_armed),
     (ForgetsStartedSteps, restart_of_all_agents),
     (SwitchesWithoutCommit, coordinator_cut_off_after_arming),
     (ProceedsUnheard, outcome_lost_to_one_rank),
--- a/tests/core/mapswitch/test_switch.py
+++ b/tests/core/mapswitch/test_switch.py
@@ -204,7 +204,7 @@
     cluster.start_rank('r3')
     cluster.run(1.0)
     cluster.feed('a', mapswitch.RankGone('r3', before))
-    assert_that(cluster.hosts['a'].gone, matchers.Equals(set()))
+    assert_that(cluster.hosts['a'].roster.gone, matchers.Equals(set()))
 
 
 def test_second_switch_during_the_first_is_refused():
@@ -219,6 +219,25 @@
     assert_that(body, matchers.Equals(b'm'))
 
 
+def test_requester_that_a_late_proposal_overtakes_is_refused():
+    cluster = clusters.started()
+    cluster.request('a', body=b'mine')
+    late = mapswitch.Decision(
+        group=clusters.GROUP,
+        kind=mapswitch.DecisionKind.OPEN,
+        version=2,
+        term=0,
+        ranks=('r0', 'r1', 'r2', 'r3'),
+        body=b'late',
+    )
+    cluster.log.append(late)
+    cluster.run(2.0)
+    code = cluster.refused[-1].error.code
+    assert_that(code, matchers.Equals(errors.ErrorCode.CONFLICT))
+    assert_that(cluster.finished[-1].committed, matchers.Equals(False))
+    assert_that(advances(cluster), matchers.Equals(True))
+
+
 def test_rollback_brings_the_former_body_under_a_new_number():
     cluster = clusters.started()
     cluster.request('a', body=b'new')
