--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/balancing/maps.py
@@ -0,0 +1,53 @@
+"""Expert maps as the log and the agents carry them; free of numpy."""
+
+import attrs
+import msgspec
+
+
+@attrs.frozen
+class Fetch:
+    """Weights that a rank has to fetch for a map."""
+
+    layer: int
+    expert: int
+
+
+@attrs.frozen
+class ExpertMap:
+    """Where the experts of each layer stand.
+
+    Attributes:
+        ranks: ids of the ranks, in the order of each layer's rows.
+        layers: for each layer and rank, the experts that it holds.
+    """
+
+    ranks: tuple[str, ...]
+    layers: tuple[tuple[tuple[int, ...], ...], ...]
+
+    @classmethod
+    def from_bytes(cls, body: bytes) -> 'ExpertMap':
+        """Return the map in a body.
+
+        Raises:
+            msgspec.DecodeError: the body is no map.
+        """
+        return msgspec.msgpack.decode(body, type=cls)
+
+    def to_bytes(self) -> bytes:
+        """Return the body of a switch to this map."""
+        return msgspec.msgpack.encode(self)
+
+    def experts(self, rank: str, layer: int) -> tuple[int, ...]:
+        """Return the experts that a rank holds; none for an unknown rank."""
+        if rank not in self.ranks:
+            return ()
+        return self.layers[layer][self.ranks.index(rank)]
+
+    def fetches(self, rank: str, held: 'ExpertMap | None') -> list[Fetch]:
+        """Return what a rank has to fetch when it holds another map."""
+        return [
+            Fetch(layer, expert)
+            for layer in range(len(self.layers))
+            for expert in self.experts(rank, layer)
+            if held is None or expert not in held.experts(rank, layer)
+        ]
--- /dev/null
+++ b/tests/core/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of expert balancing."""
--- /dev/null
+++ b/tests/core/balancing/test_traces.py
@@ -0,0 +1,67 @@
+"""Tests of made traces and of the reader."""
+
+import json
+
+import numpy as np
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core.balancing import traces
+
+
+def line(window, layer, tokens):
+    row = {'window': window, 'layer': layer, 'tokens': tokens}
+    return json.dumps(row).encode()
+
+
+def test_drift_has_the_stated_spread_and_correlation():
+    logs = np.log(traces.generate(traces.TraceKind.DRIFT, 3))
+    logs -= logs.mean(axis=2, keepdims=True)
+    assert_that(abs(logs.std() - 0.8), matchers.LessThan(0.05))
+    link = (logs[1:] * logs[:-1]).mean() / (logs**2).mean()
+    assert_that(abs(link - 0.97), matchers.LessThan(0.01))
+
+
+def test_shift_changes_every_32_windows_and_never_between():
+    logs = np.log(traces.generate(traces.TraceKind.SHIFT, 3))
+    change = np.abs(np.diff(logs, axis=0)).mean(axis=(1, 2))
+    assert_that(
+        list(np.flatnonzero(change > 0.3) + 1), matchers.Equals([32, 64])
+    )
+
+
+def test_spike_gives_four_experts_twenty_times_their_share():
+    trace = traces.generate(traces.TraceKind.SPIKE, 3)
+    median = np.median(trace, axis=2, keepdims=True)
+    hot = (trace > 10 * median).sum(axis=2)
+    wanted = [4 if window % 8 == 7 else 0 for window in range(96)]
+    assert_that(list(hot[:, 0]), matchers.Equals(wanted))
+
+
+def test_reader_takes_lines_in_any_order():
+    lines = [line(1, 0, [3, 4]), line(0, 0, [1, 2])]
+    trace = traces.read(lines)
+    assert_that(trace.tolist(), matchers.Equals([[[1, 2]], [[3, 4]]]))
+
+
+@pytest.mark.parametrize(
+    ('lines', 'at_fault'),
+    [
+        ([], 1),
+        ([b'{'], 1),
+        ([line(0, 0, [1, 2]), b'[]'], 2),
+        ([line(0, 0, [1, 2]), line(1, 0, [1, 2, 3])], 2),
+        ([line(0, 0, [1, 2]), line(0, 0, [1, 2])], 2),
+        ([line(0, 0, [1, -2])], 1),
+        ([line(0, 0, [0, 0])], 1),
+        ([line(0, 0, [])], 1),
+        ([line(-1, 0, [1])], 1),
+        ([line(0, 0, ['a'])], 1),
+        ([line(0, 0, [1]), line(2, 0, [1])], 2),
+    ],
+)
+def test_reader_names_the_line_at_fault(lines, at_fault):
+    with pytest.raises(traces.TraceError) as caught:
+        traces.read(lines)
+    assert_that(caught.value.line, matchers.Equals(at_fault))
