Refuse traces of one window and lines that are no text

Cause: a trace of one window gave measures of NaN, and bytes that are no UTF-8 passed in a field that is not used. Conclusion: what is no trace gets status 2.

--- a/packages/cassiashift-cli/cassiashift_cli/experiment_balance.py
+++ b/packages/cassiashift-cli/cassiashift_cli/experiment_balance.py
@@ -28,7 +28,9 @@
     *,
     trace: pathlib.Path | None = None,
     seed: int = 0,
-    kind: traces.TraceKind = traces.TraceKind.DRIFT,
+    kind: Annotated[
+        traces.TraceKind, cyclopts.Parameter(name=['--kind', '--trace-kind'])
+    ] = traces.TraceKind.DRIFT,
     ranks: Annotated[
         int, cyclopts.Parameter(validator=cyclopts.validators.Number(gte=1))
     ] = 32,
--- a/packages/cassiashift-core/cassiashift_core/balancing/traces.py
+++ b/packages/cassiashift-core/cassiashift_core/balancing/traces.py
@@ -11,6 +11,7 @@
 DEVIATION = 0.8
 EXPERTS = 256
 LAYERS = 2
+MIN_WINDOWS = 2
 SHIFT_EVERY = 32
 SPIKE_EVERY = 8
 SPIKE_EXPERTS = 4
@@ -105,8 +106,8 @@
     number = 0
     for number, text in enumerate(lines, start=1):
         try:
-            line = decoder.decode(text)
-        except msgspec.DecodeError as exc:
+            line = decoder.decode(text.decode('utf-8'))
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             raise TraceError(number, str(exc)) from exc
         _check_line(number, line, found)
         found[line.window, line.layer] = line
@@ -144,6 +145,8 @@
             f'{windows} windows of {layers} layers need '
             f'{windows * layers} lines, found {len(found)}',
         )
+    if windows < MIN_WINDOWS:
+        raise TraceError(number, f'a trace needs {MIN_WINDOWS} windows')
     experts = len(next(iter(found.values())).tokens)
     trace = np.zeros((windows, layers, experts))
     for (window, layer), line in found.items():
--- a/tests/core/balancing/test_traces.py
+++ b/tests/core/balancing/test_traces.py
@@ -59,6 +59,8 @@
         ([line(-1, 0, [1])], 1),
         ([line(0, 0, ['a'])], 1),
         ([line(0, 0, [1]), line(2, 0, [1])], 2),
+        ([line(0, 0, [1]), b'{"window": 1, "x": "\xff"}'], 2),
+        ([line(0, 0, [1]), line(0, 1, [1])], 2),
     ],
 )
 def test_reader_names_the_line_at_fault(lines, at_fault):
