--- a/packages/cassiashift-daemon/cassiashift_daemon/main.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/main.py
@@ -7,6 +7,7 @@
 import cyclopts
 import uvloop
 
+from cassiashift_daemon import lifecycle
 from cassiashift_daemon import logs
 from cassiashift_daemon import settings
 
@@ -81,13 +82,13 @@
     return 0
 
 
-def _serve(process: aiomisc.Service, cfg: settings.Settings) -> int:
+def _serve(process: lifecycle.Process, cfg: settings.Settings) -> int:
     logs.configure(cfg.log_level)
     with aiomisc.entrypoint(
         process, log_config=False, pool_size=1, catch_signals=()
     ) as loop:
         loop.run_until_complete(process.stopped())
-    return 0
+    return process.exit_status
 
 
 def run() -> None:
