--- a/packages/cassiashift-daemon/cassiashift_daemon/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/calls.py
@@ -193,21 +193,20 @@
             time.monotonic(),
             target.choice,
         )
-        running = self.attempts.start(
-            target.agent.host, target.agent.link, self._start(call, target)
-        )
-        keep = False
+        running = None
+        answer = None
         try:
             async with asyncio.timeout_at(self._loop_time(call.deadline)):
+                running = await self.attempts.start(
+                    target.agent.link, self._start(call, target)
+                )
                 answer = await self._answer(running, target)
-            keep = answer.stream is not None
             return answer
         except TimeoutError:
-            raise await self._timed_out(target) from None
+            raise await self._timed_out(target, running) from None
         finally:
-            if not keep:
-                self.attempts.forget(running)
-                self._finished(running, target)
+            if answer is None or answer.stream is None:
+                self._over(target, running)
 
     async def after_failure(
         self,
@@ -271,12 +270,24 @@
             head.status, head.headers, bytes(body), upstream=target.upstream
         )
 
-    def _finished(self, running: remote.RemoteAttempt, target: Target) -> None:
-        outcome = _outcome(running)
+    def _over(
+        self, target: Target, running: remote.RemoteAttempt | None
+    ) -> None:
+        """Forget an attempt; ``running`` is None if it was never sent."""
+        outcome = routing.Outcome.REFUSED
+        if running is not None:
+            self.attempts.forget(running)
+            outcome = _outcome(running)
         self.router.finished(target.attempt, outcome, time.monotonic())
 
-    async def _timed_out(self, target: Target) -> CassiashiftError:
-        verdict = await self.attempts.fence(target.agent.link, target.attempt)
+    async def _timed_out(
+        self, target: Target, running: remote.RemoteAttempt | None
+    ) -> CassiashiftError:
+        verdict = Verdict.NOT_RUN
+        if running is not None:
+            verdict = await self.attempts.fence(
+                target.agent.link, target.attempt
+            )
         return CassiashiftError(
             ErrorCode.DEADLINE_EXCEEDED,
             'the deadline has passed',
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -176,6 +176,7 @@
         )
         self.gate = gate.Gate(admission.Admission.from_config())
         self.attempts = remote.RemoteAttempts(self.links, self.events.record)
+        self.links.on_lost = self.attempts.link_lost
         self.proposer = proposals.Proposer(cfg.host, self.links, self.voters)
         self.calls = calls.CallRunner(
             host=cfg.host,
@@ -238,6 +239,7 @@
             links=self.links,
             addresses=self.voters,
             on_event=self.spread.handle,
+            on_failed=self.fail,
         )
         held = saved.entries[-1].index if saved.entries else 0
         if saved.snapshot is not None:
@@ -358,7 +360,8 @@
         if member.kind is not membership.Kind.AGENT:
             return
         if changed.status is membership.Status.DEAD:
-            self.attempts.host_lost(member.host)
+            known = self.presence.member.address_of(member.host)
+            self.attempts.link_lost(member.address or known or '')
             logs.warning('agent_lost', host=member.host)
 
     def _voter_status(self) -> dict[str, Any]:
