Keep the lead of a workspace when its weight changes

Cause: at twice the load two large workspaces got 45% of their calls served where a third with the same demand got all: counters are in tokens for each unit of weight, and a change of weight turned an old lead into a lasting debt. Change: a change of weight keeps the lead in tokens, and takes effect at once. The new test fails without the change. A credit of 0, 2 or 6 s of its share for a workspace that comes back changed nothing and is not kept.

--- a/packages/cassiashift-core/cassiashift_core/admission/fair_queue.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/fair_queue.py
@@ -16,6 +16,8 @@
 
 from cassiashift_core.admission import model
 
+MIN_WEIGHT = 1e-6
+
 
 @attrs.frozen(order=True)
 class _Place:
@@ -138,6 +140,12 @@
         line = self.lines.get(workspace)
         return 0 if line is None else line.tokens
 
+    def set_weight(self, workspace: str, weight: float) -> None:
+        """Change the weight of a workspace that the queue knows."""
+        line = self.lines.get(workspace)
+        if line is not None and weight != line.weight:
+            self._reweigh(line, max(weight, MIN_WEIGHT))
+
     def charge(self, workspace: str, tokens: float, weight: float) -> None:
         """Count the start of a call that takes so many tokens."""
         line = self._line(workspace, weight)
@@ -200,9 +208,17 @@
             self.lines[workspace] = line
         if not line.active:
             line.counter = max(line.counter, self._lowest())
-        line.weight = weight
+        if weight != line.weight:
+            self._reweigh(line, max(weight, MIN_WEIGHT))
         return line
 
+    def _reweigh(self, line: _Line, weight: float) -> None:
+        """Change a weight; what the line is ahead in tokens is kept."""
+        base = self._lowest()
+        ahead = (line.counter - base) * line.weight
+        line.weight = weight
+        line.counter = base + ahead / weight
+
     def _lowest(self) -> float:
         counters = [
             line.counter for line in self.lines.values() if line.active
--- a/packages/cassiashift-core/cassiashift_core/admission/gate.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/gate.py
@@ -59,6 +59,8 @@
             self._meters[workspace] = limits.WorkspaceMeter(share)
         else:
             meter.update(share, now)
+        for pool in self._pools.values():
+            pool.queue.set_weight(workspace, share.weight)
 
     def forget_workspace(self, workspace: str) -> None:
         """Drop the limits of a workspace that no longer exists."""
--- a/tests/core/admission/test_fairness.py
+++ b/tests/core/admission/test_fairness.py
@@ -1,6 +1,7 @@
 """Fairness of admission under overload, against the stated 90%."""
 
 import heapq
+import itertools
 import random
 
 import pytest
@@ -111,3 +112,30 @@
         served[load] = sum(found.values())
     peak = max(served.values())
     assert_that(served[5.0], matchers.GreaterThan(0.9 * peak))
+
+
+def test_change_of_weight_leaves_no_lasting_debt():
+    gate = admission.Admission.from_config()
+    gate.set_capacity('m@1', 1, 0.0)
+    gate.set_limits('a', admission.WorkspaceLimits(weight=0.01), 0.0)
+    numbers = itertools.count()
+
+    def offer(name):
+        req = admission.AdmissionRequest(
+            f'{name}{next(numbers)}', name, 'm@1', 100
+        )
+        return gate.offer(req, 0.0)
+
+    running = offer('a').request_id
+    for name in 'aabb':
+        offer(name)
+    served = []
+    for step in range(130):
+        if step == 30:
+            gate.set_limits('a', admission.WorkspaceLimits(1.0), 0.0)
+            served.clear()
+        served.append(running[0])
+        offer(running[0])
+        running = gate.release(running, 100, 0.0)[0].request_id
+    assert_that(served.count('a') >= 45, matchers.Equals(True))
+    assert_that(served.count('b') >= 45, matchers.Equals(True))
