--- a/packages/cassiashift-core/cassiashift_core/manifest/view.py
+++ b/packages/cassiashift-core/cassiashift_core/manifest/view.py
@@ -60,6 +60,10 @@
         owner = self._owners.get(key_hash)
         return None if owner is None else self._find('workspaces', owner)
 
+    def workspace(self, workspace_id: str) -> model.Workspace | None:
+        """Return a workspace."""
+        return self._find('workspaces', workspace_id)
+
     def upstream(self, upstream_id: str) -> model.Upstream | None:
         """Return an expected upstream."""
         return self._find('upstreams', upstream_id)
--- a/packages/cassiashift-daemon/cassiashift_daemon/callers.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/callers.py
@@ -1,6 +1,7 @@
 """The HTTP interface for callers."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import time
 from typing import Any
@@ -38,6 +39,7 @@
     runner: calls.CallRunner
     once: once.OnceRunner
     record: Any
+    offered: Callable[[str, int], None]
     is_ready: Any
     is_leaving: Any
     in_flight: int = 0
@@ -152,6 +154,7 @@
     async def _serve(
         self, req: web.Request, call: calls.Call
     ) -> web.StreamResponse:
+        self.offered(call.workspace, call.tokens)
         self.record(
             'call_arrived',
             call.request_id,
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -36,6 +36,7 @@
 from cassiashift_daemon import remote
 from cassiashift_daemon import settings
 from cassiashift_daemon import shared_state
+from cassiashift_daemon import sharing
 from cassiashift_daemon import spreading
 from cassiashift_daemon import storage
 from cassiashift_daemon import surveys
@@ -192,6 +193,15 @@
     def _build_interfaces(self) -> None:
         cfg = self.cfg
         member = self.presence.member
+        self.sharer = sharing.LimitSharer(
+            host=cfg.host,
+            voters=self.voters,
+            links=self.links,
+            gate=self.gate,
+            holder=self.holder,
+            member=member,
+        )
+        self.limit_granter = sharing.LimitGranter.started_now()
         self.callers = callers.CallerApi(
             cfg=cfg,
             holder=self.holder,
@@ -201,6 +211,7 @@
                 self.calls, self.proposer, cfg.ledger_retention_s
             ),
             record=self.events.record,
+            offered=self.sharer.offered,
             is_ready=lambda: self.holder.confirmed,
             is_leaving=lambda: self.leaving,
         )
@@ -269,6 +280,11 @@
             messages.EventsAnswer,
             lambda sender, message: self.collector.received(message),
         )
+        register(
+            messages.ShareGrants,
+            lambda sender, message: self.sharer.received(message),
+        )
+        register(messages.DemandReport, self.limit_granter.received)
         for cls in remote.MESSAGE_TYPES:
             register(
                 cls, lambda sender, message: self.attempts.received(message)
@@ -285,6 +301,10 @@
         self.spawn(self.every(GATE_INTERVAL_S, self.gate.tick))
         self.spawn(self.every(VIEW_INTERVAL_S, self._refresh))
         self.spawn(self.every(lending.REFRESH_INTERVAL_S, self.lent.refresh))
+        self.spawn(self.every(sharing.REPORT_INTERVAL_S, self.sharer.report))
+        self.spawn(
+            self.every(sharing.FORGET_AFTER_S, self.limit_granter.forget_idle)
+        )
         self.spawn(self.every(membership.TICK_INTERVAL_S, self.presence.tick))
         self.spawn(self.every(spread.TICK_INTERVAL_S, self.spread.tick))
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/gate.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/gate.py
@@ -43,6 +43,12 @@
         now = time.monotonic()
         self._admit(self.admission.set_capacity(pool, max(calls, 1), now))
 
+    def set_limits(
+        self, workspace: str, limits: admission.WorkspaceLimits
+    ) -> None:
+        """Set this entry's share of a workspace's weight and limits."""
+        self.admission.set_limits(workspace, limits, time.monotonic())
+
     def leave(self, request_id: str, used_tokens: float) -> None:
         """Count the end of a call and let others in."""
         now = time.monotonic()
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/sharing.py
@@ -0,0 +1,172 @@
+"""Limits of workspaces that hold across entries.
+
+Each entry reports the demand of its workspaces once an interval, and gets
+leases on shares of their limits. A voter, the same for all entries, grants
+the shares of a workspace. No message is sent for a call.
+"""
+
+import time
+
+import attrs
+
+from cassiashift_core import admission
+from cassiashift_core import hashing
+from cassiashift_core import manifest
+from cassiashift_core import membership
+from cassiashift_daemon import gate
+from cassiashift_daemon import shared_state
+from cassiashift_net import links
+from cassiashift_net import messages
+
+REPORT_INTERVAL_S = 1.0
+FORGET_AFTER_S = 60.0
+MAX_WORKSPACES_PER_REPORT = 4096
+
+
+@attrs.define
+class _Demand:
+    """Tokens offered by one workspace since the last report."""
+
+    tokens: float = 0.0
+    seen_at: float = 0.0
+
+
+@attrs.define(eq=False)
+class LimitSharer:
+    """The entry's side: reports demands and puts shares in force."""
+
+    host: str
+    voters: dict[str, str]
+    links: links.Links
+    gate: gate.Gate
+    holder: shared_state.SharedHolder
+    member: membership.Membership
+    shares: admission.ShareHolder = attrs.field(factory=admission.ShareHolder)
+    _demands: dict[str, _Demand] = attrs.field(factory=dict)
+    _sent_at: dict[int, float] = attrs.field(factory=dict)
+    _number: int = 0
+
+    def offered(self, workspace: str, tokens: int) -> None:
+        """Count a call that asks for admission."""
+        demand = self._demands.get(workspace)
+        if demand is None:
+            demand = self._demands.setdefault(workspace, _Demand())
+            self._renew_limits(workspace)
+        demand.tokens += tokens
+        demand.seen_at = time.monotonic()
+
+    def report(self) -> None:
+        """Send the demands of the last interval to the granters."""
+        now = time.monotonic()
+        self.shares.entries = self._count_entries()
+        self._forget_idle(now)
+        batches: dict[str, list[messages.Demand]] = {}
+        for workspace, demand in self._demands.items():
+            granter = hashing.rendezvous(workspace, self.voters)[0]
+            rate = demand.tokens / REPORT_INTERVAL_S
+            batches.setdefault(granter, []).append(
+                messages.Demand(workspace, rate)
+            )
+            demand.tokens = 0.0
+        for granter, demands in batches.items():
+            self._send(granter, demands[:MAX_WORKSPACES_PER_REPORT], now)
+        self._sent_at = {
+            number: sent_at
+            for number, sent_at in self._sent_at.items()
+            if now - sent_at < admission.LEASE_S
+        }
+
+    def received(self, message: messages.ShareGrants) -> None:
+        """Put leases in force; they count from the send of the report."""
+        sent_at = self._sent_at.pop(message.number, None)
+        if sent_at is None:
+            return
+        for grant in message.grants:
+            self.shares.granted(
+                admission.ShareLease(
+                    self.host,
+                    grant.workspace,
+                    grant.share,
+                    sent_at + message.lease_s,
+                )
+            )
+        for workspace in self._demands:
+            self._renew_limits(workspace)
+
+    def _send(
+        self, granter: str, demands: list[messages.Demand], now: float
+    ) -> None:
+        self._number += 1
+        self._sent_at[self._number] = now
+        report = messages.DemandReport(self._number, tuple(demands))
+        self.links.send(self.voters[granter], report)
+
+    def _renew_limits(self, workspace: str) -> None:
+        found = self.holder.view.workspace(workspace)
+        if found is not None:
+            self._set_limits(found)
+
+    def _set_limits(self, workspace: manifest.Workspace) -> None:
+        now = time.monotonic()
+        share = self.shares.share(workspace.id, now)
+        weight = self.shares.weight_share(workspace.id, now)
+        limits = workspace.limits
+        self.gate.set_limits(
+            workspace.id,
+            admission.WorkspaceLimits(
+                weight=workspace.weight * weight,
+                requests_per_second=limits.requests_per_second * share,
+                tokens_per_second=limits.tokens_per_second * share,
+                concurrency=limits.concurrency * share,
+            ),
+        )
+
+    def _forget_idle(self, now: float) -> None:
+        for workspace, demand in list(self._demands.items()):
+            if now - demand.seen_at > FORGET_AFTER_S:
+                del self._demands[workspace]
+
+    def _count_entries(self) -> int:
+        own = self.member.cfg.data_centre
+        elsewhere = sum(
+            summary.entries
+            for summary in self.member.summaries()
+            if summary.data_centre != own
+        )
+        return len(self.member.alive_entries()) + elsewhere
+
+
+@attrs.define(eq=False)
+class LimitGranter:
+    """A voter's side: grants shares in proportion to the demands."""
+
+    granter: admission.ShareGranter
+
+    @classmethod
+    def started_now(cls) -> 'LimitGranter':
+        """Return a granter that waits one lease before its first grant."""
+        return cls(admission.ShareGranter(time.monotonic()))
+
+    def received(
+        self, sender: links.Sender, message: messages.DemandReport
+    ) -> None:
+        """Answer a report."""
+        now = time.monotonic()
+        grants = []
+        for demand in message.demands[:MAX_WORKSPACES_PER_REPORT]:
+            lease = self.granter.request(
+                admission.DemandSummary(
+                    sender.host, demand.workspace, demand.tokens_per_second
+                ),
+                now,
+            )
+            grants.append(messages.Grant(demand.workspace, lease.share))
+        sender.reply(
+            messages.ShareGrants(
+                message.number, tuple(grants), self.granter.lease_s
+            )
+        )
+
+    def forget_idle(self) -> None:
+        """Drop workspaces that nobody asks for any more."""
+        self.granter.forget_idle(time.monotonic())
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -225,6 +225,39 @@
     dropped: int
 
 
+@attrs.frozen
+class Demand:
+    """What a workspace offered at an entry."""
+
+    workspace: str
+    tokens_per_second: float
+
+
+@attrs.frozen
+class DemandReport:
+    """Report the demands at an entry and ask for shares of the limits."""
+
+    number: int
+    demands: tuple[Demand, ...]
+
+
+@attrs.frozen
+class Grant:
+    """A share, from 0 to 1, of a workspace's limits."""
+
+    workspace: str
+    share: float
+
+
+@attrs.frozen
+class ShareGrants:
+    """Answer a report; the leases count from its send."""
+
+    number: int
+    grants: tuple[Grant, ...]
+    lease_s: float
+
+
 _OWN_TYPES = {
     'start': CallStart,
     'head': CallHead,
@@ -243,6 +276,8 @@
     'lent': PoolAnswer,
     'events': EventsQuery,
     'recorded': EventsAnswer,
+    'demand': DemandReport,
+    'grants': ShareGrants,
 }
 
 for _tag, _cls in _OWN_TYPES.items():
