--- a/packages/cassiashift-core/cassiashift_core/admission/gate.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/gate.py
@@ -134,8 +134,8 @@
         req = running.waiting.req
         pool = self._pool(req.pool)
         correction = used_tokens - req.tokens
+        pool.rate.record(used_tokens, pool.is_saturated, now)
         pool.in_flight -= 1
-        pool.rate.record(used_tokens, pool.queue.count > 0, now)
         pool.queue.settle(req.workspace, correction)
         self._meter(req.workspace).finish(correction, now)
         return self._start_waiting(pool, now)
@@ -317,6 +317,17 @@
             return False
         return now + req.service_s > req.deadline
 
+    def _held_by_limit(
+        self, pool: pools.Pool, req: model.AdmissionRequest, now: float
+    ) -> bool:
+        """Tell whether the workspace's limit kept a call waiting.
+
+        A pool with room has nothing else that a call could wait for.
+        """
+        if pool.in_flight < pool.capacity:
+            return True
+        return not self._meter(req.workspace).may_start(now)
+
     def _expired(
         self, pool: pools.Pool, waiting: fair_queue.Waiting, now: float
     ) -> model.Refused:
@@ -324,7 +335,7 @@
         late = req.deadline is not None and now + req.service_s > req.deadline
         if late:
             code = ErrorCode.DEADLINE_EXCEEDED
-        elif not self._meter(req.workspace).may_start(now):
+        elif self._held_by_limit(pool, req, now):
             code = ErrorCode.LIMIT_EXCEEDED
         else:
             code = ErrorCode.OVERLOADED
--- a/packages/cassiashift-core/cassiashift_core/admission/pools.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/pools.py
@@ -93,9 +93,17 @@
         left_s = cfg.first_token_target_s - self.start_time.bound_s
         return max(cfg.min_wait_s, min(cfg.max_wait_s, left_s))
 
+    @property
+    def is_saturated(self) -> bool:
+        """Tell whether calls wait because the pool has no room.
+
+        Calls that wait for their workspace's limit do not count.
+        """
+        return self.queue.count > 0 and self.in_flight >= self.capacity
+
     def wait_s(self, req: model.AdmissionRequest) -> float:
         """Estimate how long a new call would wait for its turn."""
         tokens = self.queue.tokens_before(req)
-        if not tokens or not self.rate.tokens_per_s:
+        if not tokens or not self.is_saturated or not self.rate.tokens_per_s:
             return 0.0
         return tokens / self.rate.tokens_per_s
