Explore lost ranks and rollbacks of the map switch

Cause: the state machine never ended a rank for good nor rolled back. Change: rules for both, and for ranks that come back.

--- a/tests/core/mapswitch/cluster.py
+++ b/tests/core/mapswitch/cluster.py
@@ -155,11 +155,17 @@
             if name == self.leader and name not in self.cut | self.apart:
                 self.apply(name)
                 self.feed(name, mapswitch.BarrierPassed(ticket))
-        elif target in self.deaf and isinstance(event, mapswitch.Received):
-            return
-        elif target not in self.cut | self.stalled:
+        elif self._reaches(target, event):
             self.feed(target, event)
 
+    def _reaches(self, target, event):
+        """Tell whether a host or a rank gets an event."""
+        if target not in self.hosts and target not in self.ranks:
+            return False
+        if target in self.deaf and isinstance(event, mapswitch.Received):
+            return False
+        return target not in self.cut | self.stalled
+
     def try_step(self, name):
         """Let a rank start its next step when its peers have come so far."""
         step = self.next_step[name]
--- a/tests/core/mapswitch/test_machine.py
+++ b/tests/core/mapswitch/test_machine.py
@@ -4,6 +4,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from cassiashift_core import mapswitch
 from tests.core.mapswitch import cluster as clusters
 
 SETTINGS = hypothesis.settings(
@@ -76,6 +77,31 @@
         """Restart the agent of a rank."""
         self.cluster.start_rank(self._pick(sorted(self.cluster.ranks), number))
 
+    @stateful.rule(number=NUMBERS)
+    def lose_rank(self, number):
+        """End a rank for good and tell all hosts."""
+        if len(self.cluster.ranks) < 3:
+            return
+        name = self._pick(sorted(self.cluster.ranks), number)
+        lost = self.cluster.ranks.pop(name)
+        gone = mapswitch.RankGone(name, lost.cfg.incarnation)
+        for host in self.cluster.hosts:
+            self.cluster.feed(host, gone)
+
+    @stateful.rule()
+    def bring_back_ranks(self):
+        """Start the ranks that were lost."""
+        for name in ('r0', 'r1', 'r2'):
+            if name not in self.cluster.ranks:
+                self.cluster.start_rank(name)
+
+    @stateful.rule(number=NUMBERS)
+    def roll_back(self, number):
+        """Ask any host for the former map."""
+        self.cluster.feed(
+            self._pick('abc', number), mapswitch.RollbackRequested()
+        )
+
     @stateful.rule(number=NUMBERS)
     def change_leader(self, number):
         """Let any host lead; the former leader is not told."""
