--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,12 @@
 
 examples:
 	@tools/run python -m tools.examples
+
+# Explores more seeds than the tests do.
+explore:
+	@tools/run python -m tools.explore_consensus --seeds $(SEEDS)
+	@SEEDS=$(SEEDS) tools/run pytest tests/core/spread/test_spread_states.py
+
+# Measures the slopes and writes docs/CAPACITY.md from them.
+slopes:
+	@tools/run python -m tools.slopes
