Answer a resent booking from the agent when its entry died

Cause: a caller whose entry died between the send of a booking and the record of its outcome waited for its deadline of 120 s at the next entry: nobody was left to record the outcome. Change: agents run non-idempotent attempts to their end and keep the outcomes; the entry that gets the resend asks the agent, records what it says and answers; if nobody knows, the caller is told so after 5 s. Conclusion: the ledger needs the agent's word, not only the entry's.

--- a/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
@@ -13,6 +13,7 @@
 from cassiashift_core import timeline
 from cassiashift_core import Verdict
 from cassiashift_daemon import logs
+from cassiashift_daemon import outcomes
 from cassiashift_net import messages
 
 WINDOW_BYTES = 256 * 1024
@@ -95,6 +96,7 @@
     credit: int = WINDOW_BYTES
     more_credit: asyncio.Event = attrs.field(factory=asyncio.Event)
     pieces: int = 0
+    answer: outcomes.Answer = attrs.field(factory=outcomes.Answer)
 
     def send(self, data: bytes) -> None:
         """Send one piece of the answer."""
@@ -108,6 +110,9 @@
 class AttemptServer:
     """Accepts, runs, cancels and fences attempts.
 
+    A non-idempotent attempt runs to its end whatever becomes of its caller
+    and its entry, and its outcome is kept.
+
     Attributes:
         admits: returns why an upstream takes no work now, or empty.
     """
@@ -119,6 +124,9 @@
     fences: retries.FenceTable
     in_flight: dict[str, int] = attrs.field(factory=dict)
     _running: dict[str, _Attempt] = attrs.field(factory=dict)
+    _outcomes: outcomes.OutcomeMemory = attrs.field(
+        factory=outcomes.OutcomeMemory
+    )
 
     def start(self, message: messages.CallStart, reply: Reply) -> None:
         """Run an attempt, or refuse it."""
@@ -150,7 +158,8 @@
         """Stop an attempt; the upstream sees its connection closed."""
         attempt = self._running.get(message.attempt)
         if attempt is not None:
-            attempt.task.cancel()
+            if attempt.start.idempotent:
+                attempt.task.cancel()
             return
         attempt_id = retries.AttemptId.parse(message.attempt)
         if attempt_id is not None:
@@ -158,11 +167,24 @@
 
     def fence(self, message: messages.Fence, reply: Reply) -> None:
         """Refuse an attempt from now on and tell what became of it."""
-        verdict = Verdict.MAY_HAVE_RUN
-        attempt_id = retries.AttemptId.parse(message.attempt)
-        if attempt_id is not None:
-            verdict = self.fences.fence(attempt_id).verdict
-        reply(messages.Fenced(message.attempt, verdict))
+        reply(self._fenced(message.attempt))
+
+    def _fenced(self, attempt: str) -> messages.Fenced:
+        if attempt in self._running:
+            return messages.Fenced(attempt, Verdict.MAY_HAVE_RUN, running=True)
+        outcome = self._outcomes.find(attempt)
+        if outcome is not None:
+            return messages.Fenced(
+                attempt,
+                outcome.verdict,
+                status=outcome.status,
+                content_type=outcome.content_type,
+                body=outcome.body,
+            )
+        attempt_id = retries.AttemptId.parse(attempt)
+        if attempt_id is None:
+            return messages.Fenced(attempt, Verdict.MAY_HAVE_RUN)
+        return messages.Fenced(attempt, self.fences.fence(attempt_id).verdict)
 
     async def idle(self) -> None:
         """Wait until no attempt is in progress."""
@@ -234,11 +256,20 @@
                 for name, value in resp.headers.items()
                 if name.lower() not in CONNECTION_HEADERS
             )
+            attempt.answer.status = resp.status
+            attempt.answer.content_type = resp.headers.get('Content-Type', '')
             attempt.reply(messages.CallHead(start.attempt, resp.status, kept))
             await self._forward(attempt, resp)
+        self._keep(start, attempt.answer.outcome())
         clock = self._sent_last(start)
         attempt.reply(messages.CallEnd(start.attempt, attempt.pieces, clock))
 
+    def _keep(
+        self, start: messages.CallStart, outcome: outcomes.Outcome
+    ) -> None:
+        if not start.idempotent:
+            self._outcomes.keep(start.attempt, outcome)
+
     def _sent_last(self, start: messages.CallStart) -> timeline.Timestamp:
         return self.record(
             timeline.SEND,
@@ -255,6 +286,8 @@
             data = await content.readany()
             if not data:
                 return
+            if not attempt.start.idempotent:
+                attempt.answer.add(data)
             while attempt.credit <= 0:
                 attempt.more_credit.clear()
                 await attempt.more_credit.wait()
@@ -262,6 +295,7 @@
 
     def _fail(self, attempt: _Attempt, exc: Exception) -> None:
         failure = _failure(exc)
+        self._keep(attempt.start, outcomes.Outcome(failure.verdict))
         attempt.reply(
             messages.CallFailed(
                 attempt.start.attempt,
--- a/packages/cassiashift-daemon/cassiashift_daemon/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/calls.py
@@ -285,9 +285,10 @@
     ) -> CassiashiftError:
         verdict = Verdict.NOT_RUN
         if running is not None:
-            verdict = await self.attempts.fence(
+            fenced = await self.attempts.fence(
                 target.agent.link, target.attempt
             )
+            verdict = fenced.verdict
         return CassiashiftError(
             ErrorCode.DEADLINE_EXCEEDED,
             'the deadline has passed',
--- a/packages/cassiashift-daemon/cassiashift_daemon/once.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/once.py
@@ -16,7 +16,9 @@
 
 POLL_INTERVAL_S = 0.1
 CLOSE_TIMEOUT_S = 2.0
-FENCE_AFTER_S = 0.5
+ASK_AFTER_S = 0.3
+DOUBT_TIMEOUT_S = 5.0
+RETRY_AFTER_S = 1.0
 CONTENT_TYPE = 'content-type'
 
 
@@ -122,30 +124,39 @@
     async def _resolve(
         self, call: calls.Call, doubt: state.CallInDoubt, began: float
     ) -> None:
-        """Wait, or find out that the earlier attempt did not run."""
+        """Wait for the outcome of the earlier attempt, or record it.
+
+        The entry that made the attempt may have died; its agent knows
+        whether the attempt arrived, runs or has ended.
+        """
         now = time.monotonic()
-        if doubt.settled or now + POLL_INTERVAL_S > call.deadline:
+        give_up_at = min(call.deadline, began + DOUBT_TIMEOUT_S)
+        if doubt.settled or now + POLL_INTERVAL_S > give_up_at:
             raise CassiashiftError(
                 ErrorCode.OUTCOME_UNKNOWN,
                 'an earlier attempt with this key may have run',
                 Verdict.MAY_HAVE_RUN,
+                retry_after_s=None if doubt.settled else RETRY_AFTER_S,
             )
-        if now - began < FENCE_AFTER_S:
+        agent = self.runner.members.agent_of(doubt.upstream)
+        if agent is None or now - began < ASK_AFTER_S:
             await asyncio.sleep(POLL_INTERVAL_S)
             return
-        agent = self.runner.members.agent_of(doubt.upstream)
-        if agent is None:
+        fenced = await self.runner.attempts.fence(agent.link, doubt.attempt)
+        if fenced.running:
             await asyncio.sleep(POLL_INTERVAL_S)
             return
-        verdict = await self.runner.attempts.fence(agent.link, doubt.attempt)
-        if verdict is Verdict.NOT_RUN:
-            await self.proposer.propose(
-                state.CloseCall(
-                    call.workspace, _key(call), doubt.attempt, verdict
-                )
+        await self.proposer.propose(
+            state.CloseCall(
+                workspace=call.workspace,
+                key=_key(call),
+                attempt=doubt.attempt,
+                verdict=fenced.verdict,
+                status=fenced.status,
+                content_type=fenced.content_type,
+                body=fenced.body,
             )
-            return
-        await asyncio.sleep(POLL_INTERVAL_S)
+        )
 
 
 def _key(call: calls.Call) -> str:
--- a/packages/cassiashift-daemon/cassiashift_daemon/remote.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/remote.py
@@ -206,7 +206,7 @@
         if isinstance(message, messages.Fenced):
             fut = self._fences.pop(message.attempt, None)
             if fut is not None and not fut.done():
-                fut.set_result(message.verdict)
+                fut.set_result(message)
             return
         attempt = self._open.get(message.attempt)
         if attempt is None:
@@ -233,7 +233,7 @@
                     )
                 )
 
-    async def fence(self, address: str, attempt: str) -> Verdict:
+    async def fence(self, address: str, attempt: str) -> messages.Fenced:
         """Have an agent refuse an attempt; return what is known of it."""
         fut = self._fences.get(attempt)
         if fut is None:
@@ -245,7 +245,7 @@
                 return await asyncio.shield(fut)
         except TimeoutError:
             self._fences.pop(attempt, None)
-            return Verdict.MAY_HAVE_RUN
+            return messages.Fenced(attempt, Verdict.MAY_HAVE_RUN, running=True)
 
 
 def _code(text: str) -> ErrorCode:
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -104,10 +104,20 @@
 
 @attrs.frozen
 class Fenced:
-    """The attempt is refused for ever; the verdict tells of its past."""
+    """The attempt starts no more; the verdict tells of its past.
+
+    Attributes:
+        running: the attempt is in progress; its outcome will follow.
+        status: with ``content_type`` and ``body`` the answer of a
+            non-idempotent attempt that ran.
+    """
 
     attempt: str
     verdict: verdicts.Verdict
+    running: bool = False
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
 
 
 @attrs.frozen
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -181,6 +181,43 @@
     assert_that(cluster.record().booked, matchers.Equals({'dock-2': 1}))
 
 
+async def test_booking_whose_entry_died_is_answered_from_the_agent(
+    deployment,
+):
+    cluster = deployment.cluster
+    for name in ('warehouse-1', 'warehouse-2'):
+        cluster.standins[name].answer_s = 1.0
+    url = cluster.url_of('entry-4')
+    headers = {
+        'Authorization': f'Bearer {conftest.KEY}',
+        'Idempotency-Key': 'dock-3',
+    }
+    first = asyncio.ensure_future(
+        deployment.session.post(
+            f'{url}/v1/services/warehouse/bookings',
+            json={'reference': 'dock-3'},
+            headers=headers,
+        )
+    )
+    while not cluster.record().booked:
+        await asyncio.sleep(0.01)
+    cluster.kill('entry-4')
+    await asyncio.wait([first])
+    other = cluster.url_of('entry-1')
+    async with deployment.session.post(
+        f'{other}/v1/services/warehouse/bookings',
+        json={'reference': 'dock-3'},
+        headers=headers,
+    ) as resp:
+        again = await resp.json()
+        replayed = resp.headers.get('Idempotency-Replayed')
+    assert_that(
+        again, matchers.Equals({'reference': 'dock-3', 'booked': True})
+    )
+    assert_that(replayed, matchers.Equals('true'))
+    assert_that(cluster.record().booked, matchers.Equals({'dock-3': 1}))
+
+
 async def test_cancellation_reaches_the_engine(deployment):
     cluster = deployment.cluster
     for name in ('drafting-1', 'drafting-2'):
