Keep the decisions of map switches in the replicated state

Cause: the log could not carry a group's switch decisions, so nothing could run the switch's coordinator on it. Conclusion: the state is ready for coordinators on the voters.

--- a/packages/cassiashift-core/cassiashift_core/state/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/state/__init__.py
@@ -1,4 +1,4 @@
-"""The replicated state: manifest, drains and the ledger of calls."""
+"""The replicated state: manifest, drains, calls and map switches."""
 
 from cassiashift_core.state.commands import ApplyManifest
 from cassiashift_core.state.commands import CloseCall
@@ -14,6 +14,7 @@
 from cassiashift_core.state.results import CallOpened
 from cassiashift_core.state.results import CallRecorded
 from cassiashift_core.state.results import Conflict
+from cassiashift_core.state.results import DecisionApplied
 from cassiashift_core.state.results import KeyReused
 from cassiashift_core.state.results import Rejected
 from cassiashift_core.state.shared import Shared
@@ -30,6 +31,7 @@
     'CallState',
     'CloseCall',
     'Conflict',
+    'DecisionApplied',
     'KeyReused',
     'Ledger',
     'OpenCall',
--- a/packages/cassiashift-core/cassiashift_core/state/commands.py
+++ b/packages/cassiashift-core/cassiashift_core/state/commands.py
@@ -4,6 +4,7 @@
 
 from cassiashift_core import codec
 from cassiashift_core.manifest import items
+from cassiashift_core import mapswitch
 from cassiashift_core import verdicts
 
 CODEC = codec.Codec()
@@ -76,3 +77,4 @@
 CODEC.register('drain', SetDrain)
 CODEC.register('open', OpenCall)
 CODEC.register('close', CloseCall)
+CODEC.register('switch', mapswitch.Decision)
--- a/packages/cassiashift-core/cassiashift_core/state/machine.py
+++ b/packages/cassiashift-core/cassiashift_core/state/machine.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cassiashift_core import codec
+from cassiashift_core import mapswitch
 from cassiashift_core.state import commands
 from cassiashift_core.state import ledger
 from cassiashift_core.state import results
@@ -25,6 +26,7 @@
     answers: list[tuple[str, bytes]]
     applied: int
     commands_applied: int
+    groups: dict[str, mapswitch.GroupDecisions] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -33,12 +35,14 @@
 
     Attributes:
         deltas: changes of the shared state that the owner has not taken.
+        groups: what the log has decided for each group's map.
     """
 
     shared: shared_state.Shared = attrs.field(factory=shared_state.Shared)
     calls: ledger.Ledger = attrs.field(factory=ledger.Ledger)
     applied: int = 0
     deltas: list[shared_state.SharedDelta] = attrs.field(factory=list)
+    groups: dict[str, mapswitch.GroupDecisions] = attrs.field(factory=dict)
     _answers: dict[str, bytes] = attrs.field(factory=dict)
     _commands_applied: int = 0
 
@@ -62,6 +66,7 @@
             answers=list(self._answers.items()),
             applied=self.applied,
             commands_applied=self._commands_applied,
+            groups=self.groups,
         )
         return msgspec.msgpack.encode(saved, order='deterministic')
 
@@ -75,6 +80,7 @@
             applied=saved.applied,
             answers=dict(saved.answers),
             commands_applied=saved.commands_applied,
+            groups=saved.groups,
         )
 
     @functools.singledispatchmethod
@@ -113,6 +119,14 @@
     def _(self, command: commands.CloseCall, index: int) -> Any:
         return self.calls.close(command)
 
+    @_apply.register
+    def _(self, command: mapswitch.Decision, index: int) -> Any:
+        group = self.groups.setdefault(
+            command.group, mapswitch.GroupDecisions()
+        )
+        accepted = group.apply(command, index)
+        return results.DecisionApplied(accepted, group.standing.decided)
+
     def _applied_manifest(
         self, command: commands.ApplyManifest, index: int
     ) -> results.Accepted | results.Conflict | results.Rejected:
--- a/packages/cassiashift-core/cassiashift_core/state/results.py
+++ b/packages/cassiashift-core/cassiashift_core/state/results.py
@@ -63,6 +63,19 @@
     digest: str
 
 
+@attrs.frozen
+class DecisionApplied:
+    """A decision of a group's switch is in the log.
+
+    Attributes:
+        accepted: the decision took effect.
+        decided: the highest version of the group with an outcome.
+    """
+
+    accepted: bool
+    decided: int
+
+
 for _tag, _cls in (
     ('accepted', Accepted),
     ('conflict', Conflict),
@@ -71,5 +84,6 @@
     ('in-doubt', CallInDoubt),
     ('recorded', CallRecorded),
     ('key-reused', KeyReused),
+    ('switched', DecisionApplied),
 ):
     CODEC.register(_tag, _cls)
--- a/tests/daemon/test_decoders.py
+++ b/tests/daemon/test_decoders.py
@@ -15,6 +15,7 @@
 from cassiashift_core import codec
 from cassiashift_core import consensus
 from cassiashift_core import manifest
+from cassiashift_core import mapswitch
 from cassiashift_core import membership
 from cassiashift_core import retries
 from cassiashift_core import spread
@@ -45,6 +46,7 @@
     state.SetDrain('id', 'a', True),
     state.OpenCall('w', 'k', 'd', 'a', 'u', 1.0, 2.0),
     state.CloseCall('w', 'k', 'a', Verdict.RAN, 200, 'x', b'y'),
+    mapswitch.Decision('g', mapswitch.DecisionKind.OPEN, 1, 1, 0, ('r',)),
 )
 NESTED = b'\x91' * 5_000
 
