Run the coordinators of map switches on the voters

Cause: nothing outside of the tests ran the coordinator of a group. Change: each voter runs one coordinator for each group of the manifest, on the decisions in log order; it leads only after the first entry of its term was applied, and answers ranks after a read of the replica. Orders go to the host that the manifest names; reports from another host are not heard. Result: tests/daemon/test_coordination.py passes: two switches, a restarted rank, a second request, a forged report and a failed coordinator. Conclusion: the voters' side runs; agents do not run ranks yet.

--- a/packages/cassiashift-core/cassiashift_core/mapswitch/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/mapswitch/__init__.py
@@ -33,7 +33,10 @@
 from cassiashift_core.mapswitch.messages import Decided
 from cassiashift_core.mapswitch.messages import Fence
 from cassiashift_core.mapswitch.messages import MapEntry
+from cassiashift_core.mapswitch.messages import Order
+from cassiashift_core.mapswitch.messages import ORDER_TYPES
 from cassiashift_core.mapswitch.messages import OrderRefused
+from cassiashift_core.mapswitch.messages import REPORT_TYPES
 from cassiashift_core.mapswitch.messages import Stage
 from cassiashift_core.mapswitch.messages import Staged
 from cassiashift_core.mapswitch.messages import StageFailed
@@ -67,9 +70,12 @@
     'LeadershipLost',
     'LoadWeights',
     'MapEntry',
+    'ORDER_TYPES',
+    'Order',
     'OrderRefused',
     'Proceed',
     'ProposeDecision',
+    'REPORT_TYPES',
     'RankConfig',
     'RankGone',
     'RankSwitch',
--- a/packages/cassiashift-core/cassiashift_core/mapswitch/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/mapswitch/messages.py
@@ -198,3 +198,13 @@
     | Ask
     | OrderRefused
 )
+ORDER_TYPES = (Stage, Arm, Decided, Answer)
+REPORT_TYPES = (
+    Staged,
+    StageFailed,
+    Armed,
+    ArmRefused,
+    Acknowledged,
+    Ask,
+    OrderRefused,
+)
--- a/packages/cassiashift-core/cassiashift_core/state/machine.py
+++ b/packages/cassiashift-core/cassiashift_core/state/machine.py
@@ -36,6 +36,7 @@
     Attributes:
         deltas: changes of the shared state that the owner has not taken.
         groups: what the log has decided for each group's map.
+        switched: decisions that the owner has not taken.
     """
 
     shared: shared_state.Shared = attrs.field(factory=shared_state.Shared)
@@ -43,6 +44,7 @@
     applied: int = 0
     deltas: list[shared_state.SharedDelta] = attrs.field(factory=list)
     groups: dict[str, mapswitch.GroupDecisions] = attrs.field(factory=dict)
+    switched: list[mapswitch.DecisionCommitted] = attrs.field(factory=list)
     _answers: dict[str, bytes] = attrs.field(factory=dict)
     _commands_applied: int = 0
 
@@ -125,6 +127,7 @@
             command.group, mapswitch.GroupDecisions()
         )
         accepted = group.apply(command, index)
+        self.switched.append(mapswitch.DecisionCommitted(command, index))
         return results.DecisionApplied(accepted, group.standing.decided)
 
     def _applied_manifest(
@@ -143,6 +146,12 @@
         self.deltas = []
         return taken
 
+    def take_decisions(self) -> list[mapswitch.DecisionCommitted]:
+        """Return the decisions of switches since the last call."""
+        taken = self.switched
+        self.switched = []
+        return taken
+
     def _change(self, delta: shared_state.SharedDelta) -> results.Accepted:
         self.shared.apply(delta)
         self.deltas.append(delta)
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -12,6 +12,7 @@
 from cassiashift_core import consensus
 from cassiashift_core import directory
 from cassiashift_core import draining
+from cassiashift_core import mapswitch
 from cassiashift_core import membership
 from cassiashift_core import retries
 from cassiashift_core import routing
@@ -21,6 +22,7 @@
 from cassiashift_daemon import callers
 from cassiashift_daemon import calls
 from cassiashift_daemon import collecting
+from cassiashift_daemon import coordination
 from cassiashift_daemon import dispatch
 from cassiashift_daemon import gate
 from cassiashift_daemon import lending
@@ -66,6 +68,7 @@
         self.metrics = metrics.Metrics.from_config(cfg.statsd, 'entry')
         self.events = recorder.Recorder.from_config(cfg, 'entry')
         self.voter: voter.Voter | None = None
+        self.coordination: coordination.Coordination | None = None
         self.leaving = False
         self.tls = tls.server_context(cfg.tls_cert_file, cfg.tls_key_file)
         scheme = 'https' if self.tls else 'http'
@@ -241,12 +244,18 @@
             on_event=self.spread.handle,
             on_failed=self.fail,
         )
+        self.coordination = coordination.Coordination.attached(
+            self.voter, self.peers, self.holder
+        )
         held = saved.entries[-1].index if saved.entries else 0
         if saved.snapshot is not None:
             held = max(held, saved.snapshot.index)
         self.spread.handle(spread.Restarted(held))
         self.spawn(self.voter.sync_forever())
         self.spawn(self.every(cfg.tick_interval_s, self.voter.tick))
+        self.spawn(
+            self.every(coordination.TICK_INTERVAL_S, self.coordination.tick)
+        )
 
     def _register_handlers(self) -> None:
         register = self.dispatcher.register
@@ -280,6 +289,8 @@
         if self.voter is not None:
             for cls in consensus.MESSAGE_TYPES.values():
                 register(cls, self.voter.received)
+            for cls in mapswitch.REPORT_TYPES:
+                register(cls, self.coordination.received)
 
     def _start_timers(self) -> None:
         self.spawn(self.every(GATE_INTERVAL_S, self.gate.tick))
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -2,13 +2,16 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 import functools
+import itertools
 import time
 from typing import Any
 
 import attrs
 
 from cassiashift_core import consensus
+from cassiashift_core import mapswitch
 from cassiashift_core import spread
 from cassiashift_core import state
 from cassiashift_core.state import results
@@ -40,6 +43,9 @@
         on_event: called with events for the spread of what is committed.
         on_failed: called when the process must end, since its storage or
             its replica can't be trusted any more.
+        on_decision: called with each decision of a map switch.
+        on_advanced: called after entries were applied, after a snapshot
+            was installed and after the role has changed.
     """
 
     replica: consensus.Replica
@@ -49,8 +55,13 @@
     addresses: dict[str, str]
     on_event: Callable[[Any], None]
     on_failed: Callable[[str], None]
+    on_decision: Callable[[Any], None] = lambda event: None
+    on_advanced: Callable[[], None] = lambda: None
     _senders: dict[str, links.Sender] = attrs.field(factory=dict)
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
+    _reads: dict[str, Callable[[], None]] = attrs.field(factory=dict)
+    _tokens: Iterator[int] = attrs.field(factory=itertools.count)
+    _applied_term: int = 0
     _unsynced: list = attrs.field(factory=list)
     _work: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -79,6 +90,31 @@
         self._senders[message.token] = sender
         self.handle(consensus.Propose(message.token, message.data))
 
+    @property
+    def led_term(self) -> int | None:
+        """Return the term that this host leads.
+
+        There is none before the first entry of the term was applied.
+        """
+        replica = self.replica
+        if replica.role is not consensus.Role.LEADER:
+            return None
+        return replica.term if self._applied_term == replica.term else None
+
+    def propose_unanswered(self, data: bytes) -> None:
+        """Put a command into the log if this host leads."""
+        token = f'{self.replica.host}/own/{next(self._tokens)}'
+        self.handle(consensus.Propose(token, data))
+
+    def read(self, done: Callable[[], None]) -> None:
+        """Call back when the applied state is known to be the newest.
+
+        There is no call when this host does not lead.
+        """
+        token = f'{self.replica.host}/read/{next(self._tokens)}'
+        self._reads[token] = done
+        self.handle(consensus.Read(token))
+
     async def sync_forever(self) -> None:
         """Make what the replica persists durable, many at a time."""
         loop = asyncio.get_running_loop()
@@ -117,6 +153,9 @@
             self._apply(item)
         for delta in self.machine.take_deltas():
             self.on_event(spread.Committed(delta.revision, delta.encode()))
+        for event in self.machine.take_decisions():
+            self.on_decision(event)
+        self.on_advanced()
         self._note_commit()
 
     @_carry_out.register
@@ -126,11 +165,14 @@
         self._fail_pending()
         shared = self.machine.shared
         self.on_event(spread.Restored(shared.revision, shared.encode()))
+        self.on_advanced()
         self._note_commit()
 
     @_carry_out.register
     def _(self, effect: consensus.Proposed) -> None:
-        sender = self._senders.pop(effect.token)
+        sender = self._senders.pop(effect.token, None)
+        if sender is None:
+            return
         self._pending[effect.index] = _Pending(
             effect.token, effect.term, sender
         )
@@ -158,12 +200,22 @@
             term=effect.term,
             leader=effect.leader,
         )
+        self.on_advanced()
+
+    @_carry_out.register
+    def _(self, effect: consensus.ReadReady) -> None:
+        self._reads.pop(effect.token)()
+
+    @_carry_out.register
+    def _(self, effect: consensus.ReadFailed) -> None:
+        del self._reads[effect.token]
 
     def _note_commit(self) -> None:
         self.on_event(spread.CommitAdvanced(self.replica.commit_index))
 
     def _apply(self, item: consensus.Entry) -> None:
         result = None
+        self._applied_term = item.term
         if item.kind is consensus.EntryKind.COMMAND:
             result = self.machine.apply(item.index, item.data)
         pending = self._pending.pop(item.index, None)
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -4,12 +4,14 @@
 
 from cassiashift_core import codec
 from cassiashift_core import consensus
+from cassiashift_core import mapswitch
 from cassiashift_core import membership
 from cassiashift_core import spread
 from cassiashift_core import timeline
 from cassiashift_core import verdicts
 
 CODEC = codec.Codec()
+ORDERS = codec.Codec()
 
 
 @attrs.frozen
@@ -225,6 +227,18 @@
     dropped: int
 
 
+@attrs.frozen
+class RankOrder:
+    """An order of a map switch for one rank.
+
+    Attributes:
+        data: the order, as ``ORDERS`` encodes it.
+    """
+
+    rank: str
+    data: bytes
+
+
 _OWN_TYPES = {
     'start': CallStart,
     'head': CallHead,
@@ -243,6 +257,7 @@
     'lent': PoolAnswer,
     'events': EventsQuery,
     'recorded': EventsAnswer,
+    'order': RankOrder,
 }
 
 for _tag, _cls in _OWN_TYPES.items():
@@ -253,3 +268,7 @@
     CODEC.register(f'member.{_cls.__name__}', _cls)
 for _cls in spread.MESSAGE_TYPES:
     CODEC.register(f'spread.{_cls.__name__}', _cls)
+for _cls in mapswitch.REPORT_TYPES:
+    CODEC.register(f'switch.{_cls.__name__}', _cls)
+for _cls in mapswitch.ORDER_TYPES:
+    ORDERS.register(_cls.__name__, _cls)
