Run the ranks of lock-step groups in the agents

Cause: agents did not run the ranks' side of a map switch. Change: an agent keeps the groups that have a rank on its upstreams, runs one machine for each rank, sends reports to the voters, gives its engine load, drop and activate orders with the fencing number, and answers engines that ask for a step at the new setting steps. Result: tests/daemon, tests/process/test_path.py and test_keys.py pass; no test runs a rank over processes yet. Conclusion: both ends run; a run over real processes has to show it.

--- a/packages/cassiashift-daemon/cassiashift_daemon/agent.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/agent.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from cassiashift_core import manifest
 from cassiashift_core import membership
 from cassiashift_core import retries
 from cassiashift_core import spread
@@ -17,6 +18,7 @@
 from cassiashift_daemon import metrics
 from cassiashift_daemon import peers
 from cassiashift_daemon import presence
+from cassiashift_daemon import rank_runner
 from cassiashift_daemon import recorder
 from cassiashift_daemon import settings
 from cassiashift_daemon import shared_state
@@ -77,6 +79,14 @@
         )
         self._open_membership(link)
         self._open_spread()
+        self.ranks = rank_runner.RankRunner(
+            cfg=cfg,
+            epoch=self.epoch,
+            peers=self.peers,
+            holder=self.holder,
+            session=self.sessions.kept,
+        )
+        await self.ranks.open()
         self._register_handlers()
         self._start_timers()
         logs.info('agent_started', host=cfg.host, link=link)
@@ -92,6 +102,7 @@
 
     async def close(self) -> None:
         """Close the pool and the links."""
+        await self.ranks.close()
         await self.attempts.close()
         await self.sessions.close()
         self.links.close()
@@ -144,6 +155,7 @@
             messages.Fence,
             lambda sender, message: self.attempts.fence(message, sender.reply),
         )
+        register(messages.RankOrder, self.ranks.received)
         register(messages.EventsQuery, self._answer_events)
         register(messages.Survey, self._answer_survey)
         for cls in membership.MESSAGE_TYPES:
@@ -154,6 +166,7 @@
     def _start_timers(self) -> None:
         self.spawn(self.every(membership.TICK_INTERVAL_S, self._tick))
         self.spawn(self.every(spread.TICK_INTERVAL_S, self.spread.tick))
+        self.spawn(self.every(rank_runner.TICK_INTERVAL_S, self.ranks.tick))
         for upstream, url in self.cfg.upstream_urls().items():
             self.spawn(self._watch(upstream, url))
 
@@ -201,9 +214,13 @@
     def _address_of(self, host: str) -> str | None:
         return self.voters.get(host) or self.presence.member.address_of(host)
 
-    def _keeps(self, key: str) -> bool:
+    def _keeps(self, key: str, data: bytes) -> bool:
         section, _, item = key.partition('/')
-        return section == 'upstreams' and item in self.cfg.upstream_urls()
+        own = self.cfg.upstream_urls()
+        if section != 'groups':
+            return section == 'upstreams' and item in own
+        group = manifest.items.decode_item(key, data)
+        return any(rank.upstream in own for rank in group.ranks)
 
     def _refusal(self, upstream: str) -> str:
         if self.leaving:
--- a/packages/cassiashift-daemon/cassiashift_daemon/settings.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/settings.py
@@ -138,6 +138,9 @@
     upstreams: str = _setting(
         '', 'Upstreams of this host as ID=URL, separated by commas.'
     )
+    steps: str = _setting(
+        '', 'IP:PORT where engines ask for their steps; empty for none.'
+    )
     connect_timeout_s: float = _setting(
         2.0, 'Seconds to connect to an upstream.', low=0.05, high=60.0
     )
@@ -228,6 +231,8 @@
         return f'is not {HASH_HEX_DIGITS} lower-case hex digits'
     if name == 'statsd' and value and not _IP_PORT.match(value):
         return f'{value!r} is not HOST:PORT'
+    if name == 'steps' and value and not _IP_PORT.match(value):
+        return f'{value!r} is not IP:PORT'
     if name == 'http' and not _IP_PORT.match(value):
         return f'{value!r} is not IP:PORT'
     if name == 'link' and not _LINK.match(value):
--- a/packages/cassiashift-daemon/cassiashift_daemon/shared_state.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/shared_state.py
@@ -8,7 +8,7 @@
 from cassiashift_core import state
 
 
-def keep_all(key: str) -> bool:
+def keep_all(key: str, data: bytes) -> bool:
     """Keep every item of the manifest."""
     return True
 
@@ -23,7 +23,7 @@
         on_change: called after each change.
     """
 
-    keep: Callable[[str], bool] = keep_all
+    keep: Callable[[str, bytes], bool] = keep_all
     on_change: Callable[[], None] = lambda: None
     confirmed: bool = False
     shared: state.Shared = attrs.field(factory=state.Shared)
@@ -49,7 +49,9 @@
         if shared.revision <= self.revision:
             return
         shared.items = {
-            key: item for key, item in shared.items.items() if self.keep(key)
+            key: item
+            for key, item in shared.items.items()
+            if self.keep(key, item)
         }
         self.shared = shared
         self.view = manifest.ManifestView(shared.items)
@@ -60,11 +62,11 @@
         delta = state.SharedDelta.decode(data)
         if delta.revision <= self.revision:
             return
+        changed = delta.manifest.changed
+        kept = tuple(item for item in changed if self.keep(*item))
+        dropped = {key for key, _ in changed} - {key for key, _ in kept}
         kept = manifest.Delta(
-            tuple(
-                item for item in delta.manifest.changed if self.keep(item[0])
-            ),
-            delta.manifest.removed,
+            kept, delta.manifest.removed + tuple(sorted(dropped))
         )
         self.view.apply(kept)
         self.shared.apply(attrs.evolve(delta, manifest=manifest.Delta()))
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -11,7 +11,6 @@
 import attrs
 
 from cassiashift_core import consensus
-from cassiashift_core import mapswitch
 from cassiashift_core import spread
 from cassiashift_core import state
 from cassiashift_core.state import results
