Switch the map of a group over real processes

Cause: no run over processes showed a switch of a group's map. Change: operators ask the leader for a map by POST groups/GROUP/map; a map that does not fit the group is refused.

--- a/packages/cassiashift-core/cassiashift_core/balancing/maps.py
+++ b/packages/cassiashift-core/cassiashift_core/balancing/maps.py
@@ -37,6 +37,20 @@
         """Return the body of a switch to this map."""
         return msgspec.msgpack.encode(self)
 
+    def problem(self, experts: int, layers: int) -> str:
+        """Return why a group can't run on the map, or nothing."""
+        if not self.ranks or len(set(self.ranks)) != len(self.ranks):
+            return 'the map names no rank, or one twice'
+        if len(self.layers) != layers:
+            return f'the map has {len(self.layers)} layers, not {layers}'
+        for number, rows in enumerate(self.layers):
+            if len(rows) != len(self.ranks):
+                return f'layer {number} has {len(rows)} rows'
+            placed = {expert for row in rows for expert in row}
+            if placed != set(range(experts)):
+                return f'layer {number} does not hold every expert'
+        return ''
+
     def experts(self, rank: str, layer: int) -> tuple[int, ...]:
         """Return the experts that a rank holds; none for an unknown rank."""
         if rank not in self.ranks:
--- a/packages/cassiashift-daemon/cassiashift_daemon/admin.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/admin.py
@@ -1,5 +1,6 @@
 """The administration API for operators."""
 
+from collections.abc import Callable
 import time
 from typing import Any
 import uuid
@@ -44,6 +45,7 @@
     collector: collecting.EventCollector
     surveyor: surveys.Surveyor
     voter_status: Any
+    request_map: Callable[[str, bytes, str], None]
     operators: access.Operators = attrs.field(
         default=attrs.Factory(
             lambda self: access.Operators.from_config(self.cfg),
@@ -59,6 +61,10 @@
             web.put(f'{PREFIX}/manifest', self.handled(self.apply, OPERATOR)),
             web.get(f'{PREFIX}/upstreams', self.handled(self.upstreams)),
             web.get(f'{PREFIX}/groups', self.handled(self.groups)),
+            web.post(
+                f'{PREFIX}/groups/{{group}}/map',
+                self.handled(self.switch_map, OPERATOR),
+            ),
             web.post(f'{PREFIX}/drains', self.handled(self.drain, OPERATOR)),
             web.get(f'{PREFIX}/timeline', self.handled(self.timeline)),
         ]
@@ -172,6 +178,17 @@
             )
         )
 
+    async def switch_map(
+        self, req: web.Request, operator: access.Operator
+    ) -> administration.SwitchBegun:
+        """Begin a switch to a map; only the leader can."""
+        wish = await _decoded(req, administration.MapRequest)
+        group = req.match_info['group']
+        reason = wish.reason or f'asked for by {operator.name}'
+        self.request_map(group, wish.map, reason)
+        logs.info('switch_requested', group=group, operator=operator.name)
+        return administration.SwitchBegun(group)
+
     async def timeline(
         self, req: web.Request, operator: access.Operator
     ) -> administration.Timeline:
--- a/packages/cassiashift-daemon/cassiashift_daemon/coordination.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/coordination.py
@@ -13,7 +13,12 @@
 from typing import Any
 
 import attrs
+import msgspec
 
+from cassiashift_core.balancing import maps
+from cassiashift_core import CassiashiftError
+from cassiashift_core import ErrorCode
+from cassiashift_core import manifest
 from cassiashift_core import mapswitch
 from cassiashift_core import state
 from cassiashift_daemon import logs
@@ -56,7 +61,7 @@
     peers: peers.Peers
     holder: shared_state.SharedHolder
     coordinators: dict[str, mapswitch.Coordinator] = attrs.field(factory=dict)
-    refusals: dict[str, str] = attrs.field(factory=dict)
+    refusals: dict[str, CassiashiftError] = attrs.field(factory=dict)
     _machine: state.StateMachine | None = None
     _led_term: int | None = None
     _queue: collections.deque = attrs.field(factory=collections.deque)
@@ -95,13 +100,37 @@
             return
         self._give(message.group, mapswitch.Received(message))
 
-    def request(self, group: str, event: Any) -> str:
-        """Ask for a switch or a rollback; return why there is none."""
+    def request(self, group: str, event: Any) -> None:
+        """Ask for a switch or a rollback.
+
+        Raises:
+            CassiashiftError: no switch was begun.
+        """
         self.refusals.pop(group, None)
         if group not in self.coordinators:
-            return 'no such group'
+            raise CassiashiftError(
+                ErrorCode.NOT_FOUND, f'there is no group {group!r}'
+            )
         self._give(group, event)
-        return self.refusals.pop(group, '')
+        refusal = self.refusals.pop(group, None)
+        if refusal is not None:
+            raise refusal
+
+    def request_map(self, group: str, body: bytes, reason: str) -> None:
+        """Ask for a switch to an encoded ``ExpertMap``.
+
+        Raises:
+            CassiashiftError: the map does not fit the group, or no switch
+                was begun.
+        """
+        expected = self.holder.view.group(group)
+        if expected is None:
+            raise CassiashiftError(
+                ErrorCode.NOT_FOUND, f'there is no group {group!r}'
+            )
+        ranks = _checked_ranks(expected, body)
+        event = mapswitch.SwitchRequested(ranks, body, reason)
+        self.request(group, event)
 
     def drain(self) -> None:
         """Handle the queued events in their order."""
@@ -227,7 +256,7 @@
         effect: mapswitch.SwitchRefused,
         coordinator: mapswitch.Coordinator,
     ) -> None:
-        self.refusals[coordinator.cfg.group] = str(effect.error)
+        self.refusals[coordinator.cfg.group] = effect.error
 
     @_carry_out.register
     def _(
@@ -255,6 +284,24 @@
         return None
 
 
+def _checked_ranks(group: manifest.Group, body: bytes) -> tuple[str, ...]:
+    """Return the ranks of a map that fits a group.
+
+    Raises:
+        CassiashiftError: with ``BAD_REQUEST`` for any other.
+    """
+    try:
+        wanted = maps.ExpertMap.from_bytes(body)
+    except msgspec.DecodeError as exc:
+        raise CassiashiftError(ErrorCode.BAD_REQUEST, str(exc)) from exc
+    problem = wanted.problem(group.experts, group.layers)
+    if not set(wanted.ranks) <= {rank.id for rank in group.ranks}:
+        problem = 'the map names a rank that the group does not have'
+    if problem:
+        raise CassiashiftError(ErrorCode.BAD_REQUEST, problem)
+    return wanted.ranks
+
+
 def _copied(
     groups: dict[str, mapswitch.GroupDecisions],
 ) -> dict[str, mapswitch.GroupDecisions]:
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -9,9 +9,11 @@
 from aiohttp import web
 
 from cassiashift_core import admission
+from cassiashift_core import CassiashiftError
 from cassiashift_core import consensus
 from cassiashift_core import directory
 from cassiashift_core import draining
+from cassiashift_core import ErrorCode
 from cassiashift_core import mapswitch
 from cassiashift_core import membership
 from cassiashift_core import retries
@@ -221,6 +223,7 @@
             collector=self.collector,
             surveyor=self.surveyor,
             voter_status=self._voter_status,
+            request_map=self._request_map,
         )
 
     def _open_log(self) -> None:
@@ -375,6 +378,13 @@
             self.attempts.link_lost(member.address or known or '')
             logs.warning('agent_lost', host=member.host)
 
+    def _request_map(self, group: str, body: bytes, reason: str) -> None:
+        if self.coordination is None:
+            raise CassiashiftError(
+                ErrorCode.NOT_LEADER, 'this host does not vote'
+            )
+        self.coordination.request_map(group, body, reason)
+
     def _voter_status(self) -> dict[str, Any]:
         if self.voter is None:
             return {'role': 'none', 'leader': self.proposer.leader}
--- a/packages/cassiashift-net/cassiashift_net/administration.py
+++ b/packages/cassiashift-net/cassiashift_net/administration.py
@@ -131,3 +131,23 @@
     now_s: float
     dropped: int
     events: tuple[timeline.Event, ...] = ()
+
+
+@attrs.frozen
+class MapRequest:
+    """Ask for a switch of a group's expert map.
+
+    Attributes:
+        map: the encoded ``ExpertMap``; base64 in JSON.
+        reason: why, in words.
+    """
+
+    map: bytes
+    reason: str = ''
+
+
+@attrs.frozen
+class SwitchBegun:
+    """A switch was begun; its outcome is not known yet."""
+
+    group: str
--- a/tests/cli/deployment.py
+++ b/tests/cli/deployment.py
@@ -51,6 +51,10 @@
     operators: list = attrs.field(factory=list)
     url: str = ''
 
+    def request_map(self, group, body, reason):
+        """Refuse, as an entry does that does not lead."""
+        raise CassiashiftError(ErrorCode.NOT_LEADER, 'not the leader')
+
     def app(self, operators):
         """Return the HTTP application."""
         cfg = settings.EntrySettings(host=self.host, data_centre='trnava')
@@ -65,6 +69,7 @@
             collector=self,
             surveyor=self,
             voter_status=lambda: {'role': 'follower', 'leader': 'entry-1'},
+            request_map=self.request_map,
             operators=operators,
         )
         app = web.Application(
--- a/tools/cluster/processes.py
+++ b/tools/cluster/processes.py
@@ -108,6 +108,21 @@
         arguments += ['--upstreams', f'{placement.upstream}={url}']
         self.daemons[placement.host] = Daemon(placement.host, ip, arguments)
 
+    async def add_rank(self, placement: Placement, standin: Any) -> str:
+        """Serve a rank's engine; return where it asks for steps."""
+        ip = self.addresses.take()
+        url = await self.servers.serve(
+            standin.app(), ip, addresses.STANDIN_PORT
+        )
+        arguments = self._common(
+            'agent', placement.host, placement.data_centre, ip
+        )
+        steps = f'{ip}:{addresses.STEPS_PORT}'
+        arguments += ['--upstreams', f'{placement.upstream}={url}']
+        arguments += ['--steps', steps]
+        self.daemons[placement.host] = Daemon(placement.host, ip, arguments)
+        return f'http://{steps}'
+
     def start(self, name: str) -> None:
         """Start a process; its log goes to a file."""
         daemon = self.daemons[name]
