Plan a group's maps from the ranks' expert counts

Cause: nothing turned the counts of ranks into maps. Change: engines give counts with a step; agents report them once in a window to the voters; the leader spreads the experts for the first map, and then asks for the maps that the policy finds worth their moves. The planner, and numpy, is imported by the leader when a group reports counts. Conclusion: a group is balanced without an operator; the moves are not yet limited by the weight store's rate.

--- a/packages/cassiashift-core/cassiashift_core/balancing/maps.py
+++ b/packages/cassiashift-core/cassiashift_core/balancing/maps.py
@@ -24,6 +24,24 @@
     ranks: tuple[str, ...]
     layers: tuple[tuple[tuple[int, ...], ...], ...]
 
+    @classmethod
+    def spread(
+        cls, slots: dict[str, int], experts: int, layers: int
+    ) -> 'ExpertMap':
+        """Return a map with one replica of each expert, evenly spread.
+
+        Args:
+            slots: experts that each rank can hold, by rank.
+            experts: number of experts, at most the sum of the slots.
+            layers: number of layers, which are all alike.
+        """
+        rows: dict[str, list[int]] = {rank: [] for rank in slots}
+        for expert in range(experts):
+            free = [rank for rank in rows if len(rows[rank]) < slots[rank]]
+            rows[min(free, key=lambda rank: len(rows[rank]))].append(expert)
+        layer = tuple(tuple(row) for row in rows.values())
+        return cls(tuple(slots), (layer,) * layers)
+
     @classmethod
     def from_bytes(cls, body: bytes) -> 'ExpertMap':
         """Return the map in a body.
--- a/packages/cassiashift-daemon/cassiashift_daemon/agent.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/agent.py
@@ -167,6 +167,9 @@
         self.spawn(self.every(membership.TICK_INTERVAL_S, self._tick))
         self.spawn(self.every(spread.TICK_INTERVAL_S, self.spread.tick))
         self.spawn(self.every(rank_runner.TICK_INTERVAL_S, self.ranks.tick))
+        self.spawn(
+            self.every(self.cfg.balance_window_s, self.ranks.report_counts)
+        )
         for upstream, url in self.cfg.upstream_urls().items():
             self.spawn(self._watch(upstream, url))
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/coordination.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/coordination.py
@@ -90,7 +90,7 @@
     def received(self, sender: links.Sender, message: Any) -> None:
         """Take a report of a rank from the host that the rank runs on."""
         host = self.peers.host_of(sender)
-        if host != self._host_of(message.group, message.rank):
+        if host != self.host_of(message.group, message.rank):
             logs.warning(
                 'report_refused',
                 peer=host,
@@ -132,6 +132,13 @@
         event = mapswitch.SwitchRequested(ranks, body, reason)
         self.request(group, event)
 
+    def idle_leader(self, group: str) -> mapswitch.Coordinator | None:
+        """Return a group's coordinator if it can begin a switch."""
+        coordinator = self.coordinators.get(group)
+        if coordinator is None or coordinator.state != 'idle':
+            return None
+        return coordinator
+
     def drain(self) -> None:
         """Handle the queued events in their order."""
         while self._queue:
@@ -225,7 +232,7 @@
         effect: mapswitch.SendToRank,
         coordinator: mapswitch.Coordinator,
     ) -> None:
-        host = self._host_of(coordinator.cfg.group, effect.rank)
+        host = self.host_of(coordinator.cfg.group, effect.rank)
         if host is not None:
             data = messages.ORDERS.encode(effect.message)
             self.peers.send(host, messages.RankOrder(effect.rank, data))
@@ -273,7 +280,7 @@
             duration_s=round(effect.duration_s, 3),
         )
 
-    def _host_of(self, group: str, rank: str) -> str | None:
+    def host_of(self, group: str, rank: str) -> str | None:
         """Return the host of a rank's agent."""
         found = self.holder.view.group(group)
         ranks = found.ranks if found is not None else ()
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -34,6 +34,7 @@
 from cassiashift_daemon import metrics
 from cassiashift_daemon import once
 from cassiashift_daemon import peers
+from cassiashift_daemon import planning
 from cassiashift_daemon import presence
 from cassiashift_daemon import proposals
 from cassiashift_daemon import recorder
@@ -250,6 +251,10 @@
         self.coordination = coordination.Coordination.attached(
             self.voter, self.peers, self.holder
         )
+        self.planning = planning.Planning(
+            self.coordination, self.peers, self.holder, cfg.balance_window_s
+        )
+        self.spawn(self.planning.run_forever())
         held = saved.entries[-1].index if saved.entries else 0
         if saved.snapshot is not None:
             held = max(held, saved.snapshot.index)
@@ -294,6 +299,7 @@
                 register(cls, self.voter.received)
             for cls in mapswitch.REPORT_TYPES:
                 register(cls, self.coordination.received)
+            register(messages.ExpertCounts, self.planning.received)
 
     def _start_timers(self) -> None:
         self.spawn(self.every(GATE_INTERVAL_S, self.gate.tick))
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/planning.py
@@ -0,0 +1,131 @@
+"""Gathers expert counts on the leader and asks for the planned maps."""
+
+import asyncio
+import operator
+from typing import Any
+
+import attrs
+
+from cassiashift_core.balancing import maps
+from cassiashift_core import CassiashiftError
+from cassiashift_core import manifest
+from cassiashift_core import mapswitch
+from cassiashift_daemon import coordination
+from cassiashift_daemon import logs
+from cassiashift_daemon import peers
+from cassiashift_daemon import shared_state
+from cassiashift_net import links
+from cassiashift_net import messages
+
+FIRST_MAP_REASON = 'the group has no map'
+
+
+@attrs.define(eq=False)
+class Planning:
+    """Plans each group once in a window while this host leads."""
+
+    coordination: coordination.Coordination
+    peers: peers.Peers
+    holder: shared_state.SharedHolder
+    window_s: float
+    _windows: dict[str, list[list[int]]] = attrs.field(factory=dict)
+    _planners: dict[str, Any] = attrs.field(factory=dict)
+
+    def received(
+        self, sender: links.Sender, message: messages.ExpertCounts
+    ) -> None:
+        """Add a rank's counts to the window of its group."""
+        group = self.holder.view.group(message.group)
+        host = self.coordination.host_of(message.group, message.rank)
+        if group is None or self.peers.host_of(sender) != host:
+            return
+        if not _fits(group, message.tokens):
+            return
+        window = self._windows.setdefault(
+            group.id, [[0] * group.experts for _ in range(group.layers)]
+        )
+        for total, row in zip(window, message.tokens, strict=True):
+            total[:] = map(operator.add, total, row)
+
+    async def run_forever(self) -> None:
+        """Plan at the end of each window."""
+        while True:
+            await asyncio.sleep(self.window_s)
+            windows, self._windows = self._windows, {}
+            for group_id in self.holder.view.ids('groups'):
+                try:
+                    await self._plan(group_id, windows.get(group_id))
+                except Exception as exc:
+                    self._planners.pop(group_id, None)
+                    logs.error(
+                        'planning_failed', group=group_id, error=repr(exc)
+                    )
+
+    async def _plan(
+        self, group_id: str, window: list[list[int]] | None
+    ) -> None:
+        leader = self.coordination.idle_leader(group_id)
+        if leader is None:
+            return
+        group = self.holder.view.group(group_id)
+        current = leader.log.standing.current
+        if current is None:
+            self._request_first(group, leader)
+        elif window is not None and _fits(group, window):
+            await self._balance(group, window, current)
+
+    def _request_first(
+        self, group: manifest.Group, leader: mapswitch.Coordinator
+    ) -> None:
+        slots = {rank.id: rank.slots for rank in group.ranks}
+        if set(slots) <= set(leader.roster.incarnations):
+            wanted = maps.ExpertMap.spread(slots, group.experts, group.layers)
+            self._request(group.id, wanted, FIRST_MAP_REASON)
+
+    async def _balance(
+        self,
+        group: manifest.Group,
+        window: list[list[int]],
+        current: mapswitch.MapEntry,
+    ) -> None:
+        planner = self._planner_of(group)
+        loop = asyncio.get_running_loop()
+        placed = maps.ExpertMap.from_bytes(current.body)
+        outcome = await loop.run_in_executor(
+            None, planner.decide, window, placed
+        )
+        logs.info(
+            'group_planned',
+            group=group.id,
+            version=current.version,
+            skew=round(outcome.skew, 4),
+            reason=outcome.reason,
+        )
+        if outcome.wanted is not None:
+            self._request(group.id, outcome.wanted, outcome.reason)
+
+    def _request(
+        self, group_id: str, wanted: maps.ExpertMap, reason: str
+    ) -> None:
+        try:
+            self.coordination.request_map(group_id, wanted.to_bytes(), reason)
+        except CassiashiftError as exc:
+            logs.warning('switch_refused', group=group_id, error=str(exc))
+
+    def _planner_of(self, group: manifest.Group) -> Any:
+        """Return the planner of a group; the import loads numpy."""
+        from cassiashift_daemon import planner
+
+        known = self._planners.get(group.id)
+        if known is None or known.group != group:
+            measures = self.holder.view.header().measures
+            known = planner.GroupPlanner.from_config(group, measures)
+            self._planners[group.id] = known
+        return known
+
+
+def _fits(group: manifest.Group, tokens: Any) -> bool:
+    """Tell whether counts are of a group's layers and experts."""
+    if len(tokens) != group.layers:
+        return False
+    return all(len(row) == group.experts for row in tokens)
--- a/packages/cassiashift-daemon/cassiashift_daemon/rank_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/rank_runner.py
@@ -4,6 +4,7 @@
 import base64
 import functools
 import http
+import operator
 import time
 from typing import Annotated
 from typing import Any
@@ -35,9 +36,14 @@
 
 @attrs.frozen
 class StepRequest:
-    """An engine asks whether it may start a step."""
+    """An engine asks whether it may start a step.
+
+    Attributes:
+        tokens: tokens since the last report, by layer and expert.
+    """
 
     step: Annotated[int, msgspec.Meta(ge=0)]
+    tokens: tuple[tuple[int, ...], ...] = ()
 
 
 @attrs.define(eq=False)
@@ -53,6 +59,15 @@
     orders: asyncio.Queue = attrs.field(factory=asyncio.Queue)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     worker: asyncio.Task | None = None
+    tokens: list[list[int]] = attrs.field(factory=list)
+
+    def count(self, tokens: tuple[tuple[int, ...], ...]) -> None:
+        """Add tokens to those of the window."""
+        if [len(row) for row in tokens] != [len(row) for row in self.tokens]:
+            self.tokens = [list(row) for row in tokens]
+            return
+        for total, row in zip(self.tokens, tokens, strict=True):
+            total[:] = map(operator.add, total, row)
 
 
 @attrs.define(eq=False)
@@ -100,6 +115,18 @@
         for rank in self._ranks.values():
             self._give(rank, mapswitch.Tick())
 
+    def report_counts(self) -> None:
+        """Send the voters what the ranks have counted in a window."""
+        for (group, name), rank in self._ranks.items():
+            if not rank.tokens:
+                continue
+            tokens = tuple(tuple(row) for row in rank.tokens)
+            rank.tokens = []
+            for voter in self.cfg.voter_addresses():
+                self.peers.send(
+                    voter, messages.ExpertCounts(group, name, tokens)
+                )
+
     def received(
         self, sender: links.Sender, message: messages.RankOrder
     ) -> None:
@@ -115,6 +142,8 @@
             wish = msgspec.json.decode(await req.read(), type=StepRequest)
             rank = self._find(req.match_info['rank'])
             version = await self._started(rank, wish.step)
+            if wish.tokens:
+                rank.count(wish.tokens)
         except msgspec.DecodeError as exc:
             error = CassiashiftError(ErrorCode.BAD_REQUEST, str(exc))
             return problems.response(error, '')
--- a/packages/cassiashift-daemon/cassiashift_daemon/settings.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/settings.py
@@ -73,6 +73,9 @@
     stop_timeout_s: float = _setting(
         600.0, 'Seconds that a planned stop may take.', low=0.0, high=86400.0
     )
+    balance_window_s: float = _setting(
+        60.0, 'Seconds of a window of expert counts.', low=0.1, high=3600.0
+    )
     timeline_events: int = _setting(
         20_000, 'Events kept for the time line.', low=0, high=1_000_000
     )
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -239,6 +239,19 @@
     data: bytes
 
 
+@attrs.frozen
+class ExpertCounts:
+    """Tokens that a rank's router has sent to each expert in a window.
+
+    Attributes:
+        tokens: counts by layer and expert.
+    """
+
+    group: str
+    rank: str
+    tokens: tuple[tuple[int, ...], ...]
+
+
 _OWN_TYPES = {
     'start': CallStart,
     'head': CallHead,
@@ -258,6 +271,7 @@
     'events': EventsQuery,
     'recorded': EventsAnswer,
     'order': RankOrder,
+    'counts': ExpertCounts,
 }
 
 for _tag, _cls in _OWN_TYPES.items():
--- a/tests/process/test_groups.py
+++ b/tests/process/test_groups.py
@@ -128,7 +128,8 @@
 @pytest.fixture
 async def bench(tmp_path):
     """Return three voters, four agents and a group in lock-step."""
-    cluster = Cluster.in_folder(tmp_path)
+    window = ['--balance-window-s', '0.5']
+    cluster = Cluster.in_folder(tmp_path, entry=window, agent=window)
     cluster.add_entries(ENTRIES, voters=3)
     engines = {rank: standin_group.RankEngine(rank) for rank in RANKS}
     urls = {}
@@ -172,3 +173,11 @@
     await bench.switch(placement(2))
     await bench.run_steps(STEPS)
     bench.check()
+
+
+async def test_drifting_popularity_is_balanced(bench):
+    await bench.run_steps(1)
+    while bench.newest() < 3:
+        await asyncio.sleep(POLL_S)
+    await bench.run_steps(STEPS)
+    bench.check()
--- a/tools/standins/group.py
+++ b/tools/standins/group.py
@@ -15,6 +15,7 @@
 CORRELATION = 0.97
 DEVIATION = 0.8
 POLL_INTERVAL_S = 0.02
+TOKENS_PER_STEP = 4096
 
 
 @attrs.define(eq=False)
@@ -52,6 +53,12 @@
         loads /= loads.mean()
         return dict(zip(placement.ranks, loads.tolist(), strict=True))
 
+    def tokens(self, count: int) -> list[list[int]]:
+        """Return about so many tokens for each layer, by expert."""
+        shares = numpy.exp(self._logs)
+        shares /= shares.sum(axis=1, keepdims=True)
+        return numpy.rint(shares * count).astype(int).tolist()
+
     def _drawn(self) -> numpy.ndarray:
         shape = (self.layers, self.experts)
         return self._rng.normal(0.0, self.deviation, shape)
@@ -144,7 +151,10 @@
         while True:
             step = len(self.versions)
             used = await asyncio.gather(
-                *(self._ask(session, rank, step) for rank in self.engines)
+                *(
+                    self._ask(session, rank, step, self.tokens())
+                    for rank in self.engines
+                )
             )
             self.versions.append(dict(zip(self.engines, used, strict=True)))
             times = [
@@ -155,6 +165,12 @@
             await asyncio.sleep(max(times))
             self.popularity.advance()
 
+    def tokens(self) -> list[list[int]]:
+        """Return a rank's counts of the last step."""
+        if not self.versions:
+            return []
+        return self.popularity.tokens(TOKENS_PER_STEP)
+
     def mixed_steps(self) -> list[int]:
         """Return the steps that ran on more than one version."""
         return [
@@ -172,13 +188,18 @@
         return self.step_s * loads[rank]
 
     async def _ask(
-        self, session: aiohttp.ClientSession, rank: str, step: int
+        self,
+        session: aiohttp.ClientSession,
+        rank: str,
+        step: int,
+        tokens: list,
     ) -> int:
         """Return the version of a step, asking until there is one."""
         url = f'{self.steps_urls[rank]}/v1/ranks/{rank}/steps'
+        wish = {'step': step, 'tokens': tokens}
         while True:
             try:
-                async with session.post(url, json={'step': step}) as resp:
+                async with session.post(url, json=wish) as resp:
                     if resp.status == http.HTTPStatus.OK:
                         return (await resp.json())['version']
             except (aiohttp.ClientError, TimeoutError):
