--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: setup demo test lint format lock bench explore slopes schema pages settings-page examples
+.PHONY: setup demo demo-group test lint format lock bench explore slopes schema pages settings-page examples
 
 PYTHON_TREES = packages tests tools
 SEEDS ?= 200
@@ -9,6 +9,9 @@
 demo:
 	@tools/run python -m tools.demo
 
+demo-group:
+	@tools/run python -m tools.demo_group
+
 test: lint
 	@tools/run pytest -n 4
 
