--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -9,9 +9,12 @@
 from aiohttp import web
 
 from cassiashift_core import admission
+from cassiashift_core import CassiashiftError
 from cassiashift_core import consensus
 from cassiashift_core import directory
 from cassiashift_core import draining
+from cassiashift_core import ErrorCode
+from cassiashift_core import mapswitch
 from cassiashift_core import membership
 from cassiashift_core import retries
 from cassiashift_core import routing
@@ -21,6 +24,7 @@
 from cassiashift_daemon import callers
 from cassiashift_daemon import calls
 from cassiashift_daemon import collecting
+from cassiashift_daemon import coordination
 from cassiashift_daemon import dispatch
 from cassiashift_daemon import gate
 from cassiashift_daemon import lending
@@ -30,6 +34,7 @@
 from cassiashift_daemon import metrics
 from cassiashift_daemon import once
 from cassiashift_daemon import peers
+from cassiashift_daemon import planning
 from cassiashift_daemon import presence
 from cassiashift_daemon import proposals
 from cassiashift_daemon import recorder
@@ -67,6 +72,7 @@
         self.metrics = metrics.Metrics.from_config(cfg.statsd, 'entry')
         self.events = recorder.Recorder.from_config(cfg, 'entry')
         self.voter: voter.Voter | None = None
+        self.coordination: coordination.Coordination | None = None
         self.leaving = False
         self.tls = tls.server_context(cfg.tls_cert_file, cfg.tls_key_file)
         scheme = 'https' if self.tls else 'http'
@@ -229,6 +235,7 @@
             collector=self.collector,
             surveyor=self.surveyor,
             voter_status=self._voter_status,
+            request_map=self._request_map,
         )
 
     def _open_log(self) -> None:
@@ -252,12 +259,22 @@
             on_event=self.spread.handle,
             on_failed=self.fail,
         )
+        self.coordination = coordination.Coordination.attached(
+            self.voter, self.peers, self.holder
+        )
+        self.planning = planning.Planning(
+            self.coordination, self.peers, self.holder, cfg.balance_window_s
+        )
+        self.spawn(self.planning.run_forever())
         held = saved.entries[-1].index if saved.entries else 0
         if saved.snapshot is not None:
             held = max(held, saved.snapshot.index)
         self.spread.handle(spread.Restarted(held))
         self.spawn(self.voter.sync_forever())
         self.spawn(self.every(cfg.tick_interval_s, self.voter.tick))
+        self.spawn(
+            self.every(coordination.TICK_INTERVAL_S, self.coordination.tick)
+        )
 
     def _register_handlers(self) -> None:
         register = self.dispatcher.register
@@ -296,6 +313,9 @@
         if self.voter is not None:
             for cls in consensus.MESSAGE_TYPES.values():
                 register(cls, self.voter.received)
+            for cls in mapswitch.REPORT_TYPES:
+                register(cls, self.coordination.received)
+            register(messages.ExpertCounts, self.planning.received)
 
     def _start_timers(self) -> None:
         self.spawn(self.every(GATE_INTERVAL_S, self.gate.tick))
@@ -384,6 +404,13 @@
             self.attempts.link_lost(member.address or known or '')
             logs.warning('agent_lost', host=member.host)
 
+    def _request_map(self, group: str, body: bytes, reason: str) -> None:
+        if self.coordination is None:
+            raise CassiashiftError(
+                ErrorCode.NOT_LEADER, 'this host does not vote'
+            )
+        self.coordination.request_map(group, body, reason)
+
     def _voter_status(self) -> dict[str, Any]:
         if self.voter is None:
             return {'role': 'none', 'leader': self.proposer.leader}
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -4,12 +4,14 @@
 
 from cassiashift_core import codec
 from cassiashift_core import consensus
+from cassiashift_core import mapswitch
 from cassiashift_core import membership
 from cassiashift_core import spread
 from cassiashift_core import timeline
 from cassiashift_core import verdicts
 
 CODEC = codec.Codec()
+ORDERS = codec.Codec()
 
 
 @attrs.frozen
@@ -268,6 +270,31 @@
     lease_s: float
 
 
+@attrs.frozen
+class RankOrder:
+    """An order of a map switch for one rank.
+
+    Attributes:
+        data: the order, as ``ORDERS`` encodes it.
+    """
+
+    rank: str
+    data: bytes
+
+
+@attrs.frozen
+class ExpertCounts:
+    """Tokens that a rank's router has sent to each expert in a window.
+
+    Attributes:
+        tokens: counts by layer and expert.
+    """
+
+    group: str
+    rank: str
+    tokens: tuple[tuple[int, ...], ...]
+
+
 _OWN_TYPES = {
     'start': CallStart,
     'head': CallHead,
@@ -288,6 +315,8 @@
     'recorded': EventsAnswer,
     'demand': DemandReport,
     'grants': ShareGrants,
+    'order': RankOrder,
+    'counts': ExpertCounts,
 }
 
 for _tag, _cls in _OWN_TYPES.items():
@@ -298,3 +327,7 @@
     CODEC.register(f'member.{_cls.__name__}', _cls)
 for _cls in spread.MESSAGE_TYPES:
     CODEC.register(f'spread.{_cls.__name__}', _cls)
+for _cls in mapswitch.REPORT_TYPES:
+    CODEC.register(f'switch.{_cls.__name__}', _cls)
+for _cls in mapswitch.ORDER_TYPES:
+    ORDERS.register(_cls.__name__, _cls)
