Show the map of each group to operators

Cause: operators could not see which map a group runs on. Change: the groups of the administration API carry the version in force, the open switch and its reason, as the asked voter knows them; the command groups prints them. Conclusion: skew and past decisions are still to be shown.

--- a/packages/cassiashift-cli/cassiashift_cli/deployment_commands.py
+++ b/packages/cassiashift-cli/cassiashift_cli/deployment_commands.py
@@ -96,9 +96,16 @@
         output.show_json(answer)
         return STATUS.OK
     output.table(
-        ('GROUP', 'MODEL', 'DATA CENTRE', 'RANKS'),
+        ('GROUP', 'MODEL', 'DATA CENTRE', 'RANKS', 'MAP', 'SWITCHING'),
         [
-            (row.id, row.model, row.data_centre, row.ranks)
+            (
+                row.id,
+                row.model,
+                row.data_centre,
+                row.ranks,
+                row.version,
+                row.reason,
+            )
             for row in answer.groups
         ],
     )
--- a/packages/cassiashift-daemon/cassiashift_daemon/admin.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/admin.py
@@ -12,6 +12,7 @@
 from cassiashift_core import CassiashiftError
 from cassiashift_core import ErrorCode
 from cassiashift_core import manifest
+from cassiashift_core import mapswitch
 from cassiashift_core import state
 from cassiashift_core import Verdict
 from cassiashift_daemon import access
@@ -46,6 +47,7 @@
     surveyor: surveys.Surveyor
     voter_status: Any
     request_map: Callable[[str, bytes, str], None]
+    decisions: Callable[[], dict[str, mapswitch.GroupDecisions]] = dict
     operators: access.Operators = attrs.field(
         default=attrs.Factory(
             lambda self: access.Operators.from_config(self.cfg),
@@ -171,9 +173,7 @@
         groups = [view.group(item) for item in sorted(view.ids('groups'))]
         return administration.Groups(
             tuple(
-                administration.GroupRow(
-                    group.id, group.model, group.data_centre, len(group.ranks)
-                )
+                _group_row(group, self.decisions().get(group.id))
                 for group in groups
             )
         )
@@ -252,6 +252,23 @@
             )
 
 
+def _group_row(
+    group: manifest.Group, decisions: mapswitch.GroupDecisions | None
+) -> administration.GroupRow:
+    row = administration.GroupRow(
+        group.id, group.model, group.data_centre, len(group.ranks)
+    )
+    if decisions is None:
+        return row
+    current, opened = decisions.standing.current, decisions.opened
+    return attrs.evolve(
+        row,
+        version=current.version if current else 0,
+        switching_to=opened.version if opened else 0,
+        reason=opened.reason if opened else '',
+    )
+
+
 def _checked_manifest(data: bytes) -> manifest.Manifest:
     """Return a manifest that may be applied.
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -225,6 +225,7 @@
             surveyor=self.surveyor,
             voter_status=self._voter_status,
             request_map=self._request_map,
+            decisions=self._decisions,
         )
 
     def _open_log(self) -> None:
@@ -384,6 +385,9 @@
             self.attempts.link_lost(member.address or known or '')
             logs.warning('agent_lost', host=member.host)
 
+    def _decisions(self) -> dict[str, mapswitch.GroupDecisions]:
+        return {} if self.voter is None else self.voter.machine.groups
+
     def _request_map(self, group: str, body: bytes, reason: str) -> None:
         if self.coordination is None:
             raise CassiashiftError(
--- a/packages/cassiashift-net/cassiashift_net/administration.py
+++ b/packages/cassiashift-net/cassiashift_net/administration.py
@@ -103,12 +103,22 @@
 
 @attrs.frozen
 class GroupRow:
-    """One group of the manifest in force."""
+    """One group of the manifest in force.
+
+    Attributes:
+        version: the map in force as the asked voter knows it; 0 for none,
+            and on an entry that does not vote.
+        switching_to: the version of the open switch, or 0.
+        reason: why the open switch was begun.
+    """
 
     id: str
     model: str
     data_centre: str
     ranks: int
+    version: int = 0
+    switching_to: int = 0
+    reason: str = ''
 
 
 @attrs.frozen
--- a/tests/process/test_groups.py
+++ b/tests/process/test_groups.py
@@ -179,5 +179,9 @@
     await bench.run_steps(1)
     while bench.newest() < 3:
         await asyncio.sleep(POLL_S)
+    url = bench.cluster.url_of(await bench.leader())
+    _, answer = await bench.operator.request('GET', 'groups', url)
+    version = answer['groups'][0]['version']
+    assert_that(version, matchers.GreaterThan(2))
     await bench.run_steps(STEPS)
     bench.check()
