Let calls that wait for room count for the expected wait again

Ruled out: the rate itself; it was the expected wait, which became 0 for a moment whenever a slot was free, so that too many calls were queued. Change: only the rate looks at whether the pool is full.

--- a/packages/cassiashift-core/cassiashift_core/admission/pools.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/pools.py
@@ -104,6 +104,6 @@
     def wait_s(self, req: model.AdmissionRequest) -> float:
         """Estimate how long a new call would wait for its turn."""
         tokens = self.queue.tokens_before(req)
-        if not tokens or not self.is_saturated or not self.rate.tokens_per_s:
+        if not tokens or not self.rate.tokens_per_s:
             return 0.0
         return tokens / self.rate.tokens_per_s
