Give both roles one base, and one way to gather answers

Change: node.py holds what both roles share, gathering.py the questions with tokens, webserver.py the server. Behaviour stays as it is. Conclusion: each file has one job again.

--- a/packages/cassiashift-daemon/cassiashift_daemon/agent.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/agent.py
@@ -1,8 +1,6 @@
 """The role ``agent``: stands between entries and a host's upstreams."""
 
 import asyncio
-import random
-import time
 
 import aiohttp
 
@@ -11,19 +9,12 @@
 from cassiashift_core import retries
 from cassiashift_core import spread
 from cassiashift_daemon import attempts
-from cassiashift_daemon import dispatch
-from cassiashift_daemon import lifecycle
 from cassiashift_daemon import logs
 from cassiashift_daemon import members
-from cassiashift_daemon import metrics
-from cassiashift_daemon import peers
+from cassiashift_daemon import node
 from cassiashift_daemon import presence
 from cassiashift_daemon import rank_runner
-from cassiashift_daemon import recorder
 from cassiashift_daemon import settings
-from cassiashift_daemon import shared_state
-from cassiashift_daemon import spreading
-from cassiashift_net import keys
 from cassiashift_net import links
 from cassiashift_net import messages
 
@@ -31,44 +22,24 @@
 LEAVING_NOTICE_S = 1.0
 
 
-class AgentProcess(lifecycle.Process):
+class AgentProcess(node.NodeProcess):
     """One agent."""
 
     def __init__(self, cfg: settings.AgentSettings) -> None:
         """Build the parts that need no loop."""
-        super().__init__()
-        self.cfg = cfg
-        self.epoch = time.time_ns()
-        self.rng = random.Random(self.epoch)
-        self.holder = shared_state.SharedHolder(keep=self._keeps)
+        super().__init__(cfg, 'agent', self._keeps)
         self.holder.on_change = self._announce
-        self.metrics = metrics.Metrics.from_config(cfg.statsd, 'agent')
-        self.events = recorder.Recorder.from_config(cfg, 'agent')
         self.healthy: dict[str, bool] = {}
-        self.leaving = False
 
     @classmethod
     def from_config(cls, cfg: settings.AgentSettings) -> 'AgentProcess':
         """Return an agent for checked settings."""
         return cls(cfg)
 
-    @property
-    def stop_timeout_s(self) -> float:
-        """Return the seconds that a planned stop may take."""
-        return self.cfg.stop_timeout_s
-
     async def open(self) -> None:
         """Open the link, the pool to the upstreams and the timers."""
         cfg = self.cfg
-        self.dispatcher = dispatch.Dispatcher()
-        self.links = links.Links.from_config(
-            cfg.host,
-            self.dispatcher.dispatch,
-            keys.KeyRing.from_files(cfg.curve_secret_file, cfg.curve_keys_dir),
-        )
-        link = self.links.bind(cfg.link)
-        self.voters = cfg.voter_addresses()
-        self.peers = peers.Peers(self.links, self._address_of)
+        link = self.open_links()
         self.sessions = attempts.Sessions.from_config(cfg.connect_timeout_s)
         self.attempts = attempts.AttemptServer(
             urls=cfg.upstream_urls(),
@@ -77,7 +48,10 @@
             record=self.events.record,
             fences=retries.FenceTable(self.epoch),
         )
-        self._open_membership(link)
+        announcer = membership.Announcer.from_config(
+            self.membership_config(link), self.rng
+        )
+        self.presence = presence.PresenceRunner(announcer, self.peers)
         self._open_spread()
         self.ranks = rank_runner.RankRunner(
             cfg=cfg,
@@ -107,33 +81,14 @@
         await self.sessions.close()
         self.links.close()
 
-    def _open_membership(self, link: str) -> None:
-        cfg = self.cfg
-        announcer = membership.Announcer.from_config(
-            membership.MembershipConfig(
-                host=cfg.host,
-                address=link,
-                region=cfg.region,
-                data_centre=cfg.data_centre,
-                incarnation=presence.incarnation_now(),
-                seeds=presence.contacts(cfg.entry_addresses()),
-                epoch=self.epoch,
-            ),
-            self.rng,
-        )
-        self.presence = presence.PresenceRunner(announcer, self.peers)
-
     def _open_spread(self) -> None:
-        self.spread = spreading.SpreadRunner.from_config(
+        self.open_spread(
             spread.SpreadConfig(
                 host=self.cfg.host,
                 voters=tuple(self.voters),
                 parents=tuple(self.cfg.entry_addresses()),
                 max_children=0,
-            ),
-            self.rng,
-            self.peers,
-            self.holder,
+            )
         )
         self.spread.handle(spread.Restarted())
 
@@ -158,10 +113,7 @@
         register(messages.RankOrder, self.ranks.received)
         register(messages.EventsQuery, self._answer_events)
         register(messages.Survey, self._answer_survey)
-        for cls in membership.MESSAGE_TYPES:
-            register(cls, self.presence.received)
-        for cls in spread.MESSAGE_TYPES:
-            register(cls, self.spread.received)
+        self.register_shared_handlers()
 
     def _start_timers(self) -> None:
         self.spawn(self.every(membership.TICK_INTERVAL_S, self._tick))
@@ -214,9 +166,6 @@
         )
         sender.reply(messages.SurveyAnswer(message.token, (own,), upstreams))
 
-    def _address_of(self, host: str) -> str | None:
-        return self.voters.get(host) or self.presence.member.address_of(host)
-
     def _keeps(self, key: str, data: bytes) -> bool:
         section, _, item = key.partition('/')
         own = self.cfg.upstream_urls()
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -4,9 +4,6 @@
 import random
 import time
 from typing import Any
-import urllib.parse
-
-from aiohttp import web
 
 from cassiashift_core import admission
 from cassiashift_core import CassiashiftError
@@ -25,28 +22,24 @@
 from cassiashift_daemon import calls
 from cassiashift_daemon import collecting
 from cassiashift_daemon import coordination
-from cassiashift_daemon import dispatch
 from cassiashift_daemon import gate
+from cassiashift_daemon import gathering
 from cassiashift_daemon import lending
-from cassiashift_daemon import lifecycle
 from cassiashift_daemon import logs
 from cassiashift_daemon import members
-from cassiashift_daemon import metrics
+from cassiashift_daemon import node
 from cassiashift_daemon import once
-from cassiashift_daemon import peers
 from cassiashift_daemon import planning
 from cassiashift_daemon import presence
 from cassiashift_daemon import proposals
-from cassiashift_daemon import recorder
 from cassiashift_daemon import remote
 from cassiashift_daemon import settings
-from cassiashift_daemon import shared_state
 from cassiashift_daemon import sharing
 from cassiashift_daemon import spreading
 from cassiashift_daemon import storage
 from cassiashift_daemon import surveys
 from cassiashift_daemon import voter
-from cassiashift_net import keys
+from cassiashift_daemon import webserver
 from cassiashift_net import links
 from cassiashift_net import messages
 from cassiashift_net import tls
@@ -54,26 +47,19 @@
 GATE_INTERVAL_S = 0.02
 VIEW_INTERVAL_S = 0.2
 DRAIN_INTERVAL_S = 0.1
-SHUTDOWN_TIMEOUT_S = 1.0
-MAX_HEADER_BYTES = 16 * 1024
 
 
-class EntryProcess(lifecycle.Process):
+class EntryProcess(node.NodeProcess):
     """One entry."""
 
     def __init__(self, cfg: settings.EntrySettings) -> None:
         """Build the parts that need no loop."""
-        super().__init__()
-        self.cfg = cfg
-        self.epoch = time.time_ns()
-        self.rng = random.Random(cfg.seed or self.epoch)
-        self.holder = shared_state.SharedHolder()
+        super().__init__(cfg, 'entry')
+        if cfg.seed:
+            self.rng = random.Random(cfg.seed)
         self.holder.on_change = self._shared_changed
-        self.metrics = metrics.Metrics.from_config(cfg.statsd, 'entry')
-        self.events = recorder.Recorder.from_config(cfg, 'entry')
         self.voter: voter.Voter | None = None
         self.coordination: coordination.Coordination | None = None
-        self.leaving = False
         self.tls = tls.server_context(cfg.tls_cert_file, cfg.tls_key_file)
         scheme = 'https' if self.tls else 'http'
         self.http_address = cfg.advertise or f'{scheme}://{cfg.http}'
@@ -83,23 +69,10 @@
         """Return an entry for checked settings."""
         return cls(cfg)
 
-    @property
-    def stop_timeout_s(self) -> float:
-        """Return the seconds that a planned stop may take."""
-        return self.cfg.stop_timeout_s
-
     async def open(self) -> None:
         """Open the link, the state, the timers and the HTTP server."""
         cfg = self.cfg
-        self.dispatcher = dispatch.Dispatcher()
-        self.links = links.Links.from_config(
-            cfg.host,
-            self.dispatcher.dispatch,
-            keys.KeyRing.from_files(cfg.curve_secret_file, cfg.curve_keys_dir),
-        )
-        link = self.links.bind(cfg.link)
-        self.peers = peers.Peers(self.links, self._address_of)
-        self.voters = cfg.voter_addresses()
+        link = self.open_links()
         self._open_membership(link)
         self._open_spread()
         self._build_decisions()
@@ -107,7 +80,12 @@
         self._open_log()
         self._register_handlers()
         self._start_timers()
-        await self._serve_http()
+        self.runner = await webserver.serve(
+            cfg.http,
+            self.callers.routes() + self.admin.routes(),
+            cfg.max_body_bytes,
+            self.tls,
+        )
         logs.info(
             'entry_started',
             host=cfg.host,
@@ -144,19 +122,8 @@
             self.voter.store.close()
 
     def _open_membership(self, link: str) -> None:
-        cfg = self.cfg
         member = membership.Membership.from_config(
-            membership.MembershipConfig(
-                host=cfg.host,
-                address=link,
-                region=cfg.region,
-                data_centre=cfg.data_centre,
-                incarnation=presence.incarnation_now(),
-                seeds=presence.contacts(cfg.entry_addresses()),
-                remote_seeds=presence.contacts(cfg.remote_entry_addresses()),
-                http=self.http_address,
-            ),
-            self.rng,
+            self.membership_config(link, self.http_address), self.rng
         )
         self.presence = presence.PresenceRunner(
             member, self.peers, self._member_changed
@@ -165,15 +132,12 @@
         self.members = members.Members(member, self.lent, self.holder)
 
     def _open_spread(self) -> None:
-        self.spread = spreading.SpreadRunner.from_config(
+        self.open_spread(
             spread.SpreadConfig(
                 host=self.cfg.host,
                 voters=tuple(self.voters),
                 parents=tuple(self.voters),
-            ),
-            self.rng,
-            self.peers,
-            self.holder,
+            )
         )
 
     def _build_decisions(self) -> None:
@@ -221,11 +185,12 @@
             is_ready=lambda: self.holder.confirmed,
             is_leaving=lambda: self.leaving,
         )
+        self.gatherer = gathering.Gatherer(cfg.host, self.links)
         self.surveyor = surveys.Surveyor(
-            cfg.host, member, self.holder, self.links
+            cfg.host, member, self.holder, self.gatherer
         )
         self.collector = collecting.EventCollector(
-            self.events, member, self.links
+            self.events, member, self.gatherer
         )
         self.admin = admin.AdminApi(
             cfg=cfg,
@@ -285,19 +250,15 @@
             lambda sender, message: self.proposer.answered(message),
         )
         register(messages.Survey, self._answer_survey)
-        register(
-            messages.SurveyAnswer,
-            lambda sender, message: self.surveyor.received(message),
-        )
+        for cls in (messages.SurveyAnswer, messages.EventsAnswer):
+            register(
+                cls, lambda sender, message: self.gatherer.received(message)
+            )
         register(messages.PoolQuery, self._lend)
         register(
             messages.PoolAnswer,
             lambda sender, message: self.lent.received(message),
         )
-        register(
-            messages.EventsAnswer,
-            lambda sender, message: self.collector.received(message),
-        )
         register(
             messages.ShareGrants,
             lambda sender, message: self.sharer.received(message),
@@ -307,10 +268,7 @@
             register(
                 cls, lambda sender, message: self.attempts.received(message)
             )
-        for cls in membership.MESSAGE_TYPES:
-            register(cls, self.presence.received)
-        for cls in spread.MESSAGE_TYPES:
-            register(cls, self.spread.received)
+        self.register_shared_handlers()
         if self.voter is not None:
             for cls in consensus.MESSAGE_TYPES.values():
                 register(cls, self.voter.received)
@@ -329,30 +287,6 @@
         self.spawn(self.every(membership.TICK_INTERVAL_S, self.presence.tick))
         self.spawn(self.every(spread.TICK_INTERVAL_S, self.spread.tick))
 
-    async def _serve_http(self) -> None:
-        app = web.Application(
-            client_max_size=self.cfg.max_body_bytes,
-            handler_args={'max_line_size': MAX_HEADER_BYTES},
-        )
-        app.add_routes(self.callers.routes())
-        app.add_routes(self.admin.routes())
-        self.runner = web.AppRunner(
-            app,
-            handler_cancellation=True,
-            access_log=None,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-        )
-        await self.runner.setup()
-        parts = urllib.parse.urlsplit(f'//{self.cfg.http}')
-        site = web.TCPSite(
-            self.runner,
-            parts.hostname,
-            parts.port,
-            reuse_address=True,
-            ssl_context=self.tls,
-        )
-        await site.start()
-
     def _proposal(
         self, sender: links.Sender, message: messages.Proposal
     ) -> None:
@@ -370,9 +304,6 @@
         answer = lending.lend(self.presence.member, message, sender.host)
         sender.reply(answer)
 
-    def _address_of(self, host: str) -> str | None:
-        return self.voters.get(host) or self.presence.member.address_of(host)
-
     def _shared_changed(self) -> None:
         logs.info('revision_in_force', revision=self.holder.revision)
         self.events.record('revision', revision=self.holder.revision)
--- a/packages/cassiashift-daemon/cassiashift_daemon/surveys.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/surveys.py
@@ -3,13 +3,10 @@
 Nothing of this runs by itself: the cost is that of the commands.
 """
 
-import asyncio
-import itertools
-from typing import Any
-
 import attrs
 
 from cassiashift_core import membership
+from cassiashift_daemon import gathering
 from cassiashift_daemon import shared_state
 from cassiashift_net import links
 from cassiashift_net import messages
@@ -48,15 +45,6 @@
         )
 
 
-@attrs.define(eq=False)
-class _Running:
-    """A survey whose answers are still coming."""
-
-    findings: Findings
-    missing: int
-    done: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-
 @attrs.define(eq=False)
 class Surveyor:
     """Asks the entries here, and one entry of each other data centre."""
@@ -64,17 +52,15 @@
     host: str
     member: membership.Membership
     holder: shared_state.SharedHolder
-    links: links.Links
-    _running: dict[str, _Running] = attrs.field(factory=dict)
-    _numbers: Any = attrs.field(factory=itertools.count)
+    gatherer: gathering.Gatherer
 
     async def survey(self) -> Findings:
         """Return what the entries of all data centres know."""
-        requests = self._near_requests() + self._agent_requests()
+        requests = self._near_requests() | self._agent_requests()
         for summary in self.member.summaries():
             if summary.data_centre != self.member.cfg.data_centre:
-                contacts = summary.contacts[:1]
-                requests += [(item.address, True) for item in contacts]
+                for contact in summary.contacts[:1]:
+                    requests[contact.address] = True
         return await self._gather(requests, FAR_TIMEOUT_S)
 
     async def answer(
@@ -88,52 +74,34 @@
         requests = self._agent_requests()
         timeout_s = AGENT_TIMEOUT_S
         if message.spread:
-            requests += self._near_requests()
+            requests |= self._near_requests()
             timeout_s = NEAR_TIMEOUT_S
         findings = await self._gather(requests, timeout_s)
         sender.reply(findings.answer(message.token))
 
-    def received(self, message: messages.SurveyAnswer) -> None:
-        """Take an answer."""
-        running = self._running.get(message.token)
-        if running is None:
-            return
-        running.findings.add(message)
-        running.missing -= 1
-        if running.missing == 0:
-            running.done.set()
-
     async def _gather(
-        self, requests: list[tuple[str, bool]], timeout_s: float
+        self, requests: dict[str, bool], timeout_s: float
     ) -> Findings:
+        answers = await self.gatherer.ask(
+            list(requests),
+            lambda token, address: messages.Survey(token, requests[address]),
+            timeout_s,
+        )
         findings = Findings()
-        findings.add(self._own_answer())
-        if not requests:
-            return findings
-        token = f'{self.host}/{next(self._numbers)}'
-        running = _Running(findings, len(requests))
-        self._running[token] = running
-        for address, spread in requests:
-            self.links.send(address, messages.Survey(token, spread))
-        try:
-            async with asyncio.timeout(timeout_s):
-                await running.done.wait()
-        except TimeoutError:
-            pass
-        finally:
-            del self._running[token]
+        for answer in [self._own_answer(), *answers]:
+            findings.add(answer)
         return findings
 
-    def _near_requests(self) -> list[tuple[str, bool]]:
-        return [
-            (record.address, False)
+    def _near_requests(self) -> dict[str, bool]:
+        return {
+            record.address: False
             for record in self.member.alive_entries()
             if record.host != self.host
-        ]
+        }
 
-    def _agent_requests(self) -> list[tuple[str, bool]]:
+    def _agent_requests(self) -> dict[str, bool]:
         addresses = map(self.member.address_of, self.member.watched_agents())
-        return [(address, False) for address in addresses if address]
+        return {address: False for address in addresses if address}
 
     def _own_answer(self) -> messages.SurveyAnswer:
         data_centre = self.member.cfg.data_centre
