--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	@tools/run python -m tools.demo_group
 
 test: lint
-	@tools/run pytest -n 4
+	@tools/run pytest -n 4 --dist worksteal
 
 lint:
 	@tools/run ruff format --check $(PYTHON_TREES)
