Ask the ledger before a keyed call is told that it did not run

Cause: a resend with an idempotency key that found no upstream was told 'not run' without a look into the ledger, although the first attempt was running (seen in test_booking_whose_entry_died_is_answered_from_the_agent). Change: a command finds a key without opening it; a call without an upstream is answered from the record, or told 'may have run' while it is in doubt. Two tests of the state machine added.

--- a/packages/cassiashift-core/cassiashift_core/state/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/state/__init__.py
@@ -3,6 +3,7 @@
 from cassiashift_core.state.commands import ApplyManifest
 from cassiashift_core.state.commands import CloseCall
 from cassiashift_core.state.commands import CODEC
+from cassiashift_core.state.commands import FindCall
 from cassiashift_core.state.commands import OpenCall
 from cassiashift_core.state.commands import SetDrain
 from cassiashift_core.state.ledger import CallRecord
@@ -13,6 +14,7 @@
 from cassiashift_core.state.results import CallInDoubt
 from cassiashift_core.state.results import CallOpened
 from cassiashift_core.state.results import CallRecorded
+from cassiashift_core.state.results import CallUnknown
 from cassiashift_core.state.results import Conflict
 from cassiashift_core.state.results import DecisionApplied
 from cassiashift_core.state.results import KeyReused
@@ -29,9 +31,11 @@
     'CallRecord',
     'CallRecorded',
     'CallState',
+    'CallUnknown',
     'CloseCall',
     'Conflict',
     'DecisionApplied',
+    'FindCall',
     'KeyReused',
     'Ledger',
     'OpenCall',
--- a/packages/cassiashift-core/cassiashift_core/state/commands.py
+++ b/packages/cassiashift-core/cassiashift_core/state/commands.py
@@ -56,6 +56,16 @@
     retention_s: float
 
 
+@attrs.frozen
+class FindCall:
+    """Ask what is known of a non-idempotent call, without opening it."""
+
+    workspace: str
+    key: str
+    digest: str
+    at_s: float
+
+
 @attrs.frozen
 class CloseCall:
     """Record the outcome of an attempt of a non-idempotent call.
@@ -77,4 +87,5 @@
 CODEC.register('drain', SetDrain)
 CODEC.register('open', OpenCall)
 CODEC.register('close', CloseCall)
+CODEC.register('find', FindCall)
 CODEC.register('switch', mapswitch.Decision)
--- a/packages/cassiashift-core/cassiashift_core/state/ledger.py
+++ b/packages/cassiashift-core/cassiashift_core/state/ledger.py
@@ -9,6 +9,15 @@
 from cassiashift_core import verdicts
 
 
+Known = (
+    results.CallOpened
+    | results.CallUnknown
+    | results.CallInDoubt
+    | results.CallRecorded
+    | results.KeyReused
+)
+
+
 class CallState(enum.Enum):
     """How far the call of a key has come."""
 
@@ -51,23 +60,22 @@
     records: dict[str, dict[str, CallRecord]] = attrs.field(factory=dict)
     clock_s: float = 0.0
 
-    def open(
-        self, command: commands.OpenCall
-    ) -> (
-        results.CallOpened
-        | results.CallInDoubt
-        | results.CallRecorded
-        | results.KeyReused
-    ):
+    def open(self, command: commands.OpenCall) -> Known:
         """Record an intent, or return what is known of the key."""
-        self.clock_s = max(self.clock_s, command.at_s)
+        record = self._current(command)
+        known = None if record is None else _known(command, record)
+        if known is not None and not _is_resent(command, record):
+            return known
         calls = self.records.setdefault(command.workspace, {})
-        record = calls.get(command.key)
-        if record is not None and record.expires_s > self.clock_s:
-            return self._known(command, record)
         calls[command.key] = self._opened(command)
         return results.CallOpened(command.attempt)
 
+    def find(self, command: commands.FindCall) -> Known:
+        """Return what is known of the key and record nothing."""
+        record = self._current(command)
+        known = None if record is None else _known(command, record)
+        return results.CallUnknown() if known is None else known
+
     def close(self, command: commands.CloseCall) -> results.Accepted:
         """Record the outcome of the attempt that the key stands for.
 
@@ -105,31 +113,16 @@
         """Return the number of records."""
         return sum(len(calls) for calls in self.records.values())
 
-    def _known(
-        self, command: commands.OpenCall, record: CallRecord
-    ) -> (
-        results.CallOpened
-        | results.CallInDoubt
-        | results.CallRecorded
-        | results.KeyReused
-    ):
-        if record.digest != command.digest:
-            return results.KeyReused(record.digest)
-        if record.state is CallState.RECORDED:
-            return results.CallRecorded(
-                record.status, record.content_type, record.body
-            )
-        if record.state is CallState.NOT_RUN:
-            fresh = self._opened(command)
-            self.records[command.workspace][command.key] = fresh
-            return results.CallOpened(command.attempt)
-        if record.attempt == command.attempt:
-            return results.CallOpened(command.attempt)
-        return results.CallInDoubt(
-            record.attempt,
-            record.upstream,
-            settled=record.state is CallState.DOUBTFUL,
-        )
+    def _current(
+        self, command: commands.OpenCall | commands.FindCall
+    ) -> CallRecord | None:
+        """Return the unexpired record of a command's key."""
+        self.clock_s = max(self.clock_s, command.at_s)
+        calls = self.records.get(command.workspace, {})
+        record = calls.get(command.key)
+        if record is None or record.expires_s <= self.clock_s:
+            return None
+        return record
 
     def _opened(self, command: commands.OpenCall) -> CallRecord:
         return CallRecord(
@@ -138,3 +131,29 @@
             upstream=command.upstream,
             expires_s=command.at_s + command.retention_s,
         )
+
+
+def _known(
+    command: commands.OpenCall | commands.FindCall, record: CallRecord
+) -> Known | None:
+    """Return what a record says; nothing if its attempt did not run."""
+    if record.digest != command.digest:
+        return results.KeyReused(record.digest)
+    if record.state is CallState.RECORDED:
+        return results.CallRecorded(
+            record.status, record.content_type, record.body
+        )
+    if record.state is CallState.NOT_RUN:
+        return None
+    return results.CallInDoubt(
+        record.attempt,
+        record.upstream,
+        settled=record.state is CallState.DOUBTFUL,
+    )
+
+
+def _is_resent(command: commands.OpenCall, record: CallRecord) -> bool:
+    """Tell whether an intent is the one that the record holds already."""
+    is_open = record.state is CallState.OPEN
+    same_call = record.digest == command.digest
+    return is_open and same_call and record.attempt == command.attempt
--- a/packages/cassiashift-core/cassiashift_core/state/machine.py
+++ b/packages/cassiashift-core/cassiashift_core/state/machine.py
@@ -117,6 +117,10 @@
     def _(self, command: commands.OpenCall, index: int) -> Any:
         return self.calls.open(command)
 
+    @_apply.register
+    def _(self, command: commands.FindCall, index: int) -> Any:
+        return self.calls.find(command)
+
     @_apply.register
     def _(self, command: commands.CloseCall, index: int) -> Any:
         return self.calls.close(command)
--- a/packages/cassiashift-core/cassiashift_core/state/results.py
+++ b/packages/cassiashift-core/cassiashift_core/state/results.py
@@ -35,6 +35,11 @@
     attempt: str
 
 
+@attrs.frozen
+class CallUnknown:
+    """No attempt of the key may have run."""
+
+
 @attrs.frozen
 class CallInDoubt:
     """An earlier attempt of this key has no recorded outcome yet.
@@ -81,6 +86,7 @@
     ('conflict', Conflict),
     ('rejected', Rejected),
     ('opened', CallOpened),
+    ('unknown', CallUnknown),
     ('in-doubt', CallInDoubt),
     ('recorded', CallRecorded),
     ('key-reused', KeyReused),
--- a/packages/cassiashift-daemon/cassiashift_daemon/once.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/once.py
@@ -39,7 +39,10 @@
         plan = self.runner.plan(call)
         began = time.monotonic()
         while True:
-            target = self.runner.choose(call, plan)
+            try:
+                target = self.runner.choose(call, plan)
+            except CassiashiftError as exc:
+                return await self._without_upstream(call, exc)
             result = await self._open(call, target)
             match result:
                 case state.CallOpened():
@@ -56,6 +59,30 @@
                 case state.CallInDoubt():
                     await self._resolve(call, result, began)
 
+    async def _without_upstream(
+        self, call: calls.Call, refusal: CassiashiftError
+    ) -> calls.Answer:
+        """Answer from the ledger a call that no upstream can take.
+
+        Raises:
+            CassiashiftError: the refusal, unless the key's call has run;
+                with ``MAY_HAVE_RUN`` when it may have.
+        """
+        if not call.idempotency_key:
+            raise refusal
+        command = state.FindCall(
+            workspace=call.workspace,
+            key=_key(call),
+            digest=_digest(call),
+            at_s=time.time(),
+        )
+        result = await self.proposer.propose(command)
+        if isinstance(result, state.CallRecorded):
+            return _replayed(result)
+        if isinstance(result, state.CallInDoubt):
+            refusal.verdict = Verdict.MAY_HAVE_RUN
+        raise refusal
+
     async def _open(self, call: calls.Call, target: calls.Target):
         command = state.OpenCall(
             workspace=call.workspace,
--- a/tests/core/test_state.py
+++ b/tests/core/test_state.py
@@ -135,3 +135,42 @@
         other.apply(state.SharedDelta.decode(delta.encode()))
     assert_that(other, matchers.Equals(machine.shared))
     assert_that(other.items, matchers.Equals({'header': ITEMS['header']}))
+
+
+def find_call(machine, index, digest='d', at_s=1.0):
+    command = state.FindCall('w', 'k', digest, at_s)
+    return machine.apply(index, state.CODEC.encode(command))
+
+
+def test_finding_a_call_opens_nothing():
+    machine = state.StateMachine()
+    found = [find_call(machine, 1)]
+    open_call(machine, 2, 'first')
+    found.append(find_call(machine, 3))
+    close_call(machine, 4, 'first', Verdict.NOT_RUN)
+    found.append(find_call(machine, 5))
+    open_call(machine, 6, 'second')
+    close_call(machine, 7, 'second', Verdict.RAN)
+    found.append(find_call(machine, 8))
+    found.append(find_call(machine, 9, digest='other'))
+    found.append(find_call(machine, 10, at_s=12.0))
+    wanted = [
+        state.CallUnknown(),
+        state.CallInDoubt('first', 'u', settled=False),
+        state.CallUnknown(),
+        state.CallRecorded(201, 'a/b', b'ok'),
+        state.KeyReused('d'),
+        state.CallUnknown(),
+    ]
+    assert_that(found, matchers.Equals(wanted))
+
+
+def test_intent_that_is_proposed_again_stays_open():
+    machine = state.StateMachine()
+    again = [open_call(machine, index, 'first') for index in (1, 2)]
+    wanted = [state.CallOpened('first')] * 2
+    assert_that(again, matchers.Equals(wanted))
+    close_call(machine, 3, 'first', Verdict.MAY_HAVE_RUN)
+    assert_that(
+        open_call(machine, 4, 'first'), matchers.IsInstance(state.CallInDoubt)
+    )
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -204,13 +204,19 @@
     cluster.kill('entry-4')
     await asyncio.wait([first])
     other = cluster.url_of('entry-1')
-    async with deployment.session.post(
-        f'{other}/v1/services/warehouse/bookings',
-        json={'reference': 'dock-3'},
-        headers=headers,
-    ) as resp:
-        again = await resp.json()
-        replayed = resp.headers.get('Idempotency-Replayed')
+    verdicts = set()
+    status = 503
+    while status == 503:
+        async with deployment.session.post(
+            f'{other}/v1/services/warehouse/bookings',
+            json={'reference': 'dock-3'},
+            headers=headers,
+        ) as resp:
+            again = await resp.json()
+            status = resp.status
+            verdicts.add(resp.headers['X-Cassiashift-Verdict'])
+            replayed = resp.headers.get('Idempotency-Replayed')
+    assert_that('not_run' in verdicts, matchers.Equals(False))
     assert_that(
         again, matchers.Equals({'reference': 'dock-3', 'booked': True})
     )
