--- a/packages/cassiashift-daemon/cassiashift_daemon/agent.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/agent.py
@@ -128,6 +128,9 @@
     def _tick(self) -> None:
         in_flight = sum(self.attempts.in_flight.values())
         self.presence.handle(membership.LoadChanged(in_flight))
+        self.metrics.gauge('in_flight', in_flight)
+        self.metrics.gauge('revision', self.holder.revision)
+        self.metrics.gauge('late_attempts', self.attempts.fences.late)
         self.presence.tick()
         holders = self.presence.member.holders()
         if holders:
--- a/packages/cassiashift-daemon/cassiashift_daemon/callers.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/callers.py
@@ -18,6 +18,7 @@
 from cassiashift_core import Verdict
 from cassiashift_daemon import access
 from cassiashift_daemon import calls
+from cassiashift_daemon import metrics
 from cassiashift_daemon import once
 from cassiashift_daemon import requests
 from cassiashift_daemon import settings
@@ -39,6 +40,7 @@
     runner: calls.CallRunner
     once: once.OnceRunner
     record: Any
+    metrics: metrics.Metrics
     offered: Callable[[str, int], None]
     is_ready: Any
     is_leaving: Any
@@ -74,6 +76,7 @@
 
         async def handle(req: web.Request) -> web.StreamResponse:
             request_id = _request_id(req)
+            began = time.monotonic()
             self.in_flight += 1
             try:
                 resp = await handler(req, request_id)
@@ -82,6 +85,7 @@
                 resp = problems.response(exc, request_id)
             finally:
                 self.in_flight -= 1
+                self.metrics.timing('requests', time.monotonic() - began)
             if self.is_leaving() and not resp.prepared:
                 resp.headers['Connection'] = 'close'
                 resp.force_close()
@@ -260,12 +264,12 @@
             ) from None
 
     def _recorded(self, request_id: str, exc: CassiashiftError | None) -> None:
-        self.record(
-            'call_ended',
-            request_id,
-            verdict=exc.verdict.value if exc else Verdict.RAN.value,
-            code=exc.code.value if exc else '',
-        )
+        verdict = exc.verdict.value if exc else Verdict.RAN.value
+        code = exc.code.value if exc else ''
+        self.metrics.increment(f'calls.{verdict}')
+        if code:
+            self.metrics.increment(f'errors.{code}')
+        self.record('call_ended', request_id, verdict=verdict, code=code)
 
 
 def _request_id(req: web.Request) -> str:
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -46,6 +46,7 @@
 
 GATE_INTERVAL_S = 0.02
 VIEW_INTERVAL_S = 0.2
+METRICS_INTERVAL_S = 1.0
 DRAIN_INTERVAL_S = 0.1
 
 
@@ -181,6 +182,7 @@
                 self.calls, self.proposer, cfg.ledger_retention_s
             ),
             record=self.events.record,
+            metrics=self.metrics,
             offered=self.sharer.offered,
             is_ready=lambda: self.holder.confirmed,
             is_leaving=lambda: self.leaving,
@@ -279,6 +281,7 @@
     def _start_timers(self) -> None:
         self.spawn(self.every(GATE_INTERVAL_S, self.gate.tick))
         self.spawn(self.every(VIEW_INTERVAL_S, self._refresh))
+        self.spawn(self.every(METRICS_INTERVAL_S, self._send_gauges))
         self.spawn(self.every(lending.REFRESH_INTERVAL_S, self.lent.refresh))
         self.spawn(self.every(sharing.REPORT_INTERVAL_S, self.sharer.report))
         self.spawn(
@@ -327,6 +330,18 @@
                 )
             )
 
+    def _send_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge('in_flight', self.callers.in_flight)
+        gauge('queued', self.gate.admission.queued)
+        gauge('revision', self.holder.revision)
+        gauge('messages_dropped', self.links.dropped)
+        gauge('late_answers', self.attempts.late)
+        gauge('upstreams', len(self.presence.member.upstreams()))
+        if self.voter is not None:
+            gauge('log.term', self.voter.replica.term)
+            gauge('log.commit_index', self.voter.replica.commit_index)
+
     def _member_changed(self, changed: membership.Changed) -> None:
         member = changed.member
         if member.kind is not membership.Kind.AGENT:
