Let operators pause the balancing of a group and roll it back

Change: the drain of group/GROUP pauses its balancing, replicated like every drain; a route begins a switch to the former map on the leader. Conclusion: an operator can stop the planner before rolling back.

--- a/packages/cassiashift-cli/cassiashift_cli/deployment_commands.py
+++ b/packages/cassiashift-cli/cassiashift_cli/deployment_commands.py
@@ -123,6 +123,8 @@
 ) -> int:
     """Give an upstream no new work; requests in progress go on.
 
+    The target group/GROUP pauses the balancing of a group instead.
+
     Parameters
     ----------
     target: str
--- a/packages/cassiashift-core/cassiashift_core/state/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/state/__init__.py
@@ -19,6 +19,7 @@
 from cassiashift_core.state.results import DecisionApplied
 from cassiashift_core.state.results import KeyReused
 from cassiashift_core.state.results import Rejected
+from cassiashift_core.state.shared import pause_target
 from cassiashift_core.state.shared import Shared
 from cassiashift_core.state.shared import SharedDelta
 
@@ -44,4 +45,5 @@
     'Shared',
     'SharedDelta',
     'StateMachine',
+    'pause_target',
 ]
--- a/packages/cassiashift-core/cassiashift_core/state/shared.py
+++ b/packages/cassiashift-core/cassiashift_core/state/shared.py
@@ -6,6 +6,11 @@
 from cassiashift_core.manifest import items as manifest_items
 
 
+def pause_target(group: str) -> str:
+    """Return what stands for a group whose balancing is paused."""
+    return f'group/{group}'
+
+
 @attrs.frozen
 class SharedDelta:
     """One change of the shared state, which leads to ``revision``."""
@@ -32,7 +37,8 @@
     Attributes:
         revision: log index of the last change of configuration.
         items: the manifest in force, by key.
-        drains: ids of draining upstreams.
+        drains: ids of draining upstreams, and ``pause_target`` of each
+            group whose balancing is paused.
     """
 
     revision: int = 0
--- a/packages/cassiashift-daemon/cassiashift_daemon/admin.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/admin.py
@@ -47,6 +47,7 @@
     surveyor: surveys.Surveyor
     voter_status: Any
     request_map: Callable[[str, bytes, str], None]
+    request_rollback: Callable[[str, str], None]
     decisions: Callable[[], dict[str, mapswitch.GroupDecisions]] = dict
     operators: access.Operators = attrs.field(
         default=attrs.Factory(
@@ -67,6 +68,10 @@
                 f'{PREFIX}/groups/{{group}}/map',
                 self.handled(self.switch_map, OPERATOR),
             ),
+            web.post(
+                f'{PREFIX}/groups/{{group}}/rollback',
+                self.handled(self.roll_back, OPERATOR),
+            ),
             web.post(f'{PREFIX}/drains', self.handled(self.drain, OPERATOR)),
             web.get(f'{PREFIX}/timeline', self.handled(self.timeline)),
         ]
@@ -189,6 +194,15 @@
         logs.info('switch_requested', group=group, operator=operator.name)
         return administration.SwitchBegun(group)
 
+    async def roll_back(
+        self, req: web.Request, operator: access.Operator
+    ) -> administration.SwitchBegun:
+        """Begin a switch of a group to its former map."""
+        group = req.match_info['group']
+        self.request_rollback(group, f'asked for by {operator.name}')
+        logs.info('rollback_requested', group=group, operator=operator.name)
+        return administration.SwitchBegun(group)
+
     async def timeline(
         self, req: web.Request, operator: access.Operator
     ) -> administration.Timeline:
@@ -244,11 +258,13 @@
     def _check_target(self, wish: DrainRequest) -> None:
         known = self.holder.view.ids('upstreams')
         known |= set(self.members.member.upstreams())
+        known |= set(map(state.pause_target, self.holder.view.ids('groups')))
         if not wish.draining:
             known |= self.holder.drains
         if wish.target not in known:
             raise CassiashiftError(
-                ErrorCode.NOT_FOUND, f'there is no upstream {wish.target!r}'
+                ErrorCode.NOT_FOUND,
+                f'there is no upstream or group {wish.target!r}',
             )
 
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -203,6 +203,7 @@
             surveyor=self.surveyor,
             voter_status=self._voter_status,
             request_map=self._request_map,
+            request_rollback=self._request_rollback,
             decisions=self._decisions,
         )
 
@@ -355,11 +356,18 @@
         return {} if self.voter is None else self.voter.machine.groups
 
     def _request_map(self, group: str, body: bytes, reason: str) -> None:
+        self._coordinated().request_map(group, body, reason)
+
+    def _request_rollback(self, group: str, reason: str) -> None:
+        event = mapswitch.RollbackRequested(reason)
+        self._coordinated().request(group, event)
+
+    def _coordinated(self) -> coordination.Coordination:
         if self.coordination is None:
             raise CassiashiftError(
                 ErrorCode.NOT_LEADER, 'this host does not vote'
             )
-        self.coordination.request_map(group, body, reason)
+        return self.coordination
 
     def _voter_status(self) -> dict[str, Any]:
         if self.voter is None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/planning.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/planning.py
@@ -10,6 +10,7 @@
 from cassiashift_core import CassiashiftError
 from cassiashift_core import manifest
 from cassiashift_core import mapswitch
+from cassiashift_core import state
 from cassiashift_daemon import coordination
 from cassiashift_daemon import logs
 from cassiashift_daemon import peers
@@ -71,6 +72,8 @@
         current = leader.log.standing.current
         if current is None:
             self._request_first(group, leader)
+        elif state.pause_target(group_id) in self.holder.drains:
+            logs.info('group_paused', group=group_id)
         elif window is not None and _fits(group, window):
             await self._balance(group, window, current)
 
--- a/tests/cli/deployment.py
+++ b/tests/cli/deployment.py
@@ -51,6 +51,10 @@
     operators: list = attrs.field(factory=list)
     url: str = ''
 
+    def request_rollback(self, group, reason):
+        """Refuse a rollback as an entry does that does not lead."""
+        self.request_map(group, b'', reason)
+
     def request_map(self, group, body, reason):
         """Refuse, as an entry does that does not lead."""
         raise CassiashiftError(ErrorCode.NOT_LEADER, 'not the leader')
@@ -70,6 +74,7 @@
             surveyor=self,
             voter_status=lambda: {'role': 'follower', 'leader': 'entry-1'},
             request_map=self.request_map,
+            request_rollback=self.request_rollback,
             operators=operators,
         )
         app = web.Application(
--- a/tests/daemon/test_admin.py
+++ b/tests/daemon/test_admin.py
@@ -20,6 +20,7 @@
     ('GET', '/upstreams'),
     ('GET', '/groups'),
     ('POST', '/groups/moe/map'),
+    ('POST', '/groups/moe/rollback'),
     ('POST', '/drains'),
     ('GET', '/timeline'),
 )
@@ -84,6 +85,7 @@
         ('PUT', '/manifest'),
         ('POST', '/drains'),
         ('POST', '/groups/moe/map'),
+        ('POST', '/groups/moe/rollback'),
     ],
 )
 def test_a_viewer_changes_nothing(deployment, method, path):
--- a/tests/process/test_groups.py
+++ b/tests/process/test_groups.py
@@ -118,6 +118,24 @@
             await self.request(wanted)
             await asyncio.sleep(POLL_S)
 
+    def last_maps(self, count):
+        """Return the last maps that steps have run on, in order."""
+        used = {
+            version
+            for step in self.group.versions
+            for version in step.values()
+        }
+        loaded = self.group.engines[RANKS[0]].loaded
+        return [loaded[version] for version in sorted(used)[-count:]]
+
+    async def settled(self):
+        """Return the version once no switch that had begun is left."""
+        version = 0
+        while version != self.newest():
+            version = self.newest()
+            await self.run_steps(4 * STEPS)
+        return version
+
     def check(self):
         """Check every step that was run."""
         assert_that(self.group.mixed_steps(), matchers.Equals([]))
@@ -185,3 +203,25 @@
     assert_that(version, matchers.GreaterThan(2))
     await bench.run_steps(STEPS)
     bench.check()
+
+
+async def test_operator_pauses_balancing_and_rolls_back(bench):
+    while bench.newest() < 2:
+        await asyncio.sleep(POLL_S)
+    _, answer = await bench.operator.drain(f'group/{GROUP}', 'pause')
+    await bench.operator.wait_in_force(answer['revision'])
+    former = await bench.settled()
+    await bench.run_steps(3 * STEPS)
+    assert_that(bench.newest(), matchers.Equals(former))
+    status = 503
+    while status == 503:
+        url = bench.cluster.url_of(await bench.leader())
+        status, _ = await bench.operator.request(
+            'POST', f'groups/{GROUP}/rollback', url
+        )
+    assert_that(status, matchers.Equals(200))
+    while bench.newest() == former:
+        await asyncio.sleep(POLL_S)
+    earlier, _, back = bench.last_maps(3)
+    assert_that(back, matchers.Equals(earlier))
+    bench.check()
