Show operators a group's skew, pause and last decision

Cause: the planner's view of a group stood in the leader's log only. Change: the leader's answer to 'cassiashift groups' has them; an entry that does not lead leaves skew and decision empty. Result: the test of drifting popularity reads a skew and a reason from the leader over real processes. Conclusion: moves under way are still not shown.

--- a/packages/cassiashift-cli/cassiashift_cli/deployment_commands.py
+++ b/packages/cassiashift-cli/cassiashift_cli/deployment_commands.py
@@ -96,7 +96,17 @@
         output.show_json(answer)
         return STATUS.OK
     output.table(
-        ('GROUP', 'MODEL', 'DATA CENTRE', 'RANKS', 'MAP', 'SWITCHING'),
+        (
+            'GROUP',
+            'MODEL',
+            'DATA CENTRE',
+            'RANKS',
+            'MAP',
+            'SWITCHING',
+            'PAUSED',
+            'SKEW',
+            'LAST DECISION',
+        ),
         [
             (
                 row.id,
@@ -105,6 +115,9 @@
                 row.ranks,
                 row.version,
                 row.reason,
+                row.paused,
+                row.skew,
+                row.decision,
             )
             for row in answer.groups
         ],
--- a/packages/cassiashift-daemon/cassiashift_daemon/admin.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/admin.py
@@ -49,6 +49,7 @@
     request_map: Callable[[str, bytes, str], None]
     request_rollback: Callable[[str, str], None]
     decisions: Callable[[], dict[str, mapswitch.GroupDecisions]] = dict
+    last_plans: Callable[[], dict[str, administration.LastPlan]] = dict
     operators: access.Operators = attrs.field(
         default=attrs.Factory(
             lambda self: access.Operators.from_config(self.cfg),
@@ -176,13 +177,26 @@
         """Return the groups of the manifest in force."""
         view = self.holder.view
         groups = [view.group(item) for item in sorted(view.ids('groups'))]
+        known = self.decisions()
         return administration.Groups(
             tuple(
-                _group_row(group, self.decisions().get(group.id))
+                self._planned(_group_row(group, known.get(group.id)))
                 for group in groups
             )
         )
 
+    def _planned(
+        self, row: administration.GroupRow
+    ) -> administration.GroupRow:
+        """Return a row with what the planner and the drains say."""
+        paused = state.pause_target(row.id) in self.holder.drains
+        plan = self.last_plans().get(row.id)
+        if plan is None:
+            return attrs.evolve(row, paused=paused)
+        return attrs.evolve(
+            row, paused=paused, skew=plan.skew, decision=plan.reason
+        )
+
     async def switch_map(
         self, req: web.Request, operator: access.Operator
     ) -> administration.SwitchBegun:
@@ -264,7 +278,7 @@
         if wish.target not in known:
             raise CassiashiftError(
                 ErrorCode.NOT_FOUND,
-                f'there is no upstream or group {wish.target!r}',
+                f'there is no upstream {wish.target!r}',
             )
 
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -61,6 +61,7 @@
         self.holder.on_change = self._shared_changed
         self.voter: voter.Voter | None = None
         self.coordination: coordination.Coordination | None = None
+        self.planning: planning.Planning | None = None
         self.tls = tls.server_context(cfg.tls_cert_file, cfg.tls_key_file)
         scheme = 'https' if self.tls else 'http'
         self.http_address = cfg.advertise or f'{scheme}://{cfg.http}'
@@ -205,6 +206,7 @@
             request_map=self._request_map,
             request_rollback=self._request_rollback,
             decisions=self._decisions,
+            last_plans=lambda: self.planning.last if self.planning else {},
         )
 
     def _open_log(self) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/planning.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/planning.py
@@ -15,6 +15,7 @@
 from cassiashift_daemon import logs
 from cassiashift_daemon import peers
 from cassiashift_daemon import shared_state
+from cassiashift_net import administration
 from cassiashift_net import links
 from cassiashift_net import messages
 
@@ -23,12 +24,17 @@
 
 @attrs.define(eq=False)
 class Planning:
-    """Plans each group once in a window while this host leads."""
+    """Plans each group once in a window while this host leads.
+
+    Attributes:
+        last: what was made of each group's last window.
+    """
 
     coordination: coordination.Coordination
     peers: peers.Peers
     holder: shared_state.SharedHolder
     window_s: float
+    last: dict[str, administration.LastPlan] = attrs.field(factory=dict)
     _windows: dict[str, list[list[int]]] = attrs.field(factory=dict)
     _planners: dict[str, Any] = attrs.field(factory=dict)
 
@@ -67,6 +73,7 @@
     ) -> None:
         leader = self.coordination.idle_leader(group_id)
         if leader is None:
+            self.last.pop(group_id, None)
             return
         group = self.holder.view.group(group_id)
         current = leader.log.standing.current
@@ -97,6 +104,9 @@
         outcome = await loop.run_in_executor(
             None, planner.decide, window, placed
         )
+        self.last[group.id] = administration.LastPlan(
+            round(outcome.skew, 4), outcome.reason
+        )
         logs.info(
             'group_planned',
             group=group.id,
--- a/packages/cassiashift-net/cassiashift_net/administration.py
+++ b/packages/cassiashift-net/cassiashift_net/administration.py
@@ -101,6 +101,14 @@
     unexpected: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class LastPlan:
+    """What the leader made of a group's last window of counts."""
+
+    skew: float
+    reason: str
+
+
 @attrs.frozen
 class GroupRow:
     """One group of the manifest in force.
@@ -110,6 +118,10 @@
             and on an entry that does not vote.
         switching_to: the version of the open switch, or 0.
         reason: why the open switch was begun.
+        paused: an operator has paused the balancing.
+        skew: hottest rank over the mean in the last window; only the
+            leader knows it.
+        decision: what the leader made of the last window, in words.
     """
 
     id: str
@@ -119,6 +131,9 @@
     version: int = 0
     switching_to: int = 0
     reason: str = ''
+    paused: bool = False
+    skew: float | None = None
+    decision: str = ''
 
 
 @attrs.frozen
--- a/tests/process/test_groups.py
+++ b/tests/process/test_groups.py
@@ -199,8 +199,10 @@
         await asyncio.sleep(POLL_S)
     url = bench.cluster.url_of(await bench.leader())
     _, answer = await bench.operator.request('GET', 'groups', url)
-    version = answer['groups'][0]['version']
-    assert_that(version, matchers.GreaterThan(2))
+    row = answer['groups'][0]
+    assert_that(row['version'], matchers.GreaterThan(2))
+    assert_that(row['skew'], matchers.GreaterThan(0.99))
+    assert_that(row['decision'], matchers.Not(matchers.Equals('')))
     await bench.run_steps(STEPS)
     bench.check()
 
