Sync the log on a thread that nothing else uses

Cause: found in reading: the planner of expert maps and the syncs of the log shared a pool of one thread, so a plan (0.55 s for 58 layers) held back every sync on the leader, which can cost it the lead. Change: the voter has a thread of its own; the two commands of the daemon share one way to start. Result: a test keeps the loop's pool busy and waits for a sync; it timed out before and passes after. Conclusion: long work of the process delays no commit.

--- a/packages/cassiashift-daemon/cassiashift_daemon/main.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/main.py
@@ -1,7 +1,9 @@
 """The daemon's command: one subcommand for each role."""
 
+from collections.abc import Callable
 import os
 import sys
+from typing import Any
 
 import aiomisc
 import cyclopts
@@ -37,12 +39,7 @@
     print_settings: bool
         Show each setting, its value and where it came from, then end.
     """
-    if _refused(cfg) or print_settings:
-        return _show(cfg, print_settings)
-    # Loaded here so that an agent does not pay for an entry's parts.
-    from cassiashift_daemon import entry as role
-
-    return _serve(role.EntryProcess.from_config(cfg), cfg)
+    return _command(cfg, print_settings, _entry_process)
 
 
 @app.command
@@ -58,11 +55,30 @@
     print_settings: bool
         Show each setting, its value and where it came from, then end.
     """
-    if _refused(cfg) or print_settings:
-        return _show(cfg, print_settings)
+    return _command(cfg, print_settings, _agent_process)
+
+
+def _entry_process(cfg: settings.EntrySettings) -> lifecycle.Process:
+    # Loaded here so that an agent does not pay for an entry's parts.
+    from cassiashift_daemon import entry as role
+
+    return role.EntryProcess.from_config(cfg)
+
+
+def _agent_process(cfg: settings.AgentSettings) -> lifecycle.Process:
     from cassiashift_daemon import agent as role
 
-    return _serve(role.AgentProcess.from_config(cfg), cfg)
+    return role.AgentProcess.from_config(cfg)
+
+
+def _command(
+    cfg: settings.Settings,
+    print_settings: bool,
+    make_process: Callable[[Any], lifecycle.Process],
+) -> int:
+    if _refused(cfg) or print_settings:
+        return _show(cfg, print_settings)
+    return _serve(make_process(cfg), cfg)
 
 
 def _refused(cfg: settings.Settings) -> bool:
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
+from concurrent import futures
 import functools
 import itertools
 import time
@@ -25,6 +26,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def _sync_thread() -> futures.Executor:
+    """Return a thread of its own, so that nothing else delays a sync."""
+    return futures.ThreadPoolExecutor(1, thread_name_prefix='log-sync')
+
+
 @attrs.define(eq=False)
 class _Pending:
     """A proposal that was appended and waits to be applied."""
@@ -62,6 +68,7 @@
     _tokens: Iterator[int] = attrs.field(factory=itertools.count)
     _applied_term: int = 0
     _unsynced: list = attrs.field(factory=list)
+    _syncs: futures.Executor = attrs.field(factory=_sync_thread)
     _work: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def handle(self, event: Any) -> None:
@@ -124,7 +131,9 @@
             if not batch:
                 continue
             try:
-                await loop.run_in_executor(None, self.store.persist, batch)
+                await loop.run_in_executor(
+                    self._syncs, self.store.persist, batch
+                )
             except Exception as exc:
                 self.handle(consensus.StorageFailed())
                 self.on_failed(f'storage: {exc}')
--- /dev/null
+++ b/tests/daemon/test_voter.py
@@ -0,0 +1,77 @@
+"""Tests of the replica's connection to its disk."""
+
+import asyncio
+import threading
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import consensus
+from cassiashift_core import state
+from cassiashift_daemon import voter
+
+PATIENCE_S = 20.0
+
+
+@attrs.define
+class Store:
+    """A store that tells of each sync."""
+
+    synced: asyncio.Event = attrs.field(factory=asyncio.Event)
+    loop: asyncio.AbstractEventLoop = None
+
+    def persist(self, batch):
+        """Tell that a batch is durable."""
+        self.loop.call_soon_threadsafe(self.synced.set)
+
+
+@attrs.define
+class Replica:
+    """A replica that asks for one sync and takes no notice of events."""
+
+    events: list = attrs.field(factory=list)
+
+    def handle(self, event, now):
+        """Keep an event; a tick leads to a sync."""
+        self.events.append(event)
+        if isinstance(event, consensus.Tick):
+            return [consensus.Persist(1)]
+        return []
+
+
+@pytest.fixture
+async def parts():
+    """Return a voter with its store and its replica."""
+    store = Store(loop=asyncio.get_running_loop())
+    replica = Replica()
+    own = voter.Voter(
+        replica=replica,
+        store=store,
+        machine=state.StateMachine(),
+        links=None,
+        addresses={},
+        on_event=lambda event: None,
+        on_failed=lambda reason: None,
+    )
+    return own, store, replica
+
+
+async def test_long_work_of_others_delays_no_sync(parts):
+    own, store, replica = parts
+    loop = asyncio.get_running_loop()
+    release = threading.Event()
+    busy = [
+        loop.run_in_executor(None, release.wait, PATIENCE_S) for _ in range(64)
+    ]
+    syncing = asyncio.ensure_future(own.sync_forever())
+    own.tick()
+    async with asyncio.timeout(PATIENCE_S / 2):
+        await store.synced.wait()
+        while consensus.Synced(1) not in replica.events:
+            await asyncio.sleep(0.001)
+    release.set()
+    await asyncio.gather(*busy)
+    syncing.cancel()
+    assert_that(replica.events[-1], matchers.Equals(consensus.Synced(1)))
