Stop the engine when the entry of a stream is gone

Cause: an agent whose entry had died held the engine's stream until the deadline of the attempt, once its window was used up. Change: a link tells whether it took a message; an idempotent attempt whose entry is gone ends, and the engine sees its connection closed. An attempt that is not idempotent goes on without waiting for credit.

--- a/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
@@ -34,7 +34,7 @@
     )
 )
 
-Reply = Callable[[Any], None]
+Reply = Callable[[Any], bool]
 
 
 class AttemptError(Exception):
@@ -99,11 +99,18 @@
     answer: outcomes.Answer = attrs.field(factory=outcomes.Answer)
 
     def send(self, data: bytes) -> None:
-        """Send one piece of the answer."""
+        """Send one piece of the answer.
+
+        Raises:
+            AttemptError: the entry is gone, and nobody waits for the rest.
+        """
         message = messages.CallData(self.start.attempt, self.pieces, data)
         self.pieces += 1
         self.credit -= len(data)
-        self.reply(message)
+        if not self.reply(message) and self.start.idempotent:
+            raise AttemptError(
+                'stream_broken', 'the entry is gone', Verdict.MAY_HAVE_RUN
+            )
 
 
 @attrs.define(eq=False)
@@ -288,7 +295,7 @@
                 return
             if not attempt.start.idempotent:
                 attempt.answer.add(data)
-            while attempt.credit <= 0:
+            while attempt.credit <= 0 and attempt.start.idempotent:
                 attempt.more_credit.clear()
                 await attempt.more_credit.wait()
             attempt.send(data)
--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -41,11 +41,12 @@
 
     Attributes:
         host: the name that the peer gave itself.
-        reply: sends a message back over the same link.
+        reply: sends a message back over the same link; tells whether the
+            link took it.
     """
 
     host: str
-    reply: Callable[[Any], None]
+    reply: Callable[[Any], bool]
 
 
 @attrs.define(eq=False)
@@ -144,17 +145,20 @@
         if link is not None:
             link.close()
 
-    def send(self, address: str, message: Any) -> None:
-        """Send a message to an address; it may get lost.
+    def send(self, address: str, message: Any) -> bool:
+        """Send a message to an address; tell whether it was taken.
+
+        A message that was taken may still get lost.
 
         A link whose peer was not reached for a while is opened anew, so
         that a peer that comes back gets no old messages.
         """
         self._renew(address)
         link = self._peers.get(address)
-        if link is not None:
-            frames = list(messages.CODEC.frames(message))
-            self._transmit(link.port, frames)
+        if link is None:
+            return False
+        frames = list(messages.CODEC.frames(message))
+        return self._transmit(link.port, frames)
 
     def _renew(self, address: str) -> None:
         link = self._peers.get(address)
@@ -231,16 +235,19 @@
                 type(message).__name__,
             )
 
-    def _reply(self, identity: bytes, message: Any) -> None:
+    def _reply(self, identity: bytes, message: Any) -> bool:
         frames = [identity, *messages.CODEC.frames(message)]
-        self._transmit(self._router, frames)
+        return self._transmit(self._router, frames)
 
-    def _transmit(self, port: ports.Port, frames: list[bytes]) -> None:
+    def _transmit(self, port: ports.Port, frames: list[bytes]) -> bool:
         try:
             port.sock.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError:
             self.dropped += 1
-        port.schedule()
+            return False
+        finally:
+            port.schedule()
+        return True
 
     def _drop(self, reason: str, peer: str) -> None:
         self.dropped += 1
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -237,3 +237,26 @@
         while not cluster.record().cut:
             await asyncio.sleep(0.01)
     assert_that(len(cluster.record().cut), matchers.Equals(1))
+
+
+async def test_engine_stops_when_the_entry_is_gone(deployment):
+    cluster = deployment.cluster
+    for name in ('drafting-1', 'drafting-2'):
+        cluster.standins[name].token_gap_s = 0.05
+    url = cluster.url_of('entry-3')
+    body = {
+        'model': 'drafting',
+        'stream': True,
+        'max_tokens': 2000,
+        'messages': [{'role': 'user', 'content': 'long'}],
+    }
+    headers = {'Authorization': f'Bearer {conftest.KEY}'}
+    async with deployment.session.post(
+        f'{url}/v1/chat/completions', json=body, headers=headers
+    ) as resp:
+        await resp.content.readany()
+        cluster.kill('entry-3')
+        async with asyncio.timeout(30):
+            while not cluster.record().cut:
+                await asyncio.sleep(0.01)
+    assert_that(len(cluster.record().cut), matchers.Equals(1))
