Take a workspace's share of its limits from the core, and drop dead code

Cause: found in reading: the entry multiplied limits by shares itself, which WorkspaceLimits.for_share does; two functions had no caller. Change: sharing.py calls for_share; access.is_operator and LentUpstreams.hosts are gone. Behaviour stays as it is. Conclusion: the share of a limit is worked out in one place.

--- a/packages/cassiashift-daemon/cassiashift_daemon/access.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/access.py
@@ -137,13 +137,6 @@
     return found if any(matches) else None
 
 
-def is_operator(stored_hash: str, key: str) -> bool:
-    """Tell whether a key is the operator key of a hash."""
-    stored = stored_hash or NO_KEY_HASH
-    same = hmac.compare_digest(key_hash(key), stored)
-    return same and bool(stored_hash)
-
-
 def _read_operators(path: pathlib.Path) -> list[Operator]:
     try:
         with path.open(encoding='utf-8') as file:
--- a/packages/cassiashift-daemon/cassiashift_daemon/lending.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/lending.py
@@ -98,10 +98,6 @@
             for item in self._all()
         }
 
-    def hosts(self) -> set[str]:
-        """Return the hosts of lent upstreams."""
-        return {item.host for item in self._all()}
-
     def _all(self) -> Iterable[messages.LentUpstream]:
         for loan in self._loans.values():
             yield from loan.upstreams
--- a/packages/cassiashift-daemon/cassiashift_daemon/sharing.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/sharing.py
@@ -11,7 +11,6 @@
 
 from cassiashift_core import admission
 from cassiashift_core import hashing
-from cassiashift_core import manifest
 from cassiashift_core import membership
 from cassiashift_daemon import gate
 from cassiashift_daemon import shared_state
@@ -103,23 +102,16 @@
 
     def _renew_limits(self, workspace: str) -> None:
         found = self.holder.view.workspace(workspace)
-        if found is not None:
-            self._set_limits(found)
-
-    def _set_limits(self, workspace: manifest.Workspace) -> None:
+        if found is None:
+            return
         now = time.monotonic()
-        share = self.shares.share(workspace.id, now)
-        weight = self.shares.weight_share(workspace.id, now)
-        limits = workspace.limits
-        self.gate.set_limits(
-            workspace.id,
-            admission.WorkspaceLimits(
-                weight=workspace.weight * weight,
-                requests_per_second=limits.requests_per_second * share,
-                tokens_per_second=limits.tokens_per_second * share,
-                concurrency=limits.concurrency * share,
-            ),
+        part = admission.WorkspaceLimits.for_share(
+            found.limits,
+            found.weight,
+            self.shares.share(workspace, now),
+            self.shares.weight_share(workspace, now),
         )
+        self.gate.set_limits(workspace, part)
 
     def _forget_idle(self, now: float) -> None:
         for workspace, demand in list(self._demands.items()):
