--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 .PHONY: setup demo demo-group test lint format lock bench explore slopes schema pages settings-page examples
 
-PYTHON_TREES = packages tests tools
+PYTHON_TREES = packages platform tests tools
 SEEDS ?= 200
 
 setup:
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -0,0 +1,41 @@
+"""The fleet: entries and upstreams as every entry of a region knows them."""
+
+from cassiashift_core.fleet.documents import Document
+from cassiashift_core.fleet.documents import Standing
+from cassiashift_core.fleet.founding import decide_founding
+from cassiashift_core.fleet.founding import Founding
+from cassiashift_core.fleet.messages import DocumentPull
+from cassiashift_core.fleet.messages import DocumentPush
+from cassiashift_core.fleet.messages import Hello
+from cassiashift_core.fleet.messages import NodeRecord
+from cassiashift_core.fleet.messages import Sighting
+from cassiashift_core.fleet.messages import TableDump
+from cassiashift_core.fleet.messages import TablePull
+from cassiashift_core.fleet.messages import Upstream
+from cassiashift_core.fleet.messages import UpstreamNews
+from cassiashift_core.fleet.messages import UpstreamState
+from cassiashift_core.fleet.nodes import Node
+from cassiashift_core.fleet.nodes import NodeTable
+from cassiashift_core.fleet.upstreams import UpstreamTable
+from cassiashift_core.fleet.voters import next_change
+
+__all__ = [
+    'Document',
+    'DocumentPull',
+    'DocumentPush',
+    'Founding',
+    'Hello',
+    'Node',
+    'NodeRecord',
+    'NodeTable',
+    'Sighting',
+    'Standing',
+    'TableDump',
+    'TablePull',
+    'Upstream',
+    'UpstreamNews',
+    'UpstreamState',
+    'UpstreamTable',
+    'decide_founding',
+    'next_change',
+]
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/fleet/founding.py
@@ -0,0 +1,54 @@
+"""Which host starts the replicated log of a new system.
+
+All hosts of a new system are given the same few seeds and know nothing
+else. One host starts the log with itself as the only voter; all other hosts
+with a disk join it as learners. Two logs must never be started, so the
+choice depends on facts that every host sees alike.
+"""
+
+from collections.abc import Iterable
+import enum
+
+from cassiashift_core.fleet import messages
+
+# Hosts of one system start within a second; this is several times that.
+SETTLE_S = 3.0
+
+
+class Founding(enum.Enum):
+    """What a host with a disk and an empty log has to do."""
+
+    WAIT = 'wait'
+    FOUND = 'found'
+    JOIN = 'join'
+
+
+def decide_founding(
+    own: messages.NodeRecord,
+    seeds: Iterable[str],
+    heard: Iterable[messages.NodeRecord],
+    is_first_start: bool,
+    waited_s: float,
+) -> Founding:
+    """Decide whether this host starts the log.
+
+    Args:
+        own: the record of this host, which has a data folder.
+        seeds: hosts that every process of a new system is told.
+        heard: records of the other hosts heard so far.
+        is_first_start: the platform says that the whole system is new.
+        waited_s: seconds since this process has started.
+    """
+    known = {item.host: item for item in heard}
+    known[own.host] = own
+    if not is_first_start or any(item.founded for item in known.values()):
+        return Founding.JOIN
+    seeds = set(seeds)
+    if not seeds <= known.keys():
+        return Founding.WAIT
+    eligible = [host for host in seeds if known[host].store]
+    if not eligible:
+        if waited_s < SETTLE_S:
+            return Founding.WAIT
+        eligible = [host for host, item in known.items() if item.store]
+    return Founding.FOUND if min(eligible) == own.host else Founding.WAIT
--- a/packages/cassiashift-core/cassiashift_core/hashing.py
+++ b/packages/cassiashift-core/cassiashift_core/hashing.py
@@ -21,3 +21,8 @@
         key=lambda name: (stable_hash(key, name), name),
         reverse=True,
     )
+
+
+def digest_of(data: bytes) -> int:
+    """Return a 64-bit digest of bytes, equal on every host and run."""
+    return xxhash.xxh3_64_intdigest(data)
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/placing/__init__.py
@@ -0,0 +1,19 @@
+"""Placing: which upstream a request goes to, and whether again."""
+
+from cassiashift_core.placing.attempts import Attempt
+from cassiashift_core.placing.attempts import AttemptLog
+from cassiashift_core.placing.budget import WindowBudget
+from cassiashift_core.placing.loads import Loads
+from cassiashift_core.placing.loads import UpstreamLoad
+from cassiashift_core.placing.waiting import Waiting
+from cassiashift_core.placing.waiting import WaitingRoom
+
+__all__ = [
+    'Attempt',
+    'AttemptLog',
+    'Loads',
+    'UpstreamLoad',
+    'Waiting',
+    'WaitingRoom',
+    'WindowBudget',
+]
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/routes/checks.py
@@ -0,0 +1,60 @@
+"""Checks of a route table before it is accepted."""
+
+from collections.abc import Iterator
+
+from cassiashift_core.routes import model
+
+
+def problems(table: model.RouteTable) -> list[str]:
+    """Return a line for each fault; each names the field at fault."""
+    found = list(_service_problems(table))
+    found += _route_problems(table)
+    found += _workspace_problems(table)
+    return found
+
+
+def _service_problems(table: model.RouteTable) -> Iterator[str]:
+    names = set()
+    for item in table.services:
+        if item.name in names:
+            yield f'service {item.name!r} stands twice'
+        names.add(item.name)
+
+
+def _route_problems(table: model.RouteTable) -> Iterator[str]:
+    places: dict[tuple[str, str], str] = {}
+    for route in table.routes:
+        label = f'route {route.name!r}'
+        place = (route.host.lower(), route.prefix)
+        if place in places:
+            yield f'{label}: host and prefix are those of {places[place]!r}'
+        places[place] = route.name
+        yield from _one_route(label, route, table)
+
+
+def _one_route(
+    label: str, route: model.Route, table: model.RouteTable
+) -> Iterator[str]:
+    prefix = route.prefix
+    if not prefix.startswith('/') or not prefix.endswith('/'):
+        yield f'{label}: prefix {prefix!r} has no slash at an end'
+    if route.timeout_s <= 0:
+        yield f'{label}: timeout is not above 0'
+    if route.attempts < 1:
+        yield f'{label}: attempts is below 1'
+    if any(target.weight < 0 for target in route.targets):
+        yield f'{label}: a weight is below 0'
+    if sum(target.weight for target in route.targets) <= 0:
+        yield f'{label}: weights add up to 0'
+    for target in route.targets:
+        if table.service(target.service) is None:
+            yield f'{label}: service {target.service!r} is unknown'
+
+
+def _workspace_problems(table: model.RouteTable) -> Iterator[str]:
+    holders: dict[str, str] = {}
+    for item in table.workspaces:
+        for key in item.keys:
+            holder = holders.setdefault(key, item.name)
+            if holder != item.name:
+                yield f'workspaces {holder!r} and {item.name!r} share a key'
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/routes/model.py
@@ -0,0 +1,183 @@
+"""The table of routes, services and workspaces that operators commit."""
+
+from collections.abc import Mapping
+import enum
+import functools
+
+import attrs
+
+
+class Kind(enum.Enum):
+    """What may be repeated on a route."""
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    STREAM = 'stream'
+
+
+@attrs.frozen
+class Target:
+    """A service that receives a share of a route's requests."""
+
+    service: str
+    weight: int = 1
+
+
+@attrs.frozen
+class Route:
+    """How requests under a path prefix of a host are served.
+
+    Attributes:
+        prefix: begins and ends with a slash.
+        timeout_s: longest time that a request may be kept waiting.
+        objective_s: time within which an answer, or the first event of a
+            stream, is on time.
+        gap_objective_s: longest pause between two events of a stream that
+            is on time; 0 when none is stated.
+        priority: 0 is the most urgent.
+        attempts: upstreams that one request may be sent to at most.
+        is_public: no key is needed.
+        is_resumable: a broken stream may go on at another upstream.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    targets: tuple[Target, ...]
+    timeout_s: float
+    objective_s: float = 0.0
+    gap_objective_s: float = 0.0
+    priority: int = 5
+    attempts: int = 1
+    is_public: bool = False
+    is_resumable: bool = False
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether a request may run more than once."""
+        if self.kind is Kind.STREAM:
+            return self.is_resumable
+        return self.kind is Kind.SAFE
+
+
+@attrs.frozen
+class Engine:
+    """Figures of the model engine behind a service.
+
+    Attributes:
+        slots: requests that run at once.
+        capacity_tokens: tokens that fit into the memory of one upstream.
+        stride: token steps of one pass.
+        step_s: duration of a token step.
+        step_per_request_s: what each running request adds to a step.
+        read_tokens_per_s: prompt tokens read in a second.
+        sets: sets of layers with an expert map each; 0 without experts.
+        experts: experts in a set.
+        placements: experts that one rank may hold in a set.
+        spare: experts in a set that one change may bring to a rank.
+        expert_mb: size of an expert, in MB.
+        expert_share: share of the token work that experts do.
+        link_mbps: bandwidth for copying experts, in Mbit/s.
+    """
+
+    slots: int
+    capacity_tokens: int = 0
+    stride: int = 1
+    step_s: float = 0.0
+    step_per_request_s: float = 0.0
+    read_tokens_per_s: float = 0.0
+    sets: int = 0
+    experts: int = 0
+    placements: int = 0
+    spare: int = 0
+    expert_mb: float = 0.0
+    expert_share: float = 0.0
+    link_mbps: float = 0.0
+
+
+@attrs.frozen
+class Service:
+    """A set of equal upstreams.
+
+    Attributes:
+        max_connections: connections that one upstream accepts from all
+            hosts together; 0 when none is stated.
+        engine: figures of a model engine; None for plain services.
+    """
+
+    name: str
+    health_path: str = ''
+    max_connections: int = 0
+    engine: Engine | None = None
+
+
+@attrs.frozen
+class Workspace:
+    """A caller's workspace; its priority goes before the route's."""
+
+    name: str
+    keys: tuple[str, ...] = attrs.field(repr=False)
+    priority: int | None = None
+
+
+@attrs.frozen
+class CallerLimits:
+    """Bounds on what callers send and on how long they stay idle."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@attrs.frozen
+class RouteTable:
+    """A complete configuration; the highest version is in force."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    workspaces: tuple[Workspace, ...] = ()
+    limits: CallerLimits = CallerLimits()
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path, if any.
+
+        Args:
+            host: the name that the caller asked for, without a port.
+            path: the path as sent, without the query.
+        """
+        prefixes = self._by_host.get(host.lower())
+        if prefixes is None:
+            return None
+        end = path.rfind('/')
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end)
+        return None
+
+    def service(self, name: str) -> Service | None:
+        """Return a service by its name."""
+        return self._services.get(name)
+
+    def workspace_of(self, key: str) -> Workspace | None:
+        """Return the workspace that holds a key."""
+        return self._by_key.get(key)
+
+    @functools.cached_property
+    def _by_host(self) -> Mapping[str, Mapping[str, Route]]:
+        found: dict[str, dict[str, Route]] = {}
+        for route in self.routes:
+            found.setdefault(route.host.lower(), {})[route.prefix] = route
+        return found
+
+    @functools.cached_property
+    def _services(self) -> Mapping[str, Service]:
+        return {item.name: item for item in self.services}
+
+    @functools.cached_property
+    def _by_key(self) -> Mapping[str, Workspace]:
+        return {key: item for item in self.workspaces for key in item.keys}
--- a/packages/cassiashift-core/cassiashift_core/state/commands.py
+++ b/packages/cassiashift-core/cassiashift_core/state/commands.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cassiashift_core import codec
+from cassiashift_core.fleet import documents
 from cassiashift_core.manifest import items
 from cassiashift_core import mapswitch
 from cassiashift_core import verdicts
@@ -83,6 +84,14 @@
     body: bytes = b''
 
 
+@attrs.frozen
+class PutDocument:
+    """Replace the operators' configuration if the offered one is newer."""
+
+    document: documents.Document
+
+
+CODEC.register('document', PutDocument)
 CODEC.register('apply', ApplyManifest)
 CODEC.register('drain', SetDrain)
 CODEC.register('open', OpenCall)
--- a/packages/cassiashift-core/cassiashift_core/state/machine.py
+++ b/packages/cassiashift-core/cassiashift_core/state/machine.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cassiashift_core import codec
+from cassiashift_core.fleet import documents
 from cassiashift_core import mapswitch
 from cassiashift_core.state import commands
 from cassiashift_core.state import ledger
@@ -27,6 +28,7 @@
     applied: int
     commands_applied: int
     groups: dict[str, mapswitch.GroupDecisions] = attrs.field(factory=dict)
+    document: documents.Document = documents.Document()
 
 
 @attrs.define
@@ -37,6 +39,8 @@
         deltas: changes of the shared state that the owner has not taken.
         groups: what the log has decided for each group's map.
         switched: decisions that the owner has not taken.
+        document: the operators' configuration of routes, as committed.
+        replaced: documents that the owner has not taken.
     """
 
     shared: shared_state.Shared = attrs.field(factory=shared_state.Shared)
@@ -45,6 +49,8 @@
     deltas: list[shared_state.SharedDelta] = attrs.field(factory=list)
     groups: dict[str, mapswitch.GroupDecisions] = attrs.field(factory=dict)
     switched: list[mapswitch.DecisionCommitted] = attrs.field(factory=list)
+    document: documents.Document = documents.Document()
+    replaced: list[documents.Document] = attrs.field(factory=list)
     _answers: dict[str, bytes] = attrs.field(factory=dict)
     _commands_applied: int = 0
 
@@ -69,6 +75,7 @@
             applied=self.applied,
             commands_applied=self._commands_applied,
             groups=self.groups,
+            document=self.document,
         )
         return msgspec.msgpack.encode(saved, order='deterministic')
 
@@ -83,6 +90,7 @@
             answers=dict(saved.answers),
             commands_applied=saved.commands_applied,
             groups=saved.groups,
+            document=saved.document,
         )
 
     @functools.singledispatchmethod
@@ -134,6 +142,14 @@
         self.switched.append(mapswitch.DecisionCommitted(command, index))
         return results.DecisionApplied(accepted, group.standing.decided)
 
+    @_apply.register
+    def _(self, command: commands.PutDocument, index: int) -> Any:
+        standing = self.document.standing_of(command.document)
+        if standing is documents.Standing.NEWER:
+            self.document = command.document
+            self.replaced.append(command.document)
+        return results.DocumentJudged(standing, self.document.version)
+
     def _applied_manifest(
         self, command: commands.ApplyManifest, index: int
     ) -> results.Accepted | results.Conflict | results.Rejected:
@@ -156,6 +172,12 @@
         self.switched = []
         return taken
 
+    def take_documents(self) -> list[documents.Document]:
+        """Return the configurations committed since the last call."""
+        taken = self.replaced
+        self.replaced = []
+        return taken
+
     def _change(self, delta: shared_state.SharedDelta) -> results.Accepted:
         self.shared.apply(delta)
         self.deltas.append(delta)
--- a/packages/cassiashift-core/cassiashift_core/state/results.py
+++ b/packages/cassiashift-core/cassiashift_core/state/results.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cassiashift_core import codec
+from cassiashift_core.fleet import documents
 
 CODEC = codec.Codec()
 
@@ -28,6 +29,18 @@
     message: str
 
 
+@attrs.frozen
+class DocumentJudged:
+    """How an offered configuration stood to the one held before.
+
+    Attributes:
+        version: the version in force after the command.
+    """
+
+    standing: documents.Standing
+    version: int
+
+
 @attrs.frozen
 class CallOpened:
     """The intent is recorded; this attempt may be sent."""
@@ -83,6 +96,7 @@
 
 for _tag, _cls in (
     ('accepted', Accepted),
+    ('document', DocumentJudged),
     ('conflict', Conflict),
     ('rejected', Rejected),
     ('opened', CallOpened),
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/__init__.py
@@ -0,0 +1,1 @@
+"""An entry that calls upstreams directly, without agents beside them."""
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -0,0 +1,258 @@
+"""Keeps the tables of entries and upstreams in step over the fleet.
+
+Every entry says hello to every other one once in ``HELLO_INTERVAL_S``. News
+of upstreams goes out at once; a digest in each hello shows what was lost,
+and the tables are then asked for.
+"""
+
+import time
+from typing import Any
+
+import attrs
+
+from cassiashift_core import fleet
+from cassiashift_daemon.direct import config
+from cassiashift_daemon.direct import tables
+from cassiashift_daemon import logs
+from cassiashift_net import links
+
+TICK_S = 0.25
+HELLO_INTERVAL_S = 1.0
+# Two hellos may be lost before a host counts as silent.
+SILENT_AFTER_S = 3.2
+# A pull is repeated when its answer may have been lost.
+PULL_INTERVAL_S = 0.5
+
+
+@attrs.define(eq=False)
+class FleetRunner:
+    """Connects the tables of the fleet with the links."""
+
+    cfg: config.DirectConfig
+    links: links.Links
+    nodes: fleet.NodeTable
+    upstreams: fleet.UpstreamTable
+    holder: tables.TableHolder
+    started_ns: int
+    is_ready: bool = False
+    is_leaving: bool = False
+    store: str = ''
+    founded: tuple[str, ...] = ()
+    _sightings: dict[str, fleet.Sighting] = attrs.field(factory=dict)
+    _hello_due: float = 0.0
+    _pulled: dict[tuple[str, type], float] = attrs.field(factory=dict)
+    _silent: set[str] = attrs.field(factory=set)
+
+    def record(self) -> fleet.NodeRecord:
+        """Return what this entry says of itself."""
+        return fleet.NodeRecord(
+            host=self.cfg.host,
+            front=self.cfg.listeners.front,
+            data_centre=self.cfg.data_centre,
+            region=self.cfg.region,
+            started_ns=self.started_ns,
+            is_ready=self.is_ready,
+            is_leaving=self.is_leaving,
+            store=self.store,
+            founded=self.founded,
+            document_version=self.holder.version,
+        )
+
+    def records(self) -> list[fleet.NodeRecord]:
+        """Return the records of the other entries that are alive."""
+        now = time.monotonic()
+        return [node.record for node in self.nodes.alive(now, SILENT_AFTER_S)]
+
+    def voter_hosts(self) -> list[str]:
+        """Return the entries that may vote, those alive first."""
+        known = [record.host for record in self.records() if record.store]
+        if self.store:
+            known.append(self.cfg.host)
+        return known or list(self.cfg.seeds)
+
+    def tick(self) -> None:
+        """Say hello when it is due, and drop what is long silent."""
+        now = time.monotonic()
+        if now < self._hello_due:
+            return
+        self._hello_due = now + HELLO_INTERVAL_S
+        self.nodes.forget_silent(now)
+        for upstream in self.upstreams.forget_silent(now):
+            logs.info('upstream_forgotten', upstream=upstream.id)
+        self._note_silent()
+        self.say_hello()
+
+    def say_hello(self) -> None:
+        """Tell every known entry about this one."""
+        hello = fleet.Hello(
+            self.record(),
+            tuple(self._sightings.values()),
+            self.nodes.digest(),
+            self.upstreams.digest(),
+        )
+        self._sightings.clear()
+        self._broadcast(hello)
+
+    def announced(self, upstream: fleet.Upstream) -> None:
+        """Take an announcement that an upstream made at this entry."""
+        news = self.upstreams.take(upstream, time.monotonic())
+        self._sightings[upstream.id] = fleet.Sighting(
+            upstream.id, upstream.born_ms, upstream.sequence
+        )
+        self._spread(news)
+
+    def left(self, id_: str, born_ms: int) -> None:
+        """Take an upstream's word that it is gone."""
+        self._spread(self.upstreams.left(id_, born_ms))
+
+    def push_document(self, document: fleet.Document) -> None:
+        """Send a configuration to the entries of this data centre.
+
+        Entries of a data centre without a voter are sent it as well.
+        """
+        push = fleet.DocumentPush(document.version, document.body)
+        records = self.records()
+        served = {record.data_centre for record in records if record.store}
+        served.discard(self.cfg.data_centre)
+        for record in records:
+            if not record.store and record.data_centre not in served:
+                self._send(record.host, push)
+
+    # Messages.
+
+    def hello(self, sender: links.Sender, message: fleet.Hello) -> None:
+        """Take a hello."""
+        now = time.monotonic()
+        node = message.node
+        if node.host == self.cfg.host:
+            return
+        known = self.nodes.nodes.get(node.host)
+        if self.nodes.heard(node, now):
+            self._note_node(known, node)
+        for sighting in message.sightings:
+            self.upstreams.seen(sighting, now)
+        if not self._agrees(message):
+            self._pull(node.host, fleet.TablePull(self.cfg.host))
+        if node.document_version > self.holder.version:
+            self._pull(
+                node.host,
+                fleet.DocumentPull(self.cfg.host, self.holder.version),
+            )
+
+    def news(self, sender: links.Sender, message: fleet.UpstreamNews) -> None:
+        """Take news of upstreams."""
+        for upstream in self.upstreams.take_all(
+            message.upstreams, time.monotonic()
+        ):
+            self._note_upstream(upstream, sender.host)
+
+    def table_pull(
+        self, sender: links.Sender, message: fleet.TablePull
+    ) -> None:
+        """Answer with the tables."""
+        self._send(
+            message.host,
+            fleet.TableDump(tuple(self.nodes.hosts()), self.upstreams.all()),
+        )
+
+    def table_dump(
+        self, sender: links.Sender, message: fleet.TableDump
+    ) -> None:
+        """Take another entry's tables."""
+        now = time.monotonic()
+        self.nodes.named(message.hosts, now)
+        for upstream in self.upstreams.take_all(message.upstreams, now):
+            self._note_upstream(upstream, sender.host)
+
+    def document_pull(
+        self, sender: links.Sender, message: fleet.DocumentPull
+    ) -> None:
+        """Answer with the configuration if it is newer."""
+        held = self.holder.document
+        if held.version > message.version:
+            push = fleet.DocumentPush(held.version, held.body)
+            self._send(message.host, push)
+
+    def document_push(
+        self, sender: links.Sender, message: fleet.DocumentPush
+    ) -> None:
+        """Put a committed configuration in force."""
+        self.holder.offer(fleet.Document(message.version, message.body))
+
+    def handlers(self) -> dict[type, Any]:
+        """Return the handler of each message of the fleet."""
+        return {
+            fleet.Hello: self.hello,
+            fleet.UpstreamNews: self.news,
+            fleet.TablePull: self.table_pull,
+            fleet.TableDump: self.table_dump,
+            fleet.DocumentPull: self.document_pull,
+            fleet.DocumentPush: self.document_push,
+        }
+
+    def _agrees(self, hello: fleet.Hello) -> bool:
+        return (hello.nodes_digest, hello.upstreams_digest) == (
+            self.nodes.digest(),
+            self.upstreams.digest(),
+        )
+
+    def _spread(self, news: fleet.Upstream | None) -> None:
+        if news is not None:
+            self._note_upstream(news, 'itself')
+            self._broadcast(fleet.UpstreamNews((news,)))
+
+    def _broadcast(self, message: Any) -> None:
+        hosts = dict.fromkeys([*self.cfg.seeds, *self.nodes.contacts()])
+        for host in hosts:
+            if host != self.cfg.host:
+                self._send(host, message)
+
+    def _send(self, host: str, message: Any) -> None:
+        self.links.send(self.cfg.link_of(host), message)
+
+    def _pull(self, host: str, message: Any) -> None:
+        now = time.monotonic()
+        key = (host, type(message))
+        if now - self._pulled.get(key, -PULL_INTERVAL_S) >= PULL_INTERVAL_S:
+            self._pulled[key] = now
+            self._send(host, message)
+
+    def _note_node(
+        self, known: fleet.Node | None, node: fleet.NodeRecord
+    ) -> None:
+        if known is not None:
+            old = known.record
+            if (old.is_ready, old.is_leaving, old.started_ns) == (
+                node.is_ready,
+                node.is_leaving,
+                node.started_ns,
+            ):
+                return
+        self._silent.discard(node.host)
+        logs.info(
+            'entry_seen',
+            host=node.host,
+            data_centre=node.data_centre,
+            ready=node.is_ready,
+            leaving=node.is_leaving,
+            started_ns=node.started_ns,
+        )
+
+    def _note_silent(self) -> None:
+        alive = {record.host for record in self.records()}
+        silent = set(self.nodes.nodes) - alive
+        for host in silent - self._silent:
+            age = time.monotonic() - self.nodes.nodes[host].heard_at
+            logs.warning('entry_silent', host=host, age_s=age)
+        self._silent = silent
+
+    def _note_upstream(self, upstream: fleet.Upstream, source: str) -> None:
+        logs.info(
+            'upstream_changed',
+            upstream=upstream.id,
+            service=upstream.service,
+            state=upstream.state.value,
+            address=upstream.address,
+            sequence=upstream.sequence,
+            heard_from=source,
+        )
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
@@ -0,0 +1,73 @@
+"""Counters and histograms of a direct entry, as text for Prometheus."""
+
+import attrs
+import prometheus_client
+from prometheus_client import exposition
+
+from cassiashift_daemon import logs
+
+LATENCY_BUCKETS_S = (
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
+)  # fmt: skip
+CONTENT_TYPE = 'text/plain'
+
+
+def _registry() -> prometheus_client.CollectorRegistry:
+    return prometheus_client.CollectorRegistry()
+
+
+@attrs.define(eq=False, slots=False)
+class Metrics:
+    """What this process counts; names begin with ``cassiashift_``."""
+
+    registry: prometheus_client.CollectorRegistry = attrs.field(
+        factory=_registry
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Register every counter."""
+        registry = self.registry
+        self._requests = prometheus_client.Histogram(
+            'cassiashift_request_seconds',
+            'Time of a request at this entry, by outcome.',
+            ('outcome',),
+            registry=registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self._first_events = prometheus_client.Histogram(
+            'cassiashift_first_event_seconds',
+            'Time to the first event of a stream.',
+            registry=registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self._failed_sends = prometheus_client.Counter(
+            'cassiashift_failed_sends',
+            'Sends to upstreams without an answer, by reason.',
+            ('reason',),
+            registry=registry,
+        )
+        self._gauges = prometheus_client.Gauge(
+            'cassiashift_state',
+            'State of this entry, by name.',
+            ('name',),
+            registry=registry,
+        )
+
+    def request_ended(self, outcome: str, spent_s: float) -> None:
+        """Count a request."""
+        self._requests.labels(outcome).observe(spent_s)
+
+    def first_event(self, after_s: float) -> None:
+        """Count the first event of a stream."""
+        self._first_events.observe(after_s)
+
+    def send_failed(self, reason: str) -> None:
+        """Count a send without an answer."""
+        self._failed_sends.labels(reason).inc()
+
+    def text(self, **gauges: float) -> bytes:
+        """Return everything as text, with the gauges as they are now."""
+        for name, value in gauges.items():
+            self._gauges.labels(name).set(value)
+        self._gauges.labels('log_lines_dropped').set(logs.dropped())
+        return exposition.generate_latest(self.registry)
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -0,0 +1,254 @@
+"""The process of a direct entry."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+
+from aiohttp import web
+
+from cassiashift_core import consensus
+from cassiashift_core import fleet
+from cassiashift_core import placing
+from cassiashift_daemon.direct import api
+from cassiashift_daemon.direct import config
+from cassiashift_daemon.direct import dialect
+from cassiashift_daemon.direct import exchange
+from cassiashift_daemon.direct import fleet_runner
+from cassiashift_daemon.direct import ingress
+from cassiashift_daemon.direct import metrics
+from cassiashift_daemon.direct import placement
+from cassiashift_daemon.direct import tables
+from cassiashift_daemon.direct import voting
+from cassiashift_daemon import dispatch
+from cassiashift_daemon import lifecycle
+from cassiashift_daemon import logs
+from cassiashift_daemon import proposals
+from cassiashift_daemon import webserver
+from cassiashift_net import links
+from cassiashift_net import messages
+
+# Callers keep connections idle up to the limit of the configuration; the
+# server closes none of them sooner.
+KEEPALIVE_TIMEOUT_S = 75.0
+MAX_HEADER_BYTES = 64 * 1024
+MAX_CONTROL_BYTES = 32 * 1024 * 1024
+# Four lost announcements make an upstream silent.
+SILENT_ANNOUNCEMENTS = 4
+FORGET_UPSTREAM_S = 30.0
+# Some callers keep an answer of the directory three times as long.
+TTL_FACTOR = 3
+STOP_MARGIN_S = 0.4
+
+Surfaces = Callable[
+    [api.ControlApi, api.DirectoryApi], dict[str, list[web.RouteDef]]
+]
+
+
+class DirectEntry(lifecycle.Process):
+    """An entry that calls upstreams directly."""
+
+    def __init__(
+        self,
+        cfg: config.DirectConfig,
+        adapter: dialect.Dialect,
+        surfaces: Surfaces,
+    ) -> None:
+        """Build the parts that need no loop.
+
+        Args:
+            cfg: checked settings.
+            adapter: what the platform calls things.
+            surfaces: returns the platform's HTTP routes by the name of the
+                listener that serves them.
+        """
+        super().__init__()
+        self.cfg = cfg
+        self.adapter = adapter
+        self.surfaces = surfaces
+        self.rng = random.Random(time.time_ns())
+        self.metrics = metrics.Metrics()
+        self.holder = tables.TableHolder(adapter)
+        self.servers: list[web.BaseRunner] = []
+        self.is_leaving = False
+
+    @property
+    def stop_timeout_s(self) -> float:
+        """Return the seconds that a planned stop may take."""
+        return max(0.0, self.cfg.bounds.grace_s - STOP_MARGIN_S)
+
+    async def open(self) -> None:
+        """Open the links, the voter and the servers."""
+        self._open_fleet()
+        self._open_callers()
+        self._open_control()
+        self._register_handlers()
+        await self._listen()
+        self.spawn(self.every(fleet_runner.TICK_S, self._tick))
+        self.spawn(self.every(placement.TICK_S, self.placement.tick))
+        if self.cfg.data_dir:
+            self.spawn(self.voting.run_forever())
+        logs.info(
+            'started',
+            host=self.cfg.host,
+            data_centre=self.cfg.data_centre,
+            seeds=','.join(self.cfg.seeds),
+            has_disk=bool(self.cfg.data_dir),
+            first_start=self.cfg.is_first_start,
+        )
+
+    async def drain(self) -> None:
+        """Leave the directory and serve on until callers have noticed."""
+        self.is_leaving = True
+        self.ingress.is_leaving = True
+        self.runner.is_leaving = True
+        self.runner.is_ready = False
+        self.runner.say_hello()
+        self.voting.hand_over()
+        ttl_s = min(api.DIRECTORY_TTL_S, self.cfg.bounds.longest_ttl_s)
+        await asyncio.sleep(TTL_FACTOR * ttl_s)
+        while self.ingress.in_flight:
+            await asyncio.sleep(fleet_runner.TICK_S)
+
+    async def close(self) -> None:
+        """Close servers and links."""
+        logs.info('stopped', in_flight=self.ingress.in_flight)
+        for server in self.servers:
+            await server.cleanup()
+        await self.exchange.close()
+        self.links.close()
+
+    def _open_fleet(self) -> None:
+        cfg = self.cfg
+        self.dispatcher = dispatch.Dispatcher()
+        self.links = links.Links.from_config(
+            cfg.host, self.dispatcher.dispatch
+        )
+        self.links.bind(cfg.link_of(cfg.host))
+        self.runner = fleet_runner.FleetRunner(
+            cfg=cfg,
+            links=self.links,
+            nodes=fleet.NodeTable(cfg.host),
+            upstreams=fleet.UpstreamTable(
+                SILENT_ANNOUNCEMENTS * cfg.heartbeat_s, FORGET_UPSTREAM_S
+            ),
+            holder=self.holder,
+            started_ns=time.time_ns(),
+        )
+        self.voting = voting.Voting(
+            cfg=cfg,
+            deployment=self.adapter.deployment,
+            links=self.links,
+            runner=self.runner,
+            rng=self.rng,
+            on_document=self._committed,
+        )
+
+    def _open_callers(self) -> None:
+        self.exchange = exchange.Exchange.from_config(self.adapter.headers)
+        self.placement = placement.Placement(
+            cfg=self.cfg,
+            holder=self.holder,
+            runner=self.runner,
+            loads=placing.Loads(self.cfg.data_centre, self.rng),
+            rng=self.rng,
+        )
+        self.ingress = ingress.Ingress(
+            dialect=self.adapter,
+            holder=self.holder,
+            exchange=self.exchange,
+            placement=self.placement,
+            rng=self.rng,
+            metrics=self.metrics,
+        )
+
+    def _open_control(self) -> None:
+        self.proposer = proposals.Proposer(
+            self.cfg.host,
+            self.links,
+            {},
+            try_timeout_s=api.TRY_TIMEOUT_S,
+        )
+        self.control = api.ControlApi(
+            cfg=self.cfg,
+            dialect=self.adapter,
+            runner=self.runner,
+            holder=self.holder,
+            proposer=self.proposer,
+        )
+        self.directory = api.DirectoryApi(
+            cfg=self.cfg, runner=self.runner, is_serving=self._is_serving
+        )
+
+    def _register_handlers(self) -> None:
+        register = self.dispatcher.register
+        for cls, handler in self.runner.handlers().items():
+            register(cls, handler)
+        for cls in consensus.MESSAGE_TYPES.values():
+            register(cls, self.voting.received)
+        register(messages.Proposal, self.voting.proposed)
+        register(
+            messages.ProposalAnswer,
+            lambda sender, message: self.proposer.answered(message),
+        )
+
+    async def _listen(self) -> None:
+        listeners = self.cfg.listeners
+        if listeners.front:
+            server = web.ServerRunner(
+                web.Server(
+                    self.ingress.handle,
+                    access_log=None,
+                    keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+                    max_line_size=MAX_HEADER_BYTES,
+                    max_field_size=MAX_HEADER_BYTES,
+                ),
+                handler_cancellation=True,
+            )
+            await server.setup()
+            await webserver.listen(server, listeners.front)
+            self.servers.append(server)
+        surfaces = self.surfaces(self.control, self.directory)
+        surfaces['metrics'] = [web.get('/metrics', self._metrics)]
+        for name, routes in surfaces.items():
+            address = getattr(listeners, name)
+            if address:
+                self.servers.append(
+                    await webserver.serve(
+                        address, routes, MAX_CONTROL_BYTES, None
+                    )
+                )
+
+    def _is_serving(self) -> bool:
+        return self.holder.table is not None and not self.is_leaving
+
+    def _committed(self, document: fleet.Document) -> None:
+        if self.holder.offer(document):
+            self.runner.push_document(document)
+
+    def _tick(self) -> None:
+        is_ready = self._is_serving()
+        if is_ready != self.runner.is_ready:
+            logs.info(
+                'readiness',
+                ready=is_ready,
+                configuration=self.holder.version,
+                leaving=self.is_leaving,
+            )
+            self.runner.is_ready = is_ready
+            self.runner.say_hello()
+        self.runner.tick()
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        own = self.voting.voter
+        text = self.metrics.text(
+            configuration_version=self.holder.version,
+            configuration_age_s=time.monotonic() - self.holder.since,
+            entries_alive=len(self.runner.records()) + 1,
+            upstreams=len(self.runner.upstreams.all()),
+            in_flight=self.ingress.in_flight,
+            log_term=0 if own is None else own.replica.term,
+            log_commit=0 if own is None else own.replica.commit_index,
+            leads=float(self.voting.is_leader),
+        )
+        return web.Response(body=text, content_type=metrics.CONTENT_TYPE)
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/refusals.py
@@ -0,0 +1,76 @@
+"""Errors as answers to callers.
+
+The statuses 429 and 503 state that a request has not run and will not run.
+They are only given with the verdict ``NOT_RUN``.
+"""
+
+import json
+
+from aiohttp import web
+
+from cassiashift_core import CassiashiftError
+from cassiashift_core import ErrorCode
+from cassiashift_core import Verdict
+from cassiashift_daemon.direct import calls
+from cassiashift_daemon.direct import exchange
+
+_STATUSES = {
+    ErrorCode.BAD_REQUEST: 400,
+    ErrorCode.UNAUTHENTICATED: 401,
+    ErrorCode.NOT_FOUND: 404,
+    ErrorCode.BODY_TOO_LARGE: 413,
+    ErrorCode.CONFLICT: 409,
+    ErrorCode.MANIFEST_INVALID: 400,
+}
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_TIMEOUT = 504
+
+
+def status_of(exc: CassiashiftError) -> int:
+    """Return the HTTP status for an error."""
+    known = _STATUSES.get(exc.code)
+    if known is not None:
+        return known
+    if exc.verdict is Verdict.NOT_RUN:
+        return STATUS_UNAVAILABLE
+    if exc.code is ErrorCode.DEADLINE_EXCEEDED:
+        return STATUS_TIMEOUT
+    return STATUS_BAD_GATEWAY
+
+
+def response_of(
+    exc: CassiashiftError, status: int | None = None
+) -> web.Response:
+    """Return the answer that tells a caller or operator of an error.
+
+    Args:
+        status: given in place of the status that fits a caller's request.
+    """
+    headers = {}
+    if exc.retry_after_s is not None:
+        headers['Retry-After'] = f'{exc.retry_after_s:.2f}'
+    body = {
+        'code': exc.code.value,
+        'message': exc.message,
+        'verdict': exc.verdict.value,
+    }
+    return web.Response(
+        status=status or status_of(exc),
+        headers=headers,
+        content_type='application/json',
+        body=json.dumps(body).encode(),
+    )
+
+
+def error_of(
+    failure: exchange.SendFailedError, call: calls.Call
+) -> CassiashiftError:
+    """Return the error for a request whose last send has failed."""
+    verdict = call.log.verdict
+    return CassiashiftError(
+        ErrorCode.UPSTREAM_FAILED,
+        f'upstream failed: {failure.reason}',
+        verdict,
+        retry_after_s=0.2 if verdict is Verdict.NOT_RUN else None,
+    )
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
@@ -0,0 +1,241 @@
+"""Runs the voter of a host with a disk, beside the entry's other work.
+
+A disk that fails or stalls ends the voter, not the process: the folder is
+opened again until it can be used.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import random
+import time
+from typing import Any
+
+import attrs
+
+from cassiashift_core import CassiashiftError
+from cassiashift_core import consensus
+from cassiashift_core import fleet
+from cassiashift_core import state
+from cassiashift_daemon.direct import config
+from cassiashift_daemon.direct import fleet_runner
+from cassiashift_daemon import logs
+from cassiashift_daemon import storage
+from cassiashift_daemon import voter as voters
+from cassiashift_net import links
+from cassiashift_net import messages
+
+ELECTION_TIMEOUT_S = 1.0
+HEARTBEAT_S = 0.2
+TICK_S = 0.1
+# A configuration of some hundred routes is up to 10 KB compressed; a
+# snapshot each 64 of them keeps the folder far below the smallest disk.
+SNAPSHOT_EVERY_ENTRIES = 64
+TRAILING_ENTRIES = 32
+SEGMENT_BYTES = 1024 * 1024
+REOPEN_AFTER_S = 1.0
+CHANGE_INTERVAL_S = 0.5
+
+
+class LinkAddresses(Mapping):
+    """Link addresses by host; every host has one."""
+
+    def __init__(self, cfg: config.DirectConfig) -> None:
+        """Derive addresses from the common port."""
+        self._cfg = cfg
+
+    def __getitem__(self, host: str) -> str:
+        """Return the link address of a host."""
+        return self._cfg.link_of(host)
+
+    def __iter__(self) -> Iterator[str]:
+        """Return no host: all of them have an address."""
+        return iter(())
+
+    def __len__(self) -> int:
+        """Return 0: no host is listed."""
+        return 0
+
+
+@attrs.define(eq=False)
+class Voting:
+    """Supervises the voter of this host.
+
+    Attributes:
+        on_document: called with each committed configuration.
+        voter: None while the folder can't be used.
+    """
+
+    cfg: config.DirectConfig
+    deployment: str
+    links: links.Links
+    runner: fleet_runner.FleetRunner
+    rng: random.Random
+    on_document: Callable[[fleet.Document], None]
+    voter: voters.Voter | None = None
+    _failed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _changed_at: float = 0.0
+    _changes: int = 0
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this host leads the log."""
+        return self.voter is not None and self.voter.led_term is not None
+
+    async def run_forever(self) -> None:
+        """Open the folder, vote until it fails, and open it again."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                store = await loop.run_in_executor(None, self._open_store)
+            except (CassiashiftError, OSError) as exc:
+                logs.error('folder_refused', reason=str(exc))
+                await asyncio.sleep(REOPEN_AFTER_S)
+                continue
+            try:
+                await self._vote(store)
+            finally:
+                self.voter = None
+                store.close()
+            logs.warning('voter_reopens', after_s=REOPEN_AFTER_S)
+            await asyncio.sleep(REOPEN_AFTER_S)
+
+    def received(self, sender: links.Sender, message: Any) -> None:
+        """Take a message from another voter."""
+        if self.voter is not None:
+            self.voter.received(sender, message)
+
+    def proposed(
+        self, sender: links.Sender, message: messages.Proposal
+    ) -> None:
+        """Take a proposal; only the leader puts it into the log."""
+        if self.voter is None:
+            sender.reply(
+                messages.ProposalAnswer(message.token, b'', 'not_leader')
+            )
+        else:
+            self.voter.propose(sender, message)
+
+    def hand_over(self) -> None:
+        """Pass the leadership on before a planned stop."""
+        if self.voter is not None:
+            self.voter.handle(consensus.HandOver())
+
+    def _open_store(self) -> storage.Storage:
+        return storage.Storage.open(
+            self.cfg.data_dir,
+            self.deployment,
+            self.cfg.host,
+            segment_bytes=SEGMENT_BYTES,
+        )
+
+    async def _vote(self, store: storage.Storage) -> None:
+        saved = store.load()
+        self.runner.store = saved.incarnation
+        self._failed = asyncio.Event()
+        self._open_voter(store, saved, await self._founders(saved))
+        sync = asyncio.ensure_future(self.voter.sync_forever())
+        try:
+            await self._tick_until_failed()
+        finally:
+            sync.cancel()
+
+    async def _founders(self, saved: consensus.SavedState) -> tuple[str, ...]:
+        """Wait until it is clear whether this host starts the log."""
+        if saved.entries or saved.snapshot is not None:
+            return ()
+        since = time.monotonic()
+        while True:
+            decision = fleet.decide_founding(
+                self.runner.record(),
+                self.cfg.seeds,
+                self.runner.records(),
+                self.cfg.is_first_start,
+                time.monotonic() - since,
+            )
+            if decision is not fleet.Founding.WAIT:
+                logs.info('log_' + decision.value, host=self.cfg.host)
+                found = decision is fleet.Founding.FOUND
+                return (self.cfg.host,) if found else ()
+            await asyncio.sleep(TICK_S)
+
+    def _open_voter(
+        self,
+        store: storage.Storage,
+        saved: consensus.SavedState,
+        founders: tuple[str, ...],
+    ) -> None:
+        replica = consensus.Replica.from_config(
+            consensus.ReplicaConfig(
+                host=self.cfg.host,
+                voters=founders,
+                election_timeout_s=ELECTION_TIMEOUT_S,
+                heartbeat_s=HEARTBEAT_S,
+                snapshot_every_entries=SNAPSHOT_EVERY_ENTRIES,
+                trailing_entries=TRAILING_ENTRIES,
+            ),
+            saved,
+            self.rng,
+        )
+        self.voter = voters.Voter(
+            replica=replica,
+            store=store,
+            machine=state.StateMachine(),
+            links=self.links,
+            addresses=LinkAddresses(self.cfg),
+            on_event=_ignore,
+            on_failed=self._on_failed,
+            on_document=self.on_document,
+        )
+        logs.info(
+            'voter_opened',
+            folder=saved.incarnation,
+            entries=len(saved.entries),
+            term=saved.hard_state.term,
+            founds=bool(founders),
+        )
+
+    async def _tick_until_failed(self) -> None:
+        while not self._failed.is_set():
+            self.voter.tick()
+            self._publish_voters()
+            self._change_voters()
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._failed.wait()
+            except TimeoutError:
+                continue
+
+    def _publish_voters(self) -> None:
+        hosts = self.voter.replica.voters.voter_hosts
+        if hosts != self.runner.founded:
+            logs.info('voters_changed', voters=','.join(hosts))
+            self.runner.founded = hosts
+
+    def _change_voters(self) -> None:
+        now = time.monotonic()
+        if not self.is_leader or now - self._changed_at < CHANGE_INTERVAL_S:
+            return
+        self._changed_at = now
+        change = fleet.next_change(
+            self.voter.replica.voters,
+            self.cfg.host,
+            self.runner.records(),
+            self.cfg.tolerated_losses,
+        )
+        if change is None:
+            return
+        add, remove = change
+        self._changes += 1
+        token = f'{self.cfg.host}/voters/{self._changes}'
+        logs.info('voter_change', add=add, remove=remove)
+        self.voter.handle(consensus.ChangeVoters(token, add, remove))
+
+    def _on_failed(self, reason: str) -> None:
+        logs.error('voter_failed', reason=reason)
+        self._failed.set()
+
+
+def _ignore(event: Any) -> None:
+    """Take no notice of events for the spread of a manifest."""
--- a/packages/cassiashift-daemon/cassiashift_daemon/logs.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/logs.py
@@ -3,12 +3,22 @@
 import datetime
 import json
 import logging as standard_logging
+import queue
 import re
+import sys
+import threading
 from typing import Any
+from typing import TextIO
 
 from absl import flags
 from absl import logging
 
+# Lines of each urgency that a process may write in a second; a request
+# leaves about three.
+LINES_PER_S = 400
+QUEUE_LINES = 4000
+
+_HANDLERS: list['BoundedHandler'] = []
 _PLAIN = re.compile(r'[\w.:/@+\-]+\Z', re.ASCII)
 
 
@@ -28,14 +38,77 @@
         return f'at={at:%Y-%m-%dT%H:%M:%S.%fZ} level={level} {text}'
 
 
-def configure(verbosity: int) -> None:
-    """Send every log of this process to the standard error."""
+class BoundedHandler(standard_logging.Handler):
+    """Writes lines from a thread of its own, up to a budget a second.
+
+    A slow reader of the stream stalls nobody: lines that find the queue
+    full, and lines beyond the budget, are counted and dropped. Warnings and
+    errors have a budget of their own, so that they outlast the others.
+
+    Attributes:
+        dropped: lines that were not written.
+    """
+
+    def __init__(self, stream: TextIO, lines_per_s: int) -> None:
+        """Start the thread."""
+        super().__init__()
+        self.dropped = 0
+        self._stream = stream
+        self._lines_per_s = lines_per_s
+        self._second = 0
+        self._written = {False: 0, True: 0}
+        self._lines: queue.Queue[str] = queue.Queue(QUEUE_LINES)
+        thread = threading.Thread(
+            target=self._write_forever, name='log-writer', daemon=True
+        )
+        thread.start()
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        """Queue a line, or drop it."""
+        is_urgent = record.levelno >= standard_logging.WARNING
+        second = int(record.created)
+        if second != self._second:
+            self._second = second
+            self._written = {False: 0, True: 0}
+        if self._written[is_urgent] >= self._lines_per_s:
+            self.dropped += 1
+            return
+        self._written[is_urgent] += 1
+        try:
+            self._lines.put_nowait(self.format(record))
+        except queue.Full:
+            self.dropped += 1
+
+    def _write_forever(self) -> None:
+        while True:
+            lines = [self._lines.get()]
+            while not self._lines.empty():
+                lines.append(self._lines.get())
+            try:
+                self._stream.write('\n'.join(lines) + '\n')
+                self._stream.flush()
+            except (OSError, ValueError):
+                # The reader is gone; there is nobody left to tell.
+                self.dropped += len(lines)
+
+
+def configure(verbosity: int, lines_per_s: int = LINES_PER_S) -> None:
+    """Send every log of this process to the standard output."""
     flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
     logging.set_verbosity(verbosity)
     charts = standard_logging.getLogger('transitions')
     charts.setLevel(standard_logging.WARNING)
-    logging.get_absl_handler().setFormatter(LineFormatter())
+    handler = BoundedHandler(sys.stdout, lines_per_s)
+    handler.setFormatter(LineFormatter())
+    root = standard_logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.converter.absl_to_standard(verbosity))
+    _HANDLERS[:] = [handler]
+
+
+def dropped() -> int:
+    """Return how many lines of this process were dropped."""
+    return sum(handler.dropped for handler in _HANDLERS)
 
 
 def line(event: str, **fields: Any) -> str:
--- a/packages/cassiashift-daemon/cassiashift_daemon/proposals.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/proposals.py
@@ -25,12 +25,16 @@
 
     Every command is safe to send again: it carries a request id or an
     attempt id that the state machine recognises.
+
+    Attributes:
+        try_timeout_s: seconds after which another voter is asked.
     """
 
     host: str
     links: links.Links
     voters: dict[str, str]
     leader: str = ''
+    try_timeout_s: float = TRY_TIMEOUT_S
     _waiting: dict[str, asyncio.Future] = attrs.field(factory=dict)
     _numbers: Any = attrs.field(factory=itertools.count)
     _turns: Any = attrs.field(factory=itertools.count)
@@ -77,7 +81,7 @@
         self._waiting[token] = fut
         self.links.send(self._target(), messages.Proposal(token, data))
         try:
-            async with asyncio.timeout(TRY_TIMEOUT_S):
+            async with asyncio.timeout(self.try_timeout_s):
                 return await fut
         except TimeoutError:
             return None
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from concurrent import futures
 import functools
 import itertools
@@ -12,6 +13,7 @@
 import attrs
 
 from cassiashift_core import consensus
+from cassiashift_core import fleet
 from cassiashift_core import spread
 from cassiashift_core import state
 from cassiashift_core.state import results
@@ -49,6 +51,7 @@
         on_failed: called when the process must end, since its storage or
             its replica can't be trusted any more.
         on_decision: called with each decision of a map switch.
+        on_document: called with each configuration that is committed.
         on_advanced: called after entries were applied, after a snapshot
             was installed and after the role has changed.
     """
@@ -57,10 +60,11 @@
     store: storage.Storage
     machine: state.StateMachine
     links: links.Links
-    addresses: dict[str, str]
+    addresses: Mapping[str, str]
     on_event: Callable[[Any], None]
     on_failed: Callable[[str], None]
     on_decision: Callable[[Any], None] = lambda event: None
+    on_document: Callable[[fleet.Document], None] = lambda document: None
     on_advanced: Callable[[], None] = lambda: None
     _senders: dict[str, links.Sender] = attrs.field(factory=dict)
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
@@ -163,6 +167,8 @@
             self.on_event(spread.Committed(delta.revision, delta.encode()))
         for event in self.machine.take_decisions():
             self.on_decision(event)
+        for document in self.machine.take_documents():
+            self.on_document(document)
         self.on_advanced()
         self._note_commit()
 
@@ -173,6 +179,7 @@
         self._fail_pending()
         shared = self.machine.shared
         self.on_event(spread.Restored(shared.revision, shared.encode()))
+        self.on_document(self.machine.document)
         self.on_advanced()
         self._note_commit()
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/webserver.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/webserver.py
@@ -28,6 +28,16 @@
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
     await runner.setup()
+    await listen(runner, address, tls)
+    return runner
+
+
+async def listen(
+    runner: web.BaseRunner,
+    address: str,
+    tls: ssl.SSLContext | None = None,
+) -> None:
+    """Have a runner that is set up listen at ``IP:PORT``."""
     parts = urllib.parse.urlsplit(f'//{address}')
     site = web.TCPSite(
         runner,
@@ -37,4 +47,3 @@
         ssl_context=tls,
     )
     await site.start()
-    return runner
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -4,6 +4,7 @@
 
 from cassiashift_core import codec
 from cassiashift_core import consensus
+from cassiashift_core import fleet
 from cassiashift_core import mapswitch
 from cassiashift_core import membership
 from cassiashift_core import spread
@@ -317,6 +318,12 @@
     'grants': ShareGrants,
     'order': RankOrder,
     'counts': ExpertCounts,
+    'hello': fleet.Hello,
+    'upstreams': fleet.UpstreamNews,
+    'tables': fleet.TablePull,
+    'tabled': fleet.TableDump,
+    'document': fleet.DocumentPull,
+    'documented': fleet.DocumentPush,
 }
 
 for _tag, _cls in _OWN_TYPES.items():
