--- /dev/null
+++ b/tests/core/eventstream/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of event streams."""
--- /dev/null
+++ b/tests/core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what entries know of the fleet."""
--- /dev/null
+++ b/tests/core/fleet/test_voters.py
@@ -0,0 +1,106 @@
+"""Tests of founding the log and of changing its voters."""
+
+import itertools
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import consensus
+from cassiashift_core import fleet
+
+
+def _record(host, store='', **fields):
+    return fleet.NodeRecord(
+        host, f'{host}:1', 'east', 'r', 1, store=store, **fields
+    )
+
+
+def _voters(*hosts, learners=()):
+    return consensus.VoterSet(
+        tuple(consensus.Voter(host, f's-{host}') for host in hosts),
+        tuple(consensus.Voter(host) for host in learners),
+    )
+
+
+def _alive(*hosts):
+    return [_record(host, f's-{host}') for host in hosts]
+
+
+def _decide(own, heard, seeds='abc', first=True, waited_s=0.0):
+    return fleet.decide_founding(own, seeds, heard, first, waited_s)
+
+
+def test_exactly_one_host_of_a_new_system_founds():
+    for with_disk in itertools.product([False, True], repeat=4):
+        records = [
+            _record(host, 's' if disk else '')
+            for host, disk in zip('abcd', with_disk, strict=True)
+        ]
+        founders = [
+            record.host
+            for record in records
+            if record.store
+            and _decide(record, records, waited_s=9.0) is fleet.Founding.FOUND
+        ]
+        expected = 1 if any(with_disk) else 0
+        assert_that(founders, matchers.HasLength(expected))
+
+
+def test_nobody_founds_before_every_seed_was_heard():
+    own = _record('a', 's')
+    decision = _decide(own, [_record('b', 's')], waited_s=99.0)
+    assert_that(decision, matchers.Is(fleet.Founding.WAIT))
+
+
+@pytest.mark.parametrize('first', [True, False])
+def test_an_emptied_host_joins_what_exists(first):
+    own = _record('a', 's')
+    heard = [_record('b', 's', founded=('b',)), _record('c', 's')]
+    decision = _decide(own, heard, first=first)
+    assert_that(decision, matchers.Is(fleet.Founding.JOIN))
+
+
+def test_a_host_that_is_not_new_never_founds():
+    decision = _decide(_record('a', 's'), [], first=False, waited_s=99.0)
+    assert_that(decision, matchers.Is(fleet.Founding.JOIN))
+
+
+def test_hosts_with_a_disk_join_one_at_a_time():
+    change = fleet.next_change(_voters('a'), 'a', _alive('c', 'b'), 1)
+    assert_that(change, matchers.Equals(('b', '')))
+    pending = _voters('a', learners=('b',))
+    change = fleet.next_change(pending, 'a', _alive('c', 'b'), 1)
+    assert_that(change, matchers.Is(None))
+
+
+def test_an_emptied_voter_is_removed_before_it_joins_again():
+    emptied = [_record('b', 'new'), *_alive('c')]
+    change = fleet.next_change(_voters('a', 'b', 'c'), 'a', emptied, 1)
+    assert_that(change, matchers.Equals(('', 'b')))
+    change = fleet.next_change(_voters('a', 'c'), 'a', emptied, 1)
+    assert_that(change, matchers.Equals(('b', '')))
+
+
+def test_a_silent_voter_stays_while_the_rest_could_not_bear_a_loss():
+    change = fleet.next_change(_voters('a', 'b', 'c'), 'a', _alive('b'), 1)
+    assert_that(change, matchers.Is(None))
+
+
+def test_a_silent_voter_goes_once_its_successor_votes():
+    voters = _voters('a', 'b', 'c', 'd')
+    change = fleet.next_change(voters, 'a', _alive('b', 'd'), 1)
+    assert_that(change, matchers.Equals(('', 'c')))
+
+
+def test_a_learner_that_fell_silent_does_not_block_the_others():
+    voters = _voters('a', 'b', learners=('c',))
+    change = fleet.next_change(voters, 'a', _alive('b', 'd'), 1)
+    assert_that(change, matchers.Equals(('', 'c')))
+
+
+def test_a_host_that_leaves_is_not_added():
+    leaving = attrs.evolve(_record('b', 's'), is_leaving=True)
+    change = fleet.next_change(_voters('a'), 'a', [leaving], 1)
+    assert_that(change, matchers.Is(None))
--- /dev/null
+++ b/tests/core/placing/test_placing.py
@@ -0,0 +1,136 @@
+"""Tests of loads, budgets, attempts and the waiting room."""
+
+import random
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import fleet
+from cassiashift_core import placing
+from cassiashift_core import routes
+from cassiashift_core import Verdict
+
+ROUTE = routes.Route(
+    'r', 'h', '/', routes.Kind.SAFE, (routes.Target('s'),), 1.0, attempts=2
+)
+UNSAFE = attrs.evolve(ROUTE, kind=routes.Kind.UNSAFE, attempts=1)
+
+
+@pytest.fixture
+def loads():
+    return placing.Loads('east', random.Random(1))
+
+
+def _upstreams(count):
+    return [
+        fleet.Upstream(f'u{number}', 's', f'10.0.0.{number}:1', 'east')
+        for number in range(count)
+    ]
+
+
+def _choose(loads, upstreams, limit=2, excluded=(), now=0.0):
+    found = loads.choose(upstreams, limit, excluded, now)
+    return found and found.id
+
+
+def test_the_least_loaded_upstream_is_chosen(loads):
+    upstreams = _upstreams(3)
+    loads.of('u0').sent(0.0)
+    loads.of('u2').sent(0.0)
+    assert_that(_choose(loads, upstreams), matchers.Equals('u1'))
+
+
+def test_nothing_is_chosen_beyond_the_limit(loads):
+    upstreams = _upstreams(2)
+    for id_ in ('u0', 'u1'):
+        loads.of(id_).sent(0.0)
+        loads.of(id_).sent(0.0)
+    assert_that(_choose(loads, upstreams), matchers.Is(None))
+    loads.of('u0').ended()
+    assert_that(_choose(loads, upstreams), matchers.Equals('u0'))
+
+
+def test_an_upstream_that_is_down_is_left_alone_and_then_probed(loads):
+    upstreams = _upstreams(1)
+    load = loads.of('u0')
+    load.sent(0.0)
+    load.failed(0.0, is_down=True)
+    load.ended()
+    assert_that(_choose(loads, upstreams, now=0.1), matchers.Is(None))
+    assert_that(_choose(loads, upstreams, now=1.0), matchers.Equals('u0'))
+    load.sent(1.0)
+    assert_that(_choose(loads, upstreams, now=1.0), matchers.Is(None))
+    load.succeeded(1.1)
+    load.ended()
+    assert_that(_choose(loads, upstreams, now=1.1), matchers.Equals('u0'))
+
+
+def test_an_upstream_that_fails_often_is_avoided(loads):
+    upstreams = _upstreams(2)
+    loads.of('u0').failed(0.0)
+    for _ in range(20):
+        assert_that(_choose(loads, upstreams), matchers.Equals('u1'))
+
+
+def test_a_full_upstream_is_asked_again_after_a_pause(loads):
+    upstreams = _upstreams(1)
+    loads.of('u0').refused(0.0, 0.2)
+    assert_that(_choose(loads, upstreams, now=0.1), matchers.Is(None))
+    assert_that(_choose(loads, upstreams, now=0.2), matchers.Equals('u0'))
+
+
+@pytest.mark.parametrize('entries', [1, 3, 11])
+@pytest.mark.parametrize('load', [0, 10, 200])
+def test_entries_together_keep_the_shared_budget(entries, load):
+    budgets = [placing.WindowBudget(0.2, 98.0, 10.0) for _ in range(entries)]
+    spent = 0
+    for step in range(2000):
+        now = step * 0.01
+        budget = budgets[step % entries]
+        if step < load:
+            budget.first_sent(now)
+        spent += budget.try_spend(entries, now) and now >= 10.0
+    assert_that(spent, matchers.LessThan(0.2 * load + 98.0 + 1))
+
+
+def test_an_unsafe_request_is_sent_again_only_if_it_was_refused():
+    log = placing.AttemptLog(UNSAFE)
+    log.ended('u0', Verdict.NOT_RUN)
+    assert_that(log.may_send_again(), matchers.Is(True))
+    log.ended('u1', Verdict.MAY_HAVE_RUN)
+    assert_that(log.may_send_again(), matchers.Is(False))
+    assert_that(log.verdict, matchers.Is(Verdict.MAY_HAVE_RUN))
+
+
+def test_a_safe_request_is_sent_as_often_as_the_route_says():
+    log = placing.AttemptLog(ROUTE)
+    log.ended('u0', Verdict.MAY_HAVE_RUN)
+    assert_that(log.may_send_again(), matchers.Is(True))
+    log.ended('u1', Verdict.RAN)
+    assert_that(log.may_send_again(), matchers.Is(False))
+    assert_that(log.used, matchers.Equals({'u0', 'u1'}))
+
+
+def test_refusals_end_a_request_after_some_sends():
+    log = placing.AttemptLog(ROUTE)
+    for number in range(3):
+        assert_that(log.may_send_again(), matchers.Is(True))
+        log.ended(f'u{number}', Verdict.NOT_RUN)
+    assert_that(log.may_send_again(), matchers.Is(False))
+    assert_that(log.verdict, matchers.Is(Verdict.NOT_RUN))
+
+
+def test_the_most_urgent_request_is_served_first():
+    room = placing.WaitingRoom()
+    rows = [placing.Waiting('s', priority, 9.0) for priority in (2, 1, 1)]
+    for row in rows:
+        room.add(row)
+    assert_that(room.first('s'), matchers.Is(rows[1]))
+    rows[1].is_over = True
+    assert_that(room.first('s'), matchers.Is(rows[2]))
+    assert_that(room.count('s'), matchers.Equals(2))
+    assert_that(room.due(9.0), matchers.HasLength(2))
+    rows[0].is_over = rows[2].is_over = True
+    assert_that(room.services(), matchers.Equals([]))
--- /dev/null
+++ b/tests/core/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of route tables."""
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,201 @@
+"""Tests of the platform's formats."""
+
+import copy
+import json
+
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+import yaml
+
+from cassiashift_core import fleet
+from cassiashift_core import routes
+from cassiashift_daemon.direct import dialect
+from cassiashift_platform import documents
+from cassiashift_platform import settings
+from cassiashift_platform import upstreams
+
+DOCUMENT = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'draft',
+            'host': 'a.example',
+            'pathPrefix': '/draft/',
+            'kind': 'streaming',
+            'timeoutMs': 8000,
+            'targetLatencyMs': 400,
+            'targetGapMs': 120,
+            'priority': 1,
+            'trafficSplit': [
+                {'service': 'model', 'weight': 9},
+                {'service': 'desk', 'weight': 1},
+            ],
+            'attempts': 2,
+            'public': False,
+            'sticky': True,
+            'resumable': True,
+        },
+        {
+            'name': 'book',
+            'host': 'a.example',
+            'pathPrefix': '/book/',
+            'kind': 'unsafe',
+            'timeoutMs': 1200,
+            'service': 'desk',
+        },
+    ],
+    'services': [
+        {
+            'name': 'model',
+            'healthPath': '/healthz',
+            'maxConnections': 10,
+            'engine': {'slots': 6, 'step_ms': 5.85, 'expertMb': 580.0},
+        },
+        {'name': 'desk', 'protocol': 'h1', 'tls': False},
+    ],
+    'limits': {'maxBodyBytes': 1000, 'idleTimeoutMs': 15000},
+    'tenants': [{'name': 'one', 'apiKeys': ['k1', 'k2'], 'priority': 1}],
+    'unknown': {'is': 'ignored'},
+}
+HEARTBEAT = {
+    'service': 'desk',
+    'address': '10.0.0.9:8080',
+    'zone': 'east',
+    'version': 'v1',
+    'slots': 6,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'sequence': 4,
+    'born': 1000,
+}
+SETTINGS = {
+    'ip': '10.1.0.40',
+    'zone': 'east',
+    'region': 'west',
+    'listen': {'front': '10.1.0.40:8227', 'control': '10.1.0.40:8229'},
+    'portRange': [7340, 7355],
+    'seeds': ['10.1.0.40:8229', '10.2.0.29:8229'],
+    'bootstrap': True,
+    'dataDir': None,
+    'heartbeatMs': 1200,
+    'faultTolerance': {'machines': 1},
+    'bounds': {'configApplyMs': 2500, 'gracePeriodS': 8},
+    'new': 'ignored',
+}
+
+
+def _problems(document):
+    table = documents.decode(json.dumps(document).encode())
+    return routes.problems(table)
+
+
+def test_a_configuration_is_decoded():
+    table = documents.decode(json.dumps(DOCUMENT).encode())
+    draft = table.find('a.example', '/draft/x')
+    assert_that(draft.kind, matchers.Is(routes.Kind.STREAM))
+    assert_that(draft.objective_s, matchers.Equals(0.4))
+    assert_that(draft.is_resumable, matchers.Is(True))
+    assert_that(
+        draft.targets,
+        matchers.Equals((routes.Target('model', 9), routes.Target('desk', 1))),
+    )
+    assert_that(table.service('model').engine.slots, matchers.Equals(6))
+    assert_that(table.workspace_of('k2').name, matchers.Equals('one'))
+    assert_that(table.limits.max_body_bytes, matchers.Equals(1000))
+    assert_that(routes.problems(table), matchers.Equals([]))
+
+
+def _changed(change):
+    document = copy.deepcopy(DOCUMENT)
+    change(document)
+    return document
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        lambda d: d['routes'][1].update(service='none'),
+        lambda d: d['routes'][1].update(pathPrefix='/draft/'),
+        lambda d: d['routes'][1].update(timeoutMs=0),
+        lambda d: [t.update(weight=0) for t in d['routes'][0]['trafficSplit']],
+        lambda d: d['tenants'].append({'name': 'two', 'apiKeys': ['k1']}),
+    ],
+)
+def test_an_invalid_configuration_is_named(change):
+    assert_that(_problems(_changed(change)), matchers.HasLength(1))
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        json.dumps(DOCUMENT).encode()[:-20],
+        b'',
+        b'[]',
+        b'{"version": "7", "routes": [], "services": []}',
+        b'{"version": 0, "routes": [], "services": []}',
+        json.dumps(
+            _changed(lambda d: d['routes'][0].update(kind='odd'))
+        ).encode(),
+        json.dumps(_changed(lambda d: d['routes'][1].pop('service'))).encode(),
+    ],
+)
+def test_bytes_that_are_no_configuration_are_refused(content):
+    with pytest.raises(dialect.InvalidDocumentError):
+        documents.decode(content)
+
+
+def test_a_heartbeat_is_decoded():
+    content = json.dumps(HEARTBEAT).encode()
+    found = upstreams.decode_heartbeat('i-1', content)
+    assert_that(found.address, matchers.Equals('10.0.0.9:8080'))
+    assert_that(found.state, matchers.Is(fleet.UpstreamState.READY))
+    assert_that(found.age_key, matchers.Equals((1000, 4)))
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'odd'},
+        {'service': None},
+        {'address': 'nowhere'},
+        {'sequence': '4'},
+        {'born': 'x'},
+        {'slots': [1]},
+    ],
+)
+def test_a_strange_heartbeat_names_no_upstream(change):
+    with pytest.raises(ValueError):
+        upstreams.decode_heartbeat(
+            'i-1', json.dumps(HEARTBEAT | change).encode()
+        )
+
+
+def test_a_leave_may_name_its_start():
+    assert_that(upstreams.decode_leave(b''), matchers.Equals(0))
+    assert_that(upstreams.decode_leave(b'{"born": 7}'), matchers.Equals(7))
+
+
+def test_the_settings_are_decoded(tmp_path):
+    path = tmp_path / 'settings.yaml'
+    path.write_text(yaml.safe_dump(SETTINGS))
+    cfg = settings.read(path)
+    assert_that(cfg.host, matchers.Equals('10.1.0.40'))
+    assert_that(cfg.seeds, matchers.Equals(('10.1.0.40', '10.2.0.29')))
+    assert_that(cfg.link_of('h'), matchers.Equals('tcp://h:7340'))
+    assert_that(cfg.bounds.apply_s, matchers.Equals(2.5))
+    assert_that(cfg.heartbeat_s, matchers.Equals(1.2))
+    assert_that(cfg.data_dir, matchers.Equals(''))
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [('ip', 7), ('portRange', ['x']), ('bounds', []), ('bootstrap', 'yes')],
+)
+def test_a_faulty_setting_is_named_with_its_file(tmp_path, name, value):
+    path = tmp_path / 'settings.yaml'
+    path.write_text(yaml.safe_dump(SETTINGS | {name: value}))
+    with pytest.raises(settings.SettingsError) as caught:
+        settings.read(path)
+    assert_that(str(caught.value), matchers.Contains(name))
+    assert_that(str(caught.value), matchers.Contains(str(path)))
