Never let an error answer follow the head of a stream

Ruled out: the resumption, which did not take place. Change: a begun stream can only be closed without its end mark. The tests play it byte for byte; they also found that a caller who left the queue was sent on, since handler_cancellation was given to the runner, not to the server, and that a request refused by every upstream waited for one that had not refused it.

--- a/packages/cassiashift-core/cassiashift_core/placing/attempts.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/attempts.py
@@ -37,9 +37,16 @@
         return verdict
 
     @property
-    def used(self) -> set[str]:
-        """Return the upstreams that the request was sent to."""
-        return {attempt.upstream for attempt in self.attempts}
+    def excluded(self) -> set[str]:
+        """Return the upstreams that the request may have run on.
+
+        One that refused it may have room by now.
+        """
+        return {
+            attempt.upstream
+            for attempt in self.attempts
+            if attempt.verdict is not verdicts.Verdict.NOT_RUN
+        }
 
     def ended(self, upstream: str, verdict: verdicts.Verdict) -> None:
         """Note the end of a send."""
--- a/packages/cassiashift-core/cassiashift_core/placing/loads.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/loads.py
@@ -52,7 +52,7 @@
         """Note a good outcome."""
         self.failures_in_row = 0
         self.failure_share *= 1 - FAILURE_WEIGHT
-        self.breaker.succeeded(now)
+        self._answered(now)
 
     def failed(self, now: float, is_down: bool = False) -> None:
         """Note a bad outcome; ``is_down`` when it can't be reached."""
@@ -64,7 +64,11 @@
     def refused(self, now: float, pause_s: float) -> None:
         """Note that it takes nothing more for a moment."""
         self.full_until = max(self.full_until, now + pause_s)
-        self.breaker.succeeded(now)
+        self._answered(now)
+
+    def _answered(self, now: float) -> None:
+        if self.breaker.state != 'closed':
+            self.breaker.succeeded(now)
 
     def takes(self, now: float) -> bool:
         """Tell whether a request may be sent now."""
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/__init__.py
@@ -0,0 +1,51 @@
+"""Expert maps of groups whose engines switch maps on orders.
+
+The engines of a group prepare, hold, arm and go on orders; they don't ask
+anybody at each pass, as ``mapswitch`` needs it.
+"""
+
+from cassiashift_core.rankmaps.coordinating import BEACON_INTERVAL_S
+from cassiashift_core.rankmaps.coordinating import Coordinator
+from cassiashift_core.rankmaps.demand import Demand
+from cassiashift_core.rankmaps.messages import Choices
+from cassiashift_core.rankmaps.messages import EngineOrder
+from cassiashift_core.rankmaps.messages import GroupBeacon
+from cassiashift_core.rankmaps.messages import MESSAGE_TYPES
+from cassiashift_core.rankmaps.messages import RankStatus
+from cassiashift_core.rankmaps.model import Armed
+from cassiashift_core.rankmaps.model import ExpertLists
+from cassiashift_core.rankmaps.model import first_map
+from cassiashift_core.rankmaps.model import GroupShape
+from cassiashift_core.rankmaps.model import Order
+from cassiashift_core.rankmaps.model import OrderKind
+from cassiashift_core.rankmaps.model import RankReport
+from cassiashift_core.rankmaps.model import version_after
+from cassiashift_core.rankmaps.planning import Plan
+from cassiashift_core.rankmaps.planning import plan
+from cassiashift_core.rankmaps.recovery import Recovery
+from cassiashift_core.rankmaps.switch import Phase
+from cassiashift_core.rankmaps.switch import Switch
+
+__all__ = [
+    'Armed',
+    'BEACON_INTERVAL_S',
+    'Choices',
+    'Coordinator',
+    'Demand',
+    'EngineOrder',
+    'ExpertLists',
+    'GroupBeacon',
+    'GroupShape',
+    'MESSAGE_TYPES',
+    'Order',
+    'OrderKind',
+    'Phase',
+    'Plan',
+    'RankReport',
+    'RankStatus',
+    'Recovery',
+    'Switch',
+    'first_map',
+    'plan',
+    'version_after',
+]
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
@@ -0,0 +1,244 @@
+"""Which agent drives a group's maps, and what it does next.
+
+The agent of the lowest rank that is heard coordinates. Two at the same time
+do no harm (see ``switch``), so a beacon and a time-out decide.
+"""
+
+import attrs
+
+from cassiashift_core.rankmaps import demand
+from cassiashift_core.rankmaps import messages
+from cassiashift_core.rankmaps import model
+from cassiashift_core.rankmaps import planning
+from cassiashift_core.rankmaps import recovery
+from cassiashift_core.rankmaps import switch
+
+BEACON_INTERVAL_S = 1.0
+# Two beacons may be lost before the next rank takes over.
+BEACON_TIMEOUT_S = 2.5
+# Later ranks wait longer, so that one of them is first.
+BEACON_STAGGER_S = 0.5
+STATUS_TIMEOUT_S = 2.0
+PLAN_INTERVAL_S = 0.5
+# Fall of the skew, averaged over the sets, that a switch has to bring.
+LEAST_GAIN = 0.04
+# Choices needed before a plan means anything, for each set and expert.
+LEAST_CHOICES = 4.0
+# A pass that nobody drives is freed after this.
+STALL_S = 1.0
+
+
+@attrs.define
+class Coordinator:
+    """Plans and drives the maps of the group of one rank.
+
+    Attributes:
+        shape: None until the engine's figures are known.
+        hosts: the agent's host of each rank.
+        plan: the newest plan that led to a switch.
+    """
+
+    own: model.RankReport
+    host: str
+    shape: model.GroupShape | None = None
+    hosts: dict[int, str] = attrs.field(factory=dict)
+    plan: planning.Plan | None = None
+    skew: float = 0.0
+    switches: int = 0
+    _statuses: dict[int, tuple[float, messages.RankStatus]] = attrs.field(
+        factory=dict
+    )
+    _active: switch.Switch | recovery.Recovery | None = None
+    _demand: demand.Demand | None = None
+    _beacon_at: float | None = None
+    _beacon_rank: int | None = None
+    _planned_at: float = 0.0
+    _version: int = 0
+    _held_since: float | None = None
+    _finished: set[int] = attrs.field(factory=set)
+
+    @property
+    def active(self) -> switch.Switch | recovery.Recovery | None:
+        """Return the switch or the recovery under way."""
+        return self._active
+
+    def note_own(self, report: model.RankReport, now: float) -> None:
+        """Take the own engine's report."""
+        if (report.group, report.epoch) != (self.own.group, self.own.epoch):
+            self._forget_group()
+        self.own = report
+        self.hosts[report.rank] = self.host
+        if self._beacon_at is None:
+            self._beacon_at = now
+
+    def beacon(self, message: messages.GroupBeacon, now: float) -> bool:
+        """Take a beacon; tell whether its sender coordinates this group."""
+        if message.group != self.own.group:
+            return False
+        if message.rank > self.own.rank and self.coordinates(now):
+            return False
+        self._beacon_at = now
+        self._beacon_rank = message.rank
+        return True
+
+    def coordinates(self, now: float) -> bool:
+        """Tell whether this agent drives the group."""
+        if self.own.rank == 0:
+            return True
+        if self._beacon_at is None:
+            return False
+        wait_s = BEACON_TIMEOUT_S + BEACON_STAGGER_S * self.own.rank
+        return now - self._beacon_at > wait_s
+
+    def status(self, message: messages.RankStatus, now: float) -> None:
+        """Take the state of a rank."""
+        report = message.report
+        if report.group != self.own.group or report.epoch < self.own.epoch:
+            return
+        known = self._statuses.get(report.rank)
+        if not message.lists and known is not None:
+            old = known[1]
+            if old.report.map_version == report.map_version:
+                message = attrs.evolve(message, lists=old.lists)
+        self.hosts[report.rank] = message.host
+        self._statuses[report.rank] = (now, message)
+        if message.choices is not None and self.shape is not None:
+            if self._demand is None:
+                self._demand = demand.Demand(
+                    self.shape.sets, self.shape.experts
+                )
+            self._demand.add(message.choices.counts(), now)
+        if self._active is not None:
+            self._active.report(report, now)
+
+    def orders(self, now: float) -> list[model.Order]:
+        """Return the orders that are due."""
+        if self._active is not None and self._active.is_over:
+            self._finish(now)
+        if self._active is None:
+            self._start(now)
+        if self._active is not None:
+            return self._active.orders(now)
+        if self.own.held is not None and self.own.held in self._finished:
+            # A hold that was carried out after its pass had been released.
+            return [
+                model.Order(
+                    model.OrderKind.GO,
+                    self.own.rank,
+                    self.own.epoch,
+                    step=self.own.held,
+                )
+            ]
+        return []
+
+    def _start(self, now: float) -> None:
+        reports = self._fresh_reports(now)
+        if not self.coordinates(now) or len(reports) != self.own.size:
+            self._held_since = None
+            return
+        if self._is_stalled(reports, now):
+            self._recover(reports)
+        elif now - self._planned_at >= PLAN_INTERVAL_S:
+            self._planned_at = now
+            self._try_plan(reports, now)
+
+    def _fresh_reports(self, now: float) -> dict[int, model.RankReport]:
+        return {
+            rank: message.report
+            for rank, (heard_at, message) in self._statuses.items()
+            if now - heard_at <= STATUS_TIMEOUT_S
+            and message.report.epoch == self.own.epoch
+        }
+
+    def _is_stalled(
+        self, reports: dict[int, model.RankReport], now: float
+    ) -> bool:
+        held = [
+            report
+            for report in reports.values()
+            if report.held is not None
+            and not (
+                report.rank == self.own.rank and report.held in self._finished
+            )
+        ]
+        if not held:
+            self._held_since = None
+            return False
+        if self._held_since is None:
+            self._held_since = now
+        return now - self._held_since > STALL_S
+
+    def _recover(self, reports: dict[int, model.RankReport]) -> None:
+        free = [rank for rank, item in reports.items() if item.held is None]
+        lists = self._current(reports)
+        if not free or lists is None:
+            return
+        steps = [r.held for r in reports.values() if r.held is not None]
+        self._held_since = None
+        self._active = recovery.Recovery(
+            epoch=self.own.epoch,
+            size=self.own.size,
+            guard_rank=min(free),
+            version=self._next_version(reports),
+            lists=lists,
+            step=min(steps),
+        )
+
+    def _try_plan(
+        self, reports: dict[int, model.RankReport], now: float
+    ) -> None:
+        lists = self._current(reports)
+        if lists is None or self.shape is None or self._demand is None:
+            return
+        if not all(report.is_open for report in reports.values()):
+            return
+        cells = self.shape.sets * self.shape.experts
+        if self._demand.total < LEAST_CHOICES * cells:
+            return
+        found = planning.plan(lists, self._demand.loads, self.shape)
+        self.skew = found.before
+        if found.before - found.after < LEAST_GAIN:
+            return
+        self.plan = found
+        self.switches += 1
+        self._active = switch.Switch(
+            epoch=self.own.epoch,
+            size=self.own.size,
+            own_rank=self.own.rank,
+            version=self._next_version(reports),
+            lists=found.lists,
+            former=lists,
+            started_at=now,
+        )
+
+    def _current(
+        self, reports: dict[int, model.RankReport]
+    ) -> model.ExpertLists | None:
+        """Return the map in use, if all ranks agree on its version."""
+        versions = {report.map_version for report in reports.values()}
+        rows = [self._statuses[rank][1].lists for rank in sorted(reports)]
+        if len(versions) != 1 or not all(rows):
+            return None
+        return tuple(zip(*rows, strict=True))
+
+    def _next_version(self, reports: dict[int, model.RankReport]) -> int:
+        self._version = model.version_after(
+            reports.values(), self.own.rank, self.own.size, self._version
+        )
+        return self._version
+
+    def _finish(self, now: float) -> None:
+        self._finished.add(self._active.step)
+        # The versions that an abort prepares are used up as well.
+        self._version += self.own.size
+        self._active = None
+        self._planned_at = now
+
+    def _forget_group(self) -> None:
+        self._statuses.clear()
+        self.hosts.clear()
+        self._finished.clear()
+        self._active = None
+        self._demand = None
+        self._held_since = None
+        self._version = 0
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/demand.py
@@ -0,0 +1,50 @@
+"""How often experts were chosen lately, from counters that only rise."""
+
+import attrs
+
+# Popularity moves every few seconds; a second of history is followed
+# quickly and still holds some thousand choices for each set.
+HALF_LIFE_S = 0.8
+
+
+@attrs.define
+class Demand:
+    """Decaying sums of choices, for each set and expert.
+
+    Attributes:
+        loads: choices for each set and expert, decayed to the last time.
+    """
+
+    sets: int
+    experts: int
+    loads: list[list[float]] = attrs.field(init=False)
+    _at: float | None = None
+
+    def __attrs_post_init__(self) -> None:
+        """Start without any choice."""
+        self.loads = [[0.0] * self.experts for _ in range(self.sets)]
+
+    def add(self, counts: list[int], now: float) -> None:
+        """Add a rank's new choices, of length sets x experts."""
+        if len(counts) != self.sets * self.experts:
+            return
+        self._decay(now)
+        for number, row in enumerate(self.loads):
+            start = number * self.experts
+            part = counts[start : start + self.experts]
+            self.loads[number] = [
+                old + new for old, new in zip(row, part, strict=True)
+            ]
+
+    @property
+    def total(self) -> float:
+        """Return all choices."""
+        return sum(map(sum, self.loads))
+
+    def _decay(self, now: float) -> None:
+        if self._at is not None and now > self._at:
+            factor = 0.5 ** ((now - self._at) / HALF_LIFE_S)
+            self.loads = [
+                [value * factor for value in row] for row in self.loads
+            ]
+        self._at = now if self._at is None else max(now, self._at)
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
@@ -0,0 +1,118 @@
+"""What the engines of a group report and what they may be told."""
+
+from collections.abc import Iterable
+import enum
+
+import attrs
+
+# For each set of layers and each rank, the experts that the rank holds.
+ExpertLists = tuple[tuple[tuple[int, ...], ...], ...]
+
+
+@attrs.frozen
+class GroupShape:
+    """Sizes that bound the maps of a group.
+
+    Attributes:
+        placements: experts that a rank may hold in a set.
+        spare: experts in a set that one map may bring to a rank.
+        expert_share: share of the token work that experts do, 0 to 1.
+    """
+
+    ranks: int
+    sets: int
+    experts: int
+    placements: int
+    spare: int
+    expert_share: float = 1.0
+
+
+@attrs.frozen
+class Armed:
+    """A rank switches to a prepared map as a pass begins."""
+
+    version: int
+    step: int
+
+
+@attrs.frozen
+class RankReport:
+    """The state of one rank, fresh from its own host.
+
+    Attributes:
+        epoch: number of the group's formation; a new one starts with map 0
+            and with nothing prepared, armed or held.
+        is_open: the group makes passes.
+        size: ranks of the group.
+        step: number of the last pass that was begun.
+        map_version: version of the map in use.
+        prepared: version whose experts are all copied; None for none.
+        held: pass that the group does not begin until told; None for none.
+        running: requests at this rank.
+    """
+
+    group: str
+    epoch: int
+    rank: int
+    size: int
+    is_open: bool
+    step: int
+    map_version: int = 0
+    prepared: int | None = None
+    armed: Armed | None = None
+    held: int | None = None
+    running: int = 0
+
+    @property
+    def newest_version(self) -> int:
+        """Return the highest version that the rank shows."""
+        versions = [self.map_version, self.prepared or 0]
+        if self.armed is not None:
+            versions.append(self.armed.version)
+        return max(versions)
+
+
+class OrderKind(enum.Enum):
+    """What an engine can be told."""
+
+    PREPARE = 'prepare'
+    HOLD = 'hold'
+    ARM = 'arm'
+    DISARM = 'disarm'
+    GO = 'go'
+
+
+@attrs.frozen
+class Order:
+    """One order for one rank; it may be carried out late or never."""
+
+    kind: OrderKind
+    rank: int
+    epoch: int
+    version: int = 0
+    step: int = 0
+    lists: ExpertLists = ()
+
+
+def first_map(shape: GroupShape) -> ExpertLists:
+    """Return map 0, which assigns the experts in turn."""
+    rows = tuple(
+        tuple(range(rank, shape.experts, shape.ranks))
+        for rank in range(shape.ranks)
+    )
+    return (rows,) * shape.sets
+
+
+def version_after(
+    reports: Iterable[RankReport], rank: int, size: int, floor: int = 0
+) -> int:
+    """Return a version above all that the ranks show.
+
+    Versions of different coordinators never meet: a version leaves the
+    coordinator's rank when divided by the size of the group.
+
+    Args:
+        floor: the result is above this, too.
+    """
+    highest = max([floor, *(item.newest_version for item in reports)])
+    return (highest // size + 1) * size + rank
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
@@ -0,0 +1,228 @@
+"""Moves all ranks of a group to a new map at one pass.
+
+The steps: every rank prepares the map; the coordinator's rank holds a pass
+S that has not begun, so that the group can't begin it; every rank is armed
+with S; once all of them report that, S is released. If that takes too long
+the version is made dead at every rank before S is released, so that S
+begins on the former map everywhere.
+
+Orders may be carried out seconds late, after newer ones. What makes that
+harmless:
+
+- A version and its pass belong together: a version is armed for one S only.
+  A late arm is refused once S has begun, and once the version is no longer
+  the prepared one. A version is dead at a rank that is not armed and whose
+  prepared version is a later one: a version is never prepared twice.
+- The hold is placed before any rank is armed, and released only when either
+  all ranks are armed or the version is dead at all of them. Both last until
+  S has begun: a rank is only disarmed by an abort, which follows no commit.
+- Another coordinator that takes over places a hold of its own first (see
+  ``recovery``), so that both must have released S.
+"""
+
+import enum
+
+import attrs
+
+from cassiashift_core.rankmaps import model
+
+# Passes between the last one reported and the one at which maps change:
+# one may begin while the order is under way.
+LEAD_STEPS = 2
+# An order without an effect in the next report is given again.
+RETRY_S = 0.12
+# The answer to an order to prepare comes when the copies are complete.
+PREPARE_RETRY_S = 0.8
+# Copies take 50 ms an expert; a rank that is not ready by then is given up.
+PREPARE_TIMEOUT_S = 3.0
+HOLD_TIMEOUT_S = 1.0
+# Longest time that an idle or slow rank may delay a held pass.
+ARM_TIMEOUT_S = 0.5
+
+
+class Phase(enum.Enum):
+    """Where a switch stands."""
+
+    PREPARE = 'prepare'
+    HOLD = 'hold'
+    ARM = 'arm'
+    RELEASE = 'release'
+    KILL = 'kill'
+    DONE = 'done'
+
+
+@attrs.define
+class Switch:
+    """One switch of one group, as its coordinator drives it.
+
+    ``report`` takes the state of a rank, ``orders`` returns what is to be
+    told to the ranks now. An order is repeated until a report shows its
+    effect.
+
+    Attributes:
+        own_rank: rank of the coordinator, whose engine holds the pass.
+        version: of the new map.
+        former: the map in use; prepared again to make a version dead.
+        is_committed: every rank was armed.
+        phase: of the switch.
+    """
+
+    epoch: int
+    size: int
+    own_rank: int
+    version: int
+    lists: model.ExpertLists
+    former: model.ExpertLists
+    started_at: float
+    phase: Phase = Phase.PREPARE
+    step: int = 0
+    is_committed: bool = False
+    reason: str = ''
+    _reports: dict[int, model.RankReport] = attrs.field(factory=dict)
+    _sent: dict[int, float] = attrs.field(factory=dict)
+    _phase_at: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start with the preparation."""
+        self._phase_at = self.started_at
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether nothing is left to be done."""
+        return self.phase is Phase.DONE
+
+    def report(self, report: model.RankReport, now: float) -> None:
+        """Take a fresh report of a rank."""
+        if report.epoch > self.epoch:
+            # The group was formed anew: nothing of this switch is left.
+            self._enter(Phase.DONE, now, 'the group was formed anew')
+            return
+        if report.epoch != self.epoch:
+            return
+        self._reports[report.rank] = report
+        self._sent.pop(report.rank, None)
+        self._advance(now)
+
+    def orders(self, now: float) -> list[model.Order]:
+        """Return the orders that are due, at most one for each rank."""
+        self._check_time(now)
+        orders = []
+        is_slow = self.phase is Phase.PREPARE
+        retry_s = PREPARE_RETRY_S if is_slow else RETRY_S
+        for rank in range(self.size):
+            if now < self._sent.get(rank, now - retry_s) + retry_s:
+                continue
+            order = self._order_for(rank)
+            if order is not None:
+                self._sent[rank] = now
+                orders.append(order)
+        return orders
+
+    def _order_for(self, rank: int) -> model.Order | None:
+        report = self._reports.get(rank)
+        match self.phase:
+            case Phase.PREPARE:
+                if report is None or report.prepared != self.version:
+                    return self._order(model.OrderKind.PREPARE, rank)
+            case Phase.HOLD:
+                if rank == self.own_rank:
+                    return self._order(model.OrderKind.HOLD, rank)
+            case Phase.ARM:
+                if not self._is_armed(report):
+                    return self._order(model.OrderKind.ARM, rank)
+            case Phase.KILL:
+                return self._kill_order(rank, report)
+            case Phase.RELEASE:
+                if rank == self.own_rank:
+                    return self._order(model.OrderKind.GO, rank)
+        return None
+
+    def _kill_order(
+        self, rank: int, report: model.RankReport | None
+    ) -> model.Order | None:
+        if report is not None and self._is_dead_at(report):
+            return None
+        if report is None or report.armed is not None:
+            return self._order(model.OrderKind.DISARM, rank)
+        order = self._order(model.OrderKind.PREPARE, rank)
+        return attrs.evolve(
+            order, version=self.version + self.size, lists=self.former
+        )
+
+    def _order(self, kind: model.OrderKind, rank: int) -> model.Order:
+        return model.Order(
+            kind,
+            rank,
+            self.epoch,
+            self.version,
+            self.step,
+            self.lists if kind is model.OrderKind.PREPARE else (),
+        )
+
+    def _advance(self, now: float) -> None:
+        following = self._following()
+        if following is not None:
+            self._enter(following, now)
+
+    def _following(self) -> Phase | None:
+        """Return the phase that the reports allow to enter, if any."""
+        own = self._reports.get(self.own_rank)
+        if own is None:
+            return None
+        match self.phase:
+            case Phase.PREPARE if self._all(self._is_prepared):
+                self.step = own.step + LEAD_STEPS
+                return Phase.HOLD
+            case Phase.HOLD:
+                return self._following_hold(own)
+            case Phase.ARM if self._all(self._is_armed):
+                self.is_committed = True
+                return Phase.RELEASE
+            case Phase.KILL if self._all(self._is_dead_at):
+                return Phase.RELEASE
+            case Phase.RELEASE if own.held != self.step:
+                return Phase.DONE
+        return None
+
+    def _following_hold(self, own: model.RankReport) -> Phase | None:
+        if own.held == self.step:
+            return Phase.ARM
+        if own.step >= self.step:
+            # No rank was armed for it; a later pass will do.
+            self.step = own.step + LEAD_STEPS
+        return None
+
+    def _check_time(self, now: float) -> None:
+        waited_s = now - self._phase_at
+        match self.phase:
+            case Phase.PREPARE:
+                if waited_s > PREPARE_TIMEOUT_S:
+                    # No rank was armed, so none of them can switch.
+                    self._enter(Phase.DONE, now, 'a rank did not prepare')
+            case Phase.HOLD:
+                if waited_s > HOLD_TIMEOUT_S:
+                    self._enter(Phase.RELEASE, now, 'no pass was held')
+            case Phase.ARM:
+                if waited_s > ARM_TIMEOUT_S:
+                    self._enter(Phase.KILL, now, 'a rank was not armed')
+
+    def _enter(self, phase: Phase, now: float, reason: str = '') -> None:
+        self.phase = phase
+        self.reason = self.reason or reason
+        self._phase_at = now
+        self._sent.clear()
+
+    def _all(self, check) -> bool:
+        return len(self._reports) == self.size and all(
+            map(check, self._reports.values())
+        )
+
+    def _is_prepared(self, report: model.RankReport) -> bool:
+        return report.prepared == self.version
+
+    def _is_armed(self, report: model.RankReport | None) -> bool:
+        wanted = model.Armed(self.version, self.step)
+        return report is not None and report.armed == wanted
+
+    def _is_dead_at(self, report: model.RankReport) -> bool:
+        return report.armed is None and (report.prepared or 0) > self.version
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -79,7 +79,10 @@
                 reason=str(exc),
                 after_s=time.monotonic() - started,
             )
-            return self._cut(request)
+            # The connection ends without the mark of the stream's end.
+            if request.transport is not None:
+                request.transport.close()
+            raise asyncio.CancelledError from exc
         finally:
             self.in_flight -= 1
             spent_s = time.monotonic() - started
@@ -91,7 +94,7 @@
         call = await self._read(request)
         if call.route.kind is routes.Kind.STREAM:
             relay = StreamRelay(self, request, call)
-            return await calls.until_end(call, relay.run())
+            return await self._relay(call, relay)
         answer = await calls.until_end(call, self._whole(call))
         headers = answer.headers_for_caller()
         response = web.Response(
@@ -106,6 +109,17 @@
         )
         return self._closing(response)
 
+    async def _relay(
+        self, call: calls.Call, relay: 'StreamRelay'
+    ) -> web.StreamResponse:
+        try:
+            return await calls.until_end(call, relay.run())
+        except CassiashiftError as exc:
+            if relay.response is not None:
+                # Nothing but the rest of the stream may follow its head.
+                raise BrokenOffError(str(exc)) from exc
+            raise
+
     async def _read(self, request: web.BaseRequest) -> calls.Call:
         arrived_at = time.monotonic()
         table = self.holder.table
@@ -249,12 +263,6 @@
             response.force_close()
         return response
 
-    def _cut(self, request: web.BaseRequest) -> web.StreamResponse:
-        """End a connection so that the answer can't be taken for whole."""
-        if request.transport is not None:
-            request.transport.close()
-        return web.Response(status=exchange.SERVER_ERROR)
-
 
 @attrs.define(eq=False)
 class StreamRelay:
@@ -279,34 +287,20 @@
         """Serve the stream.
 
         Raises:
-            CassiashiftError: nothing was sent to the caller.
-            BrokenOffError: a part of the stream was.
+            CassiashiftError: the stream can't be served, or not further.
         """
         while True:
             try:
                 response = await self._relay_once()
             except exchange.SendFailedError as exc:
                 if not self._may_go_on():
-                    raise self._failure(exc) from exc
+                    raise refusals.error_of(exc, self.call) from exc
                 continue
-            except CassiashiftError as exc:
-                if self.response is not None:
-                    raise BrokenOffError(str(exc)) from exc
-                raise
-            except asyncio.CancelledError:
-                if self.response is not None and self.call.left_s() <= 0:
-                    raise BrokenOffError('time is up') from None
-                raise
             return response
 
     def _may_go_on(self) -> bool:
         return self.call.log.may_send_again() and self.call.left_s() > 0
 
-    def _failure(self, exc: exchange.SendFailedError) -> Exception:
-        if self.response is not None:
-            return BrokenOffError(exc.reason)
-        return refusals.error_of(exc, self.call)
-
     async def _relay_once(self) -> web.StreamResponse:
         call, owner = self.call, self.owner
         upstream = await owner.placement.place(call)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -138,7 +138,7 @@
     def _choose(self, call: calls.Call, now: float) -> fleet.Upstream | None:
         candidates = self.runner.upstreams.accepting(call.service, now)
         limit = self._limit(call.service, candidates)
-        chosen = self.loads.choose(candidates, limit, call.log.used, now)
+        chosen = self.loads.choose(candidates, limit, call.log.excluded, now)
         if chosen is not None:
             self.loads.of(chosen.id).sent(now)
         return chosen
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -216,12 +216,12 @@
             server = web.ServerRunner(
                 web.Server(
                     self.ingress.handle,
+                    handler_cancellation=True,
                     access_log=None,
                     keepalive_timeout=KEEPALIVE_TIMEOUT_S,
                     max_line_size=MAX_HEADER_BYTES,
                     max_field_size=MAX_HEADER_BYTES,
-                ),
-                handler_cancellation=True,
+                )
             )
             await server.setup()
             await webserver.listen(server, listeners.front)
--- a/tests/core/placing/test_placing.py
+++ b/tests/core/placing/test_placing.py
@@ -110,7 +110,7 @@
     assert_that(log.may_send_again(), matchers.Is(True))
     log.ended('u1', Verdict.RAN)
     assert_that(log.may_send_again(), matchers.Is(False))
-    assert_that(log.used, matchers.Equals({'u0', 'u1'}))
+    assert_that(log.excluded, matchers.Equals({'u0', 'u1'}))
 
 
 def test_refusals_end_a_request_after_some_sends():
@@ -120,6 +120,7 @@
         log.ended(f'u{number}', Verdict.NOT_RUN)
     assert_that(log.may_send_again(), matchers.Is(False))
     assert_that(log.verdict, matchers.Is(Verdict.NOT_RUN))
+    assert_that(log.excluded, matchers.Equals(set()))
 
 
 def test_the_most_urgent_request_is_served_first():
--- /dev/null
+++ b/tests/daemon/direct/conftest.py
@@ -0,0 +1,261 @@
+"""An ingress on loopback before scripted upstreams."""
+
+import asyncio
+import contextlib
+import random
+
+import aiohttp
+from aiohttp import web
+import attrs
+import pytest
+
+from cassiashift_core import fleet
+from cassiashift_core import placing
+from cassiashift_core import routes
+from cassiashift_daemon.direct import config
+from cassiashift_daemon.direct import dialect
+from cassiashift_daemon.direct import exchange
+from cassiashift_daemon.direct import fleet_runner
+from cassiashift_daemon.direct import ingress
+from cassiashift_daemon.direct import metrics
+from cassiashift_daemon.direct import placement
+from cassiashift_daemon.direct import tables
+
+NAMES = dialect.HeaderNames(
+    request_id='X-Id',
+    deadline_ms='X-Deadline',
+    stamp='X-Stamp',
+    workspace='X-Workspace',
+    expected_upstream='X-Expect',
+    upstream_id='X-Upstream',
+    not_run='X-Not-Run',
+    priority='X-Priority',
+    last_event='Last-Event-Id',
+    at_fault='X-At',
+)
+HOST = 'a.example'
+
+
+def route(name, kind, **fields):
+    """Return a route under /name/ to the service of that name."""
+    values = {'timeout_s': 2.0, 'attempts': 2} | fields
+    return routes.Route(
+        name, HOST, f'/{name}/', kind, (routes.Target(name),), **values
+    )
+
+
+TABLE = routes.RouteTable(
+    1,
+    (
+        route('read', routes.Kind.SAFE),
+        route('book', routes.Kind.UNSAFE, attempts=1),
+        route('draft', routes.Kind.STREAM, is_resumable=True),
+        route('talk', routes.Kind.STREAM),
+        route('brief', routes.Kind.STREAM, timeout_s=0.4),
+        route('open', routes.Kind.SAFE, is_public=True),
+    ),
+    tuple(
+        routes.Service(name)
+        for name in ('read', 'book', 'draft', 'talk', 'brief', 'open')
+    ),
+    (routes.Workspace('acme', ('secret',), 3),),
+)
+
+
+@attrs.define(eq=False)
+class ScriptedUpstream:
+    """Answers each connection by the next script, byte for byte.
+
+    A script is a coroutine function of the request's head and the writer.
+
+    Attributes:
+        heads: the heads of all requests so far.
+        ended: set when a caller's connection has ended.
+    """
+
+    address: str = ''
+    scripts: list = attrs.field(factory=list)
+    heads: list[str] = attrs.field(factory=list)
+    ended: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def serve(self, reader, writer):
+        """Serve one connection."""
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = (await reader.readuntil(b'\r\n\r\n')).decode()
+            self.heads.append(head)
+            script = self.scripts.pop(0) if self.scripts else whole
+            await script(head, writer)
+        with contextlib.suppress(ConnectionError):
+            writer.close()
+            await writer.wait_closed()
+        self.ended.set()
+
+
+def header(head, name):
+    """Return a header's value from a request's head."""
+    for line in head.split('\r\n'):
+        key, _, value = line.partition(': ')
+        if key.lower() == name.lower():
+            return value
+    return None
+
+
+def reply(head, status='200 OK', body=b'', **headers):
+    """Return the bytes of an answer with a length."""
+    lines = [
+        f'HTTP/1.1 {status}',
+        f'X-Id: {header(head, "X-Id")}',
+        'X-Stamp: s',
+        f'Content-Length: {len(body)}',
+    ]
+    lines += [f'{key.replace("_", "-")}: {v}' for key, v in headers.items()]
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+async def whole(head, writer):
+    """Answer with a body."""
+    writer.write(reply(head, body=b'done'))
+    await writer.drain()
+
+
+def answering(status, body=b'', **headers):
+    """Return a script that answers with a status."""
+
+    async def script(head, writer):
+        writer.write(reply(head, status, body, **headers))
+        await writer.drain()
+
+    return script
+
+
+def streaming(first, last, *, is_whole=True, pause_s=0.0):
+    """Return a script that sends events, chunked."""
+
+    async def script(head, writer):
+        writer.write(
+            f'HTTP/1.1 200 OK\r\nX-Id: {header(head, "X-Id")}\r\n'
+            f'X-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n'.encode()
+        )
+        for number in range(first, last + 1):
+            data = f'id: {number}\ndata: x\n\n'.encode()
+            writer.write(f'{len(data):x}\r\n'.encode() + data + b'\r\n')
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        if is_whole:
+            writer.write(b'0\r\n\r\n')
+        await writer.drain()
+
+    return script
+
+
+async def silent(head, writer):
+    """Never answer."""
+    await asyncio.sleep(30)
+
+
+async def reset(head, writer):
+    """Reset the connection without an answer."""
+    writer.transport.abort()
+
+
+@attrs.define(eq=False)
+class Site:
+    """An ingress and the upstreams of its services."""
+
+    ingress: ingress.Ingress
+    runner: fleet_runner.FleetRunner
+    url: str
+    session: aiohttp.ClientSession
+    servers: list = attrs.field(factory=list)
+
+    async def upstream(self, service, *scripts):
+        """Start an upstream with scripts for its first requests."""
+        found = ScriptedUpstream(scripts=list(scripts))
+        server = await asyncio.start_server(found.serve, '127.0.0.1', 0)
+        self.servers.append(server)
+        found.address = '{}:{}'.format(*server.sockets[0].getsockname())
+        id_ = f'{service}-{len(self.servers)}'
+        self.runner.upstreams.take(
+            fleet.Upstream(id_, service, found.address, 'east', slots=2), 0.0
+        )
+        return found
+
+    def request(self, service, method='POST', **headers):
+        """Send a request to a service."""
+        sent = {
+            'Host': HOST,
+            'X-Id': 'r1',
+            'Authorization': 'Token secret',
+        } | {key.replace('_', '-'): value for key, value in headers.items()}
+        return self.session.request(
+            method, f'{self.url}/{service}/x?q=1', headers=sent, data=b'body'
+        )
+
+
+@attrs.define
+class _NoLinks:
+    """Links that reach nobody."""
+
+    def send(self, address, message):
+        """Drop a message."""
+
+
+def _ingress(cfg, holder, runner):
+    rng = random.Random(1)
+    return ingress.Ingress(
+        dialect=holder.dialect,
+        holder=holder,
+        exchange=exchange.Exchange.from_config(NAMES),
+        placement=placement.Placement(
+            cfg=cfg,
+            holder=holder,
+            runner=runner,
+            loads=placing.Loads('east', rng),
+            rng=rng,
+        ),
+        rng=rng,
+        metrics=metrics.Metrics(),
+    )
+
+
+@pytest.fixture
+async def site():
+    """Return an ingress that serves ``TABLE``."""
+    cfg = config.DirectConfig(
+        host='127.0.0.1',
+        data_centre='east',
+        region='r',
+        link_port=1,
+        listeners=config.Listeners(),
+        seeds=(),
+        bounds=config.Bounds(repeat_slack=100.0),
+    )
+    adapter = dialect.Dialect(
+        headers=NAMES,
+        key_scheme='Token',
+        decode_document=lambda content: TABLE,
+    )
+    holder = tables.TableHolder(adapter, table=TABLE)
+    runner = fleet_runner.FleetRunner(
+        cfg=cfg,
+        links=_NoLinks(),
+        nodes=fleet.NodeTable('127.0.0.1'),
+        upstreams=fleet.UpstreamTable(1e9, 1e9),
+        holder=holder,
+        started_ns=1,
+    )
+    own = _ingress(cfg, holder, runner)
+    server = web.ServerRunner(
+        web.Server(own.handle, handler_cancellation=True, access_log=None)
+    )
+    await server.setup()
+    place = web.TCPSite(server, '127.0.0.1', 0, shutdown_timeout=0.1)
+    await place.start()
+    port = server.addresses[0][1]
+    async with aiohttp.ClientSession() as session:
+        found = Site(own, runner, f'http://127.0.0.1:{port}', session)
+        yield found
+    for upstream in found.servers:
+        upstream.close()
+    await own.exchange.close()
+    await server.cleanup()
--- /dev/null
+++ b/tests/daemon/direct/test_ingress.py
@@ -0,0 +1,293 @@
+"""Tests of requests on their way through a direct entry."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from tests.daemon.direct import conftest as parts
+
+NOT_RUN = {'X_Not_Run': '1'}
+
+
+def _events(first, last):
+    return ''.join(
+        f'id: {number}\ndata: x\n\n' for number in range(first, last + 1)
+    )
+
+
+async def test_an_answer_is_passed_on_with_its_stamp(site):
+    upstream = await site.upstream('read')
+    async with site.request('read') as response:
+        assert_that(response.status, matchers.Equals(200))
+        assert_that(await response.read(), matchers.Equals(b'done'))
+        assert_that(response.headers['X-Stamp'], matchers.Equals('s'))
+    head = upstream.heads[0]
+    assert_that(head, matchers.StartsWith('POST /read/x?q=1 HTTP/1.1'))
+    assert_that(parts.header(head, 'Host'), matchers.Equals(parts.HOST))
+    assert_that(parts.header(head, 'X-Expect'), matchers.Equals('read-1'))
+    assert_that(parts.header(head, 'X-Workspace'), matchers.Equals('acme'))
+    assert_that(parts.header(head, 'X-Priority'), matchers.Equals('3'))
+    assert_that(parts.header(head, 'Authorization'), matchers.Is(None))
+    assert_that(
+        int(parts.header(head, 'X-Deadline')) <= 2000, matchers.Is(True)
+    )
+
+
+async def test_a_caller_can_not_name_its_workspace(site):
+    upstream = await site.upstream('open')
+    async with site.request('open', X_Workspace='other') as response:
+        assert_that(response.status, matchers.Equals(200))
+    head = upstream.heads[0]
+    assert_that(parts.header(head, 'X-Workspace'), matchers.Is(None))
+    assert_that(parts.header(head, 'Authorization'), matchers.Is(None))
+
+
+@pytest.mark.parametrize(
+    ('service', 'headers', 'status'),
+    [
+        ('none', {}, 404),
+        ('read', {'Authorization': 'Token wrong'}, 401),
+        ('read', {'Authorization': 'secret'}, 401),
+        ('read', {'X_Deadline': 'soon'}, 400),
+        ('read', {}, 503),
+    ],
+)
+async def test_what_can_not_be_served_is_refused(
+    site, service, headers, status
+):
+    async with site.request(service, **headers) as response:
+        assert_that(response.status, matchers.Equals(status))
+        if status == 503:
+            assert_that(response.headers, matchers.Contains('Retry-After'))
+
+
+async def test_an_entry_without_a_configuration_refuses_nobody_for_good(site):
+    site.ingress.holder.table = None
+    async with site.request('none') as response:
+        assert_that(response.status, matchers.Equals(503))
+
+
+@pytest.fixture
+async def ticking(site):
+    """Let the queue of the site be served all the while."""
+
+    async def tick():
+        while True:
+            site.ingress.placement.tick()
+            await asyncio.sleep(0.02)
+
+    task = asyncio.ensure_future(tick())
+    yield
+    task.cancel()
+
+
+async def test_a_refusal_is_sent_elsewhere_even_when_unsafe(site, ticking):
+    refusals = [parts.answering('503 No', **NOT_RUN)] * 3
+    one = await site.upstream('book', *refusals)
+    two = await site.upstream('book', *refusals)
+    async with site.request('book') as response:
+        assert_that(response.status, matchers.Equals(503))
+        assert_that(response.headers, matchers.Contains('Retry-After'))
+        assert_that(response.headers, matchers.Not(matchers.Contains('X-Id')))
+    sends = len(one.heads) + len(two.heads)
+    assert_that(sends, matchers.Equals(3))
+    assert_that(one.heads and two.heads, matchers.Not(matchers.Equals([])))
+
+
+async def foreign(head, writer):
+    """Answer with the id of another request."""
+    writer.write(parts.reply('X-Id: other'))
+    await writer.drain()
+
+
+async def unsigned(head, writer):
+    """Answer without a stamp."""
+    writer.write(parts.reply(head).replace(b'X-Stamp: s\r\n', b''))
+    await writer.drain()
+
+
+async def half(head, writer):
+    """Break off in the middle of the body."""
+    writer.write(parts.reply(head, body=b'x' * 100)[:-50])
+    await writer.drain()
+
+
+@pytest.mark.parametrize('script', [parts.reset, foreign, unsigned, half])
+async def test_an_unsafe_request_that_may_have_run_runs_once(site, script):
+    one = await site.upstream('book', script)
+    two = await site.upstream('book', script)
+    async with site.request('book') as response:
+        assert_that(response.status, matchers.Equals(502))
+    assert_that(one.heads + two.heads, matchers.HasLength(1))
+
+
+@pytest.mark.parametrize(
+    'script', [parts.reset, foreign, half, parts.answering('500 No')]
+)
+async def test_a_safe_request_that_failed_is_sent_again(site, script):
+    await site.upstream('read', script)
+    site.ingress.placement.loads.of('read-2').sent(0.0)
+    two = await site.upstream('read')
+    async with site.request('read') as response:
+        assert_that(response.status, matchers.Equals(200))
+    assert_that(two.heads, matchers.HasLength(1))
+
+
+async def test_a_failure_is_passed_on_when_nobody_does_better(site):
+    failure = parts.answering('500 No', b'why')
+    for _ in range(2):
+        await site.upstream('read', failure)
+    async with site.request('read') as response:
+        assert_that(response.status, matchers.Equals(500))
+        assert_that(await response.read(), matchers.Equals(b'why'))
+        assert_that(response.headers['X-Stamp'], matchers.Equals('s'))
+
+
+async def test_an_upstream_that_can_not_be_reached_is_passed_over(site):
+    gone = await site.upstream('book')
+    site.servers[0].close()
+    await site.servers[0].wait_closed()
+    there = await site.upstream('book')
+    for _ in range(4):
+        async with site.request('book') as response:
+            assert_that(response.status, matchers.Equals(200))
+    assert_that(gone.heads, matchers.HasLength(0))
+    assert_that(there.heads, matchers.HasLength(4))
+
+
+async def test_a_stream_is_passed_on_event_by_event(site):
+    await site.upstream('draft', parts.streaming(1, 3, pause_s=0.05))
+    async with site.request('draft') as response:
+        first = await response.content.readuntil(b'\n\n')
+        assert_that(first.decode(), matchers.Equals(_events(1, 1)))
+        rest = await response.read()
+    assert_that(rest.decode(), matchers.Equals(_events(2, 3)))
+
+
+async def test_a_broken_stream_goes_on_at_another_upstream(site):
+    one = await site.upstream('draft', parts.streaming(1, 2, is_whole=False))
+    two = await site.upstream('draft', parts.streaming(3, 4))
+    two.scripts, one.scripts = [parts.streaming(3, 4)], one.scripts
+    site.ingress.placement.loads.of('draft-2').sent(0.0)
+    async with site.request('draft') as response:
+        assert_that(await response.text(), matchers.Equals(_events(1, 4)))
+    head = two.heads[0]
+    assert_that(parts.header(head, 'Last-Event-Id'), matchers.Equals('2'))
+
+
+@pytest.mark.parametrize(
+    ('service', 'script'),
+    [
+        ('talk', parts.streaming(1, 2, is_whole=False)),
+        ('brief', parts.streaming(1, 20, pause_s=0.1)),
+    ],
+)
+async def test_a_stream_that_ends_early_never_looks_whole(
+    site, service, script
+):
+    await site.upstream(service, script)
+    url = site.url.removeprefix('http://').split(':')
+    reader, writer = await asyncio.open_connection(*url)
+    writer.write(
+        f'POST /{service}/x HTTP/1.1\r\nHost: {parts.HOST}\r\nX-Id: r1\r\n'
+        'Authorization: Token secret\r\nContent-Length: 0\r\n\r\n'.encode()
+    )
+    received = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    assert_that(received.count(b'HTTP/1.1'), matchers.Equals(1))
+    assert_that(received, matchers.Contains(b'id: 1'))
+    assert_that(received, matchers.Not(matchers.EndsWith(b'0\r\n\r\n')))
+
+
+async def test_the_work_ends_when_its_caller_leaves(site):
+    upstream = await site.upstream(
+        'talk', parts.streaming(1, 500, pause_s=0.02)
+    )
+    async with site.request('talk') as response:
+        await response.content.readuntil(b'\n\n')
+        response.close()
+    await asyncio.wait_for(upstream.ended.wait(), 2)
+    assert_that(site.ingress.in_flight, matchers.Equals(0))
+
+
+async def test_a_caller_that_leaves_the_queue_is_not_sent_on(site):
+    upstream = await site.upstream('read')
+    load = site.ingress.placement.loads.of('read-1')
+    load.in_flight = 2
+    with pytest.raises(asyncio.TimeoutError):
+        async with asyncio.timeout(0.2):
+            async with site.request('read'):
+                pass
+    await asyncio.sleep(0.1)
+    load.in_flight = 0
+    site.ingress.placement.tick()
+    await asyncio.sleep(0.1)
+    assert_that(upstream.heads, matchers.HasLength(0))
+    assert_that(load.in_flight, matchers.Equals(0))
+
+
+async def test_a_silent_upstream_ends_at_the_time_allowed(site):
+    await site.upstream('book', parts.silent)
+    async with site.request('book', X_Deadline='300') as response:
+        assert_that(response.status, matchers.Equals(504))
+
+
+async def test_a_request_that_only_waited_did_not_run(site, ticking):
+    await site.upstream('book')
+    site.ingress.placement.loads.of('book-1').in_flight = 2
+    async with site.request('book', X_Deadline='300') as response:
+        assert_that(response.status, matchers.Equals(503))
+
+
+async def test_a_leaving_entry_closes_its_connections(site):
+    await site.upstream('read')
+    site.ingress.is_leaving = True
+    async with site.request('read') as response:
+        assert_that(
+            response.headers.get('Connection'), matchers.Equals('close')
+        )
+
+
+async def test_a_body_without_a_length_counts_only_if_it_was_closed(site):
+    def unframed(is_reset):
+        async def script(head, writer):
+            id_ = parts.header(head, 'X-Id')
+            writer.write(
+                f'HTTP/1.1 200 OK\r\nX-Id: {id_}\r\nX-Stamp: s\r\n'
+                'Connection: close\r\n\r\nhalf'.encode()
+            )
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            if is_reset:
+                sock = writer.get_extra_info('socket')
+                sock.setsockopt(1, 13, b'\x01\0\0\0\0\0\0\0')
+
+        return script
+
+    await site.upstream('book', unframed(False))
+    async with site.request('book') as response:
+        assert_that(await response.read(), matchers.Equals(b'half'))
+    site.runner.upstreams.left('book-1', 0)
+    await site.upstream('book', unframed(True))
+    async with site.request('book') as response:
+        assert_that(response.status, matchers.Equals(502))
+
+
+async def test_an_oversized_body_is_refused(site):
+    await site.upstream('read')
+    body = b'x' * (5 * 1024 * 1024)
+    headers = {
+        'Host': parts.HOST,
+        'X-Id': 'r1',
+        'Authorization': 'Token secret',
+    }
+    try:
+        async with site.session.post(
+            f'{site.url}/read/x', headers=headers, data=body
+        ) as response:
+            assert_that(response.status, matchers.Equals(413))
+    except aiohttp.ClientOSError:
+        pass
