Switch expert maps by orders, from agents beside the ranks

An agent beside each rank reads the counters, which is free there; the one of the lowest rank plans a map with few copies and drives the switch: prepare, hold a pass, arm all ranks with it, release. Late orders can't mix maps, since a version belongs to one pass and is made dead before an abort releases it; tests play late, lost and doubled orders, dead and waking coordinators, and find three planted faults. So a switch now has to pay: the bound rises with the square of the free slots.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
@@ -20,8 +20,6 @@
 BEACON_STAGGER_S = 0.5
 STATUS_TIMEOUT_S = 2.0
 PLAN_INTERVAL_S = 0.5
-# Fall of the skew, averaged over the sets, that a switch has to bring.
-LEAST_GAIN = 0.04
 # Choices needed before a plan means anything, for each set and expert.
 LEAST_CHOICES = 4.0
 # A pass that nobody drives is freed after this.
@@ -195,9 +193,10 @@
         cells = self.shape.sets * self.shape.experts
         if self._demand.total < LEAST_CHOICES * cells:
             return
-        found = planning.plan(lists, self._demand.loads, self.shape)
+        use = self._use(reports)
+        found = planning.plan(lists, self._demand.loads, self.shape, use)
         self.skew = found.before
-        if found.before - found.after < LEAST_GAIN:
+        if found.gain < planning.least_gain(use):
             return
         self.plan = found
         self.switches += 1
@@ -211,6 +210,12 @@
             started_at=now,
         )
 
+    def _use(self, reports: dict[int, model.RankReport]) -> float:
+        """Return the share of the group's slots that are taken."""
+        slots = self.shape.slots * len(reports)
+        running = sum(report.running for report in reports.values())
+        return min(1.0, running / slots) if slots else 1.0
+
     def _current(
         self, reports: dict[int, model.RankReport]
     ) -> model.ExpertLists | None:
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
@@ -16,6 +16,7 @@
     Attributes:
         placements: experts that a rank may hold in a set.
         spare: experts in a set that one map may bring to a rank.
+        slots: requests that a rank runs at once; 0 when not stated.
         expert_share: share of the token work that experts do, 0 to 1.
     """
 
@@ -24,6 +25,7 @@
     experts: int
     placements: int
     spare: int
+    slots: int = 0
     expert_share: float = 1.0
 
 
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
@@ -16,10 +16,16 @@
 # Exponent of the power mean; higher ones follow the maximum more closely
 # but see no progress while several ranks are equally hot.
 POWER = 8
-# Fall of the power mean, in shares of the mean load, that one copied expert
-# has to bring. Copies take 50 ms each, slow the passes meanwhile and are
-# charged; a fall of 1% in one of six sets shortens a pass by 0.15%.
-GAIN_PER_COPY = 0.006
+# Fall of the power mean in one set, in shares of the mean load, that one
+# copied expert has to bring in a group without a free slot. Copies take 50 ms
+# each, slow the passes meanwhile and are charged; a fall of 1% in one of six
+# sets shortens a pass by 0.15%.
+GAIN_PER_COPY = 0.01
+# Fall of the skew, averaged over the sets, that makes a switch worth while in
+# a group without a free slot.
+LEAST_GAIN = 0.12
+# Below this share of taken slots, groups are treated alike.
+LEAST_USE = 0.2
 MAX_STEPS = 40
 HOT_RANKS = 2
 COOL_RANKS = 3
@@ -42,20 +48,40 @@
     before: float
     after: float
 
+    @property
+    def gain(self) -> float:
+        """Return how far the skew is expected to fall."""
+        return self.before - self.after
+
+
+def least_gain(use: float) -> float:
+    """Return the fall of the skew that makes a switch worth while.
+
+    Shorter passes help callers as far as requests wait for them. With free
+    slots few do: the bound rises with the square of the spare room.
+
+    Args:
+        use: share of the group's slots that are taken, 0 to 1.
+    """
+    return LEAST_GAIN / max(use, LEAST_USE) ** 2
+
 
 def plan(
     current: model.ExpertLists,
     loads: list[list[float]],
     shape: model.GroupShape,
+    use: float = 1.0,
 ) -> Plan:
     """Return a map for the given loads, close to the current one.
 
     Args:
         loads: choices for each set and expert.
+        use: share of the group's slots that are taken, 0 to 1.
     """
+    price = GAIN_PER_COPY / max(use, LEAST_USE)
     rows, copies, before, after = [], 0, 0.0, 0.0
     for lists, weights in zip(current, loads, strict=True):
-        search = _SetSearch.from_lists(lists, weights, shape)
+        search = _SetSearch.from_lists(lists, weights, shape, price)
         before += search.skew()
         search.run()
         after += search.skew()
@@ -81,11 +107,13 @@
         holders: ranks of each expert.
         loads: load of each rank, in shares of the mean.
         copies: experts that each rank has to copy.
+        price: fall of the power mean that one copy has to bring.
     """
 
     base: list[frozenset[int]]
     weights: list[float]
     shape: model.GroupShape
+    price: float
     held: list[set[int]]
     holders: list[set[int]]
     loads: list[float]
@@ -97,6 +125,7 @@
         lists: tuple[tuple[int, ...], ...],
         weights: list[float],
         shape: model.GroupShape,
+        price: float,
     ) -> '_SetSearch':
         """Return a search that starts at a map."""
         mean = sum(weights) / shape.ranks or 1.0
@@ -104,6 +133,7 @@
             base=[frozenset(row) for row in lists],
             weights=[weight / mean for weight in weights],
             shape=shape,
+            price=price,
             held=[set(row) for row in lists],
             holders=[set() for _ in weights],
             loads=[0.0] * shape.ranks,
@@ -125,7 +155,7 @@
         for _ in range(MAX_STEPS):
             best, best_gain = None, 0.0
             for step in self._steps():
-                gain = self._gain(step) - GAIN_PER_COPY * self._cost(step)
+                gain = self._gain(step) - self.price * self._cost(step)
                 if gain > best_gain:
                     best, best_gain = step, gain
             if best is None:
--- /dev/null
+++ b/tests/core/rankmaps/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of expert maps of groups whose engines switch on orders."""
--- /dev/null
+++ b/tests/core/rankmaps/test_switch.py
@@ -0,0 +1,171 @@
+"""No pass begins on two maps, whatever is late, lost or dead."""
+
+import random
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import rankmaps
+from cassiashift_core.rankmaps import switch as switches
+from tests.core.rankmaps import group as simulation
+
+SIZE = 8
+SEEDS = range(40)
+
+
+def _group(seed, late=0.0):
+    return simulation.Group(SIZE, late, random.Random(seed))
+
+
+def test_a_switch_takes_effect_without_a_stall():
+    group = _group(1)
+    machine = simulation.switch(group, 8, 1)
+    simulation.Agents(group).drive(machine, 2.0)
+    assert_that(machine.is_committed, matchers.Is(True))
+    assert_that(machine.is_over, matchers.Is(True))
+    assert_that(group.begun[-1][1], matchers.Equals(8))
+    assert_that(group.stalled_s, matchers.Equals(0.0))
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_late_orders_and_lost_messages_never_give_two_maps(seed):
+    group = _group(seed, late=0.35)
+    agents = simulation.Agents(group, lossy=0.1)
+    version = 8
+    for name in range(1, 6):
+        machine = simulation.switch(group, version, name)
+        agents.drive(machine, group.now + 6.0)
+        assert_that(machine.is_over, matchers.Is(True))
+        version += 2 * SIZE
+    group.run(group.now + 6.0)
+    assert_that([r.held for r in group.ranks], matchers.Equals([None] * SIZE))
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_a_dead_coordinator_is_recovered_from(seed):
+    group = _group(seed, late=0.2)
+    agents = simulation.Agents(group)
+    rng = random.Random(seed)
+    machine = simulation.switch(group, 8, 1)
+    dies_at = rng.uniform(0.0, 0.3)
+    agents.drive(machine, 1.0, lambda: group.now < dies_at)
+    held = [rank.held is not None for rank in group.ranks]
+    if any(held):
+        guard = held.index(False)
+        freeing = simulation.recovery(group, 17, guard)
+        agents.drive(freeing, group.now + 8.0)
+        assert_that(freeing.is_over, matchers.Is(True))
+    # What was late may hold a pass once more.
+    for version in (33, 49, 65):
+        held = [rank.held is not None for rank in group.ranks]
+        if any(held):
+            freeing = simulation.recovery(group, version, held.index(False))
+            agents.drive(freeing, group.now + 8.0)
+    step = group.step
+    group.run(group.now + 1.0)
+    assert_that(group.step, matchers.GreaterThan(step))
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_two_coordinators_at_once_never_give_two_maps(seed):
+    group = _group(seed, late=0.2)
+    agents = simulation.Agents(group, lossy=0.05)
+    rng = random.Random(seed)
+    first = simulation.switch(group, 8, 1)
+    second = simulation.switch(group, 17, 2, rank=1)
+    agents.drive(first, rng.uniform(0.0, 0.2))
+    agents.drive(second, group.now + 8.0)
+    group.run(group.now + 6.0)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_a_coordinator_that_wakes_up_during_a_recovery_does_no_harm(seed):
+    group = _group(seed, late=0.2)
+    agents = simulation.Agents(group)
+    rng = random.Random(seed)
+    sleeps_at, wakes_at = rng.uniform(0.0, 0.2), rng.uniform(1.0, 1.2)
+    machine = simulation.switch(group, 8, 1)
+    agents.drive(machine, sleeps_at)
+    group.run(1.0)
+    held = [rank.held is not None for rank in group.ranks]
+    if not any(held) or all(held):
+        return
+    freeing = simulation.recovery(group, 17, held.index(False))
+    # The sleeper's turns were kept back; they go on in the middle.
+    group.after(wakes_at - 1.0, lambda: _turn(agents, machine))
+    agents.drive(freeing, group.now + 10.0)
+
+
+def _turn(agents, machine):
+    group = agents.group
+    if machine.is_over:
+        return
+    for order in machine.orders(group.now):
+        agents._send(machine, order, lambda: True)
+    group.after(0.02, lambda: _turn(agents, machine))
+
+
+def test_a_group_that_is_formed_anew_ends_the_switch():
+    group = _group(1)
+    machine = simulation.switch(group, 8, 1)
+    group.after(0.01, group.form_anew)
+    simulation.Agents(group).drive(machine, 3.0)
+    assert_that(machine.is_over, matchers.Is(True))
+    assert_that(machine.is_committed, matchers.Is(False))
+
+
+class ReleasesEarly(rankmaps.Switch):
+    """Planted fault: releases the pass without waiting for dead versions."""
+
+    def _following(self):
+        if self.phase is switches.Phase.KILL:
+            return switches.Phase.RELEASE
+        return super()._following()
+
+
+class ArmsUnheld(rankmaps.Switch):
+    """Planted fault: arms before the pass is held."""
+
+    def _following(self):
+        following = super()._following()
+        if following is switches.Phase.HOLD:
+            return switches.Phase.ARM
+        return following
+
+
+class OnlyDisarms(rankmaps.Switch):
+    """Planted fault: takes a rank that is not armed for a dead version."""
+
+    def _is_dead_at(self, report):
+        return report.armed is None
+
+
+@pytest.mark.parametrize('fault', [ReleasesEarly, ArmsUnheld, OnlyDisarms])
+def test_planted_faults_are_found(fault):
+    def play(seed):
+        group = _group(seed, late=0.5)
+        for name in range(1, 8):
+            sound = simulation.switch(group, 16 * name, name)
+            machine = fault(
+                **{
+                    field.name.lstrip('_'): getattr(sound, field.name)
+                    for field in attrs.fields(rankmaps.Switch)
+                    if field.init
+                }
+            )
+            simulation.Agents(group).drive(machine, group.now + 5.0)
+
+    with pytest.raises(simulation.TwoMapsError):
+        for seed in range(200):
+            play(seed)
+
+
+def test_versions_of_two_coordinators_never_meet():
+    report = _group(1).report(0)
+    one = rankmaps.version_after([report], 1, SIZE, floor=40)
+    two = rankmaps.version_after([report], 2, SIZE, floor=40)
+    assert_that(one, matchers.GreaterThan(40))
+    assert_that(one % SIZE, matchers.Equals(1))
+    assert_that(two % SIZE, matchers.Equals(2))
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -179,7 +179,7 @@
 def test_the_settings_are_decoded(tmp_path):
     path = tmp_path / 'settings.yaml'
     path.write_text(yaml.safe_dump(SETTINGS))
-    cfg = settings.read(path)
+    cfg = settings.read_entry(path)
     assert_that(cfg.host, matchers.Equals('10.1.0.40'))
     assert_that(cfg.seeds, matchers.Equals(('10.1.0.40', '10.2.0.29')))
     assert_that(cfg.link_of('h'), matchers.Equals('tcp://h:7340'))
@@ -196,6 +196,6 @@
     path = tmp_path / 'settings.yaml'
     path.write_text(yaml.safe_dump(SETTINGS | {name: value}))
     with pytest.raises(settings.SettingsError) as caught:
-        settings.read(path)
+        settings.read_entry(path)
     assert_that(str(caught.value), matchers.Contains(name))
     assert_that(str(caught.value), matchers.Contains(str(path)))
