--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
@@ -25,7 +25,9 @@
 # Entries of the caller's data centre that an answer names at least.
 FEWEST_ADDRESSES = 2
 MOST_ADDRESSES = 64
-DIRECTORY_TTL_S = 2.0
+# A host that is lost is named no longer than this; a look-up costs less
+# than a connection that hangs.
+DIRECTORY_TTL_S = 1.0
 
 
 @attrs.frozen
@@ -144,7 +146,7 @@
         """Return the entries for a caller; None if none is known."""
         records = [
             record
-            for record in [*self.runner.records(), self.runner.record()]
+            for record in [*self.runner.responsive(), self.runner.record()]
             if record.is_ready and not record.is_leaving and record.front
         ]
         near = [r for r in records if r.data_centre == data_centre]
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -1,6 +1,7 @@
 """Keeps the tables of entries and upstreams in step over the fleet.
 
-Every entry says hello to every other one once in ``HELLO_INTERVAL_S``. News
+Every entry says hello to every other one once in ``HELLO_INTERVAL_S``, and
+more often to those of its own data centre, whose callers it sends there. News
 of upstreams goes out at once; a digest in each hello shows what was lost,
 and the tables are then asked for.
 """
@@ -16,10 +17,12 @@
 from cassiashift_daemon import logs
 from cassiashift_net import links
 
-TICK_S = 0.25
+TICK_S = 0.2
 HELLO_INTERVAL_S = 1.0
+NEAR_HELLO_INTERVAL_S = 0.4
 # Two hellos may be lost before a host counts as silent.
 SILENT_AFTER_S = 3.2
+NEAR_SILENT_AFTER_S = 1.3
 # A pull is repeated when its answer may have been lost.
 PULL_INTERVAL_S = 0.5
 
@@ -40,6 +43,7 @@
     founded: tuple[str, ...] = ()
     _sightings: dict[str, fleet.Sighting] = attrs.field(factory=dict)
     _hello_due: float = 0.0
+    _near_hello_due: float = 0.0
     _pulled: dict[tuple[str, type], float] = attrs.field(factory=dict)
     _silent: set[str] = attrs.field(factory=set)
 
@@ -63,6 +67,19 @@
         now = time.monotonic()
         return [node.record for node in self.nodes.alive(now, SILENT_AFTER_S)]
 
+    def responsive(self) -> list[fleet.NodeRecord]:
+        """Return the records of the entries that callers may be sent to.
+
+        Those of the own data centre are watched more closely.
+        """
+        now = time.monotonic()
+        return [
+            node.record
+            for node in self.nodes.alive(now, SILENT_AFTER_S)
+            if node.record.data_centre != self.cfg.data_centre
+            or now - node.heard_at <= NEAR_SILENT_AFTER_S
+        ]
+
     def voter_hosts(self) -> list[str]:
         """Return the entries that may vote, those alive first."""
         known = [record.host for record in self.records() if record.store]
@@ -74,6 +91,8 @@
         """Say hello when it is due, and drop what is long silent."""
         now = time.monotonic()
         if now < self._hello_due:
+            if now >= self._near_hello_due:
+                self._say_hello_nearby(now)
             return
         self._hello_due = now + HELLO_INTERVAL_S
         self.nodes.forget_silent(now)
@@ -84,14 +103,25 @@
 
     def say_hello(self) -> None:
         """Tell every known entry about this one."""
-        hello = fleet.Hello(
+        self._near_hello_due = time.monotonic() + NEAR_HELLO_INTERVAL_S
+        hello = self._hello(tuple(self._sightings.values()))
+        self._sightings.clear()
+        self._broadcast(hello)
+
+    def _say_hello_nearby(self, now: float) -> None:
+        self._near_hello_due = now + NEAR_HELLO_INTERVAL_S
+        hello = self._hello(())
+        for record in self.records():
+            if record.data_centre == self.cfg.data_centre:
+                self._send(record.host, hello)
+
+    def _hello(self, sightings: tuple[fleet.Sighting, ...]) -> fleet.Hello:
+        return fleet.Hello(
             self.record(),
-            tuple(self._sightings.values()),
+            sightings,
             self.nodes.digest(),
             self.upstreams.digest(),
         )
-        self._sightings.clear()
-        self._broadcast(hello)
 
     def announced(self, upstream: fleet.Upstream) -> None:
         """Take an announcement that an upstream made at this entry."""
--- /dev/null
+++ b/tests/daemon/direct/test_directory.py
@@ -0,0 +1,129 @@
+"""Tests of where callers are sent."""
+
+import time
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import fleet
+from cassiashift_daemon.direct import api
+from cassiashift_daemon.direct import config
+from cassiashift_daemon.direct import fleet_runner
+from cassiashift_daemon.direct import tables
+
+
+@attrs.define
+class Links:
+    """Links that keep what is sent."""
+
+    sent: list = attrs.field(factory=list)
+
+    def send(self, address, message):
+        """Keep a message."""
+        self.sent.append((address, message))
+
+
+@pytest.fixture
+def runner():
+    cfg = config.DirectConfig(
+        host='10.0.0.1',
+        data_centre='east',
+        region='r',
+        link_port=7,
+        listeners=config.Listeners(front='10.0.0.1:80'),
+        seeds=('10.0.0.1', '10.0.0.2'),
+    )
+    return fleet_runner.FleetRunner(
+        cfg=cfg,
+        links=Links(),
+        nodes=fleet.NodeTable(cfg.host),
+        upstreams=fleet.UpstreamTable(5.0, 30.0),
+        holder=tables.TableHolder(None),
+        started_ns=1,
+        is_ready=True,
+    )
+
+
+def _hear(runner, host, age_s=0.0, **fields):
+    values = {
+        'data_centre': 'east',
+        'region': 'r',
+        'started_ns': 1,
+        'is_ready': True,
+    } | fields
+    record = fleet.NodeRecord(host, f'{host}:80', **values)
+    runner.nodes.heard(record, time.monotonic() - age_s)
+
+
+def _answer(runner, data_centre='east'):
+    directory = api.DirectoryApi(runner.cfg, runner, lambda: True)
+    return directory.answer(data_centre)
+
+
+def test_callers_are_sent_to_their_own_data_centre(runner):
+    _hear(runner, '10.0.0.2')
+    _hear(runner, '10.0.1.1', data_centre='west')
+    addresses = _answer(runner).addresses
+    assert_that(addresses, matchers.Equals(('10.0.0.1:80', '10.0.0.2:80')))
+
+
+def test_callers_of_a_lost_data_centre_are_sent_elsewhere(runner):
+    _hear(runner, '10.0.0.2')
+    assert_that(_answer(runner, 'north').addresses, matchers.HasLength(2))
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'is_ready': False},
+        {'is_leaving': True},
+        {'age_s': fleet_runner.NEAR_SILENT_AFTER_S + 0.1},
+    ],
+)
+def test_nobody_is_sent_where_requests_would_fail(runner, fields):
+    _hear(runner, '10.0.0.2', **fields)
+    _hear(runner, '10.0.0.3')
+    addresses = _answer(runner).addresses
+    assert_that(addresses, matchers.Equals(('10.0.0.1:80', '10.0.0.3:80')))
+
+
+def test_an_answer_outlives_no_planned_stop(runner):
+    bounds = runner.cfg.bounds
+    ttl_s = _answer(runner).ttl_s
+    assert_that(3 * ttl_s < bounds.grace_s, matchers.Is(True))
+    assert_that(ttl_s <= bounds.longest_ttl_s, matchers.Is(True))
+
+
+def test_nobody_is_named_when_nobody_is_ready(runner):
+    runner.is_ready = False
+    assert_that(_answer(runner), matchers.Is(None))
+
+
+def test_a_hello_that_differs_is_followed_by_a_pull(runner):
+    record = fleet.NodeRecord(
+        '10.0.0.2', '', 'east', 'r', 1, document_version=4
+    )
+    runner.hello(None, fleet.Hello(record, nodes_digest=1))
+    kinds = [type(message) for _, message in runner.links.sent]
+    assert_that(kinds, matchers.Equals([fleet.TablePull, fleet.DocumentPull]))
+    runner.hello(None, fleet.Hello(record, nodes_digest=1))
+    assert_that(runner.links.sent, matchers.HasLength(2))
+
+
+def test_news_of_an_upstream_reaches_every_known_entry(runner):
+    _hear(runner, '10.0.0.3')
+    upstream = fleet.Upstream('u', 's', '10.9.0.1:1', 'east', born_ms=1)
+    runner.announced(upstream)
+    receivers = sorted(address for address, _ in runner.links.sent)
+    assert_that(
+        receivers,
+        matchers.Equals(['tcp://10.0.0.2:7', 'tcp://10.0.0.3:7']),
+    )
+    runner.announced(attrs.evolve(upstream, sequence=2))
+    assert_that(runner.links.sent, matchers.HasLength(2))
+    runner.announced(
+        attrs.evolve(upstream, sequence=3, state=fleet.UpstreamState.DRAINING)
+    )
+    assert_that(runner.links.sent, matchers.HasLength(4))
