Send callers to as few entries as carry their load

Ruled out: pauses, the queue at the entries (few lines request_queued). Change: two entries a data centre, more as the load grows, hosts without a voter first.

--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -16,6 +16,7 @@
 from cassiashift_core.fleet.messages import UpstreamState
 from cassiashift_core.fleet.nodes import Node
 from cassiashift_core.fleet.nodes import NodeTable
+from cassiashift_core.fleet.steering import choose_entries
 from cassiashift_core.fleet.upstreams import UpstreamTable
 from cassiashift_core.fleet.voters import next_change
 
@@ -36,6 +37,7 @@
     'UpstreamNews',
     'UpstreamState',
     'UpstreamTable',
+    'choose_entries',
     'decide_founding',
     'next_change',
 ]
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -61,6 +61,7 @@
         store: identity of its data folder; empty without a disk.
         founded: hosts of the voter set that it knows; empty for none.
         document_version: version of the configuration in force there.
+        requests_per_s: requests of callers that it serves, lately.
     """
 
     host: str
@@ -73,6 +74,7 @@
     store: str = ''
     founded: tuple[str, ...] = ()
     document_version: int = 0
+    requests_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
@@ -22,9 +22,6 @@
 READ_TIMEOUT_S = 0.8
 # An unreachable voter is given up early enough to ask two others.
 TRY_TIMEOUT_S = 0.4
-# Entries of the caller's data centre that an answer names at least.
-FEWEST_ADDRESSES = 2
-MOST_ADDRESSES = 64
 # A host that is lost is named no longer than this; a look-up costs less
 # than a connection that hangs.
 DIRECTORY_TTL_S = 1.0
@@ -144,17 +141,10 @@
 
     def answer(self, data_centre: str) -> DirectoryAnswer | None:
         """Return the entries for a caller; None if none is known."""
-        records = [
-            record
-            for record in [*self.runner.responsive(), self.runner.record()]
-            if record.is_ready and not record.is_leaving and record.front
-        ]
-        near = [r for r in records if r.data_centre == data_centre]
-        if len(near) < FEWEST_ADDRESSES:
-            near = records
-        if not near:
+        chosen = fleet.choose_entries(
+            [*self.runner.responsive(), self.runner.record()], data_centre
+        )
+        if not chosen:
             return None
-        near.sort(key=lambda record: record.host)
-        addresses = tuple(record.front for record in near)
         ttl_s = min(DIRECTORY_TTL_S, self.cfg.bounds.longest_ttl_s)
-        return DirectoryAnswer(addresses[:MOST_ADDRESSES], ttl_s)
+        return DirectoryAnswer(tuple(record.front for record in chosen), ttl_s)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -39,6 +39,7 @@
     started_ns: int
     is_ready: bool = False
     is_leaving: bool = False
+    requests_per_s: float = 0.0
     store: str = ''
     founded: tuple[str, ...] = ()
     _sightings: dict[str, fleet.Sighting] = attrs.field(factory=dict)
@@ -60,6 +61,7 @@
             store=self.store,
             founded=self.founded,
             document_version=self.holder.version,
+            requests_per_s=self.requests_per_s,
         )
 
     def records(self) -> list[fleet.NodeRecord]:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -38,6 +38,7 @@
     Attributes:
         is_leaving: answers tell callers to close their connections.
         in_flight: requests that are not answered yet.
+        handled: requests so far.
     """
 
     dialect: dialect.Dialect
@@ -48,10 +49,12 @@
     metrics: metrics.Metrics
     is_leaving: bool = False
     in_flight: int = 0
+    handled: int = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.in_flight += 1
+        self.handled += 1
         started = time.monotonic()
         request_id = request.headers.get(self.dialect.headers.request_id, '')
         outcome = 'cancelled'
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -40,6 +40,9 @@
 # Some callers keep an answer of the directory three times as long.
 TTL_FACTOR = 3
 STOP_MARGIN_S = 0.4
+LOAD_INTERVAL_S = 1.0
+# Weight of the newest second in the rate of requests.
+LOAD_WEIGHT = 0.3
 # The settings may change without a signal.
 RELOAD_INTERVAL_S = 2.0
 
@@ -91,6 +94,7 @@
         self.spawn(self.every(fleet_runner.TICK_S, self._tick))
         self.spawn(self.every(placement.TICK_S, self.placement.tick))
         self.spawn(self.every(RELOAD_INTERVAL_S, self.reload))
+        self.spawn(self.every(LOAD_INTERVAL_S, self._note_load))
         if self.cfg.data_dir:
             self.spawn(self.voting.run_forever())
         logs.info(
@@ -257,6 +261,12 @@
             self.runner.say_hello()
         self.runner.tick()
 
+    def _note_load(self) -> None:
+        handled, self.ingress.handled = self.ingress.handled, 0
+        rate = self.runner.requests_per_s
+        rate += LOAD_WEIGHT * (handled / LOAD_INTERVAL_S - rate)
+        self.runner.requests_per_s = round(rate, 1)
+
     async def _metrics(self, request: web.Request) -> web.Response:
         own = self.voting.voter
         text = self.metrics.text(
--- a/tests/daemon/direct/test_directory.py
+++ b/tests/daemon/direct/test_directory.py
@@ -127,3 +127,25 @@
         attrs.evolve(upstream, sequence=3, state=fleet.UpstreamState.DRAINING)
     )
     assert_that(runner.links.sent, matchers.HasLength(4))
+
+
+def test_more_entries_are_named_as_the_load_grows(runner):
+    for number in range(2, 9):
+        _hear(runner, f'10.0.0.{number}', requests_per_s=2.0)
+    few = _answer(runner).addresses
+    assert_that(few, matchers.HasLength(2))
+    for number in range(2, 9):
+        _hear(runner, f'10.0.0.{number}', requests_per_s=20.0)
+    many = _answer(runner).addresses
+    assert_that(many, matchers.HasLength(4))
+    assert_that(many[:2], matchers.Equals(few))
+
+
+def test_hosts_with_a_voter_are_named_last(runner):
+    for number in range(2, 6):
+        store = 's' if number < 5 else ''
+        _hear(runner, f'10.0.0.{number}', store=store)
+    assert_that(
+        sorted(_answer(runner).addresses),
+        matchers.Equals(['10.0.0.1:80', '10.0.0.5:80']),
+    )
