--- a/tests/core/placing/test_placing.py
+++ b/tests/core/placing/test_placing.py
@@ -135,3 +135,40 @@
     assert_that(room.due(9.0), matchers.HasLength(2))
     rows[0].is_over = rows[2].is_over = True
     assert_that(room.services(), matchers.Equals([]))
+
+
+def _queued_share(entries):
+    """Play streams on 16 upstreams; return how many found them full.
+
+    The load is that of the heaviest day: 45 streams a second of 1.2 s each
+    on 96 slots.
+    """
+    rng = random.Random(1)
+    sides = [
+        placing.Loads('east', random.Random(number))
+        for number in range(entries)
+    ]
+    upstreams = _upstreams(16)
+    running = dict.fromkeys((u.id for u in upstreams), 0)
+    ends = []
+    placed = waited = 0
+    for step in range(20_000):
+        now = step * 0.01
+        while ends and ends[0][0] <= now:
+            _, side, id_ = ends.pop(0)
+            side.of(id_).ended()
+            running[id_] -= 1
+        if rng.random() < 0.45:
+            side = rng.choice(sides)
+            found = side.choose(upstreams, 6, (), now)
+            side.of(found.id).sent(now)
+            placed += 1
+            waited += running[found.id] >= 6
+            running[found.id] += 1
+            ends.append((now + rng.uniform(0.4, 2.0), side, found.id))
+            ends.sort(key=lambda row: row[0])
+    return waited / placed
+
+
+def test_few_entries_seldom_fill_an_upstream():
+    assert_that(_queued_share(6), matchers.LessThan(_queued_share(11) / 2))
