Pass by silent agents, and take over from a silent coordinator

Logs: map_switch phase=hold of side-trnava-1 at 11.187 and no line of it until 15.192; the agent was frozen right after it had placed the hold, and nobody else could release the pass. Change: the next rank takes over after 1.3 s, reads and orders ranks whose agents are silent from afar, and recovers.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
@@ -13,17 +13,21 @@
 from cassiashift_core.rankmaps import recovery
 from cassiashift_core.rankmaps import switch
 
-BEACON_INTERVAL_S = 1.0
+BEACON_INTERVAL_S = 0.5
 # Two beacons may be lost before the next rank takes over.
-BEACON_TIMEOUT_S = 2.5
+BEACON_TIMEOUT_S = 1.3
 # Later ranks wait longer, so that one of them is first.
-BEACON_STAGGER_S = 0.5
+BEACON_STAGGER_S = 0.3
 STATUS_TIMEOUT_S = 2.0
+# Statuses of silent agents that a recovery may begin with are not older.
+OLDEST_STATUS_S = 15.0
 PLAN_INTERVAL_S = 0.5
 # Choices needed before a plan means anything, for each set and expert.
 LEAST_CHOICES = 4.0
 # A pass that nobody drives is freed after this.
-STALL_S = 1.0
+STALL_S = 0.6
+# The map in use, the prepared one and those of aborted switches.
+MAPS_KEPT = 8
 
 
 @attrs.define
@@ -49,10 +53,11 @@
     _active: switch.Switch | recovery.Recovery | None = None
     _demand: demand.Demand | None = None
     _beacon_at: float | None = None
-    _beacon_rank: int | None = None
+    _maps: dict[int, model.ExpertLists] = attrs.field(factory=dict)
     _planned_at: float = 0.0
     _version: int = 0
-    _held_since: float | None = None
+    _stalled_at: float | None = None
+    _stalled_step: int = -1
     _finished: set[int] = attrs.field(factory=set)
 
     @property
@@ -76,7 +81,7 @@
         if message.rank > self.own.rank and self.coordinates(now):
             return False
         self._beacon_at = now
-        self._beacon_rank = message.rank
+        self.hosts[message.rank] = message.host
         return True
 
     def coordinates(self, now: float) -> bool:
@@ -88,6 +93,13 @@
         wait_s = BEACON_TIMEOUT_S + BEACON_STAGGER_S * self.own.rank
         return now - self._beacon_at > wait_s
 
+    def prepares(self, order: model.Order) -> None:
+        """Note the map in an order that the own engine is given."""
+        if order.kind is model.OrderKind.PREPARE:
+            self._maps[order.version] = order.lists
+            while len(self._maps) > MAPS_KEPT:
+                del self._maps[min(self._maps)]
+
     def status(self, message: messages.RankStatus, now: float) -> None:
         """Take the state of a rank."""
         report = message.report
@@ -129,57 +141,82 @@
             ]
         return []
 
+    def unread_ranks(self, now: float) -> list[int]:
+        """Return the ranks to be read from afar.
+
+        While passes stand still, a rank whose agent is silent may hold them.
+        """
+        if self._stalled_at is None or now - self._stalled_at <= STALL_S:
+            return []
+        known = self._reports(now, STATUS_TIMEOUT_S)
+        return [rank for rank in self.hosts if rank not in known]
+
+    def last_report(self, rank: int) -> model.RankReport | None:
+        """Return the newest report of a rank."""
+        known = self._statuses.get(rank)
+        return None if known is None else known[1].report
+
     def _start(self, now: float) -> None:
-        reports = self._fresh_reports(now)
-        if not self.coordinates(now) or len(reports) != self.own.size:
-            self._held_since = None
+        if not self.coordinates(now):
+            self._stalled_at = None
             return
-        if self._is_stalled(reports, now):
-            self._recover(reports)
-        elif now - self._planned_at >= PLAN_INTERVAL_S:
+        if self._is_stalled(now):
+            self._recover(now)
+            return
+        reports = self._reports(now, STATUS_TIMEOUT_S)
+        if len(reports) != self.own.size:
+            return
+        if now - self._planned_at >= PLAN_INTERVAL_S:
             self._planned_at = now
             self._try_plan(reports, now)
 
-    def _fresh_reports(self, now: float) -> dict[int, model.RankReport]:
+    def _reports(
+        self, now: float, oldest_s: float
+    ) -> dict[int, model.RankReport]:
         return {
             rank: message.report
             for rank, (heard_at, message) in self._statuses.items()
-            if now - heard_at <= STATUS_TIMEOUT_S
+            if now - heard_at <= oldest_s
             and message.report.epoch == self.own.epoch
         }
 
-    def _is_stalled(
-        self, reports: dict[int, model.RankReport], now: float
-    ) -> bool:
-        held = [
-            report
-            for report in reports.values()
-            if report.held is not None
-            and not (
-                report.rank == self.own.rank and report.held in self._finished
-            )
-        ]
-        if not held:
-            self._held_since = None
+    def _is_stalled(self, now: float) -> bool:
+        """Tell whether the group waits at a pass that nobody releases.
+
+        The rank that holds it may be one whose agent is silent, so it shows
+        by the passes: requests run and the step stays.
+        """
+        report = self.own
+        is_waiting = report.is_open and report.running > 0
+        is_late = report.held is not None and report.held in self._finished
+        if not is_waiting or is_late or report.step != self._stalled_step:
+            self._stalled_step = report.step
+            self._stalled_at = now
             return False
-        if self._held_since is None:
-            self._held_since = now
-        return now - self._held_since > STALL_S
+        if self._stalled_at is None:
+            self._stalled_at = now
+        return now - self._stalled_at > STALL_S
 
-    def _recover(self, reports: dict[int, model.RankReport]) -> None:
+    def _recover(self, now: float) -> None:
+        """Free the group if a rank holds a pass, and all ranks are known."""
+        reports = self._reports(now, STATUS_TIMEOUT_S)
+        lists = self._current(self._reports(now, OLDEST_STATUS_S))
         free = [rank for rank, item in reports.items() if item.held is None]
-        lists = self._current(reports)
-        if not free or lists is None:
+        is_held = len(free) < len(reports)
+        if len(reports) < self.own.size or lists is None or not is_held:
             return
-        steps = [r.held for r in reports.values() if r.held is not None]
-        self._held_since = None
+        if not free:
+            return
+        self._stalled_at = None
+        guard = self.own.rank if self.own.rank in free else min(free)
         self._active = recovery.Recovery(
             epoch=self.own.epoch,
             size=self.own.size,
-            guard_rank=min(free),
+            guard_rank=guard,
             version=self._next_version(reports),
             lists=lists,
-            step=min(steps),
+            step=self.own.step + 1,
+            reports=reports,
         )
 
     def _try_plan(
@@ -188,7 +225,7 @@
         lists = self._current(reports)
         if lists is None or self.shape is None or self._demand is None:
             return
-        if not all(report.is_open for report in reports.values()):
+        if not all(map(_is_free, reports.values())):
             return
         cells = self.shape.sets * self.shape.experts
         if self._demand.total < LEAST_CHOICES * cells:
@@ -221,10 +258,17 @@
     ) -> model.ExpertLists | None:
         """Return the map in use, if all ranks agree on its version."""
         versions = {report.map_version for report in reports.values()}
-        rows = [self._statuses[rank][1].lists for rank in sorted(reports)]
-        if len(versions) != 1 or not all(rows):
+        if len(versions) != 1:
             return None
-        return tuple(zip(*rows, strict=True))
+        version = versions.pop()
+        if version in self._maps:
+            return self._maps[version]
+        rows = [self._statuses[rank][1].lists for rank in sorted(reports)]
+        if len(rows) == self.own.size and all(rows):
+            return tuple(zip(*rows, strict=True))
+        if version == 0 and self.shape is not None:
+            return model.first_map(self.shape)
+        return None
 
     def _next_version(self, reports: dict[int, model.RankReport]) -> int:
         self._version = model.version_after(
@@ -243,7 +287,13 @@
         self._statuses.clear()
         self.hosts.clear()
         self._finished.clear()
+        self._maps.clear()
         self._active = None
         self._demand = None
-        self._held_since = None
+        self._stalled_at = None
         self._version = 0
+
+
+def _is_free(report: model.RankReport) -> bool:
+    """Tell whether nobody is about to switch a rank's map."""
+    return report.is_open and report.armed is None and report.held is None
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
@@ -95,6 +95,32 @@
     step: int = 0
     lists: ExpertLists = ()
 
+    def applied_to(self, report: RankReport) -> RankReport:
+        """Return a report after the engine has confirmed this order.
+
+        A rank is only ever armed with the version that it has prepared. An
+        engine also confirms that a version is disarmed which was not armed.
+        """
+        armed = report.armed
+        is_same = armed is not None and armed.version == self.version
+        match self.kind:
+            case OrderKind.PREPARE:
+                return attrs.evolve(
+                    report,
+                    prepared=self.version,
+                    armed=armed if is_same else None,
+                )
+            case OrderKind.HOLD:
+                return attrs.evolve(report, held=self.step)
+            case OrderKind.ARM:
+                armed = Armed(self.version, self.step)
+                return attrs.evolve(report, armed=armed)
+            case OrderKind.DISARM:
+                return attrs.evolve(report, armed=None if is_same else armed)
+            case OrderKind.GO:
+                return attrs.evolve(report, held=None)
+        raise TypeError(f'no such order: {self.kind}')
+
 
 def first_map(shape: GroupShape) -> ExpertLists:
     """Return map 0, which assigns the experts in turn."""
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
@@ -32,6 +32,8 @@
         version: a version above all that the ranks have shown.
         lists: the map in use, prepared under that version.
         step: the pass that the group waits for.
+        reports: the newest report of each rank; it may be old, since an
+            order that does not fit the state of an engine is refused.
     """
 
     epoch: int
@@ -40,9 +42,10 @@
     version: int
     lists: model.ExpertLists
     step: int
+    _reports: dict[int, model.RankReport]
     _phase: _Phase = _Phase.HOLD
-    _reports: dict[int, model.RankReport] = attrs.field(factory=dict)
     _sent: dict[int, float] = attrs.field(factory=dict)
+    _tries: dict[int, int] = attrs.field(factory=dict)
 
     @property
     def is_over(self) -> bool:
@@ -57,6 +60,7 @@
             return
         self._reports[report.rank] = report
         self._sent.pop(report.rank, None)
+        self._tries.pop(report.rank, None)
         self._advance()
 
     def orders(self, now: float) -> list[model.Order]:
@@ -68,37 +72,39 @@
             order = self._order_for(rank)
             if order is not None:
                 self._sent[rank] = now
+                self._tries[rank] = self._tries.get(rank, 0) + 1
                 orders.append(order)
         return orders
 
+    def is_unanswered(self, rank: int) -> bool:
+        """Tell whether a rank's agent has not reported on an order."""
+        return self._tries.get(rank, 0) > 1
+
     def _order_for(self, rank: int) -> model.Order | None:
-        report = self._reports.get(rank)
+        report = self._reports[rank]
         is_guard = rank == self.guard_rank
-        kind = None
         match self._phase:
             case _Phase.HOLD if is_guard:
-                kind = model.OrderKind.HOLD
-            case _Phase.KILL if report is None or not self._is_quiet(report):
-                kind = model.OrderKind.PREPARE
-                if report is None or report.armed is not None:
-                    kind = model.OrderKind.DISARM
+                return self._order(model.OrderKind.HOLD, rank, self.step)
+            case _Phase.KILL if not self._is_quiet(report):
+                return self._kill_order(rank, report)
             case _Phase.RELEASE_OTHERS if not is_guard and report.held:
-                kind = model.OrderKind.GO
+                return self._order(model.OrderKind.GO, rank, report.held)
             case _Phase.RELEASE_GUARD if is_guard:
-                kind = model.OrderKind.GO
-        if kind is None:
-            return None
-        armed = report.armed if report is not None else None
-        is_disarm = kind is model.OrderKind.DISARM and armed is not None
-        is_foreign_go = kind is model.OrderKind.GO and not is_guard
-        return model.Order(
-            kind,
-            rank,
-            self.epoch,
-            armed.version if is_disarm else self.version,
-            report.held if is_foreign_go else self.step,
-            self.lists if kind is model.OrderKind.PREPARE else (),
-        )
+                return self._order(model.OrderKind.GO, rank, self.step)
+        return None
+
+    def _kill_order(self, rank: int, report: model.RankReport) -> model.Order:
+        if self._is_armed_below(report):
+            order = self._order(model.OrderKind.DISARM, rank)
+            return attrs.evolve(order, version=report.armed.version)
+        order = self._order(model.OrderKind.PREPARE, rank)
+        return attrs.evolve(order, lists=self.lists)
+
+    def _order(
+        self, kind: model.OrderKind, rank: int, step: int = 0
+    ) -> model.Order:
+        return model.Order(kind, rank, self.epoch, self.version, step)
 
     def _advance(self) -> None:
         following = self._following()
@@ -107,15 +113,11 @@
 
     def _following(self) -> _Phase | None:
         """Return the phase that the reports allow to enter, if any."""
-        guard = self._reports.get(self.guard_rank)
-        if guard is None:
-            return None
-        if self._phase is _Phase.HOLD:
-            return self._following_hold(guard)
-        if len(self._reports) < self.size:
-            return None
+        guard = self._reports[self.guard_rank]
         others = [r for r in self._reports.values() if r is not guard]
         match self._phase:
+            case _Phase.HOLD:
+                return self._following_hold(guard)
             case _Phase.KILL if all(map(self._is_quiet, [guard, *others])):
                 return _Phase.RELEASE_OTHERS
             case _Phase.RELEASE_OTHERS if not any(r.held for r in others):
@@ -133,4 +135,14 @@
         return None
 
     def _is_quiet(self, report: model.RankReport) -> bool:
-        return report.armed is None and (report.prepared or 0) >= self.version
+        """Tell whether every version below the own one is dead at a rank.
+
+        A later one belongs to a coordinator that is alive, and to a later
+        pass.
+        """
+        return (report.prepared or 0) >= self.version and (
+            not self._is_armed_below(report)
+        )
+
+    def _is_armed_below(self, report: model.RankReport) -> bool:
+        return report.armed is not None and report.armed.version < self.version
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
@@ -80,6 +80,7 @@
     reason: str = ''
     _reports: dict[int, model.RankReport] = attrs.field(factory=dict)
     _sent: dict[int, float] = attrs.field(factory=dict)
+    _tries: dict[int, int] = attrs.field(factory=dict)
     _phase_at: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -101,6 +102,7 @@
             return
         self._reports[report.rank] = report
         self._sent.pop(report.rank, None)
+        self._tries.pop(report.rank, None)
         self._advance(now)
 
     def orders(self, now: float) -> list[model.Order]:
@@ -115,9 +117,14 @@
             order = self._order_for(rank)
             if order is not None:
                 self._sent[rank] = now
+                self._tries[rank] = self._tries.get(rank, 0) + 1
                 orders.append(order)
         return orders
 
+    def is_unanswered(self, rank: int) -> bool:
+        """Tell whether a rank's agent has not reported on an order."""
+        return self._tries.get(rank, 0) > 1
+
     def _order_for(self, rank: int) -> model.Order | None:
         report = self._reports.get(rank)
         match self.phase:
@@ -142,7 +149,7 @@
     ) -> model.Order | None:
         if report is not None and self._is_dead_at(report):
             return None
-        if report is None or report.armed is not None:
+        if report is None or self._is_armed(report):
             return self._order(model.OrderKind.DISARM, rank)
         order = self._order(model.OrderKind.PREPARE, rank)
         return attrs.evolve(
@@ -211,6 +218,7 @@
         self.reason = self.reason or reason
         self._phase_at = now
         self._sent.clear()
+        self._tries.clear()
 
     def _all(self, check) -> bool:
         return len(self._reports) == self.size and all(
@@ -225,4 +233,11 @@
         return report is not None and report.armed == wanted
 
     def _is_dead_at(self, report: model.RankReport) -> bool:
-        return report.armed is None and (report.prepared or 0) > self.version
+        """Tell whether the rank can't switch to the version any more.
+
+        A rank may already be armed by another coordinator, with a version
+        that replaced this one.
+        """
+        return not self._is_armed(report) and (
+            (report.prepared or 0) > self.version
+        )
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/engine.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/engine.py
@@ -37,7 +37,10 @@
 
 
 class Engine(Protocol):
-    """An engine on the own host.
+    """An engine, on the own host or elsewhere.
+
+    Reports are fresh on the own host; from elsewhere they are some hundred
+    milliseconds old, and every call is charged.
 
     Every call raises ``EngineError`` when there is no usable answer.
     """
@@ -51,8 +54,11 @@
     async def lists(self) -> Lists:
         """Return the experts that the rank holds."""
 
-    async def order(self, order: rankmaps.Order) -> None:
-        """Give an order; it may be carried out late or not at all."""
+    async def order(self, order: rankmaps.Order) -> bool:
+        """Give an order; tell whether the engine confirms it.
+
+        An order without an answer may be carried out late or not at all.
+        """
 
     async def close(self) -> None:
         """Close every connection."""
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
@@ -30,6 +30,8 @@
 # Copies take 50 ms an expert; the state is read until they are complete.
 PREPARE_POLL_S = 0.05
 PREPARE_POLLS = 14
+# Reports from elsewhere are charged and some hundred milliseconds old.
+FAR_READ_INTERVAL_S = 0.5
 
 
 class RankAgent(lifecycle.Process):
@@ -55,9 +57,11 @@
         self.decode_document = decode_document
         self.coordinator: rankmaps.Coordinator | None = None
         self.coordinator_host = ''
-        self.upstream_hosts: list[str] = []
+        self.addresses: dict[str, str] = {}
         self._counted: engines.Choices | None = None
         self._listed: engines.Lists | None = None
+        self._far: dict[str, engines.Engine] = {}
+        self._far_read_at: dict[int, float] = {}
         self._beacon_at = 0.0
         self._fleet_at = 0.0
         self._logged = (0, '')
@@ -95,7 +99,8 @@
     async def close(self) -> None:
         """Close the links and the engine's client."""
         logs.info('stopped')
-        await self.engine.close()
+        for engine in (self.engine, *self._far.values()):
+            await engine.close()
         self.links.close()
 
     def reload(self) -> None:
@@ -185,8 +190,9 @@
             )
             known = set(self.coordinator.hosts.values())
             is_whole = len(known) == own.size
-            for host in known if is_whole else self.upstream_hosts:
-                self._send(host, beacon)
+            for host in known if is_whole else self.addresses:
+                if host != self.cfg.host:
+                    self._send(host, beacon)
         if now - self._fleet_at >= FLEET_INTERVAL_S:
             self._fleet_at = now
             for seed in self.cfg.seeds[:2]:
@@ -199,16 +205,70 @@
         own = self.coordinator
         if own is None:
             return
-        for order in own.orders(time.monotonic()):
+        now = time.monotonic()
+        for order in own.orders(now):
             host = own.hosts.get(order.rank)
             if host == self.cfg.host:
                 self.spawn(self._carry_out(order, ''))
+            elif own.active is not None and own.active.is_unanswered(
+                order.rank
+            ):
+                self.spawn(self._carry_out_afar(order, host))
             elif host is not None:
                 self._send(host, rankmaps.EngineOrder(self.cfg.host, order))
+        for rank in own.unread_ranks(now):
+            if now >= self._far_read_at.get(rank, 0.0) + FAR_READ_INTERVAL_S:
+                self._far_read_at[rank] = now
+                self.spawn(self._read_afar(rank))
         self._log_switch()
 
+    async def _carry_out_afar(self, order: rankmaps.Order, host: str) -> None:
+        """Give an order to a rank whose agent is silent."""
+        logs.warning(
+            'agent_silent',
+            host=host,
+            rank=order.rank,
+            kind=order.kind.value,
+            version=order.version,
+        )
+        known = self.coordinator.last_report(order.rank)
+        far = self._engine_at(host)
+        if far is None or known is None:
+            return
+        try:
+            if await far.order(order):
+                self._read(host, order.applied_to(known))
+            else:
+                self._read(host, await far.report())
+        except engines.EngineError as exc:
+            logs.warning('engine_unreadable', host=host, reason=str(exc))
+
+    async def _read_afar(self, rank: int) -> None:
+        host = self.coordinator.hosts[rank]
+        far = self._engine_at(host)
+        if far is None:
+            return
+        try:
+            self._read(host, await far.report())
+        except engines.EngineError as exc:
+            logs.warning('engine_unreadable', host=host, reason=str(exc))
+
+    def _engine_at(self, host: str) -> engines.Engine | None:
+        """Return a client for the engine beside another agent."""
+        if host not in self._far and host in self.addresses:
+            self._far[host] = self.make_engine(self.addresses[host])
+        return self._far.get(host)
+
+    def _read(self, host: str, report: rankmaps.RankReport) -> None:
+        """Take a report that another agent would have sent."""
+        status = rankmaps.RankStatus(host, report)
+        self.coordinator.status(status, time.monotonic())
+        self._drive()
+
     async def _carry_out(self, order: rankmaps.Order, asker: str) -> None:
         """Pass an order on and report what has become of it."""
+        if self.coordinator is not None:
+            self.coordinator.prepares(order)
         try:
             await self.engine.order(order)
         except engines.EngineError as exc:
@@ -272,12 +332,11 @@
         self.spawn(self._carry_out(message.order, message.host))
 
     def _table(self, sender: links.Sender, message: fleet.TableDump) -> None:
-        hosts = {
-            upstream.address.rpartition(':')[0]
+        self.addresses = {
+            upstream.address.rpartition(':')[0]: upstream.address
             for upstream in message.upstreams
             if upstream.service == self.cfg.service
         }
-        self.upstream_hosts = sorted(hosts - {self.cfg.host})
 
     def _document(
         self, sender: links.Sender, message: fleet.DocumentPush
--- a/tests/core/rankmaps/group.py
+++ b/tests/core/rankmaps/group.py
@@ -96,33 +96,46 @@
         self.after(HOP_S, answered)
 
     def carry_out(self, order):
-        """Change a rank's state, or refuse."""
-        if order.epoch == self.epoch:
-            getattr(self, f'_{order.kind.value}')(
-                self.ranks[order.rank], order
-            )
+        """Change a rank's state; tell whether the order is confirmed."""
+        if order.epoch != self.epoch:
+            return False
+        method = getattr(self, f'_{order.kind.value}')
+        return method(self.ranks[order.rank], order)
 
     def _prepare(self, rank, order):
-        if order.version > rank.highest and rank.armed is None:
-            rank.highest = order.version
-            rank.prepared = (order.version, order.lists)
+        if rank.prepared and rank.prepared[0] == order.version:
+            return True
+        if order.version <= rank.highest or rank.armed is not None:
+            return False
+        rank.highest = order.version
+        rank.prepared = (order.version, order.lists)
+        return True
 
     def _hold(self, rank, order):
-        if rank.held is None and order.step > self.step:
-            rank.held = order.step
+        if rank.held == order.step:
+            return True
+        if rank.held is not None or order.step <= self.step:
+            return False
+        rank.held = order.step
+        return True
 
     def _go(self, rank, order):
         if rank.held == order.step:
             rank.held = None
+        return True
 
     def _arm(self, rank, order):
         is_prepared = rank.prepared and rank.prepared[0] == order.version
-        if is_prepared and order.step > self.step:
-            rank.armed = rankmaps.Armed(order.version, order.step)
+        if not is_prepared or order.step <= self.step:
+            return False
+        rank.armed = rankmaps.Armed(order.version, order.step)
+        return True
 
     def _disarm(self, rank, order):
+        # A version that is not armed counts as disarmed.
         if rank.armed and rank.armed.version == order.version:
             rank.armed = None
+        return True
 
     def _pass(self):
         self.after(PASS_S, self._pass)
@@ -216,4 +229,5 @@
         version=version,
         lists=lists(0, group.size),
         step=min(held),
+        reports={rank: group.report(rank) for rank in range(group.size)},
     )
--- /dev/null
+++ b/tests/core/rankmaps/test_coordinating.py
@@ -0,0 +1,196 @@
+"""Agents together: who coordinates, and what happens when one is silent."""
+
+import random
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import rankmaps
+from tests.core.rankmaps import group as simulation
+
+SHAPE = rankmaps.GroupShape(8, 1, 16, 4, 2, 6)
+STATUS_S = 0.5
+DRIVE_S = 0.05
+HOP_S = 0.002
+
+
+@attrs.define(eq=False)
+class Agent:
+    """The agent of one rank, as its process drives a coordinator."""
+
+    group: simulation.Group
+    rank: int
+    agents: dict
+    frozen_until: float = 0.0
+    coordinator: rankmaps.Coordinator = None
+    afar: int = 0
+
+    def start(self):
+        """Join the group."""
+        self.coordinator = rankmaps.Coordinator(
+            self.group.report(self.rank), f'h{self.rank}', SHAPE
+        )
+        offset = 0.01 * self.rank
+        self.group.after(offset, self.watch)
+        self.group.after(offset, self.drive)
+
+    @property
+    def is_frozen(self):
+        """Tell whether the process stands still."""
+        return self.group.now < self.frozen_until
+
+    def watch(self):
+        """Read the engine and tell the coordinator."""
+        self.group.after(STATUS_S, self.watch)
+        if self.is_frozen:
+            return
+        now = self.group.now
+        report = self.group.report(self.rank)
+        own = self.coordinator
+        own.note_own(report, now)
+        used = self.group.ranks[self.rank].lists or rankmaps.first_map(SHAPE)
+        lists = tuple(rows[self.rank] for rows in used)
+        # Other experts are in demand every two seconds.
+        hot = int(now / 2) % 8
+        counts = [100 if e % 8 == hot else 5 for e in range(16)]
+        status = rankmaps.RankStatus(
+            own.host, report, lists, rankmaps.Choices.from_counts(counts)
+        )
+        for agent in self.agents.values():
+            if agent is self:
+                own.status(status, now)
+            elif not agent.is_frozen:
+                agent.coordinator.status(status, now)
+        if own.coordinates(now):
+            beacon = rankmaps.GroupBeacon(
+                own.host, report.group, report.epoch, self.rank
+            )
+            for agent in self.agents.values():
+                if agent is not self and not agent.is_frozen:
+                    agent.coordinator.beacon(beacon, now)
+
+    def drive(self):
+        """Give the orders that are due."""
+        self.group.after(DRIVE_S, self.drive)
+        self.give()
+
+    def give(self):
+        """Give the orders that are due now."""
+        if self.is_frozen:
+            return
+        own = self.coordinator
+        now = self.group.now
+        for order in own.orders(now):
+            agent = self.agents[order.rank]
+            if own.active is not None and own.active.is_unanswered(order.rank):
+                self.afar += 1
+                if self.group.carry_out(order):
+                    known = own.last_report(order.rank)
+                    self._take(order.applied_to(known))
+                else:
+                    self._take(self.group.report(order.rank))
+            elif not agent.is_frozen:
+                agent.coordinator.prepares(order)
+                self.group.give(
+                    order, lambda rank=order.rank: self._answered(rank)
+                )
+        for rank in own.unread_ranks(now):
+            self.afar += 1
+            self._take(self.group.report(rank))
+
+    def _answered(self, rank):
+        if not self.is_frozen and not self.agents[rank].is_frozen:
+            self._take(self.group.report(rank))
+
+    def _take(self, report):
+        own = self.coordinator
+        if report.rank == self.rank:
+            own.note_own(report, self.group.now)
+        own.status(
+            rankmaps.RankStatus(f'h{report.rank}', report), self.group.now
+        )
+        self.group.after(HOP_S, self.give)
+
+
+@pytest.fixture
+def fleet():
+    """Return a group with an agent beside each rank."""
+
+    def make(seed, late=0.0):
+        group = simulation.Group(8, late, random.Random(seed))
+        agents = {}
+        for rank in range(8):
+            agents[rank] = Agent(group, rank, agents)
+        for agent in agents.values():
+            agent.start()
+        return group, agents
+
+    return make
+
+
+def test_the_lowest_rank_switches_the_map(fleet):
+    group, agents = fleet(1)
+    group.run(5.0)
+    assert_that(agents[0].coordinator.switches, matchers.GreaterThan(0))
+    others = [agent.coordinator.switches for agent in agents.values()]
+    assert_that(sum(others[1:]), matchers.Equals(0))
+    assert_that(group.begun[-1][1] % 8, matchers.Equals(0))
+    assert_that(group.stalled_s, matchers.LessThan(0.1))
+
+
+@pytest.mark.parametrize('rank', range(8))
+@pytest.mark.parametrize('seed', range(6))
+def test_a_frozen_agent_holds_the_group_no_longer_than_a_takeover(
+    fleet, rank, seed
+):
+    group, agents = fleet(seed, late=0.1)
+    rng = random.Random(seed)
+
+    def freeze():
+        active = agents[0].coordinator.active
+        phase = getattr(active, 'phase', None)
+        if phase in (rankmaps.Phase.HOLD, rankmaps.Phase.ARM):
+            agents[rank].frozen_until = group.now + 6.0
+            return
+        group.after(0.001, freeze)
+
+    group.after(rng.uniform(0.5, 2.0), freeze)
+    group.run(20.0)
+    # Beacon time-out, stall, and two rounds of orders with retries.
+    assert_that(group.stalled_s, matchers.LessThan(3.0))
+    step = group.step
+    group.run(21.0)
+    assert_that(group.step, matchers.GreaterThan(step + 10))
+
+
+def test_the_next_rank_takes_over(fleet):
+    group, agents = fleet(1)
+    agents[0].frozen_until = 6.0
+    agents[1].frozen_until = 6.0
+    group.run(5.0)
+    coordinating = [
+        rank
+        for rank, agent in agents.items()
+        if not agent.is_frozen and agent.coordinator.coordinates(group.now)
+    ]
+    assert_that(coordinating, matchers.Equals([2]))
+    group.run(9.0)
+    coordinating = [
+        rank
+        for rank, agent in agents.items()
+        if agent.coordinator.coordinates(group.now)
+    ]
+    assert_that(coordinating, matchers.Equals([0]))
+
+
+def test_a_slow_group_is_not_taken_for_a_held_one(fleet):
+    group, agents = fleet(1)
+    group.run(4.0)
+    own = agents[0].coordinator
+    report = attrs.evolve(group.report(0), step=10_000)
+    for second in range(10):
+        own.note_own(report, 4.0 + 0.1 * second)
+        own.orders(4.0 + 0.1 * second)
+    assert_that(isinstance(own.active, rankmaps.Recovery), matchers.Is(False))
