Tell callers of a broken group when to come back

Change: a refusal that names another upstream at fault pauses the refusing one for a second, and callers are told to return after about two, at most a third of the time that they have left.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -191,7 +191,7 @@
                     continue
                 if failed_answer is not None:
                     return failed_answer
-                raise refusals.error_of(exc, call) from exc
+                raise self.error_of(exc, call) from exc
             except CassiashiftError:
                 if failed_answer is not None:
                     return failed_answer
@@ -216,6 +216,13 @@
             held_s = time.monotonic() - started
             self.placement.done(call, upstream, held_s)
 
+    def error_of(
+        self, failure: exchange.SendFailedError, call: calls.Call
+    ) -> CassiashiftError:
+        """Return the error for a request whose last send has failed."""
+        return_after_s = self.placement.return_after_s(call)
+        return refusals.error_of(failure, call, return_after_s)
+
     def note_answer(
         self,
         call: calls.Call,
@@ -297,7 +304,7 @@
                 response = await self._relay_once()
             except exchange.SendFailedError as exc:
                 if not self._may_go_on():
-                    raise refusals.error_of(exc, self.call) from exc
+                    raise self.owner.error_of(exc, self.call) from exc
                 continue
             return response
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -24,6 +24,12 @@
 # An upstream that refused is asked again after this; it is the time that a
 # request at an upstream takes on average.
 REFUSAL_PAUSE_S = 0.15
+# A group that lost a rank stalls, refuses and is formed anew within seconds.
+# Callers that come back sooner are refused again, and the answer is late in
+# any case.
+GROUP_RETURN_S = 2.0
+# Callers wait for at most this share of the time that they have left.
+RETURN_SHARE = 1 / 3
 # Share of the time left that a request may spend in the queue.
 WAIT_SHARE = 0.4
 # Callers give up a stream that shows no event within two seconds.
@@ -54,6 +60,7 @@
     loads: placing.Loads
     rng: random.Random
     room: placing.WaitingRoom = attrs.field(factory=placing.WaitingRoom)
+    _broken_at: dict[str, float] = attrs.field(factory=dict)
     _budgets: dict[str, placing.WindowBudget] = attrs.field(factory=dict)
     _holds: dict[str, float] = attrs.field(
         factory=lambda: collections.defaultdict(lambda: FIRST_HOLD_S)
@@ -95,7 +102,11 @@
         """Note a send without an answer."""
         now = time.monotonic()
         load = self.loads.of(upstream.id)
-        if failure.is_refusal:
+        if failure.at_fault:
+            # Another rank of its group is lost.
+            self._broken_at[upstream.service] = now
+            load.refused(now, GROUP_RETURN_S / 2)
+        elif failure.is_refusal:
             load.refused(now, REFUSAL_PAUSE_S)
         else:
             load.failed(now, failure.is_down)
@@ -132,7 +143,7 @@
                 ErrorCode.OVERLOADED,
                 'the budget of repeated sends is spent',
                 call.log.verdict,
-                retry_after_s=self._return_after_s(call),
+                retry_after_s=self.return_after_s(call),
             )
 
     def _choose(self, call: calls.Call, now: float) -> fleet.Upstream | None:
@@ -216,13 +227,20 @@
             code,
             f'service {call.service}: {text}',
             call.log.verdict,
-            retry_after_s=self._return_after_s(call),
+            retry_after_s=self.return_after_s(call),
         )
 
-    def _return_after_s(self, call: calls.Call) -> float:
-        wait_s = self._expected_wait_s(call, time.monotonic())
+    def return_after_s(self, call: calls.Call) -> float:
+        """Return when a refused caller should come back, in seconds."""
+        now = time.monotonic()
+        wait_s = self._expected_wait_s(call, now)
+        broken_at = self._broken_at.get(call.service, -GROUP_RETURN_S)
+        if now - broken_at < GROUP_RETURN_S:
+            wait_s = max(wait_s, GROUP_RETURN_S / (1 + RETURN_SPREAD))
         wait_s = min(max(wait_s, SHORTEST_RETURN_S), LONGEST_RETURN_S)
-        return wait_s * (1 + RETURN_SPREAD * self.rng.random())
+        wait_s *= 1 + RETURN_SPREAD * self.rng.random()
+        longest_s = RETURN_SHARE * (call.deadline_at - now)
+        return max(SHORTEST_RETURN_S, min(wait_s, longest_s))
 
 
 def _give_back(loads: placing.Loads, fut: asyncio.Future) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/refusals.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/refusals.py
@@ -64,13 +64,19 @@
 
 
 def error_of(
-    failure: exchange.SendFailedError, call: calls.Call
+    failure: exchange.SendFailedError,
+    call: calls.Call,
+    return_after_s: float,
 ) -> CassiashiftError:
-    """Return the error for a request whose last send has failed."""
+    """Return the error for a request whose last send has failed.
+
+    Args:
+        return_after_s: when to come back if the request has not run.
+    """
     verdict = call.log.verdict
     return CassiashiftError(
         ErrorCode.UPSTREAM_FAILED,
         f'upstream failed: {failure.reason}',
         verdict,
-        retry_after_s=0.2 if verdict is Verdict.NOT_RUN else None,
+        retry_after_s=return_after_s if verdict is Verdict.NOT_RUN else None,
     )
--- a/tests/daemon/direct/test_ingress.py
+++ b/tests/daemon/direct/test_ingress.py
@@ -291,3 +291,23 @@
             assert_that(response.status, matchers.Equals(413))
     except aiohttp.ClientOSError:
         pass
+
+
+async def test_callers_of_a_broken_group_come_back_when_it_is_formed(site):
+    broken = parts.answering('503 No', X_Not_Run='1', X_At='other')
+    for _ in range(3):
+        await site.upstream('draft', broken, broken, broken)
+    async with site.request('draft', X_Deadline='8000') as response:
+        assert_that(response.status, matchers.Equals(503))
+        after_s = float(response.headers['Retry-After'])
+    assert_that(after_s, matchers.GreaterThan(1.0))
+    assert_that(after_s <= 8.0 / 3, matchers.Is(True))
+
+
+async def test_nobody_is_told_to_return_after_its_deadline(site):
+    broken = parts.answering('503 No', X_Not_Run='1', X_At='other')
+    for _ in range(3):
+        await site.upstream('draft', broken)
+    async with site.request('draft', X_Deadline='900') as response:
+        after_s = float(response.headers['Retry-After'])
+    assert_that(after_s <= 0.31, matchers.Is(True))
