--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -81,6 +81,18 @@
             chosen = self._choose(call, now)
         if chosen is None:
             chosen = await self._wait(call, now)
+        logs.info(
+            'request_placed',
+            request=call.id,
+            upstream=chosen.id,
+            service=call.service,
+            route=call.route.name,
+            send=len(call.log.attempts) + 1,
+            in_flight=self.loads.of(chosen.id).in_flight,
+            waited_s=time.monotonic() - now,
+            left_s=call.left_s(),
+            configuration=self.holder.version,
+        )
         return chosen
 
     def done(
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/config.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/config.py
@@ -13,7 +13,6 @@
         seeds: hosts of some entries.
         service: name of the service that the engine belongs to.
         engine: IP and port of the engine.
-        metrics: IP and port for metrics; empty for none.
     """
 
     host: str
@@ -21,7 +20,6 @@
     seeds: tuple[str, ...]
     service: str
     engine: str
-    metrics: str = ''
 
     def link_of(self, host: str) -> str:
         """Return the link address of a host."""
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,46 @@
+"""The platform's names stay in its adapter, which stays small."""
+
+import pathlib
+import re
+
+from testtools.assertions import assert_that
+from testtools import matchers
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Header names and paths of the platform, and fields that only it uses.
+NAMES = re.compile(
+    r'/cassiashift/|Cassiashift-|expertMap|apiKeys|pathPrefix|ttlS|'
+    r'trafficSplit|targetLatencyMs|heartbeatUrl|gracePeriodS'
+)
+
+
+def _sources(folder):
+    return sorted((ROOT / folder).rglob('*.py'))
+
+
+def _lines(paths):
+    return sum(len(path.read_text().splitlines()) for path in paths)
+
+
+def test_nothing_else_knows_the_names_of_the_platform():
+    found = [
+        str(path.relative_to(ROOT))
+        for path in _sources('packages')
+        if NAMES.search(path.read_text())
+    ]
+    assert_that(found, matchers.Equals([]))
+
+
+def test_the_adapter_is_under_a_tenth_of_the_packages():
+    adapter = _lines(_sources('platform'))
+    packages = _lines(_sources('packages'))
+    assert_that(10 * adapter < packages, matchers.Is(True))
+
+
+def test_nothing_in_the_packages_imports_the_adapter():
+    found = [
+        str(path.relative_to(ROOT))
+        for path in _sources('packages')
+        if 'cassiashift_platform' in path.read_text()
+    ]
+    assert_that(found, matchers.Equals([]))
