Split the relay of streams and the retries of orders off

Behaviour is unchanged: ingress.py had a second job, and switch.py and recovery.py counted their orders alike.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
@@ -16,6 +16,7 @@
 import attrs
 
 from cassiashift_core.rankmaps import model
+from cassiashift_core.rankmaps import retries
 from cassiashift_core.rankmaps import switch
 
 
@@ -50,8 +51,7 @@
     _reports: dict[int, model.RankReport]
     absent: int | None = None
     _phase: _Phase = _Phase.HOLD
-    _sent: dict[int, float] = attrs.field(factory=dict)
-    _tries: dict[int, int] = attrs.field(factory=dict)
+    _retries: retries.OrderRetries = attrs.field(factory=retries.OrderRetries)
     _seen_armed: set[int] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -72,26 +72,24 @@
             return
         self._reports[report.rank] = report
         self._note_armed(report)
-        self._sent.pop(report.rank, None)
-        self._tries.pop(report.rank, None)
+        self._retries.reported(report.rank)
         self._advance()
 
     def orders(self, now: float) -> list[model.Order]:
         """Return the orders that are due, at most one for each rank."""
         orders = []
         for rank in self._reports:
-            if now < self._sent.get(rank, -switch.RETRY_S) + switch.RETRY_S:
+            if not self._retries.is_due(rank, now, switch.RETRY_S):
                 continue
             order = self._order_for(rank)
             if order is not None:
-                self._sent[rank] = now
-                self._tries[rank] = self._tries.get(rank, 0) + 1
+                self._retries.given(rank, now)
                 orders.append(order)
         return orders
 
     def is_unanswered(self, rank: int) -> bool:
         """Tell whether a rank's agent has not reported on an order."""
-        return self._tries.get(rank, 0) > 1
+        return self._retries.is_unanswered(rank)
 
     def _order_for(self, rank: int) -> model.Order | None:
         report = self._reports[rank]
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
@@ -31,6 +31,7 @@
 import attrs
 
 from cassiashift_core.rankmaps import model
+from cassiashift_core.rankmaps import retries
 
 # Passes between the last one reported and the one at which maps change:
 # one may begin while the order is under way.
@@ -88,8 +89,7 @@
     reason: str = ''
     highest_version: int = 0
     _reports: dict[int, model.RankReport] = attrs.field(factory=dict)
-    _sent: dict[int, float] = attrs.field(factory=dict)
-    _tries: dict[int, int] = attrs.field(factory=dict)
+    _retries: retries.OrderRetries = attrs.field(factory=retries.OrderRetries)
     _phase_at: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -116,8 +116,7 @@
         if report.epoch != self.epoch:
             return
         self._reports[report.rank] = report
-        self._sent.pop(report.rank, None)
-        self._tries.pop(report.rank, None)
+        self._retries.reported(report.rank)
         self._advance(now)
 
     def orders(self, now: float) -> list[model.Order]:
@@ -127,18 +126,17 @@
         is_slow = self.phase is Phase.PREPARE
         retry_s = PREPARE_RETRY_S if is_slow else RETRY_S
         for rank in range(self.size):
-            if now < self._sent.get(rank, now - retry_s) + retry_s:
+            if not self._retries.is_due(rank, now, retry_s):
                 continue
             order = self._order_for(rank)
             if order is not None:
-                self._sent[rank] = now
-                self._tries[rank] = self._tries.get(rank, 0) + 1
+                self._retries.given(rank, now)
                 orders.append(order)
         return orders
 
     def is_unanswered(self, rank: int) -> bool:
         """Tell whether a rank's agent has not reported on an order."""
-        return self._tries.get(rank, 0) > 1
+        return self._retries.is_unanswered(rank)
 
     def _order_for(self, rank: int) -> model.Order | None:
         report = self._reports.get(rank)
@@ -250,8 +248,7 @@
         self.phase = phase
         self.reason = self.reason or reason
         self._phase_at = now
-        self._sent.clear()
-        self._tries.clear()
+        self._retries.clear()
 
     def _all(self, check) -> bool:
         return len(self._reports) == self.size and all(
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -9,7 +9,6 @@
 
 from cassiashift_core import CassiashiftError
 from cassiashift_core import ErrorCode
-from cassiashift_core import eventstream
 from cassiashift_core import fleet
 from cassiashift_core import routes
 from cassiashift_core import Verdict
@@ -19,10 +18,10 @@
 from cassiashift_daemon.direct import metrics
 from cassiashift_daemon.direct import placement
 from cassiashift_daemon.direct import refusals
+from cassiashift_daemon.direct import streams
 from cassiashift_daemon.direct import tables
 from cassiashift_daemon import logs
 
-STATUS_OK = 200
 # Sent when a process that has just started knows no configuration yet.
 UNCONFIGURED_RETRY_S = 0.5
 
@@ -73,7 +72,7 @@
                 after_s=time.monotonic() - started,
                 configuration=self.holder.version,
             )
-            return self._closing(refusals.response_of(exc))
+            return self.closing(refusals.response_of(exc))
         except BrokenOffError as exc:
             outcome = 'broken_off'
             logs.warning(
@@ -96,7 +95,7 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         call = await self._read(request)
         if call.route.kind is routes.Kind.STREAM:
-            relay = StreamRelay(self, request, call)
+            relay = streams.StreamRelay(self, request, call)
             return await self._relay(call, relay)
         answer = await calls.until_end(call, self._whole(call))
         headers = answer.headers_for_caller()
@@ -110,10 +109,10 @@
             sends=len(call.log.attempts),
             after_s=time.monotonic() - call.arrived_at,
         )
-        return self._closing(response)
+        return self.closing(response)
 
     async def _relay(
-        self, call: calls.Call, relay: 'StreamRelay'
+        self, call: calls.Call, relay: streams.StreamRelay
     ) -> web.StreamResponse:
         try:
             return await calls.until_end(call, relay.run())
@@ -268,152 +267,13 @@
             at_fault=failure.at_fault,
         )
 
-    def _closing(self, response: web.StreamResponse) -> web.StreamResponse:
+    def closing(self, response: web.StreamResponse) -> web.StreamResponse:
+        """Tell the caller of a leaving entry to close its connection."""
         if self.is_leaving:
             response.force_close()
         return response
 
 
-@attrs.define(eq=False)
-class StreamRelay:
-    """Passes one stream on, event by event, over one or more upstreams.
-
-    Attributes:
-        response: None until the first upstream has answered.
-    """
-
-    owner: Ingress
-    request: web.BaseRequest
-    call: calls.Call
-    response: web.StreamResponse | None = None
-    reader: eventstream.EventReader = attrs.field(
-        factory=eventstream.EventReader
-    )
-    _first_event_at: float = 0.0
-    _last_event_at: float = 0.0
-    _longest_pause_s: float = 0.0
-
-    async def run(self) -> web.StreamResponse:
-        """Serve the stream.
-
-        Raises:
-            CassiashiftError: the stream can't be served, or not further.
-        """
-        while True:
-            try:
-                response = await self._relay_once()
-            except exchange.SendFailedError as exc:
-                if not self._may_go_on():
-                    raise self.owner.error_of(exc, self.call) from exc
-                continue
-            return response
-
-    def _may_go_on(self) -> bool:
-        return self.call.log.may_send_again() and self.call.left_s() > 0
-
-    async def _relay_once(self) -> web.StreamResponse:
-        call, owner = self.call, self.owner
-        upstream = await owner.placement.place(call)
-        started = time.monotonic()
-        last_event = self.reader.last_id if self.response else None
-        if self.response is not None:
-            logs.info(
-                'stream_resumed',
-                request=call.id,
-                upstream=upstream.id,
-                last_event=last_event,
-            )
-        try:
-            async with owner.exchange.open(
-                call, upstream, last_event
-            ) as opened:
-                response = await self._pass_on(opened)
-            owner.note_answer(call, upstream, opened.answer, started)
-        except exchange.SendFailedError as exc:
-            owner.note_failure(call, upstream, exc, started)
-            raise
-        finally:
-            owner.placement.done(call, upstream, time.monotonic() - started)
-        self._log_end(response)
-        return response
-
-    async def _pass_on(
-        self, opened: exchange.OpenAnswer
-    ) -> web.StreamResponse:
-        answer = opened.answer
-        if answer.status != STATUS_OK:
-            pieces = [piece async for piece in opened.pieces()]
-            return self._failed_answer(answer, b''.join(pieces))
-        self.reader.restart()
-        async for piece in opened.pieces():
-            try:
-                events = self.reader.feed(piece)
-            except ValueError as exc:
-                raise exchange.SendFailedError(
-                    'malformed_stream', Verdict.MAY_HAVE_RUN
-                ) from exc
-            if events:
-                await self._write(answer, events)
-        if not self.reader.is_between_events or self.response is None:
-            raise exchange.SendFailedError(
-                'incomplete_stream', Verdict.MAY_HAVE_RUN
-            )
-        await self.response.write_eof()
-        return self.response
-
-    def _failed_answer(
-        self, answer: exchange.Answer, body: bytes
-    ) -> web.StreamResponse:
-        if self.response is not None:
-            raise exchange.SendFailedError(
-                f'status_{answer.status}', Verdict.RAN
-            )
-        if self.call.log.may_send_again() and (
-            answer.status >= exchange.SERVER_ERROR
-        ):
-            # The request counts once more when this send is noted.
-            raise exchange.SendFailedError(
-                f'status_{answer.status}', Verdict.RAN
-            )
-        return web.Response(
-            status=answer.status,
-            headers=answer.headers_for_caller(),
-            body=body,
-        )
-
-    async def _write(
-        self, answer: exchange.Answer, events: list[eventstream.Event]
-    ) -> None:
-        now = time.monotonic()
-        if self.response is None:
-            self.response = web.StreamResponse(
-                status=answer.status, headers=answer.headers_for_caller()
-            )
-            self.owner._closing(self.response)
-            await self.response.prepare(self.request)
-            self._first_event_at = now
-            self.owner.metrics.first_event(now - self.call.arrived_at)
-        else:
-            pause_s = now - self._last_event_at
-            self._longest_pause_s = max(self._longest_pause_s, pause_s)
-        self._last_event_at = now
-        await self.response.write(b''.join(event.data for event in events))
-
-    def _log_end(self, response: web.StreamResponse) -> None:
-        call = self.call
-        first_s = self._first_event_at - call.arrived_at
-        logs.info(
-            'stream_answered',
-            request=call.id,
-            status=response.status,
-            sends=len(call.log.attempts),
-            events=self.reader.count,
-            first_event_s=first_s if self._first_event_at else -1,
-            longest_pause_s=self._longest_pause_s,
-            after_s=time.monotonic() - call.arrived_at,
-        )
-
-
 async def _body_of(request: web.BaseRequest, limit: int) -> bytes:
     if not request.body_exists:
         return b''
