Derive the hellos' interval from the deployment's bounds

A change that missed its push must be pulled within the time in which it has to be in force; loads of forgotten upstreams are dropped as well.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -1,11 +1,12 @@
 """Keeps the tables of entries and upstreams in step over the fleet.
 
-Every entry says hello to every other one once in ``HELLO_INTERVAL_S``, and
+Every entry says hello to every other one once in ``hello_interval_s``, and
 more often to those of its own data centre, whose callers it sends there. News
 of upstreams goes out at once; a digest in each hello shows what was lost,
 and the tables are then asked for.
 """
 
+from collections.abc import Callable
 import time
 from typing import Any
 
@@ -18,10 +19,14 @@
 from cassiashift_net import links
 
 TICK_S = 0.2
-HELLO_INTERVAL_S = 1.0
+# Longest time between two hellos; less where changes must be known sooner.
+LONGEST_HELLO_INTERVAL_S = 1.0
+# A change that missed its push is pulled after the next hello; two hellos and
+# the pull fit into the time within which it must be known.
+HELLO_SHARE = 0.4
 NEAR_HELLO_INTERVAL_S = 0.4
 # Two hellos may be lost before a host counts as silent.
-SILENT_AFTER_S = 3.2
+SILENT_AFTER_S = 3.2 * LONGEST_HELLO_INTERVAL_S
 NEAR_SILENT_AFTER_S = 1.3
 # A pull is repeated when its answer may have been lost.
 PULL_INTERVAL_S = 0.5
@@ -29,7 +34,11 @@
 
 @attrs.define(eq=False)
 class FleetRunner:
-    """Connects the tables of the fleet with the links."""
+    """Connects the tables of the fleet with the links.
+
+    Attributes:
+        on_forgotten: called with the id of an upstream that is dropped.
+    """
 
     cfg: config.DirectConfig
     links: links.Links
@@ -37,6 +46,7 @@
     upstreams: fleet.UpstreamTable
     holder: tables.TableHolder
     started_ns: int
+    on_forgotten: Callable[[str], None] = lambda id_: None
     is_ready: bool = False
     is_leaving: bool = False
     requests_per_s: float = 0.0
@@ -48,6 +58,13 @@
     _pulled: dict[tuple[str, type], float] = attrs.field(factory=dict)
     _silent: set[str] = attrs.field(factory=set)
 
+    @property
+    def hello_interval_s(self) -> float:
+        """Return the time between two hellos to every entry."""
+        bounds = self.cfg.bounds
+        soonest_s = min(bounds.apply_s, bounds.drain_s)
+        return min(LONGEST_HELLO_INTERVAL_S, HELLO_SHARE * soonest_s)
+
     def record(self) -> fleet.NodeRecord:
         """Return what this entry says of itself."""
         return fleet.NodeRecord(
@@ -96,9 +113,10 @@
             if now >= self._near_hello_due:
                 self._say_hello_nearby(now)
             return
-        self._hello_due = now + HELLO_INTERVAL_S
+        self._hello_due = now + self.hello_interval_s
         self.nodes.forget_silent(now)
         for upstream in self.upstreams.forget_silent(now):
+            self.on_forgotten(upstream.id)
             logs.info('upstream_forgotten', upstream=upstream.id)
         self._note_silent()
         self.say_hello()
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -175,6 +175,7 @@
             loads=placing.Loads(self.cfg.data_centre, self.rng),
             rng=self.rng,
         )
+        self.runner.on_forgotten = self.placement.loads.forget
         self.ingress = ingress.Ingress(
             dialect=self.adapter,
             holder=self.holder,
--- a/tests/daemon/direct/test_directory.py
+++ b/tests/daemon/direct/test_directory.py
@@ -149,3 +149,24 @@
         sorted(_answer(runner).addresses),
         matchers.Equals(['10.0.0.1:80', '10.0.0.5:80']),
     )
+
+
+@pytest.mark.parametrize(
+    ('apply_s', 'drain_s', 'expected_s'),
+    [(2.5, 2.5, 1.0), (2.0, 2.0, 0.8), (1.0, 2.0, 0.4)],
+)
+def test_hellos_are_frequent_enough_for_the_bounds(
+    runner, apply_s, drain_s, expected_s
+):
+    bounds = config.Bounds(apply_s=apply_s, drain_s=drain_s)
+    runner.cfg = attrs.evolve(runner.cfg, bounds=bounds)
+    assert_that(runner.hello_interval_s, matchers.Equals(expected_s))
+
+
+def test_what_is_known_of_a_silent_upstream_is_forgotten(runner):
+    forgotten = []
+    runner.on_forgotten = forgotten.append
+    upstream = fleet.Upstream('u', 's', '10.9.0.1:1', 'east')
+    runner.upstreams.take(upstream, time.monotonic() - 31.0)
+    runner.tick()
+    assert_that(forgotten, matchers.Equals(['u']))
