--- /dev/null
+++ b/tests/daemon/ranks/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the agents beside ranks."""
