--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -8,6 +8,7 @@
 from testtools import matchers
 
 from tests.process import platform_site as parts
+from tests.process import soak
 
 pytestmark = pytest.mark.process
 
@@ -158,3 +159,19 @@
         entry.signal(signal.SIGHUP)
         status, _ = await site.call(entry, 'read', f'h{number}')
         assert_that(status, matchers.Equals(200))
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+async def test_a_seeded_soak_breaks_no_promise(tmp_path, worker_base, seed):
+    played = await soak.play(tmp_path, worker_base, seed, 8.0)
+    assert_that(played.problems, matchers.Equals([]))
+
+
+async def test_a_reload_during_the_start_does_not_end_a_process(site):
+    entry = site.entries[4]
+    for delay_s in (0.1, 0.2, 0.3, 0.4):
+        entry.kill()
+        entry.start()
+        await asyncio.sleep(delay_s)
+        entry.signal(signal.SIGHUP)
+        await site.until(site.is_ready, entry)
