Push the configuration to entries whose hellos show an older one

What was possible: only the entry that lacked a change could ask for it, so one that hears nobody stays behind although others hear it. Change: those push.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -28,7 +28,10 @@
 # Two hellos may be lost before a host counts as silent.
 SILENT_AFTER_S = 3.2 * LONGEST_HELLO_INTERVAL_S
 NEAR_SILENT_AFTER_S = 1.3
-# A pull is repeated when its answer may have been lost.
+# An entry that shows an older configuration for this long after a newer one
+# came into force here has missed its push.
+PUSH_MISSED_S = 0.5
+# A pull or push is repeated when it may have been lost.
 PULL_INTERVAL_S = 0.5
 
 
@@ -55,7 +58,7 @@
     _sightings: dict[str, fleet.Sighting] = attrs.field(factory=dict)
     _hello_due: float = 0.0
     _near_hello_due: float = 0.0
-    _pulled: dict[tuple[str, type], float] = attrs.field(factory=dict)
+    _sent_at: dict[tuple[str, type], float] = attrs.field(factory=dict)
     _silent: set[str] = attrs.field(factory=set)
 
     @property
@@ -182,12 +185,14 @@
         for sighting in message.sightings:
             self.upstreams.seen(sighting, now)
         if not self._agrees(message):
-            self._pull(node.host, fleet.TablePull(self.cfg.host))
+            self._send_rarely(node.host, fleet.TablePull(self.cfg.host))
         if node.document_version > self.holder.version:
-            self._pull(
+            self._send_rarely(
                 node.host,
                 fleet.DocumentPull(self.cfg.host, self.holder.version),
             )
+        elif node.document_version < self.holder.version:
+            self._push_missed(node.host, now)
 
     def news(self, sender: links.Sender, message: fleet.UpstreamNews) -> None:
         """Take news of upstreams."""
@@ -240,6 +245,14 @@
             fleet.DocumentPush: self.document_push,
         }
 
+    def _push_missed(self, host: str, now: float) -> None:
+        """Send the configuration to an entry that may not hear this one."""
+        held = self.holder.document
+        if now - self.holder.since > PUSH_MISSED_S:
+            self._send_rarely(
+                host, fleet.DocumentPush(held.version, held.body)
+            )
+
     def _agrees(self, hello: fleet.Hello) -> bool:
         return (hello.nodes_digest, hello.upstreams_digest) == (
             self.nodes.digest(),
@@ -260,11 +273,12 @@
     def _send(self, host: str, message: Any) -> None:
         self.links.send(self.cfg.link_of(host), message)
 
-    def _pull(self, host: str, message: Any) -> None:
+    def _send_rarely(self, host: str, message: Any) -> None:
+        """Send a message of a kind to a host, but not too often."""
         now = time.monotonic()
         key = (host, type(message))
-        if now - self._pulled.get(key, -PULL_INTERVAL_S) >= PULL_INTERVAL_S:
-            self._pulled[key] = now
+        if now - self._sent_at.get(key, -PULL_INTERVAL_S) >= PULL_INTERVAL_S:
+            self._sent_at[key] = now
             self._send(host, message)
 
     def _note_node(
--- a/tests/daemon/direct/test_directory.py
+++ b/tests/daemon/direct/test_directory.py
@@ -170,3 +170,20 @@
     runner.upstreams.take(upstream, time.monotonic() - 31.0)
     runner.tick()
     assert_that(forgotten, matchers.Equals(['u']))
+
+
+def test_an_entry_that_missed_a_change_is_sent_it(runner):
+    runner.holder.document = fleet.Document(7, b'body')
+    record = fleet.NodeRecord('10.0.0.2', '', 'west', 'r', 1)
+    record = attrs.evolve(record, document_version=6)
+    hello = fleet.Hello(
+        record, (), runner.nodes.digest(), runner.upstreams.digest()
+    )
+    push = ('tcp://10.0.0.2:7', fleet.DocumentPush(7, b'body'))
+    runner.holder.since = time.monotonic()
+    runner.hello(None, hello)
+    assert_that(runner.links.sent, matchers.Not(matchers.Contains(push)))
+    runner.holder.since -= 1.0
+    runner.hello(None, hello)
+    runner.hello(None, hello)
+    assert_that(runner.links.sent.count(push), matchers.Equals(1))
