--- a/tests/daemon/ranks/test_agents.py
+++ b/tests/daemon/ranks/test_agents.py
@@ -1,6 +1,7 @@
 """Agents with links between them, beside engines that the test plays."""
 
 import asyncio
+import os
 import random
 
 import attrs
@@ -20,6 +21,9 @@
 SIZE = 4
 SHAPE = rankmaps.GroupShape(SIZE, 1, 8, 4, 2, 6)
 PORT = 17420
+# Each worker of the tests has a loopback network of its own.
+WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
+BASE = f'127.{50 + WORKER}.0'
 PATIENCE_S = 20.0
 
 
@@ -92,7 +96,7 @@
 
 
 def _address(rank):
-    return f'127.50.0.{rank + 1}'
+    return f'{BASE}.{rank + 1}'
 
 
 def _table(content):
@@ -103,7 +107,7 @@
 
 def _entry():
     """Return links that answer agents like an entry."""
-    host = '127.50.0.99'
+    host = f'{BASE}.99'
     upstreams = tuple(
         fleet.Upstream(f'u{rank}', 'model', f'{_address(rank)}:1', 'east')
         for rank in range(SIZE)
@@ -135,7 +139,7 @@
         cfg = config.RankAgentConfig(
             host=_address(rank),
             link_port=PORT,
-            seeds=('127.50.0.99',),
+            seeds=(f'{BASE}.99',),
             service='model',
             engine=f'{_address(rank)}:1',
         )
