Drop two attributes that nothing reads

Coordinator.skew was written and never read, since the plan holds the same figure; DirectoryApi.clock was never called. Behaviour is unchanged.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
@@ -45,7 +45,6 @@
     shape: model.GroupShape | None = None
     hosts: dict[int, str] = attrs.field(factory=dict)
     plan: planning.Plan | None = None
-    skew: float = 0.0
     switches: int = 0
     _statuses: dict[int, tuple[float, messages.RankStatus]] = attrs.field(
         factory=dict
@@ -266,7 +265,6 @@
             return
         use = self._use(reports)
         found = planning.plan(lists, self._demand.loads, self.shape, use)
-        self.skew = found.before
         if found.gain < planning.least_gain(use):
             return
         self.plan = found
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
@@ -141,7 +141,6 @@
     cfg: config.DirectConfig
     runner: fleet_runner.FleetRunner
     is_serving: Callable[[], bool]
-    clock: Callable[[], float] = time.monotonic
 
     @property
     def is_ready(self) -> bool:
