Found one log for a new system

Cause: a host decides who starts the log from which seeds have a data folder, and took a seed for one only after the seed had opened it. Their leaders then added each other's hosts and overwrote each other's logs in term 1.

Ruled out: settings without bootstrap or other seeds (all three show the same seeds); a lost hello (each had heard both others).

Change: the record of a host says from the first word on whether it has a disk; the choice and the order of the directory go by that.

Before: the new test fails for 4 of 8 orders of opening (those in which a is late). After: it passes.

--- a/packages/cassiashift-core/cassiashift_core/fleet/founding.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/founding.py
@@ -3,7 +3,8 @@
 All hosts of a new system are given the same few seeds and know nothing
 else. One host starts the log with itself as the only voter; all other hosts
 with a disk join it as learners. Two logs must never be started, so the
-choice depends on facts that every host sees alike.
+choice depends on facts that every host sees alike: which seeds have a disk,
+as the first word of each one tells, and not which of them have opened it.
 """
 
 from collections.abc import Iterable
@@ -33,7 +34,7 @@
     """Decide whether this host starts the log.
 
     Args:
-        own: the record of this host, which has a data folder.
+        own: the record of this host, whose data folder is open.
         seeds: hosts that every process of a new system is told.
         heard: records of the other hosts heard so far.
         is_first_start: the platform says that the whole system is new.
@@ -46,9 +47,9 @@
     seeds = set(seeds)
     if not seeds <= known.keys():
         return Founding.WAIT
-    eligible = [host for host in seeds if known[host].store]
+    eligible = [host for host in seeds if known[host].has_disk]
     if not eligible:
         if waited_s < SETTLE_S:
             return Founding.WAIT
-        eligible = [host for host, item in known.items() if item.store]
+        eligible = [host for host, item in known.items() if item.has_disk]
     return Founding.FOUND if min(eligible) == own.host else Founding.WAIT
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -58,7 +58,8 @@
         started_ns: start of the process, in nanoseconds since 1970.
         is_ready: callers may be sent there.
         is_leaving: a planned stop has begun.
-        store: identity of its data folder; empty without a disk.
+        has_disk: it has a data folder, opened or not.
+        store: identity of its data folder; empty until it is opened.
         founded: hosts of the voter set that it knows; empty for none.
         document_version: version of the configuration in force there.
         requests_per_s: requests of callers that it serves, lately.
@@ -71,6 +72,7 @@
     started_ns: int
     is_ready: bool = False
     is_leaving: bool = False
+    has_disk: bool = False
     store: str = ''
     founded: tuple[str, ...] = ()
     document_version: int = 0
--- a/packages/cassiashift-core/cassiashift_core/fleet/steering.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/steering.py
@@ -41,7 +41,7 @@
     if len(near) < FEWEST_ENTRIES:
         near = usable
     order = hashing.rendezvous(data_centre, [item.host for item in near])
-    near.sort(key=lambda item: (bool(item.store), order.index(item.host)))
+    near.sort(key=lambda item: (item.has_disk, order.index(item.host)))
     load = sum(item.requests_per_s for item in near)
     count = max(FEWEST_ENTRIES, math.ceil(load / REQUESTS_PER_S))
     return near[: min(count, MOST_ENTRIES)]
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
@@ -123,7 +123,7 @@
         records = [*self.runner.records(), self.runner.record()]
         wanted = 2 * self.cfg.tolerated_losses + 1
         if time.monotonic() - self.started_at > FLEET_SETTLED_S:
-            with_disk = sum(bool(record.store) for record in records)
+            with_disk = sum(record.has_disk for record in records)
             wanted = min(wanted, with_disk)
         founded = max(len(record.founded) for record in records)
         if founded < max(1, wanted):
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -78,6 +78,7 @@
             started_ns=self.started_ns,
             is_ready=self.is_ready,
             is_leaving=self.is_leaving,
+            has_disk=bool(self.cfg.data_dir),
             store=self.store,
             founded=self.founded,
             document_version=self.holder.version,
--- a/tests/core/fleet/test_voters.py
+++ b/tests/core/fleet/test_voters.py
@@ -12,6 +12,7 @@
 
 
 def _record(host, store='', **fields):
+    fields.setdefault('has_disk', bool(store))
     return fleet.NodeRecord(
         host, f'{host}:1', 'east', 'r', 1, store=store, **fields
     )
@@ -48,6 +49,22 @@
         assert_that(founders, matchers.HasLength(expected))
 
 
+@pytest.mark.parametrize('opened', [*itertools.product([0, 1], repeat=3)])
+def test_hosts_that_open_their_folders_at_different_times_found_one_log(
+    opened,
+):
+    founders = []
+    for own in 'abc':
+        records = [
+            _record(host, 's' * (host == own or has_store), has_disk=True)
+            for host, has_store in zip('abc', opened, strict=True)
+        ]
+        record = next(item for item in records if item.host == own)
+        if _decide(record, records) is fleet.Founding.FOUND:
+            founders.append(own)
+    assert_that(founders, matchers.Equals(['a']))
+
+
 def test_nobody_founds_before_every_seed_was_heard():
     own = _record('a', 's')
     decision = _decide(own, [_record('b', 's')], waited_s=99.0)
--- a/tests/daemon/direct/test_directory.py
+++ b/tests/daemon/direct/test_directory.py
@@ -143,8 +143,7 @@
 
 def test_hosts_with_a_voter_are_named_last(runner):
     for number in range(2, 6):
-        store = 's' if number < 5 else ''
-        _hear(runner, f'10.0.0.{number}', store=store)
+        _hear(runner, f'10.0.0.{number}', has_disk=number < 5)
     assert_that(
         sorted(_answer(runner).addresses),
         matchers.Equals(['10.0.0.1:80', '10.0.0.5:80']),
