Keep the library's thread of links from waiting on a closed monitor

Cause: closing a link closed the reader of its monitor first. The messaging library reports events by a blocking send from the one thread that serves all sockets; an event in between left that thread waiting for ever. Monitors were also named by descriptors, which are used again before the old monitor is released: 'Address already in use', a leaked socket each time, and at last 'Too many open files'.

Ruled out: a stale push of the configuration (no hello of any host arrived either), the voter's term, the election.

Change: a monitor is disabled before its reader is closed, and its name is never used twice.

--- a/packages/cassiashift-net/cassiashift_net/outgoing.py
+++ b/packages/cassiashift-net/cassiashift_net/outgoing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 import time
 
 import attrs
@@ -11,6 +12,8 @@
 from cassiashift_net import ports
 
 STALE_S = 1.0
+# Names of monitors are never used twice: a closed one is released late.
+_NUMBERS = itertools.count()
 
 
 @attrs.define(eq=False)
@@ -42,7 +45,10 @@
         """Connect a socket and watch it."""
         link = cls(address, ports.Port(sock, loop, receive), on_lost)
         events = zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
-        watched = sock.get_monitor_socket(events)
+        name = f'inproc://link-monitor-{next(_NUMBERS)}'
+        sock.monitor(name, events)
+        watched = sock.context.socket(zmq.PAIR)
+        watched.connect(name)
         link._monitor = ports.Port(watched, loop, link._receive_event)
         link._monitor.start()
         sock.connect(address)
@@ -55,7 +61,12 @@
         return not self.connected.is_set() and age_s > STALE_S
 
     def close(self) -> None:
-        """Close the link; what still waits in it is dropped."""
+        """Close the link; what still waits in it is dropped.
+
+        Events are ended first: the library's thread, which serves all
+        sockets, waits for ever when it has one to report and nobody reads.
+        """
+        self.port.sock.disable_monitor()
         self._monitor.close()
         self.port.close()
 
