Outlive a link that can't be opened and a voter that fails

Ruled out: the descriptors of the process (113 of 4,100 at most in use); the library's own limit of sockets was reached by leaked ones.

Change: a link that can't be opened is dropped and logged, and its socket is closed; the voter's folder is opened again after any failure.

Before: the new tests fail (an exception leaves send; one opening).

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
@@ -95,6 +95,9 @@
                 continue
             try:
                 await self._vote(store)
+            except Exception as exc:
+                # Nothing else starts the voter again.
+                logs.error('voter_failed', reason=repr(exc))
             finally:
                 self.voter = None
                 store.close()
--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -114,17 +114,28 @@
         if self.ring is not None and public is None:
             self._drop('unknown_peer', address)
             return
+        try:
+            self._open(address, public)
+        except zmq.ZMQError as exc:
+            # Out of descriptors, for one; other links still work.
+            self._drop(f'link_not_opened: {exc}', address)
+
+    def _open(self, address: str, public: bytes | None) -> None:
         sock = self._socket(zmq.DEALER)
-        if public is not None:
-            authenticator.secure_client(sock, self.ring, public)
-        sock.setsockopt(zmq.ROUTING_ID, self.host.encode())
-        self._peers[address] = outgoing.Outgoing.connect(
-            sock,
-            address,
-            self.loop,
-            lambda: self._receive_from(address),
-            self._lost,
-        )
+        try:
+            if public is not None:
+                authenticator.secure_client(sock, self.ring, public)
+            sock.setsockopt(zmq.ROUTING_ID, self.host.encode())
+            self._peers[address] = outgoing.Outgoing.connect(
+                sock,
+                address,
+                self.loop,
+                lambda: self._receive_from(address),
+                self._lost,
+            )
+        except zmq.ZMQError:
+            sock.close(linger=0)
+            raise
 
     async def connected(self, address: str, timeout_s: float) -> bool:
         """Wait for a connection; tell whether there is one."""
--- a/packages/cassiashift-net/cassiashift_net/outgoing.py
+++ b/packages/cassiashift-net/cassiashift_net/outgoing.py
@@ -50,8 +50,12 @@
         watched = sock.context.socket(zmq.PAIR)
         watched.connect(name)
         link._monitor = ports.Port(watched, loop, link._receive_event)
+        try:
+            sock.connect(address)
+        except zmq.ZMQError:
+            link.close()
+            raise
         link._monitor.start()
-        sock.connect(address)
         link.port.start()
         return link
 
--- /dev/null
+++ b/tests/daemon/direct/test_voting.py
@@ -0,0 +1,47 @@
+"""Tests of the supervision of a voter beside an entry."""
+
+import asyncio
+import contextlib
+
+import attrs
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_daemon.direct import voting
+
+REOPEN_S = 0.01
+PLAY_S = 0.5
+
+
+@attrs.define
+class Store:
+    """A folder that counts how often it is closed."""
+
+    closed: int = 0
+
+    def close(self):
+        """Close the folder."""
+        self.closed += 1
+
+
+async def test_a_voter_that_fails_is_opened_again(monkeypatch):
+    store = Store()
+
+    async def fail(self, store):
+        raise RuntimeError('no descriptor is left')
+
+    monkeypatch.setattr(voting, 'REOPEN_AFTER_S', REOPEN_S)
+    monkeypatch.setattr(voting.Voting, '_open_store', lambda self: store)
+    monkeypatch.setattr(voting.Voting, '_vote', fail)
+    supervisor = voting.Voting(
+        cfg=None,
+        deployment='d',
+        links=None,
+        runner=None,
+        rng=None,
+        on_document=None,
+    )
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(PLAY_S):
+            await supervisor.run_forever()
+    assert_that(store.closed, matchers.GreaterThan(2))
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -247,3 +247,14 @@
     path.write_bytes(content)
     with pytest.raises(CassiashiftError, match='a.key'):
         keys.load_public(path)
+
+
+async def test_a_link_that_can_not_be_opened_leaves_the_others():
+    peer, other = Peer.opened('b'), Peer.opened('c')
+    address = other.own.bind('tcp://127.0.0.1:*')
+    assert_that(peer.own.send('tcp://no port', QUESTION), matchers.Is(False))
+    assert_that(peer.own.send(address, QUESTION), matchers.Is(True))
+    await other.waited()
+    assert_that(peer.own.dropped, matchers.Equals(1))
+    peer.own.close()
+    other.own.close()
