Place holds after the newest pass, and switch maps by the pause of streams

Cause: on the grown deployments a third of the streams is late, since a pass of 32 ranks comes close to the pause that callers bear.

Ruled out: queueing (the first events come after 235 ms in the median), the quality of plans (skew 1.2 to 1.4 expected from 1.6 to 2.4).

Change: the newest report of any rank, and each of the own engine, sets the pass to hold; pressure from the pause that streams bear lowers the bound for a switch; counts decay in 0.4 s, plans follow each 0.25 s, and no rank copies more than 6 experts at once.

Passes still last about as long as the pause allows: slow ranks and copies bind now.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
@@ -10,6 +10,7 @@
 from cassiashift_core.rankmaps import messages
 from cassiashift_core.rankmaps import model
 from cassiashift_core.rankmaps import planning
+from cassiashift_core.rankmaps import pressure
 from cassiashift_core.rankmaps import recovery
 from cassiashift_core.rankmaps import switch
 
@@ -21,7 +22,7 @@
 STATUS_TIMEOUT_S = 1.6
 # Statuses of silent agents that a recovery may begin with are not older.
 OLDEST_STATUS_S = 15.0
-PLAN_INTERVAL_S = 0.5
+PLAN_INTERVAL_S = 0.25
 # Choices needed before a plan means anything, for each set and expert.
 LEAST_CHOICES = 4.0
 # A pass that nobody drives is freed after this.
@@ -72,6 +73,8 @@
         self.hosts[report.rank] = self.host
         if self._beacon_at is None:
             self._beacon_at = now
+        if self._active is not None:
+            self._active.report(report, now)
 
     def beacon(self, message: messages.GroupBeacon, now: float) -> bool:
         """Take a beacon; tell whether its sender coordinates this group."""
@@ -263,9 +266,12 @@
         cells = self.shape.sets * self.shape.experts
         if self._demand.total < LEAST_CHOICES * cells:
             return
+        loads = self._demand.loads
+        skew = planning.skew_of(lists, loads, self.shape)
         use = self._use(reports)
-        found = planning.plan(lists, self._demand.loads, self.shape, use)
-        if found.gain < planning.least_gain(use):
+        worth = pressure.pressure(self.shape, use, skew)
+        found = planning.plan(lists, loads, self.shape, use)
+        if found.gain < planning.least_gain(worth):
             return
         self.plan = found
         self.switches += 1
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/demand.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/demand.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-# Popularity moves every few seconds; a second of history is followed
+# Popularity moves every few seconds; half a second of history is followed
 # quickly and still holds some thousand choices for each set.
-HALF_LIFE_S = 0.8
+HALF_LIFE_S = 0.4
 
 
 @attrs.define
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
@@ -18,6 +18,11 @@
         spare: experts in a set that one map may bring to a rank.
         slots: requests that a rank runs at once; 0 when not stated.
         expert_share: share of the token work that experts do, 0 to 1.
+        stride: token steps of one pass.
+        step_s: duration of a token step on an even map, without requests.
+        step_per_request_s: what each running request of a rank adds to it.
+        longest_pause_s: pause between two events of a stream from which on
+            its answer is late; 0 when none is stated.
     """
 
     ranks: int
@@ -27,6 +32,10 @@
     spare: int
     slots: int = 0
     expert_share: float = 1.0
+    stride: int = 1
+    step_s: float = 0.0
+    step_per_request_s: float = 0.0
+    longest_pause_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
@@ -21,11 +21,15 @@
 # each, slow the passes meanwhile and are charged; a fall of 1% in one of six
 # sets shortens a pass by 0.15%.
 GAIN_PER_COPY = 0.01
-# Fall of the skew, averaged over the sets, that makes a switch worth while in
-# a group without a free slot.
+# Fall of the skew, averaged over the sets, that makes a switch worth while at
+# full pressure.
 LEAST_GAIN = 0.12
-# Below this share of taken slots, groups are treated alike.
+# Below this share of taken slots, and below this pressure, groups are treated
+# alike.
 LEAST_USE = 0.2
+# Copies of a rank in one plan. They follow one another, 50 ms each, and
+# popularity moves every few seconds: the rest comes with the next plan.
+MAX_COPIES = 6
 MAX_STEPS = 40
 HOT_RANKS = 2
 COOL_RANKS = 3
@@ -54,16 +58,30 @@
         return self.before - self.after
 
 
-def least_gain(use: float) -> float:
+def least_gain(pressure: float) -> float:
     """Return the fall of the skew that makes a switch worth while.
 
-    Shorter passes help callers as far as requests wait for them. With free
-    slots few do: the bound rises with the square of the spare room.
+    Shorter passes help callers as far as requests wait for them or streams
+    are late: the bound falls with the square of the pressure.
 
     Args:
-        use: share of the group's slots that are taken, 0 to 1.
+        pressure: how much shorter passes are worth, 0 to 1.
+    """
+    return LEAST_GAIN / max(pressure, LEAST_USE) ** 2
+
+
+def skew_of(
+    lists: model.ExpertLists, loads: list[list[float]], shape: model.GroupShape
+) -> float:
+    """Return the load of the hottest rank against the mean on a map.
+
+    Args:
+        loads: choices for each set and expert.
     """
-    return LEAST_GAIN / max(use, LEAST_USE) ** 2
+    found = 0.0
+    for rows, weights in zip(lists, loads, strict=True):
+        found += _SetSearch.from_lists(rows, weights, shape, 0.0).skew()
+    return found / shape.sets
 
 
 def plan(
@@ -79,15 +97,23 @@
         use: share of the group's slots that are taken, 0 to 1.
     """
     price = GAIN_PER_COPY / max(use, LEAST_USE)
-    rows, copies, before, after = [], 0, 0.0, 0.0
-    for lists, weights in zip(current, loads, strict=True):
-        search = _SetSearch.from_lists(lists, weights, shape, price)
-        before += search.skew()
+    searches = [
+        _SetSearch.from_lists(lists, weights, shape, price)
+        for lists, weights in zip(current, loads, strict=True)
+    ]
+    before = sum(search.skew() for search in searches)
+    copied = [0] * shape.ranks
+    for search in sorted(searches, key=_SetSearch.skew, reverse=True):
+        search.copied = copied
         search.run()
-        after += search.skew()
-        copies += sum(search.copies)
-        rows.append(tuple(tuple(sorted(row)) for row in search.held))
-    return Plan(tuple(rows), copies, before / shape.sets, after / shape.sets)
+        copied = [
+            old + new for old, new in zip(copied, search.copies, strict=True)
+        ]
+    after = sum(search.skew() for search in searches)
+    rows = tuple(
+        tuple(tuple(sorted(row)) for row in search.held) for search in searches
+    )
+    return Plan(rows, sum(copied), before / shape.sets, after / shape.sets)
 
 
 @attrs.frozen
@@ -107,6 +133,7 @@
         holders: ranks of each expert.
         loads: load of each rank, in shares of the mean.
         copies: experts that each rank has to copy.
+        copied: experts that each rank has to copy for other sets.
         price: fall of the power mean that one copy has to bring.
     """
 
@@ -118,6 +145,7 @@
     holders: list[set[int]]
     loads: list[float]
     copies: list[int]
+    copied: list[int]
 
     @classmethod
     def from_lists(
@@ -138,6 +166,7 @@
             holders=[set() for _ in weights],
             loads=[0.0] * shape.ranks,
             copies=[0] * shape.ranks,
+            copied=[0] * shape.ranks,
         )
         for rank, row in enumerate(lists):
             for expert in row:
@@ -203,7 +232,10 @@
         for rank, expert in step.adds:
             new[rank] += expert not in self.base[rank]
         for rank, count in new.items():
-            if self.copies[rank] + count > self.shape.spare:
+            wanted = self.copies[rank] + count
+            if wanted > self.shape.spare:
+                return -1.0
+            if wanted + self.copied[rank] > MAX_COPIES:
                 return -1.0
         changes = self._changes(step)
         return self._mean(()) - self._mean(changes.items())
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
@@ -208,10 +208,10 @@
             return None
         match self.phase:
             case Phase.PREPARE if self._all(self._is_prepared):
-                self.step = own.step + LEAD_STEPS
+                self.step = self._newest_step() + LEAD_STEPS
                 return Phase.HOLD
             case Phase.HOLD:
-                return self._following_hold(own)
+                return self._following_hold()
             case Phase.ARM if self._all(self._is_armed):
                 self.is_committed = True
                 return Phase.RELEASE
@@ -222,14 +222,19 @@
                     return Phase.DONE
         return None
 
-    def _following_hold(self, own: model.RankReport) -> Phase | None:
+    def _following_hold(self) -> Phase | None:
         if self._reports[self.hold_rank].held == self.step:
             return Phase.ARM
-        if own.step >= self.step:
+        newest = self._newest_step()
+        if newest >= self.step:
             # No rank was armed for it; a later pass will do.
-            self.step = own.step + LEAD_STEPS
+            self.step = newest + LEAD_STEPS
         return None
 
+    def _newest_step(self) -> int:
+        """Return the last pass that any rank reports: all make it."""
+        return max(report.step for report in self._reports.values())
+
     def _check_time(self, now: float) -> None:
         waited_s = now - self._phase_at
         match self.phase:
--- a/packages/cassiashift-core/cassiashift_core/routes/model.py
+++ b/packages/cassiashift-core/cassiashift_core/routes/model.py
@@ -163,6 +163,19 @@
         """Return a service by its name."""
         return self._services.get(name)
 
+    def shortest_gap_s(self, service: str) -> float:
+        """Return the shortest pause objective of a service's streams.
+
+        It is 0 when none of its routes states one.
+        """
+        gaps = [
+            route.gap_objective_s
+            for route in self.routes
+            if route.gap_objective_s
+            and any(target.service == service for target in route.targets)
+        ]
+        return min(gaps, default=0.0)
+
     def workspace_of(self, key: str) -> Workspace | None:
         """Return the workspace that holds a key."""
         return self._by_key.get(key)
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
@@ -364,6 +364,10 @@
                 spare=figures.spare,
                 slots=figures.slots,
                 expert_share=figures.expert_share,
+                stride=figures.stride,
+                step_s=figures.step_s,
+                step_per_request_s=figures.step_per_request_s,
+                longest_pause_s=table.shortest_gap_s(service.name),
             )
 
     def _send(self, host: str, message: object) -> None:
--- a/tests/core/rankmaps/test_planning.py
+++ b/tests/core/rankmaps/test_planning.py
@@ -99,3 +99,16 @@
         demand.loads[0][1], matchers.GreaterThan(20 * demand.loads[0][0])
     )
     demand.add([1], 6.0)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_no_rank_copies_for_longer_than_popularity_lasts(seed):
+    loads = _loads(LARGE, seed)
+    current = rankmaps.first_map(LARGE)
+    plan = rankmaps.plan(current, loads, LARGE)
+    for rank in range(LARGE.ranks):
+        copies = sum(
+            len(set(after[rank]) - set(before[rank]))
+            for before, after in zip(current, plan.lists, strict=True)
+        )
+        assert_that(copies <= planning.MAX_COPIES, matchers.Is(True))
--- a/tests/core/rankmaps/test_switch.py
+++ b/tests/core/rankmaps/test_switch.py
@@ -169,3 +169,41 @@
     assert_that(one, matchers.GreaterThan(40))
     assert_that(one % SIZE, matchers.Equals(1))
     assert_that(two % SIZE, matchers.Equals(2))
+
+
+def _holding(step):
+    """Return a switch of two ranks whose copies are complete at a pass."""
+    machine = switches.Switch(
+        epoch=1,
+        size=2,
+        own_rank=0,
+        version=2,
+        lists=(),
+        former=(),
+        started_at=0.0,
+    )
+    for rank in range(2):
+        machine.report(_report(rank, step), 0.0)
+    return machine
+
+
+def _report(rank, step):
+    return rankmaps.RankReport('g', 1, rank, 2, True, step, prepared=2)
+
+
+def test_a_hold_is_placed_after_the_newest_pass_of_any_rank():
+    machine = _holding(10)
+    assert_that(machine.phase, matchers.Is(rankmaps.Phase.HOLD))
+    # The own report is half a second old, that of the other rank is fresh.
+    machine.report(_report(1, 16), 0.1)
+    (order,) = machine.orders(0.2)
+    assert_that(order.kind, matchers.Is(rankmaps.OrderKind.HOLD))
+    assert_that(order.step, matchers.GreaterThan(16))
+
+
+def test_a_coordinator_gives_its_own_reports_to_the_switch():
+    own = rankmaps.Coordinator(_report(0, 10), 'h0')
+    own._active = _holding(10)
+    own.note_own(_report(0, 20), 0.1)
+    orders = own._active.orders(0.2)
+    assert_that(orders[0].step, matchers.GreaterThan(20))
