Give slow ranks of a group fewer experts

Cause: a pass waits for the slowest rank. The plans did not know that the rank was slow.

Change: reports carry how slow a rank is; a choice counts that much more there, in the plan and in the judgement whether a switch is worth while.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
@@ -267,10 +267,11 @@
         if self._demand.total < LEAST_CHOICES * cells:
             return
         loads = self._demand.loads
-        skew = planning.skew_of(lists, loads, self.shape)
+        slowness = [reports[rank].slowness for rank in sorted(reports)]
+        skew = planning.skew_of(lists, loads, self.shape, slowness)
         use = self._use(reports)
         worth = pressure.pressure(self.shape, use, skew)
-        found = planning.plan(lists, loads, self.shape, use)
+        found = planning.plan(lists, loads, self.shape, use, slowness)
         if found.gain < planning.least_gain(worth):
             return
         self.plan = found
--- /dev/null
+++ b/tests/platform/test_engines.py
@@ -0,0 +1,70 @@
+"""Tests of the calls to a model runner."""
+
+from aiohttp import test_utils
+from aiohttp import web
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import rankmaps
+from cassiashift_daemon.ranks import engine
+from cassiashift_platform import engines
+
+REPORT = {
+    'group': {'name': 'g0', 'epoch': 2, 'rank': 3, 'state': 'open'},
+    'size': 8,
+    'step': 41,
+    'expertMap': 8,
+    'prepared': 16,
+    'armed': {'version': 16, 'step': 44},
+    'held': 44,
+    'running': 2,
+    'pace': 3.5,
+    'kvUsed': 41000,
+}
+
+
+@pytest.fixture
+async def client(request):
+    """Return a client of a runner that gives one report."""
+    body = getattr(request, 'param', REPORT)
+
+    async def report(_):
+        return web.json_response(body)
+
+    app = web.Application()
+    app.router.add_get('/cassiashift/report', report)
+    server = test_utils.TestServer(app)
+    await server.start_server()
+    found = engines.RunnerClient(f'{server.host}:{server.port}')
+    yield found
+    await found.close()
+    await server.close()
+
+
+async def test_a_report_is_decoded(client):
+    expected = rankmaps.RankReport(
+        group='g0',
+        epoch=2,
+        rank=3,
+        size=8,
+        is_open=True,
+        step=41,
+        map_version=8,
+        prepared=16,
+        armed=rankmaps.Armed(16, 44),
+        held=44,
+        running=2,
+        slowness=3.5,
+    )
+    assert_that(await client.report(), matchers.Equals(expected))
+
+
+@pytest.mark.parametrize(
+    'client',
+    [{}, {**REPORT, 'group': None}, {**REPORT, 'pace': 'slow'}],
+    indirect=True,
+)
+async def test_a_strange_report_is_an_error(client):
+    with pytest.raises(engine.EngineError):
+        await client.report()
