Say hello seldom to other data centres

Cause: every entry said hello to every other one each second.

Ruled out: statuses of agents (1.8 KB each 0.5 s, an estimated 11 MB).

Change: hosts with a disk and one relay of each data centre say hello there each second, the others each 6 s; the relay passes on which upstreams were heard in its data centre. Changes still go to all at once.

--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -4,6 +4,8 @@
 from cassiashift_core.fleet.documents import Standing
 from cassiashift_core.fleet.founding import decide_founding
 from cassiashift_core.fleet.founding import Founding
+from cassiashift_core.fleet.gossip import is_relay
+from cassiashift_core.fleet.gossip import speaks_often
 from cassiashift_core.fleet.messages import DocumentPull
 from cassiashift_core.fleet.messages import DocumentPush
 from cassiashift_core.fleet.messages import Hello
@@ -39,5 +41,7 @@
     'UpstreamTable',
     'choose_entries',
     'decide_founding',
+    'is_relay',
     'next_change',
+    'speaks_often',
 ]
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -1,12 +1,14 @@
 """Keeps the tables of entries and upstreams in step over the fleet.
 
-Every entry says hello to every other one once in ``hello_interval_s``, and
-more often to those of its own data centre, whose callers it sends there. News
-of upstreams goes out at once; a digest in each hello shows what was lost,
-and the tables are then asked for.
+Every entry says hello often to those of its own data centre, whose callers it
+sends there. To other data centres, voters and one relay of each data centre
+say hello once in ``hello_interval_s``, the others seldom (see
+``fleet.gossip``). News of upstreams goes out at once; a digest in each hello
+shows what was lost, and the tables are then asked for.
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 import time
 from typing import Any
 
@@ -25,8 +27,14 @@
 # the pull fit into the time within which it must be known.
 HELLO_SHARE = 0.4
 NEAR_HELLO_INTERVAL_S = 0.4
+# What entries without a disk tell other data centres is of use only when all
+# entries that speak for them are lost.
+SELDOM_HELLO_INTERVAL_S = 6.0
+# A new entry speaks often until all others have heard of it.
+INTRODUCTION_S = 10.0
 # Two hellos may be lost before a host counts as silent.
 SILENT_AFTER_S = 3.2 * LONGEST_HELLO_INTERVAL_S
+SELDOM_SILENT_AFTER_S = 3.2 * SELDOM_HELLO_INTERVAL_S
 NEAR_SILENT_AFTER_S = 1.3
 # An entry that shows an older configuration for this long after a newer one
 # came into force here has missed its push.
@@ -55,7 +63,10 @@
     requests_per_s: float = 0.0
     store: str = ''
     founded: tuple[str, ...] = ()
-    _sightings: dict[str, fleet.Sighting] = attrs.field(factory=dict)
+    started_at: float = attrs.field(factory=time.monotonic)
+    _near_sightings: dict[str, fleet.Sighting] = attrs.field(factory=dict)
+    _far_sightings: dict[str, fleet.Sighting] = attrs.field(factory=dict)
+    _said_at: float = 0.0
     _hello_due: float = 0.0
     _near_hello_due: float = 0.0
     _sent_at: dict[tuple[str, type], float] = attrs.field(factory=dict)
@@ -88,7 +99,12 @@
     def records(self) -> list[fleet.NodeRecord]:
         """Return the records of the other entries that are alive."""
         now = time.monotonic()
-        return [node.record for node in self.nodes.alive(now, SILENT_AFTER_S)]
+        return [
+            node.record
+            for node in self.nodes.alive(now, SELDOM_SILENT_AFTER_S)
+            if now - node.heard_at <= SILENT_AFTER_S
+            or self._speaks_seldom(node.record)
+        ]
 
     def responsive(self) -> list[fleet.NodeRecord]:
         """Return the records of the entries that callers may be sent to.
@@ -97,10 +113,11 @@
         """
         now = time.monotonic()
         return [
-            node.record
-            for node in self.nodes.alive(now, SILENT_AFTER_S)
-            if node.record.data_centre != self.cfg.data_centre
-            or now - node.heard_at <= NEAR_SILENT_AFTER_S
+            record
+            for record in self.records()
+            if not self._is_near(record)
+            or now - self.nodes.nodes[record.host].heard_at
+            <= NEAR_SILENT_AFTER_S
         ]
 
     def voter_hosts(self) -> list[str]:
@@ -123,21 +140,54 @@
             self.on_forgotten(upstream.id)
             logs.info('upstream_forgotten', upstream=upstream.id)
         self._note_silent()
-        self.say_hello()
+        if now - self._said_at >= self._far_interval_s(now):
+            self.say_hello()
+        else:
+            self._say_hello_nearby(now)
 
     def say_hello(self) -> None:
         """Tell every known entry about this one."""
-        self._near_hello_due = time.monotonic() + NEAR_HELLO_INTERVAL_S
-        hello = self._hello(tuple(self._sightings.values()))
-        self._sightings.clear()
-        self._broadcast(hello)
-
-    def _say_hello_nearby(self, now: float) -> None:
+        now = time.monotonic()
+        self._said_at = now
+        near = self._say_hello_nearby(now)
+        hello = self._hello(tuple(self._far_sightings.values()))
+        self._far_sightings.clear()
+        self._broadcast(hello, near)
+
+    def _say_hello_nearby(self, now: float) -> set[str]:
+        """Tell the entries of the data centre; return their hosts."""
         self._near_hello_due = now + NEAR_HELLO_INTERVAL_S
-        hello = self._hello(())
-        for record in self.records():
-            if record.data_centre == self.cfg.data_centre:
-                self._send(record.host, hello)
+        hello = self._hello(tuple(self._near_sightings.values()))
+        self._near_sightings.clear()
+        near = {
+            node.record.host
+            for node in self.nodes.nodes.values()
+            if self._is_near(node.record)
+        }
+        for host in near:
+            self._send(host, hello)
+        return near
+
+    def _far_interval_s(self, now: float) -> float:
+        """Return the time between two hellos to other data centres."""
+        is_new = now - self.started_at < INTRODUCTION_S
+        if is_new or fleet.speaks_often(self.record(), self._neighbours(now)):
+            return self.hello_interval_s
+        return SELDOM_HELLO_INTERVAL_S
+
+    def _neighbours(self, now: float) -> list[fleet.NodeRecord]:
+        """Return the entries of the data centre that were heard just now."""
+        return [
+            node.record
+            for node in self.nodes.alive(now, NEAR_SILENT_AFTER_S)
+            if self._is_near(node.record)
+        ]
+
+    def _is_near(self, record: fleet.NodeRecord) -> bool:
+        return record.data_centre == self.cfg.data_centre
+
+    def _speaks_seldom(self, record: fleet.NodeRecord) -> bool:
+        return not record.has_disk and not self._is_near(record)
 
     def _hello(self, sightings: tuple[fleet.Sighting, ...]) -> fleet.Hello:
         return fleet.Hello(
@@ -150,9 +200,11 @@
     def announced(self, upstream: fleet.Upstream) -> None:
         """Take an announcement that an upstream made at this entry."""
         news = self.upstreams.take(upstream, time.monotonic())
-        self._sightings[upstream.id] = fleet.Sighting(
+        sighting = fleet.Sighting(
             upstream.id, upstream.born_ms, upstream.sequence
         )
+        self._near_sightings[upstream.id] = sighting
+        self._far_sightings[upstream.id] = sighting
         self._spread(news)
 
     def left(self, id_: str, born_ms: int) -> None:
@@ -185,6 +237,8 @@
             self._note_node(known, node)
         for sighting in message.sightings:
             self.upstreams.seen(sighting, now)
+        if self._is_near(node) and message.sightings:
+            self._pass_on(message.sightings)
         if not self._agrees(message):
             self._send_rarely(node.host, fleet.TablePull(self.cfg.host))
         if node.document_version > self.holder.version:
@@ -246,6 +300,12 @@
             fleet.DocumentPush: self.document_push,
         }
 
+    def _pass_on(self, sightings: tuple[fleet.Sighting, ...]) -> None:
+        """Keep what a neighbour heard for the other data centres."""
+        neighbours = self._neighbours(time.monotonic())
+        if fleet.is_relay(self.record(), neighbours):
+            self._far_sightings.update((item.id, item) for item in sightings)
+
     def _push_missed(self, host: str, now: float) -> None:
         """Send the configuration to an entry that may not hear this one."""
         held = self.holder.document
@@ -265,10 +325,10 @@
             self._note_upstream(news, 'itself')
             self._broadcast(fleet.UpstreamNews((news,)))
 
-    def _broadcast(self, message: Any) -> None:
+    def _broadcast(self, message: Any, without: Collection[str] = ()) -> None:
         hosts = dict.fromkeys([*self.cfg.seeds, *self.nodes.contacts()])
         for host in hosts:
-            if host != self.cfg.host:
+            if host != self.cfg.host and host not in without:
                 self._send(host, message)
 
     def _send(self, host: str, message: Any) -> None:
