Repeat an unanswered order to prepare at once

Ruled out: a danger for the map rule: to prepare a version again is what the coordinator's retry does, and a late one is refused once a later version is prepared. Orders to arm, hold, disarm and go are not repeated here.

Change: the agent gives an order to prepare up to three times.

Before: the new test fails. After: it passes.

--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
@@ -30,6 +30,9 @@
 # Copies take 50 ms an expert; the state is read until they are complete.
 PREPARE_POLL_S = 0.05
 PREPARE_POLLS = 14
+# Preparing a version again changes nothing, so an order without an answer is
+# repeated at once.
+PREPARE_TRIES = 3
 # Reports from elsewhere are charged and some hundred milliseconds old.
 FAR_READ_INTERVAL_S = 0.5
 
@@ -277,16 +280,7 @@
         """Pass an order on and report what has become of it."""
         if self.coordinator is not None:
             self.coordinator.prepares(order)
-        try:
-            await self.engine.order(order)
-        except engines.EngineError as exc:
-            logs.warning(
-                'order_unanswered',
-                kind=order.kind.value,
-                version=order.version,
-                step=order.step,
-                reason=str(exc),
-            )
+        await self._give(order)
         try:
             report = await self._report_after(order)
         except engines.EngineError as exc:
@@ -299,6 +293,26 @@
             self.coordinator.status(status, time.monotonic())
             self._drive()
 
+    async def _give(self, order: rankmaps.Order) -> None:
+        """Give an order to the own engine; one to prepare more than once.
+
+        An engine that leaves one order in ten unanswered would otherwise
+        delay nearly every map of a large group by the coordinator's retry.
+        """
+        is_prepare = order.kind is rankmaps.OrderKind.PREPARE
+        for _ in range(PREPARE_TRIES if is_prepare else 1):
+            try:
+                await self.engine.order(order)
+                return
+            except engines.EngineError as exc:
+                logs.warning(
+                    'order_unanswered',
+                    kind=order.kind.value,
+                    version=order.version,
+                    step=order.step,
+                    reason=str(exc),
+                )
+
     async def _report_after(
         self, order: rankmaps.Order
     ) -> rankmaps.RankReport:
--- a/tests/daemon/ranks/test_agents.py
+++ b/tests/daemon/ranks/test_agents.py
@@ -33,11 +33,15 @@
 
     Attributes:
         is_silent: calls get no answer.
+        unanswered: orders that still get no answer.
+        given: kinds of the orders that arrived.
     """
 
     group: simulation.Group
     rank: int
     is_silent: bool = False
+    unanswered: int = 0
+    given: list = attrs.field(factory=list)
     chosen: int = 0
 
     async def report(self):
@@ -69,6 +73,10 @@
     async def order(self, order):
         """Carry an order out."""
         self._check()
+        self.given.append(order.kind)
+        if self.unanswered:
+            self.unanswered -= 1
+            raise engine.EngineError('unanswered')
         return self.group.carry_out(order)
 
     async def close(self):
@@ -198,3 +206,26 @@
     assert_that(versions, matchers.HasLength(1))
     await asyncio.sleep(1.0)
     assert_that(played.group.step, matchers.GreaterThan(step))
+
+
+@pytest.mark.parametrize(
+    ('kind', 'expected'),
+    [
+        (rankmaps.OrderKind.PREPARE, 3),
+        (rankmaps.OrderKind.ARM, 1),
+        (rankmaps.OrderKind.GO, 1),
+    ],
+)
+async def test_only_an_unanswered_order_to_prepare_is_repeated_at_once(
+    kind, expected
+):
+    group = simulation.Group(SIZE, 0.0, random.Random(1))
+    own = PlayedEngine(group, 0, unanswered=2)
+    cfg = config.RankAgentConfig(
+        host=_address(0), link_port=PORT, seeds=(), service='m', engine='e'
+    )
+    agent = process.RankAgent(lambda: cfg, lambda address: own, _table)
+    agent.engine = own
+    order = rankmaps.Order(kind, 0, 1, 8, 5, lists=rankmaps.first_map(SHAPE))
+    await agent._give(order)
+    assert_that(own.given, matchers.Equals([kind] * expected))
