Check in the soak that the configuration is in force everywhere

Freezes last up to 6 s, longer than links wait for a sign of life, and once all entries are back each must serve a route of the newest acknowledged configuration: a process that is deaf to its peers showed no problem before.

--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -4,7 +4,8 @@
 tests play a few. Checked all the while, from what callers, operators and the
 upstream see: an unsafe request runs once at most, what was refused has not
 run, an answer belongs to its request, a read is never older than what was
-acknowledged before it, and nothing acknowledged is lost.
+acknowledged before it, nothing acknowledged is lost, and once all are back the
+newest acknowledged configuration is in force at every entry.
 """
 
 import argparse
@@ -22,9 +23,15 @@
 
 CALLERS = 6
 SETTLE_S = 4.0
+# After this long without a fault, changes are in force (`contactMs` of the
+# sites that the program is made for).
+CONTACT_S = 3.0
+# Longer than links wait for a sign of life of their peers.
+LONGEST_FREEZE_S = 6.0
 # Hosts with a disk that may be lost at once.
 TOLERATED = 1
 REFUSED = (429, 503)
+NOT_FOUND = 404
 
 
 @attrs.define(eq=False)
@@ -45,6 +52,7 @@
     faults: list[str] = attrs.field(factory=list)
     _version: int = 1
     _numbers: int = 0
+    _routes: list[tuple[str, str]] = attrs.field(factory=list)
     _lost: set[int] = attrs.field(factory=set)
 
     async def run(self) -> list[str]:
@@ -73,7 +81,8 @@
     async def _change_until(self, ends_at: float) -> None:
         while time.monotonic() < ends_at:
             self._version += self.rng.randint(1, 3)
-            config = parts.document(self._version)
+            self._routes.append((f'v{self._version}', 'safe'))
+            config = parts.document(self._version, *self._routes)
             for _ in range(self.rng.randint(1, 3)):
                 entry = self.rng.choice(self.site.entries)
                 status = await self.site.put(entry, config)
@@ -130,7 +139,7 @@
 
     async def _freeze(self, entry: parts.Entry) -> None:
         entry.signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+        await asyncio.sleep(self.rng.uniform(0.3, LONGEST_FREEZE_S))
         entry.signal(signal.SIGCONT)
 
     async def _stop(self, entry: parts.Entry) -> None:
@@ -149,6 +158,17 @@
                 self.problems.append(
                     f'{found} at the end, {self.acknowledged} acknowledged'
                 )
+        await self._check_in_force()
+
+    async def _check_in_force(self) -> None:
+        await asyncio.sleep(CONTACT_S)
+        route = f'v{self.acknowledged}'
+        for entry in self.site.entries:
+            status, _ = await self.site.call(
+                entry, route, f'end{entry.number}'
+            )
+            if status == NOT_FOUND and self._routes:
+                self.problems.append(f'{entry.ip} does not know {route}')
 
     def _check_calls(self) -> None:
         ran = self.site.desk.ran
