Revert 'Give slow ranks of a group fewer experts'

Cause of the revert: it does not shorten the passes. A slow rank seems to lengthen the whole pass whatever it holds, and the copies cost.

Ruled out: a plan that was not carried out (the versions rose).

To keep requests away from a slow rank was not tried.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
@@ -267,11 +267,10 @@
         if self._demand.total < LEAST_CHOICES * cells:
             return
         loads = self._demand.loads
-        slowness = [reports[rank].slowness for rank in sorted(reports)]
-        skew = planning.skew_of(lists, loads, self.shape, slowness)
+        skew = planning.skew_of(lists, loads, self.shape)
         use = self._use(reports)
         worth = pressure.pressure(self.shape, use, skew)
-        found = planning.plan(lists, loads, self.shape, use, slowness)
+        found = planning.plan(lists, loads, self.shape, use)
         if found.gain < planning.least_gain(worth):
             return
         self.plan = found
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
-from collections.abc import Sequence
 
 import attrs
 
@@ -72,21 +71,16 @@
 
 
 def skew_of(
-    lists: model.ExpertLists,
-    loads: list[list[float]],
-    shape: model.GroupShape,
-    slowness: Sequence[float] = (),
+    lists: model.ExpertLists, loads: list[list[float]], shape: model.GroupShape
 ) -> float:
     """Return the load of the hottest rank against the mean on a map.
 
     Args:
         loads: choices for each set and expert.
-        slowness: of each rank, as in ``plan``.
     """
     found = 0.0
     for rows, weights in zip(lists, loads, strict=True):
-        search = _SetSearch.from_lists(rows, weights, shape, 0.0, slowness)
-        found += search.skew()
+        found += _SetSearch.from_lists(rows, weights, shape, 0.0).skew()
     return found / shape.sets
 
 
@@ -95,20 +89,16 @@
     loads: list[list[float]],
     shape: model.GroupShape,
     use: float = 1.0,
-    slowness: Sequence[float] = (),
 ) -> Plan:
     """Return a map for the given loads, close to the current one.
 
     Args:
         loads: choices for each set and expert.
         use: share of the group's slots that are taken, 0 to 1.
-        slowness: time that work takes at each rank, against a sound one. A
-            pass waits for a slow rank, too, so it gets less to do. Empty for
-            a group without one.
     """
     price = GAIN_PER_COPY / max(use, LEAST_USE)
     searches = [
-        _SetSearch.from_lists(lists, weights, shape, price, slowness)
+        _SetSearch.from_lists(lists, weights, shape, price)
         for lists, weights in zip(current, loads, strict=True)
     ]
     before = sum(search.skew() for search in searches)
@@ -141,9 +131,7 @@
     Attributes:
         held: experts of each rank.
         holders: ranks of each expert.
-        loads: load of each rank, in shares of the mean; at a slow rank a
-            choice counts as often as it takes longer.
-        slowness: time that work takes at each rank, against a sound one.
+        loads: load of each rank, in shares of the mean.
         copies: experts that each rank has to copy.
         copied: experts that each rank has to copy for other sets.
         price: fall of the power mean that one copy has to bring.
@@ -158,7 +146,6 @@
     loads: list[float]
     copies: list[int]
     copied: list[int]
-    slowness: Sequence[float]
 
     @classmethod
     def from_lists(
@@ -167,7 +154,6 @@
         weights: list[float],
         shape: model.GroupShape,
         price: float,
-        slowness: Sequence[float],
     ) -> '_SetSearch':
         """Return a search that starts at a map."""
         mean = sum(weights) / shape.ranks or 1.0
@@ -181,7 +167,6 @@
             loads=[0.0] * shape.ranks,
             copies=[0] * shape.ranks,
             copied=[0] * shape.ranks,
-            slowness=slowness or [1.0] * shape.ranks,
         )
         for rank, row in enumerate(lists):
             for expert in row:
@@ -207,7 +192,7 @@
             self._take(best)
 
     def _load_of(self, rank: int) -> float:
-        return self.slowness[rank] * sum(
+        return sum(
             self.weights[expert] / len(self.holders[expert])
             for expert in self.held[rank]
         )
@@ -269,9 +254,7 @@
                 change = (weight / len(new) if rank in new else 0.0) - (
                     weight / len(old) if rank in old else 0.0
                 )
-                changes[rank] = (
-                    changes.get(rank, 0.0) + self.slowness[rank] * change
-                )
+                changes[rank] = changes.get(rank, 0.0) + change
         return changes
 
     def _mean(self, changes: Iterable[tuple[int, float]]) -> float:
