--- a/packages/cassiashift-core/cassiashift_core/fleet/gossip.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/gossip.py
@@ -1,9 +1,8 @@
 """Which entries speak often to other data centres, and about what.
 
 If every entry said hello to every other one each second, the bytes between
-data centres would grow with the square of the fleet: with 52 entries in 4
-data centres they were 80% of all bytes there. So only the entries with a
-disk, which vote, and one relay of each data centre do. The relay passes on
+data centres would grow with the square of the fleet. So only the entries with
+a disk, which vote, and one relay of each data centre do. The relay passes on
 which upstreams were heard in its data centre. All others speak often to their
 neighbours, whose bytes are free, and seldom to the rest.
 """
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -28,9 +28,9 @@
 HELLO_SHARE = 0.4
 NEAR_HELLO_INTERVAL_S = 0.4
 # What entries without a disk tell other data centres is of use only when all
-# entries that speak for them are lost.
+# entries that speak for them are lost; they count as lost after three of these.
 SELDOM_HELLO_INTERVAL_S = 6.0
-# A new entry speaks often until all others have heard of it.
+# A new entry speaks often until all others have heard of it: ten hellos.
 INTRODUCTION_S = 10.0
 # Two hellos may be lost before a host counts as silent.
 SILENT_AFTER_S = 3.2 * LONGEST_HELLO_INTERVAL_S
