--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -28,7 +28,7 @@
 HELLO_SHARE = 0.4
 NEAR_HELLO_INTERVAL_S = 0.4
 # What entries without a disk tell other data centres is of use only when all
-# entries that speak for them are lost; they count as lost after three of these.
+# entries that speak for them are lost. Three such hellos may be missed.
 SELDOM_HELLO_INTERVAL_S = 6.0
 # A new entry speaks often until all others have heard of it: ten hellos.
 INTRODUCTION_S = 10.0
