--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -118,7 +118,10 @@
             self._open(address, public)
         except zmq.ZMQError as exc:
             # Out of descriptors, for one; other links still work.
-            self._drop(f'link_not_opened: {exc}', address)
+            self.dropped += 1
+            logging.warning(
+                'event=link_not_opened peer=%r error=%r', address, str(exc)
+            )
 
     def _open(self, address: str, public: bytes | None) -> None:
         sock = self._socket(zmq.DEALER)
