Take the skew of the map in use from its plan

Each plan measured that skew itself, and the coordinator built the same search of every set a second time just before, for the judgement that follows the plan. Behaviour is the same; the assertions of the tests stay.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordinating.py
@@ -267,10 +267,9 @@
         if self._demand.total < LEAST_CHOICES * cells:
             return
         loads = self._demand.loads
-        skew = planning.skew_of(lists, loads, self.shape)
         use = self._use(reports)
-        worth = pressure.pressure(self.shape, use, skew)
         found = planning.plan(lists, loads, self.shape, use)
+        worth = pressure.pressure(self.shape, use, found.before)
         if found.gain < planning.least_gain(worth):
             return
         self.plan = found
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
@@ -70,20 +70,6 @@
     return LEAST_GAIN / max(pressure, LEAST_USE) ** 2
 
 
-def skew_of(
-    lists: model.ExpertLists, loads: list[list[float]], shape: model.GroupShape
-) -> float:
-    """Return the load of the hottest rank against the mean on a map.
-
-    Args:
-        loads: choices for each set and expert.
-    """
-    found = 0.0
-    for rows, weights in zip(lists, loads, strict=True):
-        found += _SetSearch.from_lists(rows, weights, shape, 0.0).skew()
-    return found / shape.sets
-
-
 def plan(
     current: model.ExpertLists,
     loads: list[list[float]],
--- a/tests/core/rankmaps/test_pressure.py
+++ b/tests/core/rankmaps/test_pressure.py
@@ -58,9 +58,8 @@
     ]
     lists = rankmaps.first_map(LARGE)
     use = 0.2
-    skew = planning.skew_of(lists, loads, LARGE)
-    worth = pressure.pressure(LARGE, use, skew)
     found = rankmaps.plan(lists, loads, LARGE, use)
+    worth = pressure.pressure(LARGE, use, found.before)
     again = rankmaps.plan(found.lists, loads, LARGE, use)
     assert_that(found.gain, matchers.GreaterThan(planning.least_gain(worth)))
     assert_that(found.after, matchers.LessThan(1.6))
