--- a/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
@@ -77,15 +77,9 @@
 
     def orders(self, now: float) -> list[model.Order]:
         """Return the orders that are due, at most one for each rank."""
-        orders = []
-        for rank in self._reports:
-            if not self._retries.is_due(rank, now, switch.RETRY_S):
-                continue
-            order = self._order_for(rank)
-            if order is not None:
-                self._retries.given(rank, now)
-                orders.append(order)
-        return orders
+        return self._retries.due_orders(
+            self._reports, now, switch.RETRY_S, self._order_for
+        )
 
     def is_unanswered(self, rank: int) -> bool:
         """Tell whether a rank's agent has not reported on an order."""
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
@@ -122,17 +122,11 @@
     def orders(self, now: float) -> list[model.Order]:
         """Return the orders that are due, at most one for each rank."""
         self._check_time(now)
-        orders = []
         is_slow = self.phase is Phase.PREPARE
         retry_s = PREPARE_RETRY_S if is_slow else RETRY_S
-        for rank in range(self.size):
-            if not self._retries.is_due(rank, now, retry_s):
-                continue
-            order = self._order_for(rank)
-            if order is not None:
-                self._retries.given(rank, now)
-                orders.append(order)
-        return orders
+        return self._retries.due_orders(
+            range(self.size), now, retry_s, self._order_for
+        )
 
     def is_unanswered(self, rank: int) -> bool:
         """Tell whether a rank's agent has not reported on an order."""
