--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -6,7 +6,6 @@
 import time
 
 from aiohttp import web
-import attrs
 
 from cassiashift_core import consensus
 from cassiashift_core import fleet
@@ -25,6 +24,7 @@
 from cassiashift_daemon import lifecycle
 from cassiashift_daemon import logs
 from cassiashift_daemon import proposals
+from cassiashift_daemon import seeds
 from cassiashift_daemon import webserver
 from cassiashift_net import links
 from cassiashift_net import messages
@@ -108,16 +108,7 @@
 
     def reload(self) -> None:
         """Read the settings again; only the seeds may change."""
-        try:
-            cfg = self.read_config()
-        except ValueError as exc:
-            logs.error('settings_refused', reason=str(exc))
-            return
-        if cfg.seeds == self.cfg.seeds:
-            return
-        self.cfg = attrs.evolve(self.cfg, seeds=cfg.seeds)
-        self.runner.cfg = self.cfg
-        logs.info('settings_reloaded', seeds=','.join(cfg.seeds))
+        self.cfg = self.runner.cfg = seeds.renewed(self.cfg, self.read_config)
 
     async def drain(self) -> None:
         """Leave the directory and serve on until callers have noticed."""
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
@@ -9,7 +9,6 @@
 import time
 import zlib
 
-import attrs
 
 from cassiashift_core import fleet
 from cassiashift_core import rankmaps
@@ -19,6 +18,7 @@
 from cassiashift_daemon import logs
 from cassiashift_daemon.ranks import config
 from cassiashift_daemon.ranks import engine as engines
+from cassiashift_daemon import seeds
 from cassiashift_net import links
 
 STATUS_INTERVAL_S = 0.5
@@ -108,14 +108,7 @@
 
     def reload(self) -> None:
         """Read the settings again; only the seeds may change."""
-        try:
-            cfg = self.read_config()
-        except ValueError as exc:
-            logs.error('settings_refused', reason=str(exc))
-            return
-        if cfg.seeds != self.cfg.seeds:
-            self.cfg = attrs.evolve(self.cfg, seeds=cfg.seeds)
-            logs.info('settings_reloaded', seeds=','.join(cfg.seeds))
+        self.cfg = seeds.renewed(self.cfg, self.read_config)
 
     async def _watch_forever(self) -> None:
         while True:
