Log where a configuration in force came from

Cause: configuration_in_force did not tell whether a version came from the own log or from a peer, nor voter_opened how much of the log was known to be committed, so the hypotheses on the stale configuration looked alike. Change: configuration_in_force has source=log or the peer's host; voter_opened has last_index and committed.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -300,7 +300,7 @@
     ) -> None:
         """Apply a committed configuration if it is newer."""
         self.holder.apply_if_newer(
-            fleet.Document(message.version, message.body)
+            fleet.Document(message.version, message.body), sender.host
         )
 
     def handlers(self) -> dict[type, Any]:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -46,6 +46,8 @@
 # The settings are also read periodically, as they may change without a
 # signal.
 RELOAD_INTERVAL_S = 2.0
+# Source of a configuration that the voter of this process applied.
+SOURCE_LOG = 'log'
 
 Surfaces = Callable[
     [api.ControlApi, api.DirectoryApi], dict[str, list[web.RouteDef]]
@@ -245,7 +247,7 @@
         return self.holder.table is not None and not self.is_leaving
 
     def _apply_committed(self, document: fleet.Document) -> None:
-        if self.holder.apply_if_newer(document):
+        if self.holder.apply_if_newer(document, SOURCE_LOG):
             self.runner.push_document(document)
 
     def _tick(self) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/tables.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/tables.py
@@ -39,9 +39,12 @@
         """Return the version in force; 0 for none."""
         return self.document.version
 
-    def apply_if_newer(self, document: fleet.Document) -> bool:
+    def apply_if_newer(self, document: fleet.Document, source: str) -> bool:
         """Apply a committed configuration if it is newer.
 
+        Args:
+            source: where it came from, for the log: ``log`` or a host.
+
         Returns:
             whether it was newer than the one in force.
         """
@@ -55,6 +58,7 @@
         logs.info(
             'configuration_in_force',
             version=document.version,
+            source=source,
             routes=len(self.table.routes),
             workspaces=len(self.table.workspaces),
         )
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
@@ -201,6 +201,8 @@
             'voter_opened',
             folder=saved.incarnation,
             entries=len(saved.entries),
+            last_index=replica.log.last_index,
+            committed=replica.commit_index,
             term=saved.hard_state.term,
             founds=bool(founders),
         )
