Test that a restart of all entries serves no older configuration

What callers see: after all processes were killed right after a change was acknowledged, and started again, entries refuse its new route with 404.

--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -86,6 +86,29 @@
         await site.wait_until(site.is_ready, entry)
 
 
+@pytest.mark.known_red
+async def test_restart_of_all_entries_serves_no_older_configuration(site):
+    # The voters' disks don't know yet that the last change is committed.
+    changed = platform_site.document(9, ('more', 'safe'))
+    await site.put_until_acknowledged(site.entries[0], changed)
+    for entry in site.entries:
+        entry.kill()
+    for entry in site.entries:
+        entry.start()
+    waiting = set(site.entries)
+    refused = []
+    async with asyncio.timeout(platform_site.TIMEOUT_S):
+        while waiting:
+            for entry in list(waiting):
+                status, _ = await site.call(entry, 'more', 'm')
+                if status == 404:
+                    refused.append(entry.number)
+                if status == 200:
+                    waiting.remove(entry)
+            await asyncio.sleep(0.02)
+    assert_that(refused, matchers.Equals([]))
+
+
 async def test_a_wiped_disk_causes_no_older_read(site):
     await site.put_until_acknowledged(
         site.entries[0], platform_site.document(7)
