Log the shared parts of the prompt of a failed send

Cause: the logs could not tell whether requests under which upstreams ended have a part of their prompts in common, nor whether an answer had begun. Change: the adapter decodes the header with the parts of a prompt, without the last one, which is a request's own; send_failed has parts and events. Conclusion: the two hypotheses on the incident can be told apart.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/calls.py
@@ -46,7 +46,9 @@
             timeout, whichever is first.
         deadline_at: monotonic time of the caller's own deadline.
         service: the service chosen by the weights of the route.
+        parts: ids of the parts of its prompt that others may share.
         is_being_sent: a send has begun whose outcome is not known.
+        send_events: events received in answer to the newest send.
         log: the sends that have ended.
     """
 
@@ -61,7 +63,9 @@
     arrived_at: float
     deadline_at: float
     ends_at: float
+    parts: tuple[str, ...] = ()
     is_being_sent: bool = False
+    send_events: int = 0
     log: placing.AttemptLog = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 
 import attrs
 
@@ -52,6 +53,8 @@
         key_scheme: scheme of the Authorization header with an API key.
         decode_document: returns the route table of a configuration as the
             operator sent it; raises ``InvalidDocumentError``.
+        shared_parts: returns the ids of the parts of a request's prompt, by
+            its headers, that other requests may share.
         deployment: name stored in the data folder; a folder of another
             deployment is not opened.
     """
@@ -59,4 +62,7 @@
     headers: HeaderNames
     key_scheme: str
     decode_document: Callable[[bytes], routes.RouteTable]
+    shared_parts: Callable[[Mapping[str, str]], tuple[str, ...]] = (
+        lambda headers: ()
+    )
     deployment: str = 'cassiashift'
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -24,6 +24,8 @@
 
 # Retry-After of a process that has just started and has no configuration yet.
 UNCONFIGURED_RETRY_S = 0.5
+# Parts of a prompt in one log line.
+MAX_LOGGED_PARTS = 8
 
 
 class StreamBrokenOffError(Exception):
@@ -161,6 +163,7 @@
             arrived_at=arrived_at,
             deadline_at=arrived_at + wait_s,
             ends_at=arrived_at + min(wait_s, route.timeout_s),
+            parts=self.dialect.shared_parts(request.headers),
         )
 
     def _authenticate(
@@ -273,6 +276,8 @@
             send=len(call.log.attempts),
             took_s=time.monotonic() - started,
             at_fault=failure.at_fault,
+            events=call.send_events,
+            parts=','.join(call.parts[:MAX_LOGGED_PARTS]),
         )
 
     def close_if_leaving(
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -166,6 +166,7 @@
         self, answer: exchange.Answer, events: list[eventstream.Event]
     ) -> None:
         now = time.monotonic()
+        self.call.send_events += len(events)
         if self.response is None:
             self.response = web.StreamResponse(
                 status=answer.status, headers=answer.headers_for_caller()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -12,6 +12,7 @@
 from cassiashift_core import routes
 from cassiashift_daemon.direct import dialect
 from cassiashift_platform import documents
+from cassiashift_platform import prompts
 from cassiashift_platform import settings
 from cassiashift_platform import upstreams
 
@@ -199,3 +200,23 @@
         settings.read_entry(path)
     assert_that(str(caught.value), matchers.Contains(name))
     assert_that(str(caught.value), matchers.Contains(str(path)))
+
+
+@pytest.mark.parametrize(
+    ('value', 'expected'),
+    [
+        ('5c1e07a2:800,91BD3f06:410,e4402b7d:250', ('5c1e07a2', '91bd3f06')),
+        ('5c1e07a2:800, 91bd3f06:410', ('5c1e07a2',)),
+        ('5c1e07a2:800', ()),
+        ('', ()),
+        ('5c1e07a2:800,nothex:1,e4:2', ()),
+        ('5c1e07a2,e4:2', ()),
+    ],
+)
+def test_the_last_part_of_a_prompt_is_not_shared(value, expected):
+    parts = prompts.shared_parts({'Cassiashift-Prefix-Hash': value})
+    assert_that(parts, matchers.Equals(expected))
+
+
+def test_a_request_without_a_prompt_has_no_parts():
+    assert_that(prompts.shared_parts({}), matchers.Equals(()))
