Block the part of a prompt that crashes upstreams, at all entries

What callers saw: model requests failed for half a minute, while requests with one part in their prompts ended one upstream after the other, and with each a whole group for some seconds. Cause: a crash was charged to the upstream, never to the request. It was sent to the next upstream, and each new request with the part, at any entry, began anew. Class of fault: queries of death, retried. Ruled out: blame of a caller, route or first part (sound requests share them); blame of the exact prompt (no two are alike); counting at one entry alone (11 entries, three crashes each). Change: core/poison. An upstream that breaks off a request before its fourth event is probed; if it refuses connections, the entry reports the shared parts of what was beginning there. A part present in three crashes of two requests or more, without an answer within 30 s at any entry, is blocked; it is judged before each send, in the queue and between two sends. Objections, explained crashes, ages, bounds of memory and a trial let sound parts go. Before/after: tests/process/test_crashing_prompts.py failed with 32 and 22, again 30 and 30 late arrivals (3 allowed), and passes.

--- a/packages/cassiashift-core/cassiashift_core/errors.py
+++ b/packages/cassiashift-core/cassiashift_core/errors.py
@@ -27,6 +27,7 @@
     NO_UPSTREAM = 'no_upstream'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     OVERLOADED = 'overloaded'
+    PROMPT_BLOCKED = 'prompt_blocked'
     STORAGE_DAMAGED = 'storage_damaged'
     STORAGE_REFUSED = 'storage_refused'
     STREAM_BROKEN = 'stream_broken'
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -89,12 +89,14 @@
         sightings: announcements received since the sender's last hello.
         nodes_digest: digest of the hosts in its table of entries.
         upstreams_digest: digest of its table of upstreams.
+        blocks_digest: digest of the parts of prompts that it blocks.
     """
 
     node: EntryRecord
     sightings: tuple[Sighting, ...] = ()
     nodes_digest: int = 0
     upstreams_digest: int = 0
+    blocks_digest: int = 0
 
 
 @attrs.frozen
--- a/packages/cassiashift-core/cassiashift_core/placing/request_queue.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/request_queue.py
@@ -50,11 +50,15 @@
         """Return the services with queued requests."""
         return [name for name in self._heaps if self.peek(name) is not None]
 
-    def expired(self, now: float) -> list[QueuedRequest]:
-        """Return the queued requests that are to be refused by now."""
+    def waiting(self) -> list[QueuedRequest]:
+        """Return all requests that are neither served nor refused."""
         return [
             row[2]
             for heap in self._heaps.values()
             for row in heap
-            if not row[2].is_over and row[2].give_up_at <= now
+            if not row[2].is_over
         ]
+
+    def expired(self, now: float) -> list[QueuedRequest]:
+        """Return the queued requests that are to be refused by now."""
+        return [item for item in self.waiting() if item.give_up_at <= now]
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -15,6 +15,7 @@
 import attrs
 
 from cassiashift_core import fleet
+from cassiashift_core import poison
 from cassiashift_daemon.direct import config
 from cassiashift_daemon.direct import tables
 from cassiashift_daemon import logs
@@ -54,6 +55,7 @@
             table.
         store_id: identity of the own data folder; empty until it is open.
         log_voters: hosts of the voter set that this entry knows.
+        blocks_digest: returns the digest of the blocked parts of prompts.
     """
 
     cfg: config.DirectConfig
@@ -63,6 +65,7 @@
     holder: tables.TableHolder
     started_ns: int
     on_forgotten: Callable[[str], None] = lambda id_: None
+    blocks_digest: Callable[[], int] = lambda: 0
     is_ready: bool = False
     is_leaving: bool = False
     requests_per_s: float = 0.0
@@ -157,7 +160,7 @@
         near = self._send_near_hellos(now)
         hello = self._hello(tuple(self._far_sightings.values()))
         self._far_sightings.clear()
-        self._broadcast(hello, near)
+        self.broadcast(hello, near)
 
     def _send_near_hellos(self, now: float) -> set[str]:
         """Send hellos in the own data centre; return the hosts there."""
@@ -170,7 +173,7 @@
             if self._is_near(known.record)
         }
         for host in near:
-            self._send(host, hello)
+            self.send(host, hello)
         return near
 
     def _far_hello_interval_s(self, now: float) -> float:
@@ -202,6 +205,7 @@
             sightings,
             self.entries.digest(),
             self.upstreams.digest(),
+            self.blocks_digest(),
         )
 
     def record_heartbeat(self, upstream: fleet.Upstream) -> None:
@@ -229,7 +233,7 @@
         with_voter.discard(self.cfg.data_centre)
         for record in records:
             if not record.store and record.data_centre not in with_voter:
-                self._send(record.host, push)
+                self.send(record.host, push)
 
     # Messages.
 
@@ -251,6 +255,8 @@
             self._relay_sightings(message.sightings)
         if not self._has_same_digests(message):
             self._send_throttled(record.host, fleet.TablePull(self.cfg.host))
+        if message.blocks_digest not in (0, self.blocks_digest()):
+            self._send_throttled(record.host, poison.BlockPull(self.cfg.host))
         if record.document_version > self.holder.version:
             self._send_throttled(
                 record.host,
@@ -272,7 +278,7 @@
         self, sender: links.Sender, message: fleet.TablePull
     ) -> None:
         """Reply with the tables of entries and upstreams."""
-        self._send(
+        self.send(
             message.host,
             fleet.TableDump(tuple(self.entries.hosts()), self.upstreams.all()),
         )
@@ -293,7 +299,7 @@
         document = self.holder.document
         if document.version > message.version:
             push = fleet.DocumentPush(document.version, document.body)
-            self._send(message.host, push)
+            self.send(message.host, push)
 
     def on_document_push(
         self, sender: links.Sender, message: fleet.DocumentPush
@@ -341,15 +347,17 @@
     def _broadcast_change(self, changed: fleet.Upstream | None) -> None:
         if changed is not None:
             self._log_upstream_change(changed, 'itself')
-            self._broadcast(fleet.UpstreamNews((changed,)))
+            self.broadcast(fleet.UpstreamNews((changed,)))
 
-    def _broadcast(self, message: Any, excluded: Collection[str] = ()) -> None:
+    def broadcast(self, message: Any, excluded: Collection[str] = ()) -> None:
+        """Send a message to every known entry but the excluded hosts."""
         hosts = dict.fromkeys([*self.cfg.seeds, *self.entries.contacts()])
         for host in hosts:
             if host != self.cfg.host and host not in excluded:
-                self._send(host, message)
+                self.send(host, message)
 
-    def _send(self, host: str, message: Any) -> None:
+    def send(self, host: str, message: Any) -> None:
+        """Send a message to an entry."""
         self.links.send(self.cfg.link_of(host), message)
 
     def _send_throttled(self, host: str, message: Any) -> None:
@@ -358,7 +366,7 @@
         key = (host, type(message))
         if now - self._sent_at.get(key, -PULL_INTERVAL_S) >= PULL_INTERVAL_S:
             self._sent_at[key] = now
-            self._send(host, message)
+            self.send(host, message)
 
     def _log_entry_change(
         self, previous: fleet.KnownEntry | None, record: fleet.EntryRecord
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -17,6 +17,7 @@
 from cassiashift_daemon.direct import exchange
 from cassiashift_daemon.direct import metrics
 from cassiashift_daemon.direct import placement
+from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon.direct import refusals
 from cassiashift_daemon.direct import streams
 from cassiashift_daemon.direct import tables
@@ -48,6 +49,7 @@
     holder: tables.TableHolder
     exchange: exchange.Exchange
     placement: placement.Placement
+    guard: poison_guard.PoisonGuard
     rng: random.Random
     metrics: metrics.Metrics
     is_leaving: bool = False
@@ -220,7 +222,7 @@
             self.record_answer(call, upstream, answer, started)
             return answer
         except exchange.SendFailedError as exc:
-            self.record_failure(call, upstream, exc, started)
+            await self.record_failure(call, upstream, exc, started)
             raise
         finally:
             held_s = time.monotonic() - started
@@ -244,6 +246,7 @@
         call.record_send_end(upstream, Verdict.RAN)
         if answer.status < exchange.STATUS_SERVER_ERROR:
             self.placement.record_success(upstream)
+            self.guard.record_answer(call)
         else:
             failure = exchange.SendFailedError('error_status', Verdict.RAN)
             self.placement.record_failure(upstream, failure)
@@ -256,14 +259,17 @@
             took_s=time.monotonic() - started,
         )
 
-    def record_failure(
+    async def record_failure(
         self,
         call: calls.Call,
         upstream: fleet.Upstream,
         failure: exchange.SendFailedError,
         started: float,
     ) -> None:
-        """Record, count and log a send without a usable answer."""
+        """Record, count and log a send without a usable answer.
+
+        Returns once it is known whether the upstream has crashed.
+        """
         call.record_send_end(upstream, failure.verdict)
         self.placement.record_failure(upstream, failure)
         self.metrics.record_failed_send(failure.reason)
@@ -279,6 +285,7 @@
             events=call.send_events,
             parts=','.join(call.parts[:MAX_LOGGED_PARTS]),
         )
+        await self.guard.record_failure(call, upstream, failure)
 
     def close_if_leaving(
         self, response: web.StreamResponse
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
@@ -46,6 +46,11 @@
             ('reason',),
             registry=registry,
         )
+        self._blocked_requests = prometheus_client.Counter(
+            'cassiashift_blocked_requests',
+            'Requests refused for a part of their prompts.',
+            registry=registry,
+        )
         self._gauges = prometheus_client.Gauge(
             'cassiashift_state',
             'State of this entry, by name.',
@@ -65,6 +70,10 @@
         """Count a send without a usable answer."""
         self._failed_sends.labels(reason).inc()
 
+    def record_blocked_request(self) -> None:
+        """Count a request refused for a part of its prompt."""
+        self._blocked_requests.inc()
+
     def text(self, **gauges: float) -> bytes:
         """Set the gauges and return all metrics as text."""
         for name, value in gauges.items():
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -16,6 +16,7 @@
 from cassiashift_daemon.direct import config
 from cassiashift_daemon.direct import exchange
 from cassiashift_daemon.direct import fleet_runner
+from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon.direct import tables
 from cassiashift_daemon import logs
 
@@ -60,6 +61,7 @@
     cfg: config.DirectConfig
     holder: tables.TableHolder
     runner: fleet_runner.FleetRunner
+    guard: poison_guard.PoisonGuard
     loads: placing.Loads
     rng: random.Random
     queue: placing.RequestQueue = attrs.field(factory=placing.RequestQueue)
@@ -75,8 +77,10 @@
         The request occupies a slot of it until ``release`` is called.
 
         Raises:
-            CassiashiftError: OVERLOADED or NO_UPSTREAM; nothing was sent.
+            CassiashiftError: OVERLOADED, NO_UPSTREAM or PROMPT_BLOCKED;
+                nothing was sent.
         """
+        self.guard.check(call)
         self._charge_budget(call)
         now = time.monotonic()
         chosen = None
@@ -84,6 +88,7 @@
             chosen = self._choose_upstream(call, now)
         if chosen is None:
             chosen = await self._wait_in_queue(call, now)
+            self._check_before_send(call, chosen)
         logs.info(
             'request_placed',
             request=call.id,
@@ -98,6 +103,31 @@
         )
         return chosen
 
+    def _check_before_send(
+        self, call: calls.Call, upstream: fleet.Upstream
+    ) -> None:
+        """Check a request again that has waited; release its slot if blocked.
+
+        Raises:
+            CassiashiftError: PROMPT_BLOCKED.
+        """
+        try:
+            self.guard.check(call)
+        except CassiashiftError:
+            self.loads.for_upstream(upstream.id).record_end()
+            self._serve_queue(call.service)
+            raise
+
+    def refuse_blocked(self) -> None:
+        """Refuse the queued requests that may not be sent any more."""
+        for queued in self.queue.waiting():
+            try:
+                self.guard.check(queued.call)
+            except CassiashiftError as exc:
+                queued.is_over = True
+                if not queued.fut.done():
+                    queued.fut.set_exception(exc)
+
     def release(
         self, call: calls.Call, upstream: fleet.Upstream, held_s: float
     ) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -11,6 +11,7 @@
 from cassiashift_core import consensus
 from cassiashift_core import fleet
 from cassiashift_core import placing
+from cassiashift_core import poison
 from cassiashift_daemon.direct import api
 from cassiashift_daemon.direct import config
 from cassiashift_daemon.direct import dialect
@@ -19,6 +20,7 @@
 from cassiashift_daemon.direct import ingress
 from cassiashift_daemon.direct import metrics
 from cassiashift_daemon.direct import placement
+from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon.direct import tables
 from cassiashift_daemon.direct import voting
 from cassiashift_daemon import dispatch
@@ -100,6 +102,7 @@
         self.spawn(
             self.run_periodically(placement.TICK_S, self.placement.tick)
         )
+        self.spawn(self.run_periodically(placement.TICK_S, self.guard.tick))
         self.spawn(self.run_periodically(RELOAD_INTERVAL_S, self.reload))
         self.spawn(self.run_periodically(LOAD_INTERVAL_S, self._update_load))
         if self.cfg.data_dir:
@@ -172,19 +175,28 @@
 
     def _open_ingress(self) -> None:
         self.exchange = exchange.Exchange.from_config(self.adapter.headers)
+        self.guard = poison_guard.PoisonGuard(
+            table=poison.PoisonTable(self.cfg.host, self.rng),
+            runner=self.runner,
+            metrics=self.metrics,
+        )
         self.placement = placement.Placement(
             cfg=self.cfg,
             holder=self.holder,
             runner=self.runner,
+            guard=self.guard,
             loads=placing.Loads(self.cfg.data_centre, self.rng),
             rng=self.rng,
         )
         self.runner.on_forgotten = self.placement.loads.forget
+        self.runner.blocks_digest = lambda: self.guard.table.digest
+        self.guard.on_blocked = self.placement.refuse_blocked
         self.ingress = ingress.Ingress(
             dialect=self.adapter,
             holder=self.holder,
             exchange=self.exchange,
             placement=self.placement,
+            guard=self.guard,
             rng=self.rng,
             metrics=self.metrics,
         )
@@ -209,8 +221,9 @@
 
     def _register_handlers(self) -> None:
         register = self.dispatcher.register
-        for cls, handler in self.runner.handlers().items():
-            register(cls, handler)
+        for part in (self.runner, self.guard):
+            for cls, handler in part.handlers().items():
+                register(cls, handler)
         for cls in consensus.MESSAGE_TYPES.values():
             register(cls, self.voting.on_message)
         register(messages.Proposal, self.voting.on_proposal)
@@ -301,6 +314,8 @@
             entries_alive=len(self.runner.live_records()) + 1,
             upstreams=len(self.runner.upstreams.all()),
             in_flight=self.ingress.in_flight,
+            blocked_parts=self.guard.table.blocked_count,
+            suspected_parts=self.guard.table.suspected_count,
             log_term=0 if voter is None else voter.replica.term,
             log_commit=0 if voter is None else voter.replica.commit_index,
             leads=float(self.voting.is_leader),
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -9,11 +9,13 @@
 from cassiashift_core import CassiashiftError
 from cassiashift_core import eventstream
 from cassiashift_core import fleet
+from cassiashift_core import poison
 from cassiashift_core import Verdict
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import exchange
 from cassiashift_daemon.direct import metrics
 from cassiashift_daemon.direct import placement
+from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon import logs
 
 STATUS_OK = 200
@@ -24,6 +26,7 @@
 
     exchange: exchange.Exchange
     placement: placement.Placement
+    guard: poison_guard.PoisonGuard
     metrics: metrics.Metrics
 
     def close_if_leaving(
@@ -45,14 +48,17 @@
     ) -> None:
         """Record and log a send that an upstream answered."""
 
-    def record_failure(
+    async def record_failure(
         self,
         call: calls.Call,
         upstream: fleet.Upstream,
         failure: exchange.SendFailedError,
         started: float,
     ) -> None:
-        """Record, count and log a send without a usable answer."""
+        """Record, count and log a send without a usable answer.
+
+        Returns once it is known whether the upstream has crashed.
+        """
 
 
 @attrs.define(eq=False)
@@ -111,7 +117,7 @@
                 response = await self._forward(opened)
             owner.record_answer(call, upstream, opened.answer, started)
         except exchange.SendFailedError as exc:
-            owner.record_failure(call, upstream, exc, started)
+            await owner.record_failure(call, upstream, exc, started)
             raise
         finally:
             owner.placement.release(call, upstream, time.monotonic() - started)
@@ -166,7 +172,10 @@
         self, answer: exchange.Answer, events: list[eventstream.Event]
     ) -> None:
         now = time.monotonic()
+        before = self.call.send_events
         self.call.send_events += len(events)
+        if before < poison.BEGUN_EVENTS <= self.call.send_events:
+            self.owner.guard.record_answer(self.call)
         if self.response is None:
             self.response = web.StreamResponse(
                 status=answer.status, headers=answer.headers_for_caller()
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -11,6 +11,7 @@
 from cassiashift_core import fleet
 from cassiashift_core import mapswitch
 from cassiashift_core import membership
+from cassiashift_core import poison
 from cassiashift_core import rankmaps
 from cassiashift_core import spread
 from cassiashift_core import timeline
@@ -346,5 +347,7 @@
     CODEC.register(f'switch.{_cls.__name__}', _cls)
 for _cls in rankmaps.MESSAGE_TYPES:
     CODEC.register(f'rank.{_cls.__name__}', _cls)
+for _cls in poison.MESSAGE_TYPES:
+    CODEC.register(f'poison.{_cls.__name__}', _cls)
 for _cls in mapswitch.ORDER_TYPES:
     ORDERS.register(_cls.__name__, _cls)
--- a/packages/cassiashift-net/cassiashift_net/problems.py
+++ b/packages/cassiashift-net/cassiashift_net/problems.py
@@ -32,6 +32,7 @@
     ErrorCode.NO_QUORUM: 503,
     ErrorCode.NO_UPSTREAM: 503,
     ErrorCode.OVERLOADED: 503,
+    ErrorCode.PROMPT_BLOCKED: 503,
     ErrorCode.DEADLINE_EXCEEDED: 504,
 }
 
--- /dev/null
+++ b/tests/core/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the parts of prompts that crash upstreams."""
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -11,6 +11,7 @@
 
 from cassiashift_core import fleet
 from cassiashift_core import placing
+from cassiashift_core import poison
 from cassiashift_core import routes
 from cassiashift_daemon.direct import config
 from cassiashift_daemon.direct import dialect
@@ -19,7 +20,9 @@
 from cassiashift_daemon.direct import ingress
 from cassiashift_daemon.direct import metrics
 from cassiashift_daemon.direct import placement
+from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon.direct import tables
+from cassiashift_net import links
 
 NAMES = dialect.HeaderNames(
     request_id='X-Id',
@@ -34,6 +37,7 @@
     at_fault='X-At',
 )
 HOST = 'a.example'
+SENDER = links.Sender('127.0.0.9', lambda message: True)
 
 
 def route(name, kind, **fields):
@@ -172,6 +176,10 @@
     session: aiohttp.ClientSession
     servers: list = attrs.field(factory=list)
 
+    def stop_listening(self, number):
+        """Close the listener of the upstream of a number, from 0."""
+        self.servers[number].close()
+
     async def upstream(self, service, *scripts):
         """Start and register an upstream with scripts for its requests."""
         upstream = ScriptedUpstream(scripts=list(scripts))
@@ -210,6 +218,12 @@
 
 def _ingress(cfg, holder, runner):
     rng = random.Random(1)
+    counts = metrics.Metrics()
+    guard = poison_guard.PoisonGuard(
+        table=poison.PoisonTable('127.0.0.1', rng),
+        runner=runner,
+        metrics=counts,
+    )
     return ingress.Ingress(
         dialect=holder.dialect,
         holder=holder,
@@ -218,11 +232,13 @@
             cfg=cfg,
             holder=holder,
             runner=runner,
+            guard=guard,
             loads=placing.Loads('east', rng),
             rng=rng,
         ),
+        guard=guard,
         rng=rng,
-        metrics=metrics.Metrics(),
+        metrics=counts,
     )
 
 
@@ -242,6 +258,7 @@
         headers=NAMES,
         key_scheme='Token',
         decode_document=lambda content: TABLE,
+        shared_parts=lambda headers: tuple(headers.get('X-Parts', '').split()),
     )
     holder = tables.TableHolder(adapter, table=TABLE)
     runner = fleet_runner.FleetRunner(
--- a/tests/process/test_crashing_prompts.py
+++ b/tests/process/test_crashing_prompts.py
@@ -38,7 +38,6 @@
     return int(worker[2:])
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize('seed', [1, 2])
 async def test_a_part_that_crashes_upstreams_stops_reaching_them(
     site, worker_number, seed
