Act on upstreams that say in answers that they leave or back off

Cause: neither the header of a leaving upstream nor the Retry-After of its 503 was decoded; an entry went on sending until a heartbeat or the news of another entry came. Change: the exchange passes both on for answers of any status and heads of streams. Leaving takes that start of the upstream out of the choice as a heartbeat that says draining does, and goes to the other entries the same way. Ruled out: a check between placing and sending; no other task runs between them but after the queue, where it is one turn of the loop.

--- a/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
@@ -95,6 +95,20 @@
         gone = attrs.evolve(row.upstream, state=messages.UpstreamState.GONE)
         return self._advance_state(row, gone)
 
+    def mark_leaving(self, id_: str, born_ms: int) -> messages.Upstream | None:
+        """Mark a start of an upstream as draining by its own answer.
+
+        Returns:
+            the upstream if this changed it, or None.
+        """
+        row = self._rows.get(id_)
+        if row is None or born_ms != row.upstream.born_ms:
+            return None
+        leaving = attrs.evolve(
+            row.upstream, state=messages.UpstreamState.DRAINING
+        )
+        return self._advance_state(row, leaving)
+
     def find(self, id_: str) -> messages.Upstream | None:
         """Return an upstream by its id, or None."""
         row = self._rows.get(id_)
--- a/packages/cassiashift-core/cassiashift_core/placing/loads.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/loads.py
@@ -6,6 +6,7 @@
 import attrs
 
 from cassiashift_core import fleet
+from cassiashift_core.placing import backoff
 from cassiashift_core.routing import breaker as breakers
 
 # Pauses of an upstream's circuit breaker. The first one outlasts a short
@@ -81,10 +82,15 @@
 
 @attrs.define
 class Loads:
-    """Loads of all upstreams that this entry sends to, by id."""
+    """Loads of all upstreams that this entry sends to, by id.
+
+    Attributes:
+        back_offs: pauses that upstreams have asked for.
+    """
 
     data_centre: str
     rng: random.Random
+    back_offs: backoff.BackOffs = attrs.field(factory=backoff.BackOffs)
     _loads: dict[str, UpstreamLoad] = attrs.field(factory=dict)
 
     def for_upstream(self, upstream_id: str) -> UpstreamLoad:
@@ -94,6 +100,7 @@
     def forget(self, upstream_id: str) -> None:
         """Drop the load of an upstream that is gone."""
         self._loads.pop(upstream_id, None)
+        self.back_offs.forget(upstream_id)
 
     def choose(
         self,
@@ -115,7 +122,7 @@
             load = self.for_upstream(upstream.id)
             if upstream.id in excluded or load.in_flight >= limit:
                 continue
-            if not load.accepts(now):
+            if not load.accepts(now) or now < self.back_offs.ends_at(upstream):
                 continue
             cost = self._cost(upstream, load)
             if lowest_cost is None or cost < lowest_cost:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
@@ -31,6 +31,7 @@
         priority: priority at the upstream, 0 to 9; 0 is served first.
         last_event: id of the event after which a stream resumes.
         at_fault: id of the upstream that made another one fail.
+        leaving: set by an upstream that leaves.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     priority: str
     last_event: str
     at_fault: str
+    leaving: str
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 
 import aiohttp
@@ -24,6 +25,7 @@
 CONNECT_TIMEOUT_S = 0.4
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
+STATUS_UNAVAILABLE = 503
 
 
 @attrs.define(eq=False)
@@ -100,10 +102,19 @@
 
 @attrs.define(eq=False)
 class Exchange:
-    """Sends requests to upstreams."""
+    """Sends requests to upstreams.
+
+    Attributes:
+        on_leaving: called with an upstream whose answer says that it leaves.
+        on_back_off: called with an upstream and the Retry-After of its 503.
+    """
 
     names: dialect.HeaderNames
     session: aiohttp.ClientSession
+    on_leaving: Callable[[fleet.Upstream], None] = lambda upstream: None
+    on_back_off: Callable[[fleet.Upstream, str], None] = (
+        lambda upstream, value: None
+    )
 
     @classmethod
     def from_config(cls, names: dialect.HeaderNames) -> 'Exchange':
@@ -153,6 +164,7 @@
             closed = (
                 connection.protocol.closed if connection is not None else None
             )
+            self._read_signals(upstream, response)
             answer = self._check_answer(call, response)
             if closed is None:
                 closed = asyncio.get_running_loop().create_future()
@@ -201,6 +213,17 @@
         except (aiohttp.ClientError, OSError) as exc:
             raise _connection_error(exc) from exc
 
+    def _read_signals(
+        self, upstream: fleet.Upstream, response: aiohttp.ClientResponse
+    ) -> None:
+        """Pass on what an answer of any status says about its upstream."""
+        headers = response.headers
+        if headers.get(self.names.leaving) == '1':
+            self.on_leaving(upstream)
+        retry_after = headers.get('Retry-After')
+        if response.status == STATUS_UNAVAILABLE and retry_after is not None:
+            self.on_back_off(upstream, retry_after)
+
     def _check_answer(
         self, call: calls.Call, response: aiohttp.ClientResponse
     ) -> Answer:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -222,6 +222,11 @@
         """Record that an upstream leaves, and broadcast it."""
         self._broadcast_change(self.upstreams.mark_gone(id_, born_ms))
 
+    def record_leaving(self, upstream: fleet.Upstream) -> None:
+        """Record that an answer of an upstream says that it leaves."""
+        changed = self.upstreams.mark_leaving(upstream.id, upstream.born_ms)
+        self._broadcast_change(changed, 'its answer')
+
     def push_document(self, document: fleet.Document) -> None:
         """Send a configuration to the entries without a data folder.
 
@@ -344,9 +349,11 @@
             self.upstreams.digest(),
         )
 
-    def _broadcast_change(self, changed: fleet.Upstream | None) -> None:
+    def _broadcast_change(
+        self, changed: fleet.Upstream | None, source: str = 'itself'
+    ) -> None:
         if changed is not None:
-            self._log_upstream_change(changed, 'itself')
+            self._log_upstream_change(changed, source)
             self.broadcast(fleet.UpstreamNews((changed,)))
 
     def broadcast(self, message: Any, excluded: Collection[str] = ()) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
@@ -51,6 +51,12 @@
             'Requests refused for a part of their prompts.',
             registry=registry,
         )
+        self._signals = prometheus_client.Counter(
+            'cassiashift_upstream_signals',
+            'Answers by which upstreams asked for no more requests, by cause.',
+            ('cause',),
+            registry=registry,
+        )
         self._gauges = prometheus_client.Gauge(
             'cassiashift_state',
             'State of this entry, by name.',
@@ -74,6 +80,10 @@
         """Count a request refused for a part of its prompt."""
         self._blocked_requests.inc()
 
+    def record_signal(self, cause: str) -> None:
+        """Count an answer by which an upstream asks for no more requests."""
+        self._signals.labels(cause).inc()
+
     def text(self, **gauges: float) -> bytes:
         """Set the gauges and return all metrics as text."""
         for name, value in gauges.items():
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -162,6 +162,25 @@
         else:
             load.record_failure(now, failure.is_down)
 
+    def record_back_off(self, upstream: fleet.Upstream, value: str) -> None:
+        """Record a pause that an upstream asks for, in seconds as text."""
+        try:
+            seconds = float(value)
+        except ValueError:
+            seconds = 0.0
+        pause_s = self.loads.back_offs.record(
+            upstream, seconds, time.monotonic()
+        )
+        is_plain = 0.0 < pause_s == seconds
+        log = logs.info if is_plain else logs.warning
+        log(
+            'upstream_backs_off',
+            upstream=upstream.id,
+            service=upstream.service,
+            asked=value,
+            for_s=pause_s,
+        )
+
     def tick(self) -> None:
         """Place queued requests, and refuse those that waited too long."""
         now = time.monotonic()
@@ -229,6 +248,8 @@
         max_wait_s = QUEUE_WAIT_SHARE * (call.ends_at - now)
         if call.route.kind is routes.Kind.STREAM:
             max_wait_s = min(max_wait_s, STREAM_QUEUE_WAIT_S)
+        if self._back_off_s(call, now) > max_wait_s:
+            raise self._refusal(call, 'all upstreams back off')
         if self._expected_wait_s(call, now) > max_wait_s:
             raise self._refusal(call, 'the queue is too long')
         queued = _QueuedCall(
@@ -254,6 +275,11 @@
         finally:
             queued.is_over = True
 
+    def _back_off_s(self, call: calls.Call, now: float) -> float:
+        """Return the seconds until an upstream takes requests again."""
+        candidates = self.runner.upstreams.accepting(call.service, now)
+        return self.loads.back_offs.room_in_s(candidates, now)
+
     def _expected_wait_s(self, call: calls.Call, now: float) -> float:
         candidates = self.runner.upstreams.accepting(call.service, now)
         if not candidates:
@@ -299,7 +325,9 @@
         )
         wait_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
         longest_s = RETRY_AFTER_SHARE * (call.deadline_at - now)
-        return max(SHORTEST_RETRY_AFTER_S, min(wait_s, longest_s))
+        back_off_s = self._back_off_s(call, now)
+        back_off_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
+        return max(SHORTEST_RETRY_AFTER_S, min(wait_s, longest_s), back_off_s)
 
 
 def _release_unused(loads: placing.Loads, fut: asyncio.Future) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -191,6 +191,8 @@
         self.runner.on_forgotten = self.placement.loads.forget
         self.runner.blocks_digest = lambda: self.guard.table.digest
         self.guard.on_blocked = self.placement.refuse_blocked
+        self.exchange.on_leaving = self._record_leaving
+        self.exchange.on_back_off = self._record_back_off
         self.ingress = ingress.Ingress(
             dialect=self.adapter,
             holder=self.holder,
@@ -262,6 +264,14 @@
     def _is_serving(self) -> bool:
         return self.holder.table is not None and not self.is_leaving
 
+    def _record_leaving(self, upstream: fleet.Upstream) -> None:
+        self.metrics.record_signal('leaving')
+        self.runner.record_leaving(upstream)
+
+    def _record_back_off(self, upstream: fleet.Upstream, value: str) -> None:
+        self.metrics.record_signal('back_off')
+        self.placement.record_back_off(upstream, value)
+
     async def _confirm_log(self) -> None:
         """Read the newest version from a quorum, again until one answers."""
         started = time.monotonic()
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -35,6 +35,7 @@
     priority='X-Priority',
     last_event='Last-Event-Id',
     at_fault='X-At',
+    leaving='X-Leaving',
 )
 HOST = 'a.example'
 SENDER = links.Sender('127.0.0.9', lambda message: True)
@@ -224,18 +225,22 @@
         runner=runner,
         metrics=counts,
     )
+    placer = placement.Placement(
+        cfg=cfg,
+        holder=holder,
+        runner=runner,
+        guard=guard,
+        loads=placing.Loads('east', rng),
+        rng=rng,
+    )
+    sender = exchange.Exchange.from_config(NAMES)
+    sender.on_leaving = runner.record_leaving
+    sender.on_back_off = placer.record_back_off
     return ingress.Ingress(
         dialect=holder.dialect,
         holder=holder,
-        exchange=exchange.Exchange.from_config(NAMES),
-        placement=placement.Placement(
-            cfg=cfg,
-            holder=holder,
-            runner=runner,
-            guard=guard,
-            loads=placing.Loads('east', rng),
-            rng=rng,
-        ),
+        exchange=sender,
+        placement=placer,
         guard=guard,
         rng=rng,
         metrics=counts,
