Bound the memory of answers without end

Cause: an answer that is no stream was collected without a limit, and so was the body of an error of a stream. Ruled out: heads without end and bytes that are no answer end the request already by the limits of the HTTP client; streams by the limit of an event. Change: an answer fails beyond 16 MiB, or beyond 256 KiB while all together hold over 48 MiB; its connection is closed, the upstream avoided as for other failures, and the caller told 502, as it may have run.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 
 bench:
 	@tools/run python -m tools.bench
+	@tools/run python -m tools.bench_answers
 
 # Writes the pages that are made from the code.
 pages: settings-page schema
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -26,6 +26,11 @@
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 STATUS_UNAVAILABLE = 503
+# An answer that is no stream is kept whole until it is complete.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Larger answers fail while all of them together hold more than this.
+MAX_BUFFERED_BYTES = 48 * 1024 * 1024
+SMALL_ANSWER_BYTES = 256 * 1024
 
 
 @attrs.define(eq=False)
@@ -107,6 +112,7 @@
     Attributes:
         on_leaving: called with an upstream whose answer says that it leaves.
         on_back_off: called with an upstream and the Retry-After of its 503.
+        buffered_bytes: bytes of answers that are not complete yet.
     """
 
     names: dialect.HeaderNames
@@ -115,6 +121,7 @@
     on_back_off: Callable[[fleet.Upstream, str], None] = (
         lambda upstream, value: None
     )
+    buffered_bytes: int = 0
 
     @classmethod
     def from_config(cls, names: dialect.HeaderNames) -> 'Exchange':
@@ -181,10 +188,36 @@
             SendFailedError: there is no complete answer to the request.
         """
         async with self.open(call, upstream) as opened:
-            chunks = [chunk async for chunk in opened.chunks()]
-            opened.answer.body = b''.join(chunks)
+            opened.answer.body = await self.read_body(opened)
             return opened.answer
 
+    async def read_body(self, opened: OpenAnswer) -> bytes:
+        """Return the complete body of an answer.
+
+        Raises:
+            SendFailedError: the connection ended before the body did, or the
+                body is too large.
+        """
+        body = bytearray()
+        try:
+            async for chunk in opened.chunks():
+                body += chunk
+                self.buffered_bytes += len(chunk)
+                if self._is_too_large(body):
+                    raise SendFailedError(
+                        'answer_too_large', Verdict.MAY_HAVE_RUN
+                    )
+        finally:
+            self.buffered_bytes -= len(body)
+            # The traceback of a failure keeps the body until it is handled.
+            body.clear()
+        return bytes(body)
+
+    def _is_too_large(self, body: bytearray) -> bool:
+        if self.buffered_bytes > MAX_BUFFERED_BYTES:
+            return len(body) > SMALL_ANSWER_BYTES
+        return len(body) > MAX_ANSWER_BYTES
+
     async def _send(
         self,
         call: calls.Call,
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -129,8 +129,8 @@
     ) -> web.StreamResponse:
         answer = opened.answer
         if answer.status != STATUS_OK:
-            chunks = [chunk async for chunk in opened.chunks()]
-            return self._error_answer(answer, b''.join(chunks))
+            body = await self.owner.exchange.read_body(opened)
+            return self._error_answer(answer, body)
         self.reader.restart()
         async for chunk in opened.chunks():
             try:
--- /dev/null
+++ b/tests/daemon/direct/test_endless_answers.py
@@ -0,0 +1,80 @@
+"""Tests of upstreams that send bytes without end."""
+
+import asyncio
+import contextlib
+
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_daemon.direct import exchange
+from tests.daemon.direct import conftest as harness
+
+
+async def _call(site, service):
+    async with site.request(service) as response:
+        await response.read()
+        return response.status
+
+
+async def _write_forever(writer, data):
+    with contextlib.suppress(ConnectionError):
+        while True:
+            writer.write(data)
+            await writer.drain()
+
+
+def _endless_head(data):
+    async def script(head, writer):
+        writer.write(b'HTTP/1.1 200 OK\r\n')
+        await _write_forever(writer, data)
+
+    return script
+
+
+def _endless_body(framing):
+    async def script(head, writer):
+        id_ = harness.header(head, 'X-Id')
+        writer.write(
+            f'HTTP/1.1 200 OK\r\nX-Id: {id_}\r\nX-Stamp: s\r\n'
+            f'{framing}\r\n'.encode()
+        )
+        await _write_forever(writer, b'x' * 65536)
+
+    return script
+
+
+async def _endless_noise(head, writer):
+    await _write_forever(writer, b'\x00noise' * 1000)
+
+
+@pytest.mark.parametrize('service', ['book', 'talk'])
+@pytest.mark.parametrize(
+    'script',
+    [
+        _endless_noise,
+        _endless_head(b'x' * 65536),
+        _endless_head(b'X-More: x\r\n' * 4096),
+        _endless_body('Connection: close\r\n'),
+        _endless_body(f'Content-Length: {2**40}\r\n'),
+    ],
+)
+async def test_bytes_without_end_fail_the_request_soon(site, service, script):
+    upstream = await site.upstream(service, script)
+    async with asyncio.timeout(1.5):
+        status = await _call(site, service)
+        assert_that(status, matchers.Equals(502))
+        await upstream.ended.wait()
+
+
+async def test_answers_without_end_share_a_bounded_memory(site):
+    scripts = [_endless_body('Connection: close\r\n')] * 20
+    for _ in range(10):
+        await site.upstream('book', *scripts)
+    tasks = [asyncio.ensure_future(_call(site, 'book')) for _ in range(20)]
+    most = 0
+    while not all(task.done() for task in tasks):
+        most = max(most, site.ingress.exchange.buffered_bytes)
+        await asyncio.sleep(0.001)
+    assert_that(most, matchers.LessThan(exchange.MAX_BUFFERED_BYTES * 1.1))
+    assert_that(site.ingress.exchange.buffered_bytes, matchers.Equals(0))
