Return the body of a complete answer again

Cause: the commit before clears the body in a finally clause that ran before the return; answers of plain services were empty. Change: the body is copied inside the try.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -207,11 +207,11 @@
                     raise SendFailedError(
                         'answer_too_large', Verdict.MAY_HAVE_RUN
                     )
+            return bytes(body)
         finally:
             self.buffered_bytes -= len(body)
             # The traceback of a failure keeps the body until it is handled.
             body.clear()
-        return bytes(body)
 
     def _is_too_large(self, body: bytearray) -> bool:
         if self.buffered_bytes > MAX_BUFFERED_BYTES:
