Hear a process again that a late record had made look ended

An entry that has just started may hear a new process of a host before the last record of the old one; it then took the old one for the newer, and ignored the new one until the host was forgotten after 60 s. Change: a start that was taken for ended is accepted again once the other one has been silent for 2 s. Before/after: the new test failed and passes; the four of the file pass.

--- a/packages/cassiashift-core/cassiashift_core/fleet/entries.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/entries.py
@@ -11,6 +11,8 @@
 FORGET_AFTER_S = 60.0
 # Ended processes of a host whose late records are recognised.
 REMEMBERED_STARTS = 8
+# A process that was taken for ended is heard again if the other one is silent.
+ENDED_AFTER_S = 2.0
 
 
 @attrs.define
@@ -44,7 +46,8 @@
 
         A record of a process that another one has followed is ignored. The
         order in which they were first heard decides: the time of day of a
-        start may step back.
+        start may step back. If a late record made that order wrong, the
+        process that is still heard is taken after ``ENDED_AFTER_S``.
         """
         known = self.by_host.get(record.host)
         if known is None:
@@ -52,7 +55,8 @@
             self._without_record.pop(record.host, None)
             self.by_host[record.host] = KnownEntry(record, now)
             return True
-        if record.started_ns in known.ended_starts:
+        is_recent = now - known.received_at < ENDED_AFTER_S
+        if record.started_ns in known.ended_starts and is_recent:
             return False
         ended = known.ended_starts
         if record.started_ns != known.record.started_ns:
--- a/tests/core/fleet/test_entries.py
+++ b/tests/core/fleet/test_entries.py
@@ -47,3 +47,13 @@
     table.update(_record(10), 30.0)
     alive = [item.record for item in table.alive(30.0, 3.0)]
     assert_that(alive, matchers.Equals([_record(10)]))
+
+
+def test_a_late_record_does_not_replace_a_process_for_good():
+    table = fleet.EntryTable('a')
+    table.update(_record(20), 0.0)
+    table.update(_record(10), 0.1)
+    for second in range(1, 8):
+        table.update(_record(20), float(second))
+    alive = [item.record for item in table.alive(7.0, 1.0)]
+    assert_that(alive, matchers.Equals([_record(20)]))
