Count only successful answers as evidence for a part

Cause: found in review of the block of crashing prompts. An answer with a status from 300 to 499 cleared parts that no upstream had written on; the digest of blocks was computed 20 times a second; a probe that raised would have stayed in the table of probes. Change: only 2xx answers clear parts; the digest follows changes; the guard shares the timer of the placement.

--- a/packages/cassiashift-core/cassiashift_core/poison/table.py
+++ b/packages/cassiashift-core/cassiashift_core/poison/table.py
@@ -259,13 +259,18 @@
 
     def forget_expired(self, now: float) -> None:
         """Drop blocks that no request has asked for, and old announcements."""
-        for key, block in list(self._blocks.items()):
-            if now - block.until > FORGET_AFTER_S:
-                del self._blocks[key]
+        forgotten = [
+            key
+            for key, block in self._blocks.items()
+            if now - block.until > FORGET_AFTER_S
+        ]
+        for key in forgotten:
+            del self._blocks[key]
+        if forgotten:
+            self._update_digest()
         for key, at in list(self._announced_answers.items()):
             if now - at > evidence.CLEAN_S:
                 del self._announced_answers[key]
-        self._update_digest()
 
     def _block_suspects(self, now: float) -> list[evidence.PartKey]:
         """Block the parts that were present most often, if often enough.
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -25,6 +25,7 @@
 
 # Retry-After of a process that has just started and has no configuration yet.
 UNCONFIGURED_RETRY_S = 0.5
+STATUS_REDIRECT = 300
 # Parts of a prompt in one log line.
 MAX_LOGGED_PARTS = 8
 
@@ -246,7 +247,8 @@
         call.record_send_end(upstream, Verdict.RAN)
         if answer.status < exchange.STATUS_SERVER_ERROR:
             self.placement.record_success(upstream)
-            self.guard.record_answer(call)
+            if answer.status < STATUS_REDIRECT:
+                self.guard.record_answer(call)
         else:
             failure = exchange.SendFailedError('error_status', Verdict.RAN)
             self.placement.record_failure(upstream, failure)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/poison_guard.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/poison_guard.py
@@ -181,13 +181,15 @@
     async def _probe(self, upstream: fleet.Upstream) -> None:
         """Report the suspects of a crash, or drop them without a crash."""
         crashed = False
-        for delay_s in PROBE_DELAYS_S:
-            await asyncio.sleep(delay_s)
-            crashed = await _refuses_connections(upstream.address)
-            if crashed:
-                break
-        del self._probes[upstream.id]
-        suspects = tuple(self._suspects.pop(upstream.id, ()))
+        try:
+            for delay_s in PROBE_DELAYS_S:
+                await asyncio.sleep(delay_s)
+                crashed = await _refuses_connections(upstream.address)
+                if crashed:
+                    break
+        finally:
+            del self._probes[upstream.id]
+            suspects = tuple(self._suspects.pop(upstream.id, ()))
         if not crashed:
             return
         logs.warning(
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -100,9 +100,8 @@
         await self._listen()
         self.spawn(self.run_periodically(fleet_runner.TICK_S, self._tick))
         self.spawn(
-            self.run_periodically(placement.TICK_S, self.placement.tick)
+            self.run_periodically(placement.TICK_S, self._tick_requests)
         )
-        self.spawn(self.run_periodically(placement.TICK_S, self.guard.tick))
         self.spawn(self.run_periodically(RELOAD_INTERVAL_S, self.reload))
         self.spawn(self.run_periodically(LOAD_INTERVAL_S, self._update_load))
         if self.cfg.data_dir:
@@ -310,6 +309,10 @@
             self.runner.send_hellos()
         self.runner.tick()
 
+    def _tick_requests(self) -> None:
+        self.placement.tick()
+        self.guard.tick()
+
     def _update_load(self) -> None:
         handled, self.ingress.handled = self.ingress.handled, 0
         rate = self.runner.requests_per_s
