Let the soak's upstream ask for pauses

Change: during an episode of 1.5 s the upstream refuses every request with a Retry-After to its end; from one second on, each entry, and each new start of one, may send two more. Faults overlap the episodes. Conclusion: answers that say leaving are not injected yet: the site has one upstream.

--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -146,15 +146,31 @@
     Attributes:
         ran: number of runs by request id.
         work_s: time that a request takes.
+        pause_ends_at: time until which it refuses requests and asks for a
+            pause to that time.
+        refused_at: times of these refusals.
     """
 
     address: str
     ran: dict[str, int] = attrs.field(factory=dict)
     work_s: float = 0.01
+    pause_ends_at: float = 0.0
+    refused_at: list[float] = attrs.field(factory=list)
 
     async def handle(self, request):
         """Run a request and answer with its id."""
         id_ = request.headers['Cassiashift-Request-Id']
+        now = time.monotonic()
+        if now < self.pause_ends_at:
+            self.refused_at.append(now)
+            return web.Response(
+                status=503,
+                headers={
+                    'Cassiashift-Request-Id': id_,
+                    'Cassiashift-Not-Executed': '1',
+                    'Retry-After': f'{self.pause_ends_at - now:.3f}',
+                },
+            )
         self.ran[id_] = self.ran.get(id_, 0) + 1
         await asyncio.sleep(self.work_s)
         return web.Response(
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -4,9 +4,10 @@
 tests run a few. These properties are checked from what callers, operators and
 the upstream see: an unsafe request runs at most once; a refused request has
 not run; a response belongs to its request; a read returns no older version
-than the last one acknowledged before it; no acknowledged version is lost; and
-once all processes run again, the newest acknowledged configuration is in force
-at every entry.
+than the last one acknowledged before it; no acknowledged version is lost; an
+upstream that asks for a pause gets two requests of each entry at most, half a
+second later; and once all processes run again, the newest acknowledged
+configuration is in force at every entry.
 """
 
 import argparse
@@ -31,6 +32,11 @@
 MAX_FREEZE_S = 6.0
 # Entries with a disk that may be faulty at the same time.
 MAX_FAULTY_DISKS = 1
+# A pause that the upstream asks for, and the requests that an entry, or a new
+# start of one, may still send after the first part of it.
+PAUSE_S = 1.5
+PAUSE_NOTICED_S = 0.5
+REQUESTS_IN_PAUSE = 2
 REFUSED_STATUSES = (429, 503)
 STATUS_NOT_FOUND = 404
 
@@ -63,7 +69,10 @@
         ends_at = time.monotonic() + self.seconds
         tasks = [self._call_until(ends_at) for _ in range(CALLERS)]
         tasks += [self._change_until(ends_at), self._read_until(ends_at)]
-        tasks.append(self._inject_faults_until(ends_at))
+        tasks += [
+            self._inject_faults_until(ends_at),
+            self._pause_until(ends_at),
+        ]
         await asyncio.gather(*tasks)
         await self._settle()
         self._check_calls()
@@ -126,6 +135,25 @@
             )
         await asyncio.gather(*injections)
 
+    async def _pause_until(self, ends_at: float) -> None:
+        upstream = self.site.upstream
+        while time.monotonic() < ends_at - 2 * PAUSE_S:
+            await asyncio.sleep(self.rng.uniform(1.0, 3.0))
+            started = time.monotonic()
+            faults = len(self.faults)
+            upstream.pause_ends_at = started + PAUSE_S
+            await asyncio.sleep(PAUSE_S)
+            # An entry that had no request before is refused later.
+            late = [
+                at
+                for at in upstream.refused_at
+                if at > started + 2 * PAUSE_NOTICED_S
+            ]
+            upstream.refused_at.clear()
+            starts = len(self.site.entries) + len(self.faults) - faults
+            if len(late) > REQUESTS_IN_PAUSE * starts:
+                self.problems.append(f'{len(late)} requests in a pause')
+
     def _may_inject(self, entry: platform_site.Entry) -> bool:
         if entry.number in self._faulty:
             return False
