Tell callers of a new entry to return once a leader is elected

Most come back once only, and were refused again. Change: the Retry-After covers 1.6 s from the start of the entry, spread by up to half; later it is 0.5 s, spread as well.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -23,8 +23,12 @@
 from cassiashift_daemon.direct import tables
 from cassiashift_daemon import logs
 
-# Retry-After of a process that has just started and has no configuration yet.
+# Retry-After of a process that has no configuration yet. After a restart of
+# all entries a leader is elected first; callers that come back sooner are
+# refused again, and most come back once only.
 UNCONFIGURED_RETRY_S = 0.5
+CONFIGURED_AFTER_S = 1.6
+UNCONFIGURED_RETRY_SPREAD = 0.5
 STATUS_REDIRECT = 300
 # Parts of a prompt in one log line.
 MAX_LOGGED_PARTS = 8
@@ -44,6 +48,7 @@
         in_flight: requests that are not answered yet.
         handled: requests since the last update of the request rate, which
             resets this count.
+        started_at: monotonic time at which this entry began to serve.
     """
 
     dialect: dialect.Dialect
@@ -56,6 +61,7 @@
     is_leaving: bool = False
     in_flight: int = 0
     handled: int = 0
+    started_at: float = attrs.field(factory=time.monotonic)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and log and count its outcome."""
@@ -139,7 +145,7 @@
             raise CassiashiftError(
                 ErrorCode.NO_QUORUM,
                 'no configuration is known here yet',
-                retry_after_s=UNCONFIGURED_RETRY_S,
+                retry_after_s=self._unconfigured_retry_s(arrived_at),
             )
         raw_path = request.raw_path
         host = request.headers.get('Host', '').partition(':')[0]
@@ -169,6 +175,11 @@
             parts=self.dialect.shared_parts(request.headers),
         )
 
+    def _unconfigured_retry_s(self, now: float) -> float:
+        left_s = self.started_at + CONFIGURED_AFTER_S - now
+        spread = 1 + UNCONFIGURED_RETRY_SPREAD * self.rng.random()
+        return spread * max(UNCONFIGURED_RETRY_S, left_s)
+
     def _authenticate(
         self,
         request: web.BaseRequest,
--- a/tests/daemon/direct/test_ingress.py
+++ b/tests/daemon/direct/test_ingress.py
@@ -1,6 +1,7 @@
 """Tests of how a direct entry forwards requests, retries and refuses them."""
 
 import asyncio
+import time
 
 import aiohttp
 import pytest
@@ -70,6 +71,16 @@
         assert_that(response.status, matchers.Equals(503))
 
 
+async def test_callers_return_to_a_new_entry_once_a_leader_is_elected(site):
+    site.ingress.holder.table = None
+    for age_s, least_s, most_s in [(0.0, 1.4, 2.5), (30.0, 0.5, 0.8)]:
+        site.ingress.started_at = time.monotonic() - age_s
+        async with site.request('none') as response:
+            retry_after_s = float(response.headers['Retry-After'])
+        assert_that(retry_after_s, matchers.GreaterThan(least_s - 0.01))
+        assert_that(retry_after_s, matchers.LessThan(most_s))
+
+
 @pytest.fixture
 async def ticking(site):
     """Serve the queue of the site every 20 ms during the test."""
