Log the limit that an upstream names in an answer

Cause: an answer's Server-Limit left no trace, so that the sends before and after an entry could know of a limit could not be told apart, nor whether the limit was reached by sends at all. Change: the header is decoded; a line upstream_names_limit for each answer that has it. Nothing acts on it.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
@@ -32,6 +32,8 @@
         last_event: id of the event after which a stream resumes.
         at_fault: id of the upstream that made another one fail.
         leaving: set by an upstream that leaves.
+        limit: requests a second that an upstream takes from all entries
+            together, as a decimal number.
     """
 
     request_id: str
@@ -45,6 +47,7 @@
     last_event: str
     at_fault: str
     leaving: str
+    limit: str
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -19,6 +19,7 @@
 from cassiashift_core import Verdict
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import dialect
+from cassiashift_daemon import logs
 
 # Upstreams accept within milliseconds; the kernel retransmits a lost SYN only
 # after one second.
@@ -171,7 +172,7 @@
             closed = (
                 connection.protocol.closed if connection is not None else None
             )
-            self._read_signals(upstream, response)
+            self._read_signals(call, upstream, response)
             answer = self._check_answer(call, response)
             if closed is None:
                 closed = asyncio.get_running_loop().create_future()
@@ -247,12 +248,25 @@
             raise _connection_error(exc) from exc
 
     def _read_signals(
-        self, upstream: fleet.Upstream, response: aiohttp.ClientResponse
+        self,
+        call: calls.Call,
+        upstream: fleet.Upstream,
+        response: aiohttp.ClientResponse,
     ) -> None:
         """Pass on what an answer of any status says about its upstream."""
         headers = response.headers
         if headers.get(self.names.leaving) == '1':
             self.on_leaving(upstream)
+        limit = headers.get(self.names.limit)
+        if limit is not None:
+            logs.info(
+                'upstream_names_limit',
+                request=call.id,
+                upstream=upstream.id,
+                service=upstream.service,
+                status=response.status,
+                per_s=limit,
+            )
         retry_after = headers.get('Retry-After')
         if response.status == STATUS_UNAVAILABLE and retry_after is not None:
             self.on_back_off(upstream, retry_after)
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -36,6 +36,7 @@
     last_event='Last-Event-Id',
     at_fault='X-At',
     leaving='X-Leaving',
+    limit='X-Limit',
 )
 HOST = 'a.example'
 SENDER = links.Sender('127.0.0.9', lambda message: True)
