Test that entries together keep the limit that an upstream names

Five entries as processes get 15 requests a second for one upstream, which names 1.1 or 3 requests a second; one entry is stopped and started again. The bound is that of the users' rule, from 3 s after the limit was first named; at least half of the limit is to be served.

--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -149,6 +149,9 @@
         pause_ends_at: time until which it refuses requests and asks for a
             pause to that time.
         refused_at: times of these refusals.
+        limit_per_s: requests a second that its answers name as its limit;
+            None while they name none.
+        arrived_at: times of all requests.
     """
 
     address: str
@@ -156,30 +159,26 @@
     work_s: float = 0.01
     pause_ends_at: float = 0.0
     refused_at: list[float] = attrs.field(factory=list)
+    limit_per_s: float | None = None
+    arrived_at: list[float] = attrs.field(factory=list)
 
     async def handle(self, request):
         """Run a request and answer with its id."""
         id_ = request.headers['Cassiashift-Request-Id']
         now = time.monotonic()
+        self.arrived_at.append(now)
+        headers = {'Cassiashift-Request-Id': id_}
+        if self.limit_per_s is not None:
+            headers['Server-Limit'] = f'{self.limit_per_s:g}'
         if now < self.pause_ends_at:
             self.refused_at.append(now)
-            return web.Response(
-                status=503,
-                headers={
-                    'Cassiashift-Request-Id': id_,
-                    'Cassiashift-Not-Executed': '1',
-                    'Retry-After': f'{self.pause_ends_at - now:.3f}',
-                },
-            )
+            headers['Cassiashift-Not-Executed'] = '1'
+            headers['Retry-After'] = f'{self.pause_ends_at - now:.3f}'
+            return web.Response(status=503, headers=headers)
         self.ran[id_] = self.ran.get(id_, 0) + 1
         await asyncio.sleep(self.work_s)
-        return web.Response(
-            body=id_.encode(),
-            headers={
-                'Cassiashift-Request-Id': id_,
-                'Cassiashift-Response-Stamp': 's',
-            },
-        )
+        headers['Cassiashift-Response-Stamp'] = 's'
+        return web.Response(body=id_.encode(), headers=headers)
 
 
 @attrs.define(eq=False)
