Keep what an entry knows of an upstream in one row

Cause: what an entry knows of an upstream lay in three tables with keys of their own: its announcement and whether it leaves (UpstreamTable), loads and circuit breakers (Loads), back-offs (BackOffs, with the start they belong to). A limit that it names would be the fourth. Change: fleet.Condition holds load, breaker and back-off of one start of an upstream and lives in the row of fleet.UpstreamTable that holds the announcement. A new start begins with an empty one, a dropped row takes it along, so that the callback on_forgotten goes. placing.Chooser compares the conditions of candidates; it keeps nothing. Besides: load and breaker of an earlier start under the same id no longer count for a new one; sends to the earlier one end without an effect on it. Tests: those of loads and back-offs check the same on the new home; test_an_upstream_without_heartbeats_is_forgotten checks the table and the condition in place of the callback.

--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from cassiashift_core.fleet.bootstrap import BootstrapAction
 from cassiashift_core.fleet.bootstrap import decide_bootstrap
+from cassiashift_core.fleet.conditions import Condition
 from cassiashift_core.fleet.confirmation import LogConfirmation
 from cassiashift_core.fleet.documents import Document
 from cassiashift_core.fleet.documents import Standing
@@ -25,6 +26,7 @@
 
 __all__ = [
     'BootstrapAction',
+    'Condition',
     'Document',
     'DocumentPull',
     'DocumentPush',
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/fleet/conditions.py
@@ -0,0 +1,95 @@
+"""What one entry knows of one start of an upstream beside announcements."""
+
+import math
+
+import attrs
+
+from cassiashift_core.routing import breaker as breakers
+
+# Pauses of an upstream's circuit breaker. The first one outlasts a short
+# stall; the longest one bounds the delay until a recovered upstream is used.
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 4.0
+# Consecutive failures that open the breaker; a refused connection opens it at
+# once.
+FAILURES_TO_OPEN = 2
+# Weight of the newest outcome in the moving average of failures.
+FAILURE_WEIGHT = 0.2
+# A longer back-off is taken for a mistake and shortened to this.
+LONGEST_BACK_OFF_S = 600.0
+
+
+@attrs.define(eq=False)
+class Condition:
+    """Requests in flight, outcomes and pauses of one upstream.
+
+    Times are of the entry's monotonic clock, in seconds.
+
+    Attributes:
+        in_flight: requests of this entry that have not ended.
+        failure_share: moving average of failed requests, 0 to 1.
+        full_until: time until which it is skipped after a refusal.
+        backs_off_until: time until which it has asked for no requests.
+    """
+
+    in_flight: int = 0
+    failures_in_row: int = 0
+    failure_share: float = 0.0
+    full_until: float = 0.0
+    backs_off_until: float = 0.0
+    breaker: breakers.Breaker = attrs.field(
+        factory=lambda: breakers.Breaker(LONGEST_PAUSE_S)
+    )
+
+    def record_send(self, now: float) -> None:
+        """Record that a request was sent."""
+        self.breaker.record_send(now)
+        self.in_flight += 1
+
+    def record_end(self) -> None:
+        """Record the end of a request, whatever its outcome."""
+        self.in_flight = max(0, self.in_flight - 1)
+
+    def record_success(self, now: float) -> None:
+        """Record a successful request."""
+        self.failures_in_row = 0
+        self.failure_share *= 1 - FAILURE_WEIGHT
+        self._close_breaker(now)
+
+    def record_failure(self, now: float, is_down: bool = False) -> None:
+        """Record a failed request; ``is_down`` if it can't be reached."""
+        self.failures_in_row += 1
+        self.failure_share += FAILURE_WEIGHT * (1 - self.failure_share)
+        if is_down or self.failures_in_row >= FAILURES_TO_OPEN:
+            self.breaker.record_failure(now, FIRST_PAUSE_S)
+
+    def record_refusal(self, now: float, pause_s: float) -> None:
+        """Record a refusal; the upstream is skipped for a pause."""
+        self.full_until = max(self.full_until, now + pause_s)
+        self._close_breaker(now)
+
+    def record_back_off(self, seconds: float, now: float) -> float:
+        """Record a pause that the upstream asks for.
+
+        Returns:
+            its seconds; 0 if the value is no pause.
+        """
+        if not math.isfinite(seconds) or seconds <= 0:
+            return 0.0
+        pause_s = min(seconds, LONGEST_BACK_OFF_S)
+        self.backs_off_until = max(now + pause_s, self.backs_off_until)
+        return pause_s
+
+    def accepts(self, now: float) -> bool:
+        """Return whether a request may be sent now."""
+        return now >= max(
+            self.full_until, self.backs_off_until
+        ) and self.breaker.allows(self.in_flight, now)
+
+    def room_at(self, now: float) -> float:
+        """Return the next time at which it takes a request."""
+        return max(now, self.backs_off_until)
+
+    def _close_breaker(self, now: float) -> None:
+        if self.breaker.state != 'closed':
+            self.breaker.record_success(now)
--- a/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
@@ -1,9 +1,14 @@
-"""The table of the upstreams of a region that each entry keeps."""
+"""The table of the upstreams of a region that each entry keeps.
+
+A row holds all that the entry knows of an upstream: its newest announcement,
+which all entries share, and its condition.
+"""
 
 from collections.abc import Iterable
 
 import attrs
 
+from cassiashift_core.fleet import conditions
 from cassiashift_core.fleet import messages
 from cassiashift_core import hashing
 
@@ -16,10 +21,17 @@
 
 @attrs.define
 class _Row:
-    """The newest announcement of an upstream, and when it was received."""
+    """What is known of an upstream.
+
+    Attributes:
+        upstream: its newest announcement.
+        received_at: when that was received.
+        condition: what else is known of this start of it.
+    """
 
     upstream: messages.Upstream
     received_at: float
+    condition: conditions.Condition = attrs.field(factory=conditions.Condition)
 
 
 @attrs.define
@@ -58,6 +70,8 @@
             return self._advance_state(row, upstream)
         if upstream.born_ms == old.born_ms:
             upstream = _with_later_state(upstream, old.state)
+        else:
+            row.condition = conditions.Condition()
         row.received_at = now
         row.upstream = upstream
         if _without_sequence(upstream) == _without_sequence(old):
@@ -114,6 +128,16 @@
         row = self._rows.get(id_)
         return None if row is None else row.upstream
 
+    def condition(self, upstream: messages.Upstream) -> conditions.Condition:
+        """Return what is known of a start beside its announcement.
+
+        For a start that the table does not hold any more it is empty.
+        """
+        row = self._rows.get(upstream.id)
+        if row is None or row.upstream.born_ms != upstream.born_ms:
+            return conditions.Condition()
+        return row.condition
+
     def accepting(self, service: str, now: float) -> list[messages.Upstream]:
         """Return the upstreams of a service that accept new requests.
 
--- a/packages/cassiashift-core/cassiashift_core/placing/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/__init__.py
@@ -2,20 +2,16 @@
 
 from cassiashift_core.placing.attempts import Attempt
 from cassiashift_core.placing.attempts import AttemptLog
-from cassiashift_core.placing.backoff import BackOffs
 from cassiashift_core.placing.budget import WindowBudget
-from cassiashift_core.placing.loads import Loads
-from cassiashift_core.placing.loads import UpstreamLoad
+from cassiashift_core.placing.chooser import Chooser
 from cassiashift_core.placing.request_queue import QueuedRequest
 from cassiashift_core.placing.request_queue import RequestQueue
 
 __all__ = [
     'Attempt',
     'AttemptLog',
-    'BackOffs',
-    'Loads',
+    'Chooser',
     'QueuedRequest',
     'RequestQueue',
-    'UpstreamLoad',
     'WindowBudget',
 ]
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -51,8 +51,6 @@
     """Updates the tables of the fleet from messages and sends changes.
 
     Attributes:
-        on_forgotten: called with the id of an upstream removed from the
-            table.
         store_id: identity of the own data folder; empty until it is open.
         log_voters: hosts of the voter set that this entry knows.
         blocks_digest: returns the digest of the blocked parts of prompts.
@@ -64,7 +62,6 @@
     upstreams: fleet.UpstreamTable
     holder: tables.TableHolder
     started_ns: int
-    on_forgotten: Callable[[str], None] = lambda id_: None
     blocks_digest: Callable[[], int] = lambda: 0
     is_ready: bool = False
     is_leaving: bool = False
@@ -145,7 +142,6 @@
         self._hello_due = now + self.hello_interval_s
         self.entries.forget_silent(now)
         for upstream in self.upstreams.forget_silent(now):
-            self.on_forgotten(upstream.id)
             logs.info('upstream_forgotten', upstream=upstream.id)
         self._log_silent_entries()
         if now - self._far_hellos_at >= self._far_hello_interval_s(now):
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -62,15 +62,21 @@
     holder: tables.TableHolder
     runner: fleet_runner.FleetRunner
     guard: poison_guard.PoisonGuard
-    loads: placing.Loads
     rng: random.Random
     queue: placing.RequestQueue = attrs.field(factory=placing.RequestQueue)
+    chooser: placing.Chooser = attrs.field(init=False)
     _group_failed_at: dict[str, float] = attrs.field(factory=dict)
     _budgets: dict[str, placing.WindowBudget] = attrs.field(factory=dict)
     _mean_hold_s: dict[str, float] = attrs.field(
         factory=lambda: collections.defaultdict(lambda: INITIAL_HOLD_S)
     )
 
+    def __attrs_post_init__(self) -> None:
+        """Create the chooser of upstreams."""
+        self.chooser = placing.Chooser(
+            self.runner.upstreams, self.cfg.data_centre, self.rng
+        )
+
     async def place(self, call: calls.Call) -> fleet.Upstream:
         """Return the upstream for a request, after a wait if needed.
 
@@ -96,7 +102,7 @@
             service=call.service,
             route=call.route.name,
             send=len(call.log.attempts) + 1,
-            in_flight=self.loads.for_upstream(chosen.id).in_flight,
+            in_flight=self._condition(chosen).in_flight,
             waited_s=time.monotonic() - now,
             left_s=call.remaining_s(),
             configuration=self.holder.version,
@@ -114,7 +120,7 @@
         try:
             self.guard.check(call)
         except CassiashiftError:
-            self.loads.for_upstream(upstream.id).record_end()
+            self._condition(upstream).record_end()
             self._serve_queue(call.service)
             raise
 
@@ -136,7 +142,7 @@
         Args:
             held_s: seconds that the send took.
         """
-        self.loads.for_upstream(upstream.id).record_end()
+        self._condition(upstream).record_end()
         mean_s = self._mean_hold_s[call.service]
         self._mean_hold_s[call.service] = mean_s + HOLD_WEIGHT * (
             held_s - mean_s
@@ -145,22 +151,22 @@
 
     def record_success(self, upstream: fleet.Upstream) -> None:
         """Record an answer that is no server error."""
-        self.loads.for_upstream(upstream.id).record_success(time.monotonic())
+        self._condition(upstream).record_success(time.monotonic())
 
     def record_failure(
         self, upstream: fleet.Upstream, failure: exchange.SendFailedError
     ) -> None:
         """Record a failed send; the upstream is avoided for a while."""
         now = time.monotonic()
-        load = self.loads.for_upstream(upstream.id)
+        condition = self._condition(upstream)
         if failure.at_fault:
             # Another rank of the upstream's group is lost.
             self._group_failed_at[upstream.service] = now
-            load.record_refusal(now, GROUP_RECOVERY_S / 2)
+            condition.record_refusal(now, GROUP_RECOVERY_S / 2)
         elif failure.is_refusal:
-            load.record_refusal(now, REFUSAL_PAUSE_S)
+            condition.record_refusal(now, REFUSAL_PAUSE_S)
         else:
-            load.record_failure(now, failure.is_down)
+            condition.record_failure(now, failure.is_down)
 
     def record_back_off(self, upstream: fleet.Upstream, value: str) -> None:
         """Record a pause that an upstream asks for, in seconds as text."""
@@ -168,8 +174,8 @@
             seconds = float(value)
         except ValueError:
             seconds = 0.0
-        pause_s = self.loads.back_offs.record(
-            upstream, seconds, time.monotonic()
+        pause_s = self._condition(upstream).record_back_off(
+            seconds, time.monotonic()
         )
         is_plain = 0.0 < pause_s == seconds
         log = logs.info if is_plain else logs.warning
@@ -221,11 +227,14 @@
     ) -> fleet.Upstream | None:
         candidates = self.runner.upstreams.accepting(call.service, now)
         limit = self._in_flight_limit(call.service, candidates)
-        chosen = self.loads.choose(candidates, limit, call.log.excluded, now)
+        chosen = self.chooser.choose(candidates, limit, call.log.excluded, now)
         if chosen is not None:
-            self.loads.for_upstream(chosen.id).record_send(now)
+            self._condition(chosen).record_send(now)
         return chosen
 
+    def _condition(self, upstream: fleet.Upstream) -> fleet.Condition:
+        return self.runner.upstreams.condition(upstream)
+
     def _in_flight_limit(
         self, service_name: str, candidates: list[fleet.Upstream]
     ) -> int:
@@ -270,7 +279,7 @@
         try:
             return await queued.fut
         except asyncio.CancelledError:
-            _release_unused(self.loads, queued.fut)
+            self._release_unused(queued.fut)
             raise
         finally:
             queued.is_over = True
@@ -278,7 +287,7 @@
     def _back_off_s(self, call: calls.Call, now: float) -> float:
         """Return the seconds until an upstream takes requests again."""
         candidates = self.runner.upstreams.accepting(call.service, now)
-        return self.loads.back_offs.room_in_s(candidates, now)
+        return self.chooser.room_in_s(candidates, now)
 
     def _expected_wait_s(self, call: calls.Call, now: float) -> float:
         candidates = self.runner.upstreams.accepting(call.service, now)
@@ -329,8 +338,7 @@
         back_off_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
         return max(SHORTEST_RETRY_AFTER_S, min(wait_s, longest_s), back_off_s)
 
-
-def _release_unused(loads: placing.Loads, fut: asyncio.Future) -> None:
-    """Release the slot of a request that was cancelled once it was placed."""
-    if fut.done() and not fut.cancelled() and fut.exception() is None:
-        loads.for_upstream(fut.result().id).record_end()
+    def _release_unused(self, fut: asyncio.Future) -> None:
+        """Release the slot of a placed request that was cancelled."""
+        if fut.done() and not fut.cancelled() and fut.exception() is None:
+            self._condition(fut.result()).record_end()
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -10,7 +10,6 @@
 from cassiashift_core import CassiashiftError
 from cassiashift_core import consensus
 from cassiashift_core import fleet
-from cassiashift_core import placing
 from cassiashift_core import poison
 from cassiashift_daemon.direct import api
 from cassiashift_daemon.direct import config
@@ -184,10 +183,8 @@
             holder=self.holder,
             runner=self.runner,
             guard=self.guard,
-            loads=placing.Loads(self.cfg.data_centre, self.rng),
             rng=self.rng,
         )
-        self.runner.on_forgotten = self.placement.loads.forget
         self.runner.blocks_digest = lambda: self.guard.table.digest
         self.guard.on_blocked = self.placement.refuse_blocked
         self.exchange.on_leaving = self._record_leaving
--- a/tests/core/placing/test_placing.py
+++ b/tests/core/placing/test_placing.py
@@ -19,66 +19,77 @@
 
 
 @pytest.fixture
-def loads():
-    return placing.Loads('east', random.Random(1))
+def chooser():
+    return _chooser(1)
 
 
-def _upstreams(count):
-    return [
+def _chooser(seed):
+    table = fleet.UpstreamTable(1e9, 1e9)
+    return placing.Chooser(table, 'east', random.Random(seed))
+
+
+def _upstreams(chooser, count):
+    upstreams = [
         fleet.Upstream(f'u{number}', 's', f'10.0.0.{number}:1', 'east')
         for number in range(count)
     ]
+    chooser.upstreams.apply_all(upstreams, 0.0)
+    return upstreams
+
 
+def _condition(chooser, id_):
+    return chooser.upstreams.condition(chooser.upstreams.find(id_))
 
-def _choose(loads, upstreams, limit=2, excluded=(), now=0.0):
-    upstream = loads.choose(upstreams, limit, excluded, now)
+
+def _choose(chooser, upstreams, limit=2, excluded=(), now=0.0):
+    upstream = chooser.choose(upstreams, limit, excluded, now)
     return upstream and upstream.id
 
 
-def test_the_least_loaded_upstream_is_chosen(loads):
-    upstreams = _upstreams(3)
-    loads.for_upstream('u0').record_send(0.0)
-    loads.for_upstream('u2').record_send(0.0)
-    assert_that(_choose(loads, upstreams), matchers.Equals('u1'))
+def test_the_least_loaded_upstream_is_chosen(chooser):
+    upstreams = _upstreams(chooser, 3)
+    _condition(chooser, 'u0').record_send(0.0)
+    _condition(chooser, 'u2').record_send(0.0)
+    assert_that(_choose(chooser, upstreams), matchers.Equals('u1'))
 
 
-def test_nothing_is_chosen_beyond_the_limit(loads):
-    upstreams = _upstreams(2)
+def test_nothing_is_chosen_beyond_the_limit(chooser):
+    upstreams = _upstreams(chooser, 2)
     for id_ in ('u0', 'u1'):
-        loads.for_upstream(id_).record_send(0.0)
-        loads.for_upstream(id_).record_send(0.0)
-    assert_that(_choose(loads, upstreams), matchers.Is(None))
-    loads.for_upstream('u0').record_end()
-    assert_that(_choose(loads, upstreams), matchers.Equals('u0'))
+        _condition(chooser, id_).record_send(0.0)
+        _condition(chooser, id_).record_send(0.0)
+    assert_that(_choose(chooser, upstreams), matchers.Is(None))
+    _condition(chooser, 'u0').record_end()
+    assert_that(_choose(chooser, upstreams), matchers.Equals('u0'))
 
 
-def test_an_upstream_that_is_down_is_probed_after_a_pause(loads):
-    upstreams = _upstreams(1)
-    load = loads.for_upstream('u0')
+def test_an_upstream_that_is_down_is_probed_after_a_pause(chooser):
+    upstreams = _upstreams(chooser, 1)
+    load = _condition(chooser, 'u0')
     load.record_send(0.0)
     load.record_failure(0.0, is_down=True)
     load.record_end()
-    assert_that(_choose(loads, upstreams, now=0.1), matchers.Is(None))
-    assert_that(_choose(loads, upstreams, now=1.0), matchers.Equals('u0'))
+    assert_that(_choose(chooser, upstreams, now=0.1), matchers.Is(None))
+    assert_that(_choose(chooser, upstreams, now=1.0), matchers.Equals('u0'))
     load.record_send(1.0)
-    assert_that(_choose(loads, upstreams, now=1.0), matchers.Is(None))
+    assert_that(_choose(chooser, upstreams, now=1.0), matchers.Is(None))
     load.record_success(1.1)
     load.record_end()
-    assert_that(_choose(loads, upstreams, now=1.1), matchers.Equals('u0'))
+    assert_that(_choose(chooser, upstreams, now=1.1), matchers.Equals('u0'))
 
 
-def test_an_upstream_that_fails_often_is_avoided(loads):
-    upstreams = _upstreams(2)
-    loads.for_upstream('u0').record_failure(0.0)
+def test_an_upstream_that_fails_often_is_avoided(chooser):
+    upstreams = _upstreams(chooser, 2)
+    _condition(chooser, 'u0').record_failure(0.0)
     for _ in range(20):
-        assert_that(_choose(loads, upstreams), matchers.Equals('u1'))
+        assert_that(_choose(chooser, upstreams), matchers.Equals('u1'))
 
 
-def test_a_full_upstream_is_used_again_after_a_pause(loads):
-    upstreams = _upstreams(1)
-    loads.for_upstream('u0').record_refusal(0.0, 0.2)
-    assert_that(_choose(loads, upstreams, now=0.1), matchers.Is(None))
-    assert_that(_choose(loads, upstreams, now=0.2), matchers.Equals('u0'))
+def test_a_full_upstream_is_used_again_after_a_pause(chooser):
+    upstreams = _upstreams(chooser, 1)
+    _condition(chooser, 'u0').record_refusal(0.0, 0.2)
+    assert_that(_choose(chooser, upstreams, now=0.1), matchers.Is(None))
+    assert_that(_choose(chooser, upstreams, now=0.2), matchers.Equals('u0'))
 
 
 @pytest.mark.parametrize('entries', [1, 3, 11])
@@ -146,28 +157,26 @@
     on 96 slots.
     """
     rng = random.Random(1)
-    entry_loads = [
-        placing.Loads('east', random.Random(number))
-        for number in range(entries)
-    ]
-    upstreams = _upstreams(16)
+    choosers = [_chooser(number) for number in range(entries)]
+    for chooser in choosers:
+        upstreams = _upstreams(chooser, 16)
     running = dict.fromkeys((u.id for u in upstreams), 0)
     ends = []
     placed = queued = 0
     for step in range(20_000):
         now = step * 0.01
         while ends and ends[0][0] <= now:
-            _, loads, id_ = ends.pop(0)
-            loads.for_upstream(id_).record_end()
+            _, chooser, id_ = ends.pop(0)
+            _condition(chooser, id_).record_end()
             running[id_] -= 1
         if rng.random() < 0.45:
-            loads = rng.choice(entry_loads)
-            chosen = loads.choose(upstreams, 6, (), now)
-            loads.for_upstream(chosen.id).record_send(now)
+            chooser = rng.choice(choosers)
+            chosen = chooser.choose(upstreams, 6, (), now)
+            _condition(chooser, chosen.id).record_send(now)
             placed += 1
             queued += running[chosen.id] >= 6
             running[chosen.id] += 1
-            ends.append((now + rng.uniform(0.4, 2.0), loads, chosen.id))
+            ends.append((now + rng.uniform(0.4, 2.0), chooser, chosen.id))
             ends.sort(key=lambda row: row[0])
     return queued / placed
 
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -10,7 +10,6 @@
 import pytest
 
 from cassiashift_core import fleet
-from cassiashift_core import placing
 from cassiashift_core import poison
 from cassiashift_core import routes
 from cassiashift_daemon.direct import config
@@ -178,6 +177,11 @@
     session: aiohttp.ClientSession
     servers: list = attrs.field(factory=list)
 
+    def condition(self, id_):
+        """Return what the entry knows of an upstream beside its state."""
+        table = self.runner.upstreams
+        return table.condition(table.find(id_))
+
     def stop_listening(self, number):
         """Close the listener of the upstream of a number, from 0."""
         self.servers[number].close()
@@ -231,7 +235,6 @@
         holder=holder,
         runner=runner,
         guard=guard,
-        loads=placing.Loads('east', rng),
         rng=rng,
     )
     sender = exchange.Exchange.from_config(NAMES)
--- a/tests/daemon/direct/test_directory.py
+++ b/tests/daemon/direct/test_directory.py
@@ -163,12 +163,13 @@
 
 
 def test_an_upstream_without_heartbeats_is_forgotten(runner):
-    forgotten = []
-    runner.on_forgotten = forgotten.append
     upstream = fleet.Upstream('u', 's', '10.9.0.1:1', 'east')
     runner.upstreams.apply(upstream, time.monotonic() - 31.0)
+    runner.upstreams.condition(upstream).record_send(0.0)
     runner.tick()
-    assert_that(forgotten, matchers.Equals(['u']))
+    assert_that(runner.upstreams.find('u'), matchers.Is(None))
+    condition = runner.upstreams.condition(upstream)
+    assert_that(condition.in_flight, matchers.Equals(0))
 
 
 def test_a_missed_push_is_repeated(runner):
--- a/tests/daemon/direct/test_ingress.py
+++ b/tests/daemon/direct/test_ingress.py
@@ -144,8 +144,8 @@
 )
 async def test_a_safe_request_that_failed_is_retried(site, script):
     await site.upstream('read', script)
-    site.ingress.placement.loads.for_upstream('read-2').record_send(0.0)
     second = await site.upstream('read')
+    site.condition('read-2').record_send(0.0)
     async with site.request('read') as response:
         assert_that(response.status, matchers.Equals(200))
     assert_that(second.heads, matchers.HasLength(1))
@@ -188,7 +188,7 @@
     )
     second = await site.upstream('draft', harness.streaming(3, 4))
     second.scripts, first.scripts = [harness.streaming(3, 4)], first.scripts
-    site.ingress.placement.loads.for_upstream('draft-2').record_send(0.0)
+    site.condition('draft-2').record_send(0.0)
     async with site.request('draft') as response:
         assert_that(await response.text(), matchers.Equals(_events(1, 4)))
     head = second.heads[0]
@@ -232,18 +232,18 @@
 
 async def test_a_request_is_not_sent_when_its_caller_left_the_queue(site):
     upstream = await site.upstream('read')
-    load = site.ingress.placement.loads.for_upstream('read-1')
-    load.in_flight = 2
+    condition = site.condition('read-1')
+    condition.in_flight = 2
     with pytest.raises(asyncio.TimeoutError):
         async with asyncio.timeout(0.2):
             async with site.request('read'):
                 pass
     await asyncio.sleep(0.1)
-    load.in_flight = 0
+    condition.in_flight = 0
     site.ingress.placement.tick()
     await asyncio.sleep(0.1)
     assert_that(upstream.heads, matchers.HasLength(0))
-    assert_that(load.in_flight, matchers.Equals(0))
+    assert_that(condition.in_flight, matchers.Equals(0))
 
 
 async def test_a_silent_upstream_causes_a_timeout(site):
@@ -254,7 +254,7 @@
 
 async def test_a_request_that_timed_out_in_the_queue_gets_503(site, ticking):
     await site.upstream('book')
-    site.ingress.placement.loads.for_upstream('book-1').in_flight = 2
+    site.condition('book-1').in_flight = 2
     async with site.request('book', X_Deadline='300') as response:
         assert_that(response.status, matchers.Equals(503))
 
