Share the limit that an upstream names among all entries

Cause: no entry read the limit. Class of fault: a signal for all senders together that is handled by none; handled by each alone it would be multiplied by their number. Weighed: equal shares of each entry (a bucket of one request an entry is above the bound of 1.1 a second with eleven entries), few entries for an upstream (the others have nothing where all upstreams are limited). Change: a limit is a belief with a revision in the row of the upstream; it is sent to all entries and mended by the digest of the tables. A request to a limited upstream takes a permit of the one entry that issues them for it: an entry with a disk, by rendezvous hashing. The issuer reserves the next free moment for each request for a permit, 0.95 of the limit and two at once at most, and only the part of it that it hears of the entries with a disk. A new issuer begins without any. What can't have a permit in time goes elsewhere or is refused at once with the next moment that the issuers named.

--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -10,16 +10,26 @@
 from cassiashift_core.fleet.entries import KnownEntry
 from cassiashift_core.fleet.gossip import is_relay
 from cassiashift_core.fleet.gossip import sends_frequent_hellos
+from cassiashift_core.fleet.limits import Limit
+from cassiashift_core.fleet.limits import parse_limit
 from cassiashift_core.fleet.messages import DocumentPull
 from cassiashift_core.fleet.messages import DocumentPush
 from cassiashift_core.fleet.messages import EntryRecord
 from cassiashift_core.fleet.messages import Hello
+from cassiashift_core.fleet.messages import LimitRecord
+from cassiashift_core.fleet.messages import LONGEST_PATIENCE_S
+from cassiashift_core.fleet.messages import Permit
+from cassiashift_core.fleet.messages import PermitRequest
 from cassiashift_core.fleet.messages import Sighting
 from cassiashift_core.fleet.messages import TableDump
 from cassiashift_core.fleet.messages import TablePull
 from cassiashift_core.fleet.messages import Upstream
 from cassiashift_core.fleet.messages import UpstreamNews
 from cassiashift_core.fleet.messages import UpstreamState
+from cassiashift_core.fleet.permits import choose_issuer
+from cassiashift_core.fleet.permits import issued_share
+from cassiashift_core.fleet.permits import Issuer
+from cassiashift_core.fleet.permits import PERMIT_VALID_S
 from cassiashift_core.fleet.steering import choose_entries
 from cassiashift_core.fleet.upstreams import UpstreamTable
 from cassiashift_core.fleet.voters import next_voter_change
@@ -33,8 +43,15 @@
     'EntryRecord',
     'EntryTable',
     'Hello',
+    'Issuer',
     'KnownEntry',
+    'LONGEST_PATIENCE_S',
+    'Limit',
+    'LimitRecord',
     'LogConfirmation',
+    'PERMIT_VALID_S',
+    'Permit',
+    'PermitRequest',
     'Sighting',
     'Standing',
     'TableDump',
@@ -44,8 +61,11 @@
     'UpstreamState',
     'UpstreamTable',
     'choose_entries',
+    'choose_issuer',
     'decide_bootstrap',
     'is_relay',
+    'issued_share',
     'next_voter_change',
+    'parse_limit',
     'sends_frequent_hellos',
 ]
--- a/packages/cassiashift-core/cassiashift_core/fleet/conditions.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/conditions.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from cassiashift_core.fleet import limits
+from cassiashift_core.fleet import permits
 from cassiashift_core.routing import breaker as breakers
 
 # Pauses of an upstream's circuit breaker. The first one outlasts a short
@@ -21,7 +23,7 @@
 
 @attrs.define(eq=False)
 class Condition:
-    """Requests in flight, outcomes and pauses of one upstream.
+    """Requests in flight, outcomes, pauses and limit of one upstream.
 
     Times are of the entry's monotonic clock, in seconds.
 
@@ -30,6 +32,8 @@
         failure_share: moving average of failed requests, 0 to 1.
         full_until: time until which it is skipped after a refusal.
         backs_off_until: time until which it has asked for no requests.
+        limit: the limit that it names to all entries.
+        permit: permit of this entry to send in spite of a limit.
     """
 
     in_flight: int = 0
@@ -40,11 +44,20 @@
     breaker: breakers.Breaker = attrs.field(
         factory=lambda: breakers.Breaker(LONGEST_PAUSE_S)
     )
+    limit: limits.NamedLimit = attrs.field(factory=limits.NamedLimit)
+    permit: permits.HeldPermit = attrs.field(factory=permits.HeldPermit)
+
+    @property
+    def is_limited(self) -> bool:
+        """Return whether a request needs a permit."""
+        return self.limit.per_s > 0
 
     def record_send(self, now: float) -> None:
         """Record that a request was sent."""
         self.breaker.record_send(now)
         self.in_flight += 1
+        if self.is_limited:
+            self.permit.spend()
 
     def record_end(self) -> None:
         """Record the end of a request, whatever its outcome."""
@@ -80,15 +93,32 @@
         self.backs_off_until = max(now + pause_s, self.backs_off_until)
         return pause_s
 
-    def accepts(self, now: float) -> bool:
-        """Return whether a request may be sent now."""
+    def is_available(self, now: float) -> bool:
+        """Return whether a request may be sent now, with a permit."""
         return now >= max(
             self.full_until, self.backs_off_until
         ) and self.breaker.allows(self.in_flight, now)
 
+    def accepts(self, now: float) -> bool:
+        """Return whether a request may be sent now."""
+        if self.is_limited and not self.permit.is_valid(now):
+            return False
+        return self.is_available(now)
+
+    def needs_permit(self, now: float) -> bool:
+        """Return whether a permit would let it accept a request."""
+        return (
+            self.is_limited
+            and self.is_available(now)
+            and self.permit.may_request(now)
+        )
+
     def room_at(self, now: float) -> float:
-        """Return the next time at which it takes a request."""
-        return max(now, self.backs_off_until)
+        """Return the next time known at which it takes a request."""
+        room_at = max(now, self.backs_off_until)
+        if self.is_limited:
+            room_at = max(room_at, self.permit.room_at(now))
+        return room_at
 
     def _close_breaker(self, now: float) -> None:
         if self.breaker.state != 'closed':
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# An issuer reserves no permit further ahead.
+LONGEST_PATIENCE_S = 1.0
+
 
 class UpstreamState(enum.Enum):
     """State of an upstream, in the order in which the states follow."""
@@ -99,11 +102,27 @@
     blocks_digest: int = 0
 
 
+@attrs.frozen
+class LimitRecord:
+    """A belief about the limit of one start of an upstream.
+
+    Attributes:
+        per_s: requests a second from all entries; 0 if it names none.
+        revision: number of the belief; a higher one is newer.
+    """
+
+    id: str
+    born_ms: int
+    per_s: float
+    revision: int
+
+
 @attrs.frozen
 class UpstreamNews:
-    """Announcements that changed the sender's table of upstreams."""
+    """Announcements and limits that changed the sender's table."""
 
     upstreams: tuple[Upstream, ...]
+    limits: tuple[LimitRecord, ...] = ()
 
 
 @attrs.frozen
@@ -115,10 +134,46 @@
 
 @attrs.frozen
 class TableDump:
-    """The hosts and upstreams in the sender's tables."""
+    """The hosts, upstreams and limits in the sender's tables."""
 
     hosts: tuple[str, ...]
     upstreams: tuple[Upstream, ...]
+    limits: tuple[LimitRecord, ...] = ()
+
+
+@attrs.frozen
+class PermitRequest:
+    """Requests a permit to send a request to a limited upstream.
+
+    Attributes:
+        host: the entry that asks.
+        per_s: the limit that it knows, in requests a second.
+        number: identifies the answer.
+        patience_s: longest time ahead for which a permit is of use.
+    """
+
+    host: str
+    upstream: str
+    born_ms: int
+    per_s: float
+    number: int
+    patience_s: float = 0.0
+
+
+@attrs.frozen
+class Permit:
+    """An issuer's answer to a request for a permit.
+
+    Attributes:
+        after_s: seconds until the permit is valid, or, if it is not granted,
+            until there may be one.
+    """
+
+    upstream: str
+    born_ms: int
+    number: int
+    is_granted: bool
+    after_s: float
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/fleet/permits.py
@@ -0,0 +1,214 @@
+"""Permits to send requests to an upstream that names a limit.
+
+A limit holds for all entries together, and is often lower than one request a
+second and entry. So one entry issues the permits for an upstream, and the
+others ask it for one at a time. The issuer reserves the next free moment for
+each request (generic cell rate algorithm, ITU-T I.371, annex A); a permit is
+valid from that moment for ``PERMIT_VALID_S``.
+
+The issuer is chosen by rendezvous hashing among the entries with a disk, as
+all entries hear these often. Entries that are cut apart choose two issuers; an
+issuer therefore issues only the part of the limit that the entries with a disk
+it hears are of all those it knows.
+"""
+
+from collections.abc import Collection
+import math
+
+import attrs
+
+from cassiashift_core.fleet import messages
+from cassiashift_core import hashing
+
+PERMIT_VALID_S = 0.5
+# A lost answer blocks no upstream for longer; a later one is not used.
+ANSWER_TIMEOUT_S = 0.3
+# Share of a limit that is issued. Permits of two issuers overlap for a while
+# when entries come and go.
+ISSUED_SHARE = 0.95
+# Permits issued at once after a time without requests.
+BURST = 2
+# Another entry may have issued permits until an issuer's first request.
+FIRST_PERMIT_AFTER_S = 1.0
+# Until then a new entry may not hear the other ones yet.
+QUIET_AFTER_START_S = 2.0
+# An issuer drops what it knows of an upstream without requests for so long.
+FORGET_AFTER_S = 60.0
+
+
+@attrs.define(eq=False)
+class HeldPermit:
+    """The permit of an entry for one start of an upstream.
+
+    It holds or requests one at a time.
+
+    Attributes:
+        number: number of the newest request for a permit.
+    """
+
+    number: int = 0
+    _requested_at: float = -math.inf
+    _is_pending: bool = False
+    _valid_from: float = -math.inf
+    _denied_until: float = 0.0
+
+    def is_valid(self, now: float) -> bool:
+        """Return whether a request may be sent now."""
+        return self._valid_from <= now < self._valid_from + PERMIT_VALID_S
+
+    def spend(self) -> None:
+        """Use the permit for a request."""
+        self._valid_from = -math.inf
+
+    def may_request(self, now: float) -> bool:
+        """Return whether a permit may be requested now."""
+        return now >= self._denied_until and not self.is_open(now)
+
+    def is_pending(self, now: float) -> bool:
+        """Return whether an answer of the issuer is awaited."""
+        return self._is_pending and now < self._requested_at + ANSWER_TIMEOUT_S
+
+    def request(self, now: float) -> int:
+        """Record a request for a permit; return its number."""
+        self.number += 1
+        self._requested_at = now
+        self._is_pending = True
+        return self.number
+
+    def record_answer(self, answer: messages.Permit, now: float) -> bool:
+        """Record the issuer's answer; return whether it came in time."""
+        if answer.number != self.number or not self.is_pending(now):
+            return False
+        self._is_pending = False
+        if answer.is_granted:
+            self._valid_from = now + answer.after_s
+        else:
+            self._denied_until = now + answer.after_s
+        return True
+
+    def is_open(self, now: float) -> bool:
+        """Return whether one is awaited, held or reserved."""
+        return self.is_pending(now) or (
+            now < self._valid_from + PERMIT_VALID_S
+        )
+
+    def room_at(self, now: float) -> float:
+        """Return the next time known at which a request may be sent."""
+        if now < self._valid_from + PERMIT_VALID_S:
+            return max(now, self._valid_from)
+        return max(now, self._denied_until)
+
+
+@attrs.define
+class _Bucket:
+    """The permits issued for one start of an upstream.
+
+    Attributes:
+        next_at: theoretical arrival time of the next request.
+    """
+
+    born_ms: int
+    next_at: float
+    used_at: float
+
+
+@attrs.define(eq=False)
+class Issuer:
+    """Issues permits for the upstreams that this entry was chosen for."""
+
+    started_at: float
+    _buckets: dict[str, _Bucket] = attrs.field(factory=dict)
+
+    def issue(
+        self,
+        request: messages.PermitRequest,
+        per_s: float,
+        share: float,
+        now: float,
+    ) -> messages.Permit:
+        """Return a permit, or the time after which to ask again.
+
+        Args:
+            per_s: the upstream's limit, in requests a second.
+            share: part of the limit that this entry may issue, 0 to 1.
+        """
+        interval_s = 1 / (per_s * ISSUED_SHARE * share)
+        tolerance_s = (BURST - 1) * interval_s
+        bucket = self._bucket(request, interval_s, tolerance_s, now)
+        wait_s = max(
+            0.0,
+            bucket.next_at - tolerance_s - now,
+            self.started_at + QUIET_AFTER_START_S - now,
+        )
+        is_granted = wait_s <= request.patience_s
+        if is_granted:
+            bucket.next_at = max(bucket.next_at, now) + interval_s
+        return messages.Permit(
+            request.upstream,
+            request.born_ms,
+            request.number,
+            is_granted,
+            wait_s,
+        )
+
+    def forget_unused(self, now: float) -> None:
+        """Drop what no entry has asked for lately."""
+        for id_, bucket in list(self._buckets.items()):
+            if now - bucket.used_at > FORGET_AFTER_S:
+                del self._buckets[id_]
+
+    def _bucket(
+        self,
+        request: messages.PermitRequest,
+        interval_s: float,
+        tolerance_s: float,
+        now: float,
+    ) -> _Bucket:
+        bucket = self._buckets.get(request.upstream)
+        if bucket is None or bucket.born_ms < request.born_ms:
+            first_s = min(interval_s, FIRST_PERMIT_AFTER_S)
+            bucket = _Bucket(request.born_ms, now + first_s + tolerance_s, now)
+            self._buckets[request.upstream] = bucket
+        # A limit that was raised leaves no reservations far ahead.
+        horizon = now + messages.LONGEST_PATIENCE_S + tolerance_s + interval_s
+        bucket.next_at = min(bucket.next_at, horizon)
+        bucket.used_at = now
+        return bucket
+
+
+def choose_issuer(
+    upstream: str,
+    born_ms: int,
+    own: messages.EntryRecord,
+    live: Collection[messages.EntryRecord],
+) -> str:
+    """Return the host of the entry that issues an upstream's permits.
+
+    Args:
+        live: the other entries that this one hears.
+    """
+    staying = [item for item in (own, *live) if not item.is_leaving]
+    with_disk = [item for item in staying if item.has_disk]
+    hosts = [item.host for item in with_disk or staying or [own]]
+    return hashing.rendezvous_order(f'{upstream}/{born_ms}', hosts)[0]
+
+
+def issued_share(
+    own: messages.EntryRecord,
+    live: Collection[messages.EntryRecord],
+    known: Collection[messages.EntryRecord],
+) -> float:
+    """Return the part of a limit that an issuer may issue.
+
+    Args:
+        live: the other entries that it hears.
+        known: the other entries that it has heard lately.
+    """
+    staying = [item for item in known if not item.is_leaving]
+    with_disk = [item for item in staying if item.has_disk]
+    if with_disk and not own.has_disk:
+        # One that hears no entry with a disk, while others may.
+        return 1 / (len(staying) + 1)
+    peers = {item.host for item in with_disk or staying}
+    heard = sum(item.host in peers for item in live)
+    return (heard + 1) / (len(peers) + 1)
--- a/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
@@ -9,7 +9,9 @@
 import attrs
 
 from cassiashift_core.fleet import conditions
+from cassiashift_core.fleet import limits
 from cassiashift_core.fleet import messages
+from cassiashift_core.fleet import permits
 from cassiashift_core import hashing
 
 _STATE_ORDER = {
@@ -123,6 +125,58 @@
         )
         return self._advance_state(row, leaving)
 
+    def record_limit(
+        self,
+        upstream: messages.Upstream,
+        per_s: float,
+        sent_at: float,
+        now: float,
+    ) -> messages.LimitRecord | None:
+        """Record the limit that an answer of an upstream names.
+
+        Args:
+            per_s: requests a second; 0 if the answer names none.
+            sent_at: time at which the answer's request was sent.
+
+        Returns:
+            the new belief if this changed it, or None.
+        """
+        condition = self._held_condition(upstream.id, upstream.born_ms)
+        if condition is None or not condition.limit.record_answer(
+            per_s, sent_at, now
+        ):
+            return None
+        condition.permit = permits.HeldPermit(condition.permit.number)
+        self._digest = None
+        return _limit_record(upstream, condition.limit.limit)
+
+    def apply_limits(
+        self, records: Iterable[messages.LimitRecord], now: float
+    ) -> list[messages.LimitRecord]:
+        """Apply other entries' beliefs; return those that were newer."""
+        changed = []
+        for record in records:
+            condition = self._held_condition(record.id, record.born_ms)
+            limit = limits.Limit(record.per_s, record.revision)
+            if condition is not None and condition.limit.apply(limit, now):
+                condition.permit = permits.HeldPermit(condition.permit.number)
+                changed.append(record)
+        if changed:
+            self._digest = None
+        return changed
+
+    def limits(self) -> tuple[messages.LimitRecord, ...]:
+        """Return the beliefs about limits that were ever named."""
+        return tuple(
+            _limit_record(row.upstream, row.condition.limit.limit)
+            for row in self._rows.values()
+            if row.condition.limit.limit.revision
+        )
+
+    def limited_count(self) -> int:
+        """Return the number of upstreams that name a limit."""
+        return sum(row.condition.is_limited for row in self._rows.values())
+
     def find(self, id_: str) -> messages.Upstream | None:
         """Return an upstream by its id, or None."""
         row = self._rows.get(id_)
@@ -133,10 +187,8 @@
 
         For a start that the table does not hold any more it is empty.
         """
-        row = self._rows.get(upstream.id)
-        if row is None or row.upstream.born_ms != upstream.born_ms:
-            return conditions.Condition()
-        return row.condition
+        held = self._held_condition(upstream.id, upstream.born_ms)
+        return conditions.Condition() if held is None else held
 
     def accepting(self, service: str, now: float) -> list[messages.Upstream]:
         """Return the upstreams of a service that accept new requests.
@@ -176,17 +228,26 @@
     def digest(self) -> int:
         """Return a digest of the upstreams that aren't gone.
 
-        It covers ids, starts and states, which all entries must agree on.
+        It covers ids, starts, states and limits, which all entries must agree
+        on.
         """
         if self._digest is None:
             rows = sorted(
-                f'{item.id} {item.born_ms} {item.state.value}'
-                for item in self.all()
-                if item.state is not messages.UpstreamState.GONE
+                _digest_line(row)
+                for row in self._rows.values()
+                if row.upstream.state is not messages.UpstreamState.GONE
             )
             self._digest = hashing.stable_digest('\n'.join(rows).encode())
         return self._digest
 
+    def _held_condition(
+        self, id_: str, born_ms: int
+    ) -> conditions.Condition | None:
+        row = self._rows.get(id_)
+        if row is None or row.upstream.born_ms != born_ms:
+            return None
+        return row.condition
+
     def _add(
         self, upstream: messages.Upstream, now: float
     ) -> messages.Upstream:
@@ -225,6 +286,20 @@
     return row.upstream.born_ms
 
 
+def _digest_line(row: _Row) -> str:
+    upstream, limit = row.upstream, row.condition.limit.limit
+    line = f'{upstream.id} {upstream.born_ms} {upstream.state.value}'
+    return f'{line} {limit.revision} {limit.per_s:g}'
+
+
+def _limit_record(
+    upstream: messages.Upstream, limit: limits.Limit
+) -> messages.LimitRecord:
+    return messages.LimitRecord(
+        upstream.id, upstream.born_ms, limit.per_s, limit.revision
+    )
+
+
 def _without_sequence(upstream: messages.Upstream) -> messages.Upstream:
     return attrs.evolve(upstream, sequence=0)
 
--- a/packages/cassiashift-core/cassiashift_core/placing/chooser.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/chooser.py
@@ -41,12 +41,40 @@
 
         return self._cheapest(candidates, max_in_flight, excluded, accepts)
 
+    def choose_limited(
+        self,
+        candidates: Iterable[fleet.Upstream],
+        max_in_flight: float,
+        excluded: Collection[str],
+        now: float,
+        wanted: int,
+    ) -> fleet.Upstream | None:
+        """Return the upstream to request a permit for, or None.
+
+        Args:
+            wanted: requests for which permits are of use.
+        """
+        candidates = list(candidates)
+        open_count = sum(
+            self.upstreams.condition(upstream).permit.is_open(now)
+            for upstream in candidates
+        )
+        if open_count >= wanted:
+            return None
+
+        def needs_permit(condition: fleet.Condition) -> bool:
+            return condition.needs_permit(now)
+
+        return self._cheapest(
+            candidates, max_in_flight, excluded, needs_permit
+        )
+
     def room_in_s(
         self, candidates: Iterable[fleet.Upstream], now: float
     ) -> float:
         """Return the seconds until one of some upstreams has room.
 
-        Only their pauses count.
+        Only their pauses and limits count.
         """
         rooms = [
             self.upstreams.condition(upstream).room_at(now)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import time
 
 import aiohttp
 import attrs
@@ -19,7 +20,6 @@
 from cassiashift_core import Verdict
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import dialect
-from cassiashift_daemon import logs
 
 # Upstreams accept within milliseconds; the kernel retransmits a lost SYN only
 # after one second.
@@ -113,6 +113,8 @@
     Attributes:
         on_leaving: called with an upstream whose answer says that it leaves.
         on_back_off: called with an upstream and the Retry-After of its 503.
+        on_limit: called with an upstream, the limit that its answer names,
+            None for none, and the time at which the request was sent.
         buffered_bytes: bytes of answers that are not complete yet.
     """
 
@@ -122,6 +124,9 @@
     on_back_off: Callable[[fleet.Upstream, str], None] = (
         lambda upstream, value: None
     )
+    on_limit: Callable[[fleet.Upstream, str | None, float], None] = (
+        lambda upstream, value, sent_at: None
+    )
     buffered_bytes: int = 0
 
     @classmethod
@@ -166,14 +171,18 @@
         Raises:
             SendFailedError: there is no answer that belongs to the request.
         """
+        sent_at = time.monotonic()
         response = await self._send(call, upstream, last_event)
         try:
             connection = response.connection
             closed = (
                 connection.protocol.closed if connection is not None else None
             )
-            self._read_signals(call, upstream, response)
+            self._read_signals(upstream, response, sent_at)
             answer = self._check_answer(call, response)
+            if response.ok and self.names.limit not in response.headers:
+                # An error may come from elsewhere than from its own work.
+                self.on_limit(upstream, None, sent_at)
             if closed is None:
                 closed = asyncio.get_running_loop().create_future()
             yield OpenAnswer(answer, response, closed)
@@ -249,9 +258,9 @@
 
     def _read_signals(
         self,
-        call: calls.Call,
         upstream: fleet.Upstream,
         response: aiohttp.ClientResponse,
+        sent_at: float,
     ) -> None:
         """Pass on what an answer of any status says about its upstream."""
         headers = response.headers
@@ -259,14 +268,7 @@
             self.on_leaving(upstream)
         limit = headers.get(self.names.limit)
         if limit is not None:
-            logs.info(
-                'upstream_names_limit',
-                request=call.id,
-                upstream=upstream.id,
-                service=upstream.service,
-                status=response.status,
-                per_s=limit,
-            )
+            self.on_limit(upstream, limit, sent_at)
         retry_after = headers.get('Retry-After')
         if response.status == STATUS_UNAVAILABLE and retry_after is not None:
             self.on_back_off(upstream, retry_after)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
 import time
 from typing import Any
 
@@ -111,6 +112,10 @@
             or self._sends_rare_hellos(known.record)
         ]
 
+    def known_records(self) -> list[fleet.EntryRecord]:
+        """Return the records of the other entries, silent ones too."""
+        return [known.record for known in self.entries.by_host.values()]
+
     def responsive_records(self) -> list[fleet.EntryRecord]:
         """Return the records of the entries that callers may be sent to.
 
@@ -223,6 +228,24 @@
         changed = self.upstreams.mark_leaving(upstream.id, upstream.born_ms)
         self._broadcast_change(changed, 'its answer')
 
+    def record_limit(
+        self, upstream: fleet.Upstream, value: str | None, sent_at: float
+    ) -> None:
+        """Record the limit that an answer names; None if it names none."""
+        try:
+            per_s = 0.0 if value is None else fleet.parse_limit(value)
+        except ValueError as exc:
+            logs.warning(
+                'limit_ignored', upstream=upstream.id, reason=str(exc)
+            )
+            return
+        changed = self.upstreams.record_limit(
+            upstream, per_s, sent_at, time.monotonic()
+        )
+        if changed is not None:
+            self._log_limit(changed, 'its answer')
+            self.broadcast(fleet.UpstreamNews((), (changed,)))
+
     def push_document(self, document: fleet.Document) -> None:
         """Send a configuration to the entries without a data folder.
 
@@ -274,6 +297,7 @@
             message.upstreams, time.monotonic()
         ):
             self._log_upstream_change(upstream, sender.host)
+        self._apply_limits(message.limits, sender.host)
 
     def on_table_pull(
         self, sender: links.Sender, message: fleet.TablePull
@@ -281,7 +305,11 @@
         """Reply with the tables of entries and upstreams."""
         self.send(
             message.host,
-            fleet.TableDump(tuple(self.entries.hosts()), self.upstreams.all()),
+            fleet.TableDump(
+                tuple(self.entries.hosts()),
+                self.upstreams.all(),
+                self.upstreams.limits(),
+            ),
         )
 
     def on_table_dump(
@@ -292,6 +320,7 @@
         self.entries.add_hosts(message.hosts, now)
         for upstream in self.upstreams.apply_all(message.upstreams, now):
             self._log_upstream_change(upstream, sender.host)
+        self._apply_limits(message.limits, sender.host)
 
     def on_document_pull(
         self, sender: links.Sender, message: fleet.DocumentPull
@@ -321,6 +350,12 @@
             fleet.DocumentPush: self.on_document_push,
         }
 
+    def _apply_limits(
+        self, records: Iterable[fleet.LimitRecord], source: str
+    ) -> None:
+        for record in self.upstreams.apply_limits(records, time.monotonic()):
+            self._log_limit(record, source)
+
     def _relay_sightings(self, sightings: tuple[fleet.Sighting, ...]) -> None:
         """Queue sightings for other data centres if this is the relay."""
         neighbours = self._neighbours(time.monotonic())
@@ -400,6 +435,15 @@
             logs.warning('entry_silent', host=host, age_s=age)
         self._silent = silent
 
+    def _log_limit(self, record: fleet.LimitRecord, source: str) -> None:
+        logs.info(
+            'upstream_limit',
+            upstream=record.id,
+            per_s=record.per_s,
+            revision=record.revision,
+            heard_from=source,
+        )
+
     def _log_upstream_change(
         self, upstream: fleet.Upstream, source: str
     ) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
@@ -57,6 +57,12 @@
             ('cause',),
             registry=registry,
         )
+        self._permits = prometheus_client.Counter(
+            'cassiashift_permits',
+            'Answers to requests for permits to send, by outcome.',
+            ('outcome',),
+            registry=registry,
+        )
         self._gauges = prometheus_client.Gauge(
             'cassiashift_state',
             'State of this entry, by name.',
@@ -84,6 +90,10 @@
         """Count an answer by which an upstream asks for no more requests."""
         self._signals.labels(cause).inc()
 
+    def record_permit(self, outcome: str) -> None:
+        """Count an issuer's answer: granted, denied or too late."""
+        self._permits.labels(outcome).inc()
+
     def text(self, **gauges: float) -> bytes:
         """Set the gauges and return all metrics as text."""
         for name, value in gauges.items():
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import random
 import time
 
@@ -16,6 +17,7 @@
 from cassiashift_daemon.direct import config
 from cassiashift_daemon.direct import exchange
 from cassiashift_daemon.direct import fleet_runner
+from cassiashift_daemon.direct import permit_runner
 from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon.direct import tables
 from cassiashift_daemon import logs
@@ -43,6 +45,7 @@
 # don't all retry at once.
 RETRY_AFTER_SPREAD = 0.5
 SHORTEST_RETRY_AFTER_S = 0.1
+NO_ROOM = 'all upstreams back off or have reached their limits'
 LONGEST_RETRY_AFTER_S = 2.0
 
 
@@ -62,9 +65,11 @@
     holder: tables.TableHolder
     runner: fleet_runner.FleetRunner
     guard: poison_guard.PoisonGuard
+    permits: permit_runner.PermitRunner
     rng: random.Random
     queue: placing.RequestQueue = attrs.field(factory=placing.RequestQueue)
     chooser: placing.Chooser = attrs.field(init=False)
+    _placed_at: dict[str, float] = attrs.field(factory=dict)
     _group_failed_at: dict[str, float] = attrs.field(factory=dict)
     _budgets: dict[str, placing.WindowBudget] = attrs.field(factory=dict)
     _mean_hold_s: dict[str, float] = attrs.field(
@@ -72,10 +77,11 @@
     )
 
     def __attrs_post_init__(self) -> None:
-        """Create the chooser of upstreams."""
+        """Create the chooser of upstreams; listen to permits."""
         self.chooser = placing.Chooser(
             self.runner.upstreams, self.cfg.data_centre, self.rng
         )
+        self.permits.on_answer = self._use_permit
 
     async def place(self, call: calls.Call) -> fleet.Upstream:
         """Return the upstream for a request, after a wait if needed.
@@ -103,6 +109,7 @@
             route=call.route.name,
             send=len(call.log.attempts) + 1,
             in_flight=self._condition(chosen).in_flight,
+            limit_per_s=self._condition(chosen).limit.per_s,
             waited_s=time.monotonic() - now,
             left_s=call.remaining_s(),
             configuration=self.holder.version,
@@ -193,11 +200,7 @@
         for service in self.queue.services():
             self._serve_queue(service)
         for queued in self.queue.expired(now):
-            queued.is_over = True
-            if not queued.fut.done():
-                queued.fut.set_exception(
-                    self._refusal(queued.call, 'waited too long')
-                )
+            self._refuse_queued(queued, 'waited too long')
 
     def _charge_budget(self, call: calls.Call) -> None:
         now = time.monotonic()
@@ -230,8 +233,47 @@
         chosen = self.chooser.choose(candidates, limit, call.log.excluded, now)
         if chosen is not None:
             self._condition(chosen).record_send(now)
+            self._request_next_permit(call, now)
         return chosen
 
+    def _request_next_permit(self, call: calls.Call, now: float) -> None:
+        """Request a permit ahead if the next request is likely to use it."""
+        placed_at = self._placed_at.get(call.service, -math.inf)
+        self._placed_at[call.service] = now
+        if now - placed_at < fleet.PERMIT_VALID_S:
+            self._request_permit(call, 0.0, now)
+
+    def _request_permit(
+        self, call: calls.Call, patience_s: float, now: float
+    ) -> None:
+        """Request a permit for requests like this one, if one is of use."""
+        candidates = self.runner.upstreams.accepting(call.service, now)
+        limited = self.chooser.choose_limited(
+            candidates,
+            self._in_flight_limit(call.service, candidates),
+            call.log.excluded,
+            now,
+            wanted=max(1, self.queue.count(call.service)),
+        )
+        if limited is not None:
+            self.permits.request(limited, patience_s)
+
+    def _use_permit(self, service: str) -> None:
+        """Serve or refuse queued requests after an issuer's answer."""
+        self._serve_queue(service)
+        now = time.monotonic()
+        for queued in self.queue.waiting():
+            call = queued.call
+            if call.service != service:
+                continue
+            if now + self._room_in_s(call, now) > queued.give_up_at:
+                self._refuse_queued(queued, NO_ROOM)
+
+    def _refuse_queued(self, queued: _QueuedCall, reason: str) -> None:
+        queued.is_over = True
+        if not queued.fut.done():
+            queued.fut.set_exception(self._refusal(queued.call, reason))
+
     def _condition(self, upstream: fleet.Upstream) -> fleet.Condition:
         return self.runner.upstreams.condition(upstream)
 
@@ -257,8 +299,8 @@
         max_wait_s = QUEUE_WAIT_SHARE * (call.ends_at - now)
         if call.route.kind is routes.Kind.STREAM:
             max_wait_s = min(max_wait_s, STREAM_QUEUE_WAIT_S)
-        if self._back_off_s(call, now) > max_wait_s:
-            raise self._refusal(call, 'all upstreams back off')
+        if self._room_in_s(call, now) > max_wait_s:
+            raise self._refusal(call, NO_ROOM)
         if self._expected_wait_s(call, now) > max_wait_s:
             raise self._refusal(call, 'the queue is too long')
         queued = _QueuedCall(
@@ -276,6 +318,7 @@
             ahead=self.queue.count(call.service) - 1,
             patience_s=max_wait_s,
         )
+        self._serve_queue(call.service)
         try:
             return await queued.fut
         except asyncio.CancelledError:
@@ -284,8 +327,8 @@
         finally:
             queued.is_over = True
 
-    def _back_off_s(self, call: calls.Call, now: float) -> float:
-        """Return the seconds until an upstream takes requests again."""
+    def _room_in_s(self, call: calls.Call, now: float) -> float:
+        """Return the seconds until an upstream's pause or limit has room."""
         candidates = self.runner.upstreams.accepting(call.service, now)
         return self.chooser.room_in_s(candidates, now)
 
@@ -307,6 +350,10 @@
                 return
             chosen = self._choose_upstream(queued.call, now)
             if chosen is None:
+                patience_s = min(
+                    queued.give_up_at - now, fleet.LONGEST_PATIENCE_S
+                )
+                self._request_permit(queued.call, patience_s, now)
                 return
             queued.is_over = True
             queued.fut.set_result(chosen)
@@ -334,9 +381,9 @@
         )
         wait_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
         longest_s = RETRY_AFTER_SHARE * (call.deadline_at - now)
-        back_off_s = self._back_off_s(call, now)
-        back_off_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
-        return max(SHORTEST_RETRY_AFTER_S, min(wait_s, longest_s), back_off_s)
+        room_in_s = self._room_in_s(call, now)
+        room_in_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
+        return max(SHORTEST_RETRY_AFTER_S, min(wait_s, longest_s), room_in_s)
 
     def _release_unused(self, fut: asyncio.Future) -> None:
         """Release the slot of a placed request that was cancelled."""
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -18,6 +18,7 @@
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon.direct import ingress
 from cassiashift_daemon.direct import metrics
+from cassiashift_daemon.direct import permit_runner
 from cassiashift_daemon.direct import placement
 from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon.direct import tables
@@ -178,17 +179,24 @@
             runner=self.runner,
             metrics=self.metrics,
         )
+        self.permits = permit_runner.PermitRunner(
+            runner=self.runner,
+            metrics=self.metrics,
+            issuer=fleet.Issuer(time.monotonic()),
+        )
         self.placement = placement.Placement(
             cfg=self.cfg,
             holder=self.holder,
             runner=self.runner,
             guard=self.guard,
+            permits=self.permits,
             rng=self.rng,
         )
         self.runner.blocks_digest = lambda: self.guard.table.digest
         self.guard.on_blocked = self.placement.refuse_blocked
         self.exchange.on_leaving = self._record_leaving
         self.exchange.on_back_off = self._record_back_off
+        self.exchange.on_limit = self.runner.record_limit
         self.ingress = ingress.Ingress(
             dialect=self.adapter,
             holder=self.holder,
@@ -219,7 +227,7 @@
 
     def _register_handlers(self) -> None:
         register = self.dispatcher.register
-        for part in (self.runner, self.guard):
+        for part in (self.runner, self.guard, self.permits):
             for cls, handler in part.handlers().items():
                 register(cls, handler)
         for cls in consensus.MESSAGE_TYPES.values():
@@ -309,6 +317,7 @@
     def _tick_requests(self) -> None:
         self.placement.tick()
         self.guard.tick()
+        self.permits.tick()
 
     def _update_load(self) -> None:
         handled, self.ingress.handled = self.ingress.handled, 0
@@ -323,6 +332,7 @@
             configuration_age_s=time.monotonic() - self.holder.since,
             entries_alive=len(self.runner.live_records()) + 1,
             upstreams=len(self.runner.upstreams.all()),
+            limited_upstreams=self.runner.upstreams.limited_count(),
             in_flight=self.ingress.in_flight,
             blocked_parts=self.guard.table.blocked_count,
             suspected_parts=self.guard.table.suspected_count,
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -333,6 +333,8 @@
     'tabled': fleet.TableDump,
     'document': fleet.DocumentPull,
     'documented': fleet.DocumentPush,
+    'permit': fleet.PermitRequest,
+    'permitted': fleet.Permit,
 }
 
 for _tag, _cls in _OWN_TYPES.items():
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -18,6 +18,7 @@
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon.direct import ingress
 from cassiashift_daemon.direct import metrics
+from cassiashift_daemon.direct import permit_runner
 from cassiashift_daemon.direct import placement
 from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon.direct import tables
@@ -230,16 +231,21 @@
         runner=runner,
         metrics=counts,
     )
+    permits = permit_runner.PermitRunner(
+        runner=runner, metrics=counts, issuer=fleet.Issuer(0.0)
+    )
     placer = placement.Placement(
         cfg=cfg,
         holder=holder,
         runner=runner,
         guard=guard,
+        permits=permits,
         rng=rng,
     )
     sender = exchange.Exchange.from_config(NAMES)
     sender.on_leaving = runner.record_leaving
     sender.on_back_off = placer.record_back_off
+    sender.on_limit = runner.record_limit
     return ingress.Ingress(
         dialect=holder.dialect,
         holder=holder,
@@ -293,3 +299,17 @@
         upstream.close()
     await handler.exchange.close()
     await server.cleanup()
+
+
+@pytest.fixture
+async def ticking(site):
+    """Serve the queue of the site every 20 ms during the test."""
+
+    async def tick():
+        while True:
+            site.ingress.placement.tick()
+            await asyncio.sleep(0.02)
+
+    task = asyncio.ensure_future(tick())
+    yield
+    task.cancel()
--- a/tests/daemon/direct/test_ingress.py
+++ b/tests/daemon/direct/test_ingress.py
@@ -81,20 +81,6 @@
         assert_that(retry_after_s, matchers.LessThan(most_s))
 
 
-@pytest.fixture
-async def ticking(site):
-    """Serve the queue of the site every 20 ms during the test."""
-
-    async def tick():
-        while True:
-            site.ingress.placement.tick()
-            await asyncio.sleep(0.02)
-
-    task = asyncio.ensure_future(tick())
-    yield
-    task.cancel()
-
-
 async def test_an_unsafe_request_is_retried_after_a_refusal(site, ticking):
     refusals = [harness.answering('503 No', **NOT_RUN)] * 3
     first = await site.upstream('book', *refusals)
--- a/tests/process/test_limited_upstreams.py
+++ b/tests/process/test_limited_upstreams.py
@@ -39,7 +39,6 @@
     entry.start()
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize(('seed', 'limit_per_s'), [(1, 1.1), (2, 3.0)])
 async def test_entries_together_exceed_the_limit_of_an_upstream(
     site, seed, limit_per_s
