Log the identity of a request whose send failed

Cause: the repeats of a request come under new ids to other entries, and no line links them; the incident's logs don't tell which of the sends that ended an upstream were of one request. Change: an identity, a keyed hash of workspace, method, path and body, stands in send_failed. Its key is a secret that the entries share by their hellos: the oldest one wins, so that it outlives restarts and changes of the configuration.

--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -20,6 +20,7 @@
 from cassiashift_core.fleet.messages import LONGEST_PATIENCE_S
 from cassiashift_core.fleet.messages import Permit
 from cassiashift_core.fleet.messages import PermitRequest
+from cassiashift_core.fleet.messages import SharedSecret
 from cassiashift_core.fleet.messages import Sighting
 from cassiashift_core.fleet.messages import TableDump
 from cassiashift_core.fleet.messages import TablePull
@@ -52,6 +53,7 @@
     'PERMIT_VALID_S',
     'Permit',
     'PermitRequest',
+    'SharedSecret',
     'Sighting',
     'Standing',
     'TableDump',
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -84,6 +84,22 @@
     requests_per_s: float = 0.0
 
 
+@attrs.frozen(order=True)
+class SharedSecret:
+    """A secret of the entries of a fleet.
+
+    Each entry draws one at its start and adopts the oldest that it hears of,
+    which outlives the entry that drew it.
+
+    Attributes:
+        born_ns: when it was drawn, in nanoseconds since 1970; only for the
+            order of two.
+    """
+
+    born_ns: int
+    key: str = attrs.field(repr=False)
+
+
 @attrs.frozen
 class Hello:
     """Periodic heartbeat of an entry.
@@ -93,6 +109,7 @@
         nodes_digest: digest of the hosts in its table of entries.
         upstreams_digest: digest of its table of upstreams.
         blocks_digest: digest of the parts of prompts that it blocks.
+        secret: the oldest secret that it has heard of.
     """
 
     node: EntryRecord
@@ -100,6 +117,7 @@
     nodes_digest: int = 0
     upstreams_digest: int = 0
     blocks_digest: int = 0
+    secret: SharedSecret | None = None
 
 
 @attrs.frozen
--- a/packages/cassiashift-core/cassiashift_core/poison/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/poison/__init__.py
@@ -15,6 +15,7 @@
 
 from cassiashift_core.poison.evidence import BEGUN_EVENTS
 from cassiashift_core.poison.evidence import PartKey
+from cassiashift_core.poison.identities import request_identity
 from cassiashift_core.poison.messages import BlockNews
 from cassiashift_core.poison.messages import BlockPull
 from cassiashift_core.poison.messages import BlockRecord
@@ -39,4 +40,5 @@
     'PartsCleared',
     'PoisonTable',
     'SuspectRequest',
+    'request_identity',
 ]
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/calls.py
@@ -11,6 +11,7 @@
 from cassiashift_core import ErrorCode
 from cassiashift_core import fleet
 from cassiashift_core import placing
+from cassiashift_core import poison
 from cassiashift_core import routes
 from cassiashift_core import Verdict
 from cassiashift_daemon.direct import dialect
@@ -47,6 +48,7 @@
         deadline_at: monotonic time of the caller's own deadline.
         service: the service chosen by the weights of the route.
         parts: ids of the parts of its prompt that others may share.
+        identity: equal for requests that repeat this one, whatever their ids.
         is_being_sent: a send has begun whose outcome is not known.
         send_events: events received in answer to the newest send.
         log: the sends that have ended.
@@ -64,6 +66,7 @@
     deadline_at: float
     ends_at: float
     parts: tuple[str, ...] = ()
+    identity: str = ''
     is_being_sent: bool = False
     send_events: int = 0
     log: placing.AttemptLog = attrs.field(init=False)
@@ -138,6 +141,19 @@
         return headers
 
 
+def identify(
+    secret: str,
+    workspace: routes.Workspace | None,
+    method: str,
+    path: str,
+    body: bytes,
+    prompt: str,
+) -> str:
+    """Return the identity of a request, the same at all entries."""
+    name = '' if workspace is None else workspace.name
+    return poison.request_identity(secret, name, method, path, body, prompt)
+
+
 def pick_service(route: routes.Route, rng: random.Random) -> str:
     """Return one of a route's services, drawn at random by weight."""
     if len(route.targets) == 1:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
@@ -32,6 +32,7 @@
         last_event: id of the event after which a stream resumes.
         at_fault: id of the upstream that made another one fail.
         leaving: set by an upstream that leaves.
+        prompt: lists the parts of the prompt.
         limit: requests a second that an upstream takes from all entries
             together, as a decimal number.
     """
@@ -48,6 +49,7 @@
     at_fault: str
     leaving: str
     limit: str
+    prompt: str
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+import secrets
 import time
 from typing import Any
 
@@ -23,6 +24,7 @@
 from cassiashift_net import links
 
 TICK_S = 0.2
+SECRET_BYTES = 16
 # Upper limit of the time between two hellos; shorter where the bounds require
 # that changes are known sooner.
 LONGEST_HELLO_INTERVAL_S = 1.0
@@ -54,6 +56,7 @@
     Attributes:
         store_id: identity of the own data folder; empty until it is open.
         log_voters: hosts of the voter set that this entry knows.
+        secret: the oldest secret of an entry that it has heard of.
         blocks_digest: returns the digest of the blocked parts of prompts.
     """
 
@@ -70,6 +73,7 @@
     store_id: str = ''
     log_voters: tuple[str, ...] = ()
     started_at: float = attrs.field(factory=time.monotonic)
+    secret: fleet.SharedSecret = attrs.field(init=False)
     _near_sightings: dict[str, fleet.Sighting] = attrs.field(factory=dict)
     _far_sightings: dict[str, fleet.Sighting] = attrs.field(factory=dict)
     _far_hellos_at: float = 0.0
@@ -78,6 +82,12 @@
     _sent_at: dict[tuple[str, type], float] = attrs.field(factory=dict)
     _silent: set[str] = attrs.field(factory=set)
 
+    def __attrs_post_init__(self) -> None:
+        """Draw a secret."""
+        self.secret = fleet.SharedSecret(
+            self.started_ns, secrets.token_hex(SECRET_BYTES)
+        )
+
     @property
     def hello_interval_s(self) -> float:
         """Return the seconds between two hellos to every entry."""
@@ -207,6 +217,7 @@
             self.entries.digest(),
             self.upstreams.digest(),
             self.blocks_digest(),
+            self.secret,
         )
 
     def record_heartbeat(self, upstream: fleet.Upstream) -> None:
@@ -270,6 +281,8 @@
         record = message.node
         if record.host == self.cfg.host:
             return
+        if message.secret is not None:
+            self.secret = min(self.secret, message.secret)
         previous = self.entries.by_host.get(record.host)
         if self.entries.update(record, now):
             self._log_entry_change(previous, record)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -173,6 +173,14 @@
             deadline_at=arrived_at + wait_s,
             ends_at=arrived_at + min(wait_s, route.timeout_s),
             parts=self.dialect.shared_parts(request.headers),
+            identity=calls.identify(
+                self.placement.runner.secret.key,
+                workspace,
+                request.method,
+                raw_path,
+                body,
+                request.headers.get(names.prompt, ''),
+            ),
         )
 
     def _unconfigured_retry_s(self, now: float) -> float:
@@ -297,6 +305,7 @@
             at_fault=failure.at_fault,
             events=call.send_events,
             parts=','.join(call.parts[:MAX_LOGGED_PARTS]),
+            identity=call.identity,
         )
         await self.guard.record_failure(call, upstream, failure)
 
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -37,6 +37,7 @@
     at_fault='X-At',
     leaving='X-Leaving',
     limit='X-Limit',
+    prompt='X-Prompt',
 )
 HOST = 'a.example'
 SENDER = links.Sender('127.0.0.9', lambda message: True)
