--- a/tests/process/crashing_upstreams.py
+++ b/tests/process/crashing_upstreams.py
@@ -59,6 +59,7 @@
         crashes: times of crashes on that part.
     """
 
+    service = SERVICE
     base: str
     number: int
     entries: list
@@ -112,7 +113,7 @@
             self.sequence += 1
             entry = self.entries[self.sequence % len(self.entries)]
             body = {
-                'service': SERVICE,
+                'service': self.service,
                 'address': f'{self.ip}:{PORT}',
                 'zone': 'east',
                 'state': 'ready',
