Seed the random draws of a process from the operating system

Change: both kinds of process take seeds of the operating system's. The effect on a restart of all was not measured by itself.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -79,7 +79,8 @@
         self.cfg = read_config()
         self.adapter = adapter
         self.surfaces = surfaces
-        self.rng = random.Random(time.time_ns())
+        # Seeded by the operating system: hosts may start at the same time.
+        self.rng = random.Random()
         self.metrics = metrics.Metrics()
         self.holder = tables.TableHolder(adapter)
         self.confirmation = fleet.LogConfirmation()
--- a/packages/cassiashift-daemon/cassiashift_daemon/role_process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/role_process.py
@@ -46,7 +46,8 @@
         super().__init__()
         self.cfg = cfg
         self.epoch = time.time_ns()
-        self.rng = random.Random(self.epoch)
+        # Seeded by the operating system: hosts may start at the same time.
+        self.rng = random.Random()
         self.holder = shared_state.SharedHolder(keep=keep)
         self.metrics = metrics.Metrics.from_config(cfg.statsd, role)
         self.events = recorder.Recorder.from_config(cfg, role)
