--- a/tools/cluster/processes.py
+++ b/tools/cluster/processes.py
@@ -52,6 +52,7 @@
     Attributes:
         folder: holds the data folders and the logs.
         options: additional command line arguments by role.
+        urls: base URLs of the stand-ins by upstream.
     """
 
     folder: pathlib.Path
@@ -59,6 +60,7 @@
     options: dict[str, list[str]] = attrs.field(factory=dict)
     daemons: dict[str, Daemon] = attrs.field(factory=dict)
     standins: dict[str, Any] = attrs.field(factory=dict)
+    urls: dict[str, str] = attrs.field(factory=dict)
     servers: standin_host.StandinServers = attrs.field(
         factory=standin_host.StandinServers
     )
@@ -107,6 +109,7 @@
         url = await self.servers.serve(
             standin.app(), ip, addresses.STANDIN_PORT
         )
+        self.urls[placement.upstream] = url
         arguments = self._common_arguments(
             'agent', placement.host, placement.data_centre, ip
         )
--- a/tools/standins/service.py
+++ b/tools/standins/service.py
@@ -1,6 +1,8 @@
 """A stand-in for a plain service with bookings and stock."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from aiohttp import web
 import attrs
@@ -13,11 +15,17 @@
 
 @attrs.define(eq=False)
 class PlainService:
-    """Executes every booking, also repeated ones, and counts them."""
+    """Executes every booking, also repeated ones, and counts them.
+
+    Attributes:
+        on_arrival: awaited with the booking's reference or the item, before
+            a call runs.
+    """
 
     name: str
     answer_s: float = 0.005
     record: records.Record = attrs.field(factory=records.Record)
+    on_arrival: Callable[[str], Awaitable[None]] | None = None
 
     def app(self) -> web.Application:
         """Return the service's HTTP application."""
@@ -44,6 +52,7 @@
         """Count a booking and confirm it."""
         request_id = req.headers.get(REQUEST_ID_HEADER, '')
         body = msgspec.json.decode(await req.read())
+        await self._arrive(body['reference'])
         self.record.count_run(request_id)
         self.record.count_booking(body['reference'])
         await asyncio.sleep(self.answer_s)
@@ -56,10 +65,15 @@
     async def get_stock(self, req: web.Request) -> web.Response:
         """Return a stock count made from the item's name."""
         request_id = req.headers.get(REQUEST_ID_HEADER, '')
+        item = req.match_info['item']
+        await self._arrive(item)
         self.record.count_run(request_id)
         await asyncio.sleep(self.answer_s)
-        item = req.match_info['item']
         return web.json_response(
             {'item': item, 'pallets': len(item)},
             headers={REQUEST_ID_HEADER: request_id},
         )
+
+    async def _arrive(self, key: str) -> None:
+        if self.on_arrival is not None:
+            await self.on_arrival(key)
