Block calls that crash upstreams behind agents as well

Cause: the same as on the direct path. The product's own entries retried a call whose upstream had crashed at the next one, and each entry took each repeat of its caller for a new call. Change: an agent that loses its connection to an upstream probes it, and tells the entry by CallFailed that it has crashed, with a number for each crash. The probe has one copy, probing. The identity has no key there, as these entries share no secret; parts of prompts and streams that crash an upstream midway are not judged.

--- a/packages/cassiashift-daemon/cassiashift_daemon/agent.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/agent.py
@@ -51,6 +51,7 @@
             sessions=self.sessions,
             record=self.events.record,
             fences=retries.FenceTable(self.epoch),
+            epoch=self.epoch,
         )
         announcer = membership.Announcer.from_config(
             self.membership_config(link), self.rng
--- a/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
@@ -13,12 +13,14 @@
 
 import aiohttp
 import attrs
+import yarl
 
 from cassiashift_core import retries
 from cassiashift_core import timeline
 from cassiashift_core import Verdict
 from cassiashift_daemon import logs
 from cassiashift_daemon import outcomes
+from cassiashift_daemon import probing
 from cassiashift_net import messages
 from cassiashift_net import single_sends
 
@@ -151,6 +153,7 @@
             an empty text if it does.
         fences: decides whether an attempt id may still start.
         in_flight: attempts in progress by upstream.
+        epoch: start time of this process, part of the numbers of crashes.
     """
 
     urls: dict[str, str]
@@ -158,8 +161,11 @@
     sessions: Sessions
     record: Callable[..., timeline.Timestamp]
     fences: retries.FenceTable
+    epoch: int = 0
     in_flight: dict[str, int] = attrs.field(factory=dict)
     _running: dict[str, _Attempt] = attrs.field(factory=dict)
+    _crashes: dict[str, int] = attrs.field(factory=dict)
+    _is_down: set[str] = attrs.field(factory=set)
     _outcomes: outcomes.OutcomeStore = attrs.field(
         factory=outcomes.OutcomeStore
     )
@@ -264,8 +270,10 @@
         try:
             async with asyncio.timeout(start.deadline_s):
                 await self._exchange(attempt)
-        except (AttemptError, TimeoutError, aiohttp.ClientError) as exc:
+        except (AttemptError, TimeoutError) as exc:
             self._fail(attempt, exc)
+        except aiohttp.ClientError as exc:
+            self._fail(attempt, exc, await self._find_crash(start, exc))
         except Exception as exc:
             logs.error('attempt_crashed', attempt=start.attempt, error=exc)
             self._fail(attempt, exc)
@@ -293,6 +301,7 @@
             headers=headers,
             allow_redirects=False,
         ) as resp:
+            self._is_down.discard(start.upstream)
             _check_request_id(resp, start.request_id)
             resp_headers = tuple(
                 (str(name), value)
@@ -340,7 +349,22 @@
                 await attempt.credit_added.wait()
             attempt.send(data)
 
-    def _fail(self, attempt: _Attempt, exc: Exception) -> None:
+    async def _find_crash(
+        self, start: messages.CallStart, exc: aiohttp.ClientError
+    ) -> int:
+        """Return the number of the crash that ended an attempt, or 0."""
+        if isinstance(exc, aiohttp.ClientConnectorError):
+            return 0
+        upstream = start.upstream
+        address = yarl.URL(self.urls[upstream])
+        if not await probing.has_crashed(f'{address.host}:{address.port}'):
+            return 0
+        if upstream not in self._is_down:
+            self._is_down.add(upstream)
+            self._crashes[upstream] = self._crashes.get(upstream, 0) + 1
+        return self.epoch + self._crashes[upstream]
+
+    def _fail(self, attempt: _Attempt, exc: Exception, crash: int = 0) -> None:
         failure = _to_attempt_error(exc)
         self._store_outcome(attempt.start, outcomes.Outcome(failure.verdict))
         attempt.reply(
@@ -350,6 +374,7 @@
                 failure.message,
                 failure.verdict,
                 self._record_last_send(attempt.start),
+                crash,
             )
         )
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/callers.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/callers.py
@@ -225,7 +225,7 @@
             self._record_end(call.request_id, exc)
             await self._break_stream(req, resp, call, exc)
         finally:
-            self.runner.finish_stream(answer, answer.stream)
+            self.runner.finish_stream(call, answer.stream)
         return resp
 
     async def _break_stream(
--- a/packages/cassiashift-daemon/cassiashift_daemon/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/calls.py
@@ -1,6 +1,7 @@
 """Admits a call, makes its attempts and returns its answer or verdict."""
 
 import asyncio
+import functools
 import itertools
 import time
 from typing import Any
@@ -10,12 +11,14 @@
 from cassiashift_core import admission
 from cassiashift_core import CassiashiftError
 from cassiashift_core import ErrorCode
+from cassiashift_core import poison
 from cassiashift_core import retries
 from cassiashift_core import routing
 from cassiashift_core import Verdict
 from cassiashift_daemon import gate
 from cassiashift_daemon import members
 from cassiashift_daemon import remote
+from cassiashift_daemon import request_guard
 from cassiashift_net import messages
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
@@ -53,6 +56,14 @@
         """Return the name of the pool whose upstreams can serve the call."""
         return self.route.pool
 
+    @functools.cached_property
+    def guarded(self) -> request_guard.GuardedCall:
+        """Return what identifies the call and its repeats."""
+        identity = poison.request_identity(
+            '', self.workspace, self.method, self.path, self.body
+        )
+        return request_guard.GuardedCall(self.request_id, identity, self.pool)
+
 
 @attrs.define(eq=False)
 class Answer:
@@ -102,6 +113,7 @@
     members: members.Members
     attempts: remote.RemoteAttempts
     budget: retries.RetryBudget
+    guard: request_guard.RequestGuard
     record: Any
     _attempt_numbers: Any = attrs.field(factory=itertools.count)
     _local_pools: set[str] = attrs.field(factory=set)
@@ -170,8 +182,10 @@
         """Return an upstream for the next attempt, and a new attempt id.
 
         Raises:
-            CassiashiftError: no upstream can serve the call now.
+            CassiashiftError: no upstream can serve the call now, or it is
+                blocked.
         """
+        self.guard.check(call.guarded, plan.verdict)
         exclude = frozenset(plan.tried)
         now = time.monotonic()
         choice = self.router.choose(call.route, now, exclude)
@@ -218,10 +232,16 @@
                     target.agent.link, self._start_message(call, target)
                 )
                 answer = await self._read_answer(running, target)
+            if answer.stream is None:
+                self.guard.record_answer(call.guarded)
             return answer
         except TimeoutError:
             raise await self._fence_timed_out(target, running) from None
         finally:
+            if running is not None and running.crash:
+                self.guard.record_crash(
+                    call.guarded, target.upstream, running.crash
+                )
             if answer is None or answer.stream is None:
                 self._finish_attempt(target, running)
 
@@ -255,10 +275,10 @@
             exc.retry_after_s,
         ) from exc
 
-    def finish_stream(
-        self, answer: Answer, running: remote.RemoteAttempt
-    ) -> None:
+    def finish_stream(self, call: Call, running: remote.RemoteAttempt) -> None:
         """Release the attempt of a streamed answer and record its outcome."""
+        if running.complete:
+            self.guard.record_answer(call.guarded)
         self.attempts.release(running)
         outcome = _routing_outcome(running)
         self.router.record_finish(running.id, outcome, time.monotonic())
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/poison_guard.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/poison_guard.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 import time
 from typing import Any
 
@@ -22,11 +21,9 @@
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon.direct import metrics
 from cassiashift_daemon import logs
+from cassiashift_daemon import probing
 from cassiashift_net import links
 
-# The process of an upstream that broke off an answer may end a moment later.
-PROBE_DELAYS_S = (0.0, 0.05)
-PROBE_TIMEOUT_S = 0.3
 # Parts and suspects in one log line.
 MAX_LOGGED_ITEMS = 8
 
@@ -199,11 +196,7 @@
         """Report the suspects of a crash, or drop them without a crash."""
         crashed = False
         try:
-            for delay_s in PROBE_DELAYS_S:
-                await asyncio.sleep(delay_s)
-                crashed = await _refuses_connections(upstream.address)
-                if crashed:
-                    break
+            crashed = await probing.has_crashed(upstream.address)
         finally:
             del self._probes[upstream.id]
             suspects = tuple(self._suspects.pop(upstream.id, ()))
@@ -246,20 +239,3 @@
     if judgement.is_request:
         return f'request {judgement.part} crashes upstreams'
     return f'part {judgement.part} of the prompt crashes upstreams'
-
-
-async def _refuses_connections(address: str) -> bool:
-    """Return whether no process listens at an upstream's address."""
-    host, _, port = address.rpartition(':')
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        # Silence may have other causes, such as a lost path.
-        return False
-    writer.close()
-    with contextlib.suppress(OSError):
-        await writer.wait_closed()
-    return False
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -13,6 +13,7 @@
 from cassiashift_core import ErrorCode
 from cassiashift_core import mapswitch
 from cassiashift_core import membership
+from cassiashift_core import poison
 from cassiashift_core import retries
 from cassiashift_core import routing
 from cassiashift_core import spread
@@ -32,6 +33,7 @@
 from cassiashift_daemon import presence
 from cassiashift_daemon import proposals
 from cassiashift_daemon import remote
+from cassiashift_daemon import request_guard
 from cassiashift_daemon import role_process
 from cassiashift_daemon import settings
 from cassiashift_daemon import sharing
@@ -159,6 +161,15 @@
         self.attempts = remote.RemoteAttempts(self.links, self.events.record)
         self.links.on_lost = self.attempts.link_lost
         self.proposer = proposals.Proposer(cfg.host, self.links, self.voters)
+        self.guard = request_guard.RequestGuard(
+            host=cfg.host,
+            peers=self.peers,
+            entries=lambda: [
+                record.host for record in self.presence.member.usable_entries()
+            ],
+            rng=self.rng,
+            table=poison.PoisonTable(cfg.host, self.rng),
+        )
         self.calls = calls.CallRunner(
             host=cfg.host,
             epoch=self.epoch,
@@ -167,6 +178,7 @@
             members=self.members,
             attempts=self.attempts,
             budget=retries.RetryBudget(),
+            guard=self.guard,
             record=self.events.record,
         )
 
@@ -285,6 +297,8 @@
             register(
                 cls, lambda sender, message: self.attempts.received(message)
             )
+        for cls, handler in self.guard.handlers().items():
+            register(cls, handler)
         self.register_shared_handlers()
         if self.voter is not None:
             for cls in consensus.MESSAGE_TYPES.values():
@@ -294,6 +308,14 @@
             register(messages.ExpertCounts, self.planning.received)
 
     def _start_timers(self) -> None:
+        self.spawn(
+            self.run_periodically(VIEW_UPDATE_INTERVAL_S, self.guard.tick)
+        )
+        self.spawn(
+            self.run_periodically(
+                request_guard.PULL_INTERVAL_S, self.guard.pull
+            )
+        )
         self.spawn(self.run_periodically(GATE_INTERVAL_S, self.gate.tick))
         self.spawn(
             self.run_periodically(VIEW_UPDATE_INTERVAL_S, self._update_views)
--- a/packages/cassiashift-daemon/cassiashift_daemon/remote.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/remote.py
@@ -36,6 +36,7 @@
         head: status and headers, once they have arrived.
         has_begun: the head of the answer has arrived.
         complete: every chunk and the end mark have arrived.
+        crash: number of the crash of the upstream under it; 0 for none.
     """
 
     id: str
@@ -45,6 +46,7 @@
     head: messages.CallHead | None = None
     has_begun: bool = False
     complete: bool = False
+    crash: int = 0
     _failure: CassiashiftError | None = None
     _chunks: collections.deque = attrs.field(factory=collections.deque)
     _next_sequence: int = 0
@@ -100,6 +102,7 @@
                 self._add_end_mark(message)
             case messages.CallFailed():
                 self._record_last(message)
+                self.crash = message.crash
                 self.fail(
                     CassiashiftError(
                         _parse_code(message.code),
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -80,13 +80,19 @@
 
 @attrs.frozen
 class CallFailed:
-    """The attempt ended without a complete response."""
+    """The attempt ended without a complete response.
+
+    Attributes:
+        crash: the upstream has crashed under it; a number that tells the
+            crashes of one upstream apart, 0 if it has not.
+    """
 
     attempt: str
     code: str
     message: str
     verdict: verdicts.Verdict
     clock: timeline.Timestamp = timeline.Timestamp()
+    crash: int = 0
 
 
 @attrs.frozen
