Let the soak's upstream leave by its answers

Change: at times the upstream's answers say that it leaves, while its heartbeats go on as ready; after three seconds it is a new start. Entries may send it nothing two seconds after its first such answer, but once for each new start of an entry.

--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -152,6 +152,8 @@
         limit_per_s: requests a second that its answers name as its limit;
             None while they name none.
         arrived_at: times of all requests.
+        is_leaving: its answers say that it leaves; its heartbeats don't.
+        born: number of its start.
     """
 
     address: str
@@ -161,6 +163,8 @@
     refused_at: list[float] = attrs.field(factory=list)
     limit_per_s: float | None = None
     arrived_at: list[float] = attrs.field(factory=list)
+    is_leaving: bool = False
+    born: int = 1
 
     async def handle(self, request):
         """Run a request and answer with its id."""
@@ -168,6 +172,8 @@
         now = time.monotonic()
         self.arrived_at.append(now)
         headers = {'Cassiashift-Request-Id': id_}
+        if self.is_leaving:
+            headers['Server-Leaving'] = '1'
         if self.limit_per_s is not None:
             headers['Server-Limit'] = f'{self.limit_per_s:g}'
         if now < self.pause_ends_at:
@@ -247,7 +253,7 @@
                 'state': 'ready',
                 'slots': 20,
                 'sequence': self.sequence,
-                'born': 1,
+                'born': self.upstream.born,
             }
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 async with self.session.post(
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -6,8 +6,9 @@
 not run; a response belongs to its request; a read returns no older version
 than the last one acknowledged before it; no acknowledged version is lost; an
 upstream that asks for a pause gets two requests of each entry at most, half a
-second later; and once all processes run again, the newest acknowledged
-configuration is in force at every entry.
+second later; one whose answers say that it leaves gets none two seconds
+later, but one of each new start of an entry; and once all processes run
+again, the newest acknowledged configuration is in force at every entry.
 """
 
 import argparse
@@ -37,6 +38,10 @@
 PAUSE_S = 1.5
 PAUSE_NOTICED_S = 0.5
 REQUESTS_IN_PAUSE = 2
+# Time for which the upstream leaves before it starts again, and time after
+# which no entry sends to it (`drainTimeoutMs` of the sites).
+LEAVE_S = 3.0
+LEAVE_NOTICED_S = 2.0
 REFUSED_STATUSES = (429, 503)
 STATUS_NOT_FOUND = 404
 
@@ -72,6 +77,7 @@
         tasks += [
             self._inject_faults_until(ends_at),
             self._pause_until(ends_at),
+            self._leave_until(ends_at),
         ]
         await asyncio.gather(*tasks)
         await self._settle()
@@ -154,6 +160,25 @@
             if len(late) > REQUESTS_IN_PAUSE * starts:
                 self.problems.append(f'{len(late)} requests in a pause')
 
+    async def _leave_until(self, ends_at: float) -> None:
+        upstream = self.site.upstream
+        while time.monotonic() < ends_at - 2 * LEAVE_S:
+            await asyncio.sleep(self.rng.uniform(1.0, 3.0))
+            started = time.monotonic()
+            faults = len(self.faults)
+            upstream.is_leaving = True
+            await asyncio.sleep(LEAVE_S)
+            late = [
+                at
+                for at in upstream.arrived_at
+                if at > started + LEAVE_NOTICED_S
+            ]
+            starts = len(self.faults) - faults
+            if len(late) > starts:
+                self.problems.append(f'{len(late)} requests while it leaves')
+            upstream.born += 1
+            upstream.is_leaving = False
+
     def _may_inject(self, entry: platform_site.Entry) -> bool:
         if entry.number in self._faulty:
             return False
