Let both kinds of entries share blocks by one class

Cause: RequestGuard, for calls behind agents, repeated the judging, the messages and the log lines of PoisonGuard. Change: BlockSharing holds the table with its messages; both guards have one and add what differs: probes and parts of prompts on the direct path, numbers of crashes from agents on the other. Log lines are the same on both. No decision differs.

--- a/packages/cassiashift-daemon/cassiashift_daemon/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/calls.py
@@ -15,6 +15,7 @@
 from cassiashift_core import retries
 from cassiashift_core import routing
 from cassiashift_core import Verdict
+from cassiashift_daemon import block_sharing
 from cassiashift_daemon import gate
 from cassiashift_daemon import members
 from cassiashift_daemon import remote
@@ -57,12 +58,12 @@
         return self.route.pool
 
     @functools.cached_property
-    def guarded(self) -> request_guard.GuardedCall:
-        """Return what identifies the call and its repeats."""
+    def subject(self) -> block_sharing.Subject:
+        """Return what the call is judged by before each attempt."""
         identity = poison.request_identity(
             '', self.workspace, self.method, self.path, self.body
         )
-        return request_guard.GuardedCall(self.request_id, identity, self.pool)
+        return block_sharing.Subject(self.request_id, identity, self.pool)
 
 
 @attrs.define(eq=False)
@@ -185,7 +186,7 @@
             CassiashiftError: no upstream can serve the call now, or it is
                 blocked.
         """
-        self.guard.check(call.guarded, plan.verdict)
+        self.guard.sharing.check(call.subject, plan.verdict)
         exclude = frozenset(plan.tried)
         now = time.monotonic()
         choice = self.router.choose(call.route, now, exclude)
@@ -233,14 +234,14 @@
                 )
                 answer = await self._read_answer(running, target)
             if answer.stream is None:
-                self.guard.record_answer(call.guarded)
+                self.guard.sharing.record_answer(call.subject)
             return answer
         except TimeoutError:
             raise await self._fence_timed_out(target, running) from None
         finally:
             if running is not None and running.crash:
                 self.guard.record_crash(
-                    call.guarded, target.upstream, running.crash
+                    call.subject, target.upstream, running.crash
                 )
             if answer is None or answer.stream is None:
                 self._finish_attempt(target, running)
@@ -278,7 +279,7 @@
     def finish_stream(self, call: Call, running: remote.RemoteAttempt) -> None:
         """Release the attempt of a streamed answer and record its outcome."""
         if running.complete:
-            self.guard.record_answer(call.guarded)
+            self.guard.sharing.record_answer(call.subject)
         self.attempts.release(running)
         outcome = _routing_outcome(running)
         self.router.record_finish(running.id, outcome, time.monotonic())
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -175,10 +175,10 @@
 
     def _open_ingress(self) -> None:
         self.exchange = exchange.Exchange.from_config(self.adapter.headers)
-        self.guard = poison_guard.PoisonGuard(
-            table=poison.PoisonTable(self.cfg.host, self.rng),
-            runner=self.runner,
-            metrics=self.metrics,
+        self.guard = poison_guard.PoisonGuard.from_runner(
+            poison.PoisonTable(self.cfg.host, self.rng),
+            self.runner,
+            self.metrics,
         )
         self.permits = permit_runner.PermitRunner(
             runner=self.runner,
@@ -194,7 +194,7 @@
             rng=self.rng,
         )
         self.runner.blocks_digest = lambda: self.guard.table.digest
-        self.guard.on_blocked = self.placement.refuse_blocked
+        self.guard.sharing.on_blocked = self.placement.refuse_blocked
         self.exchange.on_leaving = self._record_leaving
         self.exchange.on_back_off = self._record_back_off
         self.exchange.on_limit = self.runner.record_limit
@@ -228,7 +228,7 @@
 
     def _register_handlers(self) -> None:
         register = self.dispatcher.register
-        for part in (self.runner, self.guard, self.permits):
+        for part in (self.runner, self.guard.sharing, self.permits):
             for cls, handler in part.handlers().items():
                 register(cls, handler)
         for cls in consensus.MESSAGE_TYPES.values():
@@ -317,7 +317,7 @@
 
     def _tick_requests(self) -> None:
         self.placement.tick()
-        self.guard.tick()
+        self.guard.sharing.tick()
         self.permits.tick()
 
     def _update_load(self) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -13,7 +13,6 @@
 from cassiashift_core import ErrorCode
 from cassiashift_core import mapswitch
 from cassiashift_core import membership
-from cassiashift_core import poison
 from cassiashift_core import retries
 from cassiashift_core import routing
 from cassiashift_core import spread
@@ -164,11 +163,8 @@
         self.guard = request_guard.RequestGuard(
             host=cfg.host,
             peers=self.peers,
-            entries=lambda: [
-                record.host for record in self.presence.member.usable_entries()
-            ],
+            member=self.presence.member,
             rng=self.rng,
-            table=poison.PoisonTable(cfg.host, self.rng),
         )
         self.calls = calls.CallRunner(
             host=cfg.host,
@@ -297,7 +293,7 @@
             register(
                 cls, lambda sender, message: self.attempts.received(message)
             )
-        for cls, handler in self.guard.handlers().items():
+        for cls, handler in self.guard.sharing.handlers().items():
             register(cls, handler)
         self.register_shared_handlers()
         if self.voter is not None:
@@ -309,7 +305,9 @@
 
     def _start_timers(self) -> None:
         self.spawn(
-            self.run_periodically(VIEW_UPDATE_INTERVAL_S, self.guard.tick)
+            self.run_periodically(
+                VIEW_UPDATE_INTERVAL_S, self.guard.sharing.tick
+            )
         )
         self.spawn(
             self.run_periodically(
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -227,10 +227,8 @@
 def _ingress(cfg, holder, runner):
     rng = random.Random(1)
     counts = metrics.Metrics()
-    guard = poison_guard.PoisonGuard(
-        table=poison.PoisonTable('127.0.0.1', rng),
-        runner=runner,
-        metrics=counts,
+    guard = poison_guard.PoisonGuard.from_runner(
+        poison.PoisonTable('127.0.0.1', rng), runner, counts
     )
     permits = permit_runner.PermitRunner(
         runner=runner, metrics=counts, issuer=fleet.Issuer(0.0)
--- a/tests/daemon/direct/test_poison_guard.py
+++ b/tests/daemon/direct/test_poison_guard.py
@@ -17,11 +17,13 @@
     """Return a function that blocks the part ``bad`` at the entry."""
 
     def block():
-        site.ingress.guard.on_block_news(
+        site.ingress.guard.sharing.on_block_news(
             harness.SENDER, poison.BlockNews((BLOCK,))
         )
 
-    site.ingress.guard.on_blocked = site.ingress.placement.refuse_blocked
+    site.ingress.guard.sharing.on_blocked = (
+        site.ingress.placement.refuse_blocked
+    )
     return block
 
 
--- a/tests/daemon/direct/test_request_blocks.py
+++ b/tests/daemon/direct/test_request_blocks.py
@@ -29,11 +29,13 @@
             '',
         )
         record = poison.BlockRecord(poison.ANY_SERVICE, identity, 0, left_s)
-        site.ingress.guard.on_block_news(
+        site.ingress.guard.sharing.on_block_news(
             harness.SENDER, poison.BlockNews((record,))
         )
 
-    site.ingress.guard.on_blocked = site.ingress.placement.refuse_blocked
+    site.ingress.guard.sharing.on_blocked = (
+        site.ingress.placement.refuse_blocked
+    )
     return block
 
 
