Share blocks of calls that crash upstreams among data centres

Cause: RequestGuard told only the entries of its own data centre of crashes and blocks, so that each data centre let a call crash two upstreams of its own. Shown by tests/daemon/test_request_guard.py: without the change 4 of its 8 tests fail (entries elsewhere send the call on, crashes are not added up, nothing is pulled). Ruled out: the loss of messages within a data centre. Change: crashes, blocks, trials and answers go to two entries of each other data centre as well, which relay them to their neighbours; blocks that bring nothing new are not relayed; entries pull from other data centres too. With shared blocks the third crash is a test of the block and comes later: once of four runs no call was left to count (division by zero).

--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -293,7 +293,7 @@
             register(
                 cls, lambda sender, message: self.attempts.received(message)
             )
-        for cls, handler in self.guard.sharing.handlers().items():
+        for cls, handler in self.guard.handlers().items():
             register(cls, handler)
         self.register_shared_handlers()
         if self.voter is not None:
--- a/tests/process/test_crashing_calls.py
+++ b/tests/process/test_crashing_calls.py
@@ -18,7 +18,7 @@
 CONTACT_S = 3.0
 CRASHES = 3
 MAX_LATE_ARRIVALS = 3
-DAY_S = 12.0
+DAY_S = 18.0
 CRASHING_PER_S = 3.0
 DOWN_S = 1.5
 WORK_S = 0.03
@@ -84,7 +84,6 @@
         return 0
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize(
     ('method', 'path', 'body'),
     [
