Replace the connection of a link that falls silent

Cause: a link has one connection, and only ZeroMQ's heartbeats (every second, time-out 4 s) judge it, so that one which carries nothing more, without a reset, is used for up to 5 s. An answer that is later than the mean and four deviations of the link's round trips (RFC 6298, 0.15 to 1 s) puts it in doubt; a second connection is opened and used once it answers. The first one is read for 4 s, and for 60 s more if it still answers, so that a slow peer loses nothing. A peer that answers nowhere is given up after 4 s, as before. A link whose peer has never answered a probe is not judged (older releases). RemoteAttempts fails only the attempts sent before a replaced connection closed. Failing test: tests/net/test_silent_links.py on the code before, with a pause in place of the wait for a probe: 3 of 3 directions failed (the old connection was closed before a message came through). Ruled out: a shorter heartbeat of ZeroMQ, which closes a slow connection with all that is in it.

--- a/packages/cassiashift-daemon/cassiashift_daemon/remote.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/remote.py
@@ -4,6 +4,8 @@
 import collections
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+import math
+import time
 from typing import Any
 
 import attrs
@@ -33,6 +35,7 @@
 
     Attributes:
         address: link address of the agent.
+        started_at: monotonic time in seconds.
         head: status and headers, once they have arrived.
         has_begun: the head of the answer has arrived.
         complete: every chunk and the end mark have arrived.
@@ -43,6 +46,7 @@
     address: str
     attempts: 'RemoteAttempts'
     request_id: str = ''
+    started_at: float = attrs.field(factory=time.monotonic)
     head: messages.CallHead | None = None
     has_begun: bool = False
     complete: bool = False
@@ -233,10 +237,14 @@
             cancel = messages.CallCancel(attempt.id)
             self.links.send(attempt.address, cancel)
 
-    def link_lost(self, address: str) -> None:
-        """Fail the attempts at an agent whose connection is lost."""
+    def link_lost(self, address: str, before: float = math.inf) -> None:
+        """Fail the attempts at an agent whose connection is lost.
+
+        Args:
+            before: monotonic time; later attempts use another connection.
+        """
         for attempt in list(self._in_progress.values()):
-            if attempt.address == address:
+            if attempt.address == address and attempt.started_at < before:
                 attempt.fail(
                     CassiashiftError(
                         ErrorCode.UPSTREAM_FAILED,
--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -1,7 +1,9 @@
 """Links between the system's processes, over ZeroMQ.
 
-A process binds one ROUTER socket and connects one DEALER socket to each
-peer that it sends to. A peer's replies arrive on the same socket.
+A process binds one ROUTER socket and connects a DEALER socket to each peer
+that it sends to. A peer's replies arrive on the same socket. While messages
+are sent, probes tell whether the connection still carries them; one that
+falls silent is replaced.
 
 With a key ring every link is encrypted and authenticated by CURVE. A peer
 without a known key is refused in the handshake, and messages of a peer that
@@ -10,6 +12,8 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
+import math
 from typing import Any
 
 from absl import logging
@@ -22,6 +26,7 @@
 from cassiashift_net import messages
 from cassiashift_net import outgoing
 from cassiashift_net import ports
+from cassiashift_net import probes
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 RECONNECT_MS = 50
@@ -31,6 +36,8 @@
 HEARTBEAT_TIMEOUT_MS = 4000
 OUTBOUND_MESSAGES = 10_000
 USER_ID = 'User-Id'
+# Separates the host from the number of a connection in a routing id.
+NUMBER_MARK = b'\0'
 
 Handler = Callable[['Sender', Any], None]
 
@@ -60,7 +67,9 @@
         ring: the keys for encrypted links, or None for plain ones.
         dropped: messages dropped so far, sent or received, and links that
             could not be opened.
-        on_lost: called with the address of a peer whose connection is lost.
+        on_lost: called with the address of a peer and a monotonic time:
+            answers to what was sent before that time are lost. The time is
+            infinite if the link is lost.
     """
 
     host: str
@@ -70,7 +79,7 @@
     dropped: int = 0
     _context: zmq.Context = attrs.field(factory=zmq.Context)
     _router: ports.Port | None = None
-    on_lost: Callable[[str], None] = lambda address: None
+    on_lost: Callable[[str, float], None] = lambda address, before: None
     _outgoing_links: dict[str, outgoing.OutgoingLink] = attrs.field(
         factory=dict
     )
@@ -134,21 +143,31 @@
             )
 
     def _open_link(self, address: str, public: bytes | None) -> None:
+        self._outgoing_links[address] = outgoing.OutgoingLink(
+            address,
+            self.loop,
+            functools.partial(self._create_outgoing_socket, public),
+            self._receive_from,
+            self._handle_lost,
+        )
+
+    def _create_outgoing_socket(
+        self, public: bytes | None, number: int
+    ) -> zmq.Socket:
         sock = self._create_socket(zmq.DEALER)
         try:
             if public is not None:
                 authenticator.secure_client(sock, self.ring, public)
-            sock.setsockopt(zmq.ROUTING_ID, self.host.encode())
-            self._outgoing_links[address] = outgoing.OutgoingLink.connect(
-                sock,
-                address,
-                self.loop,
-                lambda: self._receive_from(address),
-                self._handle_lost,
-            )
+            sock.setsockopt(zmq.ROUTING_ID, self._routing_id(number))
         except zmq.ZMQError:
             sock.close(linger=0)
             raise
+        return sock
+
+    def _routing_id(self, number: int) -> bytes:
+        """Return a name that no other open connection to a peer has."""
+        host = self.host.encode()
+        return host + NUMBER_MARK + str(number).encode() if number else host
 
     async def wait_connected(self, address: str, timeout_s: float) -> bool:
         """Wait until the link to an address is connected.
@@ -183,8 +202,12 @@
         link = self._outgoing_links.get(address)
         if link is None:
             return False
-        frames = list(messages.CODEC.encode_frames(message))
-        return self._transmit(link.port, frames)
+        try:
+            link.send(list(messages.CODEC.encode_frames(message)))
+        except zmq.ZMQError:
+            self.dropped += 1
+            return False
+        return True
 
     def _ensure_link(self, address: str) -> None:
         link = self._outgoing_links.get(address)
@@ -192,9 +215,10 @@
             self.disconnect(address)
         self.connect(address)
 
-    def _handle_lost(self, address: str) -> None:
-        self.disconnect(address)
-        self.on_lost(address)
+    def _handle_lost(self, address: str, before: float) -> None:
+        if before == math.inf:
+            self.disconnect(address)
+        self.on_lost(address, before)
 
     def close(self) -> None:
         """Close every link and the sockets of this process."""
@@ -222,12 +246,22 @@
     def _receive_routed(self) -> None:
         frames = self._receive_verified_frames()
         identity = frames[0]
+        if probes.is_probe(frames[1:]):
+            self._answer_probe(identity, frames[1:])
+            return
         sender = Sender(
-            identity.decode('utf-8', 'replace'),
-            lambda message: self._reply(identity, message),
+            _host_of(identity), lambda message: self._reply(identity, message)
         )
         self._deliver(sender, frames[1:])
 
+    def _answer_probe(self, identity: bytes, frames: list[bytes]) -> None:
+        try:
+            answer = probes.answer_frames(frames)
+        except probes.MalformedProbeError:
+            self._count_dropped('probe', _host_of(identity))
+            return
+        self._transmit(self._router, [identity, *answer])
+
     def _receive_verified_frames(self) -> list[bytes]:
         """Receive one message; drop its content if the sender's name is false.
 
@@ -238,14 +272,11 @@
             return self._router.sock.recv_multipart(zmq.NOBLOCK)
         parts = self._router.sock.recv_multipart(zmq.NOBLOCK, copy=False)
         frames = [part.bytes for part in parts]
-        if frames[0].decode('utf-8', 'replace') != parts[-1].get(USER_ID):
+        if _host_of(frames[0]) != parts[-1].get(USER_ID):
             return frames[:1]
         return frames
 
-    def _receive_from(self, address: str) -> None:
-        frames = self._outgoing_links[address].port.sock.recv_multipart(
-            zmq.NOBLOCK
-        )
+    def _receive_from(self, address: str, frames: list[bytes]) -> None:
         sender = Sender(address, lambda message: self.send(address, message))
         self._deliver(sender, frames)
 
@@ -286,3 +317,8 @@
         logging.warning(
             'event=message_dropped reason=%s peer=%r', reason, peer
         )
+
+
+def _host_of(identity: bytes) -> str:
+    """Return the host in a routing id."""
+    return identity.partition(NUMBER_MARK)[0].decode('utf-8', 'replace')
