Move a stream whose upstream stalls to another upstream

Cause: nothing judged the silence of an upstream in a stream. Change: core/stalls judges a stream by the streams of its service. A caller that reads slowly doesn't count against the upstream. The load: streams cut off from their upstream without a reset, or upstreams that hang.

--- a/packages/cassiashift-core/cassiashift_core/placing/attempts.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/attempts.py
@@ -66,3 +66,11 @@
         if ran and not self.route.is_idempotent:
             return False
         return ran < self.route.attempts
+
+    def may_abandon(self) -> bool:
+        """Return whether a send in progress may be ended and repeated."""
+        ran = sum(
+            attempt.verdict is not verdicts.Verdict.NOT_RUN
+            for attempt in self.attempts
+        )
+        return self.route.is_idempotent and ran + 1 < self.route.attempts
--- a/packages/cassiashift-core/cassiashift_core/placing/budget.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/budget.py
@@ -46,14 +46,18 @@
         Args:
             entries: entries that share the slack, this one included.
         """
-        self._drop_expired(now)
-        allowed = self.ratio * len(self._first_sends) + self.slack / entries
-        if len(self._repeated_sends) + 1 > SAFETY_SHARE * allowed:
+        if not self.has_room(entries, now):
             self.denied += 1
             return False
         self._repeated_sends.append(now)
         return True
 
+    def has_room(self, entries: int, now: float) -> bool:
+        """Return whether the budget allows a repeated send; see above."""
+        self._drop_expired(now)
+        allowed = self.ratio * len(self._first_sends) + self.slack / entries
+        return len(self._repeated_sends) + 1 <= SAFETY_SHARE * allowed
+
     def _drop_expired(self, now: float) -> None:
         for sends in (self._first_sends, self._repeated_sends):
             while sends and sends[0] <= now - self.window_s:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -11,6 +11,7 @@
 from cassiashift_core import ErrorCode
 from cassiashift_core import fleet
 from cassiashift_core import routes
+from cassiashift_core import stalls
 from cassiashift_core import Verdict
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import dialect
@@ -62,6 +63,14 @@
     in_flight: int = 0
     handled: int = 0
     started_at: float = attrs.field(factory=time.monotonic)
+    stall_judge: stalls.StallJudge = attrs.field(factory=stalls.StallJudge)
+    _relays: set[streams.StreamRelay] = attrs.field(factory=set)
+
+    def tick(self) -> None:
+        """Move streams whose upstream has stalled to others."""
+        now = time.monotonic()
+        for relay in list(self._relays):
+            relay.check_stall(now)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and log and count its outcome."""
@@ -130,6 +139,7 @@
     async def _relay_stream(
         self, call: calls.Call, relay: streams.StreamRelay
     ) -> web.StreamResponse:
+        self._relays.add(relay)
         try:
             return await calls.within_deadline(call, relay.run())
         except CassiashiftError as exc:
@@ -137,6 +147,8 @@
                 # The headers are sent, so an error answer can't follow.
                 raise StreamBrokenOffError(str(exc)) from exc
             raise
+        finally:
+            self._relays.discard(relay)
 
     async def _read_call(self, request: web.BaseRequest) -> calls.Call:
         arrived_at = time.monotonic()
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -156,6 +156,27 @@
         )
         self._serve_queue(call.service)
 
+    def may_move(self, call: calls.Call, upstream: fleet.Upstream) -> bool:
+        """Return whether a send in progress may go to another upstream now."""
+        now = time.monotonic()
+        budget = self._budgets.get(call.service)
+        entries = len(self.runner.live_records()) + 1
+        if (
+            not call.log.may_abandon()
+            or budget is None
+            or not budget.has_room(entries, now)
+        ):
+            return False
+        candidates = self.runner.upstreams.accepting(call.service, now)
+        limit = self._in_flight_limit(call.service, candidates)
+        excluded = {upstream.id, *call.log.excluded}
+        return any(
+            candidate.id not in excluded
+            and self._condition(candidate).accepts(now)
+            and self._condition(candidate).in_flight < limit
+            for candidate in candidates
+        )
+
     def record_success(self, upstream: fleet.Upstream) -> None:
         """Record an answer that is no server error."""
         self._condition(upstream).record_success(time.monotonic())
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -317,6 +317,7 @@
 
     def _tick_requests(self) -> None:
         self.placement.tick()
+        self.ingress.tick()
         self.guard.sharing.tick()
         self.permits.tick()
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -1,5 +1,6 @@
 """Relays event streams from upstreams to callers."""
 
+import asyncio
 import time
 from typing import Protocol
 
@@ -10,6 +11,7 @@
 from cassiashift_core import eventstream
 from cassiashift_core import fleet
 from cassiashift_core import poison
+from cassiashift_core import stalls
 from cassiashift_core import Verdict
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import exchange
@@ -28,6 +30,7 @@
     placement: placement.Placement
     guard: poison_guard.PoisonGuard
     metrics: metrics.Metrics
+    stall_judge: stalls.StallJudge
 
     def close_if_leaving(
         self, response: web.StreamResponse
@@ -79,6 +82,11 @@
     _first_event_at: float = 0.0
     _last_event_at: float = 0.0
     _longest_pause_s: float = 0.0
+    _watch: stalls.Watch | None = None
+    _upstream: fleet.Upstream | None = None
+    # Expires when the upstream has stalled.
+    _scope: asyncio.Timeout | None = None
+    _waits_for_caller: bool = False
 
     async def run(self) -> web.StreamResponse:
         """Relay the stream to its end and return the caller's response.
@@ -111,10 +119,9 @@
                 last_event=last_event,
             )
         try:
-            async with owner.exchange.open(
-                call, upstream, last_event
-            ) as opened:
-                response = await self._forward(opened)
+            opened, response = await self._relay_until_stalled(
+                upstream, last_event
+            )
             owner.record_answer(call, upstream, opened.answer, started)
         except exchange.SendFailedError as exc:
             await owner.record_failure(call, upstream, exc, started)
@@ -124,6 +131,42 @@
         self._log_end(response)
         return response
 
+    def check_stall(self, now: float) -> None:
+        """End the send if its upstream has stalled and another may go on."""
+        if self._scope is None or self._waits_for_caller:
+            return
+        if self.owner.stall_judge.is_stalled(
+            self._watch, now
+        ) and self.owner.placement.may_move(self.call, self._upstream):
+            scope, self._scope = self._scope, None
+            scope.reschedule(asyncio.get_running_loop().time())
+
+    async def _relay_until_stalled(
+        self, upstream: fleet.Upstream, last_event: int | None
+    ) -> tuple[exchange.OpenAnswer, web.StreamResponse]:
+        """Send the request and forward the answer.
+
+        Raises:
+            SendFailedError: there is no complete answer; with the reason
+                ``stalled`` if ``check_stall`` has ended the send.
+        """
+        self._upstream = upstream
+        self._watch = self.owner.stall_judge.begin(
+            self.call.service, time.monotonic()
+        )
+        try:
+            async with asyncio.timeout(None) as self._scope:
+                async with self.owner.exchange.open(
+                    self.call, upstream, last_event
+                ) as opened:
+                    return opened, await self._forward(opened)
+        except TimeoutError as exc:
+            raise exchange.SendFailedError(
+                'stalled', Verdict.MAY_HAVE_RUN
+            ) from exc
+        finally:
+            self._scope = None
+
     async def _forward(
         self, opened: exchange.OpenAnswer
     ) -> web.StreamResponse:
@@ -172,23 +215,30 @@
         self, answer: exchange.Answer, events: list[eventstream.Event]
     ) -> None:
         now = time.monotonic()
+        self.owner.stall_judge.record_events(self._watch, now)
         before = self.call.send_events
         self.call.send_events += len(events)
         if before < poison.BEGUN_EVENTS <= self.call.send_events:
             self.owner.guard.record_answer(self.call)
-        if self.response is None:
+        is_first = self.response is None
+        if is_first:
             self.response = web.StreamResponse(
                 status=answer.status, headers=answer.headers_for_caller()
             )
             self.owner.close_if_leaving(self.response)
-            await self.response.prepare(self.request)
             self._first_event_at = now
             self.owner.metrics.record_first_event(now - self.call.arrived_at)
         else:
             pause_s = now - self._last_event_at
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         self._last_event_at = now
+        self._waits_for_caller = True
+        if is_first:
+            await self.response.prepare(self.request)
         await self.response.write(b''.join(event.data for event in events))
+        self._waits_for_caller = False
+        # The upstream had no part in a caller's slowness.
+        self._watch.since = time.monotonic()
 
     def _log_end(self, response: web.StreamResponse) -> None:
         call = self.call
--- /dev/null
+++ b/tests/core/stalls/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of stalled streams."""
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -302,11 +302,12 @@
 
 @pytest.fixture
 async def ticking(site):
-    """Serve the queue of the site every 20 ms during the test."""
+    """Let the site serve its queue and look for stalls every 20 ms."""
 
     async def tick():
         while True:
             site.ingress.placement.tick()
+            site.ingress.tick()
             await asyncio.sleep(0.02)
 
     task = asyncio.ensure_future(tick())
