Open a connection for each call of an agent; bear one unanswered probe

Cause 1: agents reused connections for calls that may be repeated. aiohttp takes bytes that come after an answer, on a connection that is idle, for the answer to the next request, and for all that follow. So a second copy of an answer that an upstream sends late reached the next caller. Shown by tests/daemon/ test_sessions.py: before, of three calls over the pooled client the second got the first one's answer and the third the second one's (2 of 2 failed). Change: an agent has one client, which opens a connection for each request, as direct entries do. The test of a crash on a reused connection is replaced by one that checks that the second call comes over a connection of its own and that its crash is no refusal. Cause 2: one health check without an answer in time took an upstream out of use, though it may only be slow. Two in a row are needed now; a refused connection or an answer that says so still counts at once (core/membership/upstream_health). Clients of rank engines in platform/ still reuse connections. Evidence: tests of daemon sessions and membership pass.

--- a/packages/cassiashift-core/cassiashift_core/membership/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/membership/__init__.py
@@ -23,6 +23,8 @@
 from cassiashift_core.membership.records import Record
 from cassiashift_core.membership.records import Status
 from cassiashift_core.membership.records import Summary
+from cassiashift_core.membership.upstream_health import ProbeResult
+from cassiashift_core.membership.upstream_health import UpstreamHealth
 
 __all__ = [
     'MESSAGE_TYPES',
@@ -37,11 +39,13 @@
     'LoadChanged',
     'Membership',
     'MembershipConfig',
+    'ProbeResult',
     'Received',
     'Record',
     'Send',
     'Status',
     'Summary',
     'Tick',
+    'UpstreamHealth',
     'UpstreamsChanged',
 ]
--- a/packages/cassiashift-daemon/cassiashift_daemon/agent.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/agent.py
@@ -19,6 +19,7 @@
 from cassiashift_net import messages
 
 HEALTH_PATH = '/health'
+STATUS_OK = 200
 LEAVING_NOTICE_S = 1.0
 
 
@@ -26,14 +27,17 @@
     """The process of an agent.
 
     Attributes:
-        healthy: result of the last health check, by upstream.
+        health: result of the health checks, by upstream.
     """
 
     def __init__(self, cfg: settings.AgentSettings) -> None:
         """Build the parts that need no running event loop."""
         super().__init__(cfg, 'agent', self._needs_item)
         self.holder.on_change = self._announce
-        self.healthy: dict[str, bool] = {}
+        self.health: dict[str, membership.UpstreamHealth] = {
+            upstream: membership.UpstreamHealth()
+            for upstream in cfg.upstream_urls()
+        }
 
     @classmethod
     def from_config(cls, cfg: settings.AgentSettings) -> 'AgentProcess':
@@ -44,11 +48,11 @@
         """Open the links, the HTTP clients and the timers."""
         cfg = self.cfg
         link = self.open_links()
-        self.sessions = attempts.Sessions.from_config(cfg.connect_timeout_s)
+        self.session = attempts.create_session(cfg.connect_timeout_s)
         self.attempts = attempts.AttemptServer(
             urls=cfg.upstream_urls(),
             refusal_reason=self._refusal_reason,
-            sessions=self.sessions,
+            session=self.session,
             record=self.events.record,
             fences=retries.FenceTable(self.epoch),
             epoch=self.epoch,
@@ -63,7 +67,7 @@
             epoch=self.epoch,
             peers=self.peers,
             holder=self.holder,
-            session=self.sessions.pooled,
+            session=self.session,
         )
         await self.ranks.open()
         self._register_handlers()
@@ -83,7 +87,7 @@
         """Cancel the attempts; close the HTTP clients and the links."""
         await self.ranks.close()
         await self.attempts.close()
-        await self.sessions.close()
+        await self.session.close()
         self.links.close()
 
     def _open_spread(self) -> None:
@@ -202,7 +206,7 @@
             members.build_announcement(
                 upstream,
                 self.holder.view.upstream(upstream),
-                self.healthy.get(upstream, False),
+                self.health[upstream].is_healthy,
                 bool(self._refusal_reason(upstream)),
             )
             for upstream in self.cfg.upstream_urls()
@@ -210,17 +214,29 @@
         self.presence.handle(membership.UpstreamsChanged(announced))
 
     async def _check_health_forever(self, upstream: str, url: str) -> None:
-        timeout = aiohttp.ClientTimeout(total=self.cfg.connect_timeout_s)
+        health = self.health[upstream]
         while True:
-            try:
-                async with self.sessions.pooled.get(
-                    url + HEALTH_PATH, timeout=timeout
-                ) as resp:
-                    healthy = resp.status == 200
-            except (aiohttp.ClientError, TimeoutError):
-                healthy = False
-            if healthy != self.healthy.get(upstream):
-                self.healthy[upstream] = healthy
-                logs.info('upstream_health', upstream=upstream, ok=healthy)
+            result = await self._probe_health(url)
+            if health.record(result):
+                logs.info(
+                    'upstream_health',
+                    upstream=upstream,
+                    ok=health.is_healthy,
+                    probe=result.value,
+                )
                 self._announce()
             await asyncio.sleep(self.cfg.health_interval_s)
+
+    async def _probe_health(self, url: str) -> membership.ProbeResult:
+        timeout = aiohttp.ClientTimeout(total=self.cfg.connect_timeout_s)
+        try:
+            async with self.session.get(
+                url + HEALTH_PATH, timeout=timeout
+            ) as resp:
+                if resp.status == STATUS_OK:
+                    return membership.ProbeResult.OK
+        except aiohttp.ClientConnectorError:
+            return membership.ProbeResult.FAILED
+        except (aiohttp.ClientError, TimeoutError):
+            return membership.ProbeResult.UNANSWERED
+        return membership.ProbeResult.FAILED
--- a/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
@@ -61,40 +61,14 @@
         self.verdict = verdict
 
 
-@attrs.frozen(eq=False)
-class Sessions:
-    """HTTP clients to the upstreams.
+def create_session(connect_timeout_s: float) -> aiohttp.ClientSession:
+    """Return an HTTP client to upstreams, on the running event loop.
 
-    A call uses one connection; calls that must not be repeated use a new one
-    each.
-
-    Attributes:
-        pooled: reuses connections; for idempotent calls.
-        fresh: opens a connection for each request.
+    Each request opens its own connection: bytes that an upstream sends after
+    an answer, such as a second copy of it, reach no other call.
     """
-
-    pooled: aiohttp.ClientSession
-    fresh: aiohttp.ClientSession
-
-    @classmethod
-    def from_config(cls, connect_timeout_s: float) -> 'Sessions':
-        """Return the clients; to be called within a running event loop."""
-        return cls(
-            _create_session(connect_timeout_s, force_close=False),
-            _create_session(connect_timeout_s, force_close=True),
-        )
-
-    async def close(self) -> None:
-        """Close both clients and their connections."""
-        await self.pooled.close()
-        await self.fresh.close()
-
-
-def _create_session(
-    connect_timeout_s: float, force_close: bool
-) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=force_close),
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
         trace_configs=[single_sends.trace_config()],
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_s
@@ -158,7 +132,7 @@
 
     urls: dict[str, str]
     refusal_reason: Callable[[str], str]
-    sessions: Sessions
+    session: aiohttp.ClientSession
     record: Callable[..., timeline.Timestamp]
     fences: retries.FenceTable
     epoch: int = 0
@@ -291,10 +265,7 @@
         start = attempt.start
         headers = dict(start.headers)
         headers[REQUEST_ID_HEADER] = start.request_id
-        session = self.sessions.fresh
-        if start.idempotent:
-            session = self.sessions.pooled
-        async with session.request(
+        async with self.session.request(
             start.method,
             self.urls[start.upstream] + start.path,
             data=start.body or None,
