Answer all requests that an entry has accepted before a planned stop

Cause: an entry closed its listening socket without a look at its queue, and idle connections at the same moment. The kernel resets connections that wait in the queue, and a request that was on its way met a closed connection. Under load the drain of a direct entry never saw an idle moment either, as it went on to accept. Change: once cached directory answers have expired, webserver.Listener accepts what is in the queue, by a duplicate of the socket, then closes it and gives requests on their way 0.3 s. The rest of the drain is as before. What the kernel queues between the last accept and the close, some microseconds, is still reset. Entries behind the product's directory do the same.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -84,7 +84,8 @@
         self.metrics = metrics.Metrics()
         self.holder = tables.TableHolder(adapter)
         self.confirmation = fleet.LogConfirmation()
-        self.servers: list[web.BaseRunner] = []
+        self.listeners: list[webserver.Listener] = []
+        self.front: webserver.Listener | None = None
         self.is_leaving = False
 
     @property
@@ -126,7 +127,7 @@
     async def drain(self) -> None:
         """Leave the directory, then wait until the last request is answered.
 
-        Requests are served until callers have dropped cached answers.
+        Connections are accepted until callers have dropped cached answers.
         """
         self.is_leaving = True
         self.ingress.is_leaving = True
@@ -136,14 +137,16 @@
         self.voting.transfer_leadership()
         ttl_s = min(api.DIRECTORY_TTL_S, self.cfg.bounds.longest_ttl_s)
         await asyncio.sleep(TTL_FACTOR * ttl_s)
+        if self.front is not None:
+            await self.front.stop()
         while self.ingress.in_flight:
             await asyncio.sleep(fleet_runner.TICK_S)
 
     async def close(self) -> None:
         """Close the listeners, the upstream connections and the links."""
         logs.info('stopped', in_flight=self.ingress.in_flight)
-        for server in self.servers:
-            await server.cleanup()
+        for listener in self.listeners:
+            await listener.close()
         await self.exchange.close()
         self.links.close()
 
@@ -253,14 +256,14 @@
                 )
             )
             await server.setup()
-            await webserver.listen(server, listeners.front)
-            self.servers.append(server)
+            self.front = await webserver.listen(server, listeners.front)
+            self.listeners.append(self.front)
         surfaces = self.surfaces(self.control, self.directory)
         surfaces['metrics'] = [web.get('/metrics', self._serve_metrics)]
         for name, routes in surfaces.items():
             address = getattr(listeners, name)
             if address:
-                self.servers.append(
+                self.listeners.append(
                     await webserver.serve(
                         address, routes, MAX_CONTROL_BYTES, None
                     )
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -87,7 +87,7 @@
         self._open_voter()
         self._register_handlers()
         self._start_timers()
-        self.runner = await webserver.serve(
+        self.listener = await webserver.serve(
             cfg.http,
             self.callers.routes() + self.admin.routes(),
             cfg.max_body_bytes,
@@ -117,6 +117,8 @@
         machine.handle(draining.StopRequested(), time.monotonic())
         while machine.state != 'ended':
             await asyncio.sleep(DRAIN_INTERVAL_S)
+            if not machine.accepts_calls:
+                await self.listener.stop()
             now = time.monotonic()
             machine.handle(
                 draining.InFlightChanged(self.callers.in_flight), now
@@ -127,7 +129,7 @@
 
     async def close(self) -> None:
         """Close the HTTP server, the links and the data folder."""
-        await self.runner.cleanup()
+        await self.listener.close()
         self.links.close()
         if self.voter is not None:
             self.voter.store.close()
--- a/packages/cassiashift-daemon/cassiashift_daemon/webserver.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/webserver.py
@@ -1,10 +1,17 @@
 """The HTTP server of an entry."""
 
+import asyncio
+import contextlib
+import socket
 import ssl
 import urllib.parse
 
 from aiohttp import web
+import attrs
 
+BACKLOG = 128
+# The request of a connection that was just opened may be on its way.
+LINGER_S = 0.3
 SHUTDOWN_TIMEOUT_S = 1.0
 MAX_HEADER_BYTES = 16 * 1024
 
@@ -14,8 +21,8 @@
     routes: list[web.RouteDef],
     max_body_bytes: int,
     tls: ssl.SSLContext | None,
-) -> web.AppRunner:
-    """Serve routes at ``IP:PORT``; the returned runner stops the server."""
+) -> 'Listener':
+    """Serve routes at ``IP:PORT``; the returned listener ends that."""
     app = web.Application(
         client_max_size=max_body_bytes,
         handler_args={'max_line_size': MAX_HEADER_BYTES},
@@ -28,22 +35,78 @@
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
     await runner.setup()
-    await listen(runner, address, tls)
-    return runner
+    return await listen(runner, address, tls)
 
 
 async def listen(
     runner: web.BaseRunner,
     address: str,
     tls: ssl.SSLContext | None = None,
-) -> None:
+) -> 'Listener':
     """Listen at ``IP:PORT`` with a runner that is set up."""
+    listener = Listener(runner, bind(address), tls)
+    await listener.start()
+    return listener
+
+
+def bind(address: str) -> socket.socket:
+    """Return a socket that is bound to ``IP:PORT``."""
     parts = urllib.parse.urlsplit(f'//{address}')
-    site = web.TCPSite(
-        runner,
-        parts.hostname,
-        parts.port,
-        reuse_address=True,
-        ssl_context=tls,
-    )
-    await site.start()
+    family = socket.AF_INET6 if ':' in parts.hostname else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((parts.hostname, parts.port))
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
+
+
+@attrs.define(eq=False)
+class Listener:
+    """A listening socket that loses no connection when it is closed."""
+
+    runner: web.BaseRunner
+    sock: socket.socket
+    tls: ssl.SSLContext | None = None
+    _site: web.SockSite | None = None
+
+    async def start(self) -> None:
+        """Listen for connections."""
+        self._site = web.SockSite(
+            self.runner, self.sock, ssl_context=self.tls, backlog=BACKLOG
+        )
+        await self._site.start()
+
+    async def stop(self) -> None:
+        """Accept the connections that have been opened, then no more.
+
+        Returns once the requests on their way have had time to arrive.
+
+        The loop closes the socket without a look at its queue, and the kernel
+        resets what waits there. A duplicate keeps it open for the last ones.
+        A second call does nothing.
+        """
+        if self._site is None:
+            return
+        with self.sock.dup() as duplicate:
+            await self._site.stop()
+            self._site = None
+            loop = asyncio.get_running_loop()
+            accepted = []
+            with contextlib.suppress(OSError):
+                while True:
+                    accepted.append(duplicate.accept()[0])
+        for connection in accepted:
+            connection.setblocking(False)
+            with contextlib.suppress(OSError):
+                await loop.connect_accepted_socket(
+                    self.runner.server, connection, ssl=self.tls
+                )
+        await asyncio.sleep(LINGER_S)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.runner.cleanup()
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -1,10 +1,12 @@
 """Tests of entries of the users' platform as processes, with faults."""
 
 import asyncio
+import itertools
 import signal
 import subprocess
 import sys
 
+import aiohttp
 import pytest
 from testtools.assertions import assert_that
 from testtools import matchers
@@ -169,6 +171,40 @@
     assert_that(entry.process.returncode, matchers.Equals(0))
 
 
+async def test_a_planned_stop_under_load_answers_all_that_it_accepts(site):
+    site.upstream.work_s = 0.02
+    entry = site.entries[4]
+    await _until_served(site, entry, 'read', 'w')
+    cut_off = []
+    headers = {'Host': platform_site.HOST, 'Authorization': 'Token secret'}
+
+    async def call_until_refused(caller):
+        connector = aiohttp.TCPConnector(force_close=True)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            for number in itertools.count():
+                id_ = f'{caller}-{number}'
+                try:
+                    async with session.post(
+                        entry.url('front', '/read/x'),
+                        headers=headers | {'Cassiashift-Request-Id': id_},
+                    ) as response:
+                        await response.read()
+                        assert_that(response.status, matchers.Equals(200))
+                except aiohttp.ClientConnectorError:
+                    return
+                except (aiohttp.ClientError, OSError) as exc:
+                    cut_off.append((id_, repr(exc)))
+
+    callers = [
+        asyncio.ensure_future(call_until_refused(number))
+        for number in range(20)
+    ]
+    await asyncio.sleep(0.5)
+    entry.signal(signal.SIGTERM)
+    await asyncio.gather(*callers)
+    assert_that(cut_off, matchers.Equals([]))
+
+
 async def test_an_unsafe_request_runs_once_when_its_entry_is_killed(site):
     entry = site.entries[4]
     await _until_served(site, entry, 'book', 'w')
