Fail an attempt whose unframed answer was reset, behind agents as well

Cause: an agent took the end of a connection for the end of an answer that has neither a length nor chunks, also when the connection was reset. The caller got half an answer as a complete one, with the verdict that it ran. Direct entries had the check, agents had none. Change: net/body_ends holds the check for both; that of direct entries moved there as it was.

--- a/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
@@ -21,6 +21,7 @@
 from cassiashift_daemon import logs
 from cassiashift_daemon import outcomes
 from cassiashift_daemon import probing
+from cassiashift_net import body_ends
 from cassiashift_net import messages
 from cassiashift_net import single_sends
 
@@ -308,17 +309,20 @@
     async def _forward(
         self, attempt: _Attempt, resp: aiohttp.ClientResponse
     ) -> None:
-        content = resp.content
-        while True:
-            data = await content.readany()
-            if not data:
-                return
+        end = body_ends.BodyEnd.from_response(resp)
+        while data := await resp.content.readany():
             if not attempt.start.idempotent:
                 attempt.answer.add(data)
             while attempt.credit <= 0 and attempt.start.idempotent:
                 attempt.credit_added.clear()
                 await attempt.credit_added.wait()
             attempt.send(data)
+        if await end.was_reset():
+            raise AttemptError(
+                'stream_broken',
+                'the upstream broke off the answer',
+                Verdict.MAY_HAVE_RUN,
+            )
 
     async def _find_crash(
         self, start: messages.CallStart, exc: aiohttp.ClientError
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -5,7 +5,6 @@
 that the peer is closing is ever reused.
 """
 
-import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
@@ -20,6 +19,7 @@
 from cassiashift_core import Verdict
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import dialect
+from cassiashift_net import body_ends
 from cassiashift_net import single_sends
 
 # Upstreams accept within milliseconds; the kernel retransmits a lost SYN only
@@ -60,17 +60,11 @@
 
 @attrs.define(eq=False)
 class Answer:
-    """An upstream's answer that was checked to belong to the request.
-
-    Attributes:
-        is_framed: the body has a length or is chunked, so a truncated one
-            is detected.
-    """
+    """An upstream's answer that was checked to belong to the request."""
 
     status: int
     headers: multidict.CIMultiDictProxy
     body: bytes = b''
-    is_framed: bool = True
 
     def headers_for_caller(self) -> multidict.CIMultiDict:
         """Return the headers without hop-by-hop headers."""
@@ -87,7 +81,7 @@
 
     answer: Answer
     response: aiohttp.ClientResponse
-    _closed: asyncio.Future
+    _end: body_ends.BodyEnd
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
@@ -100,12 +94,7 @@
                 yield chunk
         except (aiohttp.ClientError, OSError) as exc:
             raise _connection_error(exc) from exc
-        if self.answer.is_framed:
-            return
-        # A body without a length ends with its connection; it is complete
-        # only if the connection was closed and not reset.
-        await asyncio.sleep(0)
-        if self._closed.done() and self._closed.exception() is not None:
+        if await self._end.was_reset():
             raise SendFailedError(
                 'reset', Verdict.MAY_HAVE_RUN, is_broken_off=True
             )
@@ -180,18 +169,13 @@
         sent_at = time.monotonic()
         response = await self._send(call, upstream, last_event)
         try:
-            connection = response.connection
-            closed = (
-                connection.protocol.closed if connection is not None else None
-            )
+            end = body_ends.BodyEnd.from_response(response)
             self._read_signals(upstream, response, sent_at)
             answer = self._check_answer(call, response)
             if response.ok and self.names.limit not in response.headers:
                 # An error may come from elsewhere than from its own work.
                 self.on_limit(upstream, None, sent_at)
-            if closed is None:
-                closed = asyncio.get_running_loop().create_future()
-            yield OpenAnswer(answer, response, closed)
+            yield OpenAnswer(answer, response, end)
         finally:
             response.close()
 
@@ -304,10 +288,7 @@
             raise SendFailedError('unsigned_answer', Verdict.MAY_HAVE_RUN)
         if 'Content-Encoding' in headers:
             raise SendFailedError('encoded_answer', Verdict.MAY_HAVE_RUN)
-        is_framed = 'Content-Length' in headers or (
-            'chunked' in headers.get('Transfer-Encoding', '').lower()
-        )
-        return Answer(response.status, headers, is_framed=is_framed)
+        return Answer(response.status, headers)
 
 
 def _connection_error(exc: Exception) -> SendFailedError:
