Drop malformed messages of voters before the replica sees them

Cause: the replica relies on the form of what voters send: entries that follow one another, in order of terms, voters with changes of the voter set, replies within the leader's log. One message against it raised in the replica, which ends the voter, and behind the product's entries the whole process; an acknowledgement beyond the log counted as one. Decoding checks types only. Shown by tests/core/consensus/test_malformed_messages.py: without the check 3 of 3 tests fail (ValueError in the log), without the change of the leader 4 of 6 replies beyond its log raise AttributeError. Change: consensus.find_problem names what is malformed; the voter drops such a message with one line, message_malformed. A leader ignores acknowledgements beyond its log and takes hints into it. Evidence: tests of consensus and daemon/test_voter.py pass.

--- a/packages/cassiashift-core/cassiashift_core/consensus/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/__init__.py
@@ -42,6 +42,7 @@
 from cassiashift_core.consensus.records import Voter
 from cassiashift_core.consensus.records import VoterSet
 from cassiashift_core.consensus.replica import Replica
+from cassiashift_core.consensus.validation import find_problem
 
 __all__ = [
     'AppendEntries',
@@ -86,4 +87,5 @@
     'VoteRequest',
     'Voter',
     'VoterSet',
+    'find_problem',
 ]
--- a/packages/cassiashift-core/cassiashift_core/consensus/leader.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/leader.py
@@ -103,12 +103,15 @@
     def on_append_reply(self, sender: str, msg: messages.AppendReply) -> None:
         """Record an acknowledgement, or probe further back after a reject."""
         peer = self._accept_reply(sender, msg)
-        if peer is None:
+        last_index = self._replica.log.last_index
+        if peer is None or (msg.success and msg.index > last_index):
+            # No follower holds more than its leader.
             return
         if msg.success:
             peer.on_acknowledged(msg.index, self.rounds.current)
         else:
             next_index = self._next_after_reject(msg)
+            next_index = min(max(1, next_index), last_index + 1)
             peer.on_rejected(msg.index, next_index, msg.round)
         self.on_progress()
         if self._replica.leadership is self and sender in self.peers:
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -97,7 +97,19 @@
         self.handle(consensus.Tick())
 
     def received(self, sender: links.Sender, message: Any) -> None:
-        """Pass a message from another voter to the replica."""
+        """Pass a message from another voter to the replica.
+
+        A malformed one is dropped.
+        """
+        problem = consensus.find_problem(message)
+        if problem:
+            logs.warning(
+                'message_malformed',
+                peer=sender.host,
+                message=type(message).__name__,
+                reason=problem,
+            )
+            return
         self.handle(consensus.Received(sender.host, message))
 
     def propose(
