Answer surveys of agents again

Cause: replaced the field `healthy` of the agent and left one use of it behind, in the answer to a survey. Each survey raised AttributeError, so that the status of a deployment never named an agent's upstreams and all tests that start one waited for ever. Change: the answer reads the new field.

--- a/packages/cassiashift-daemon/cassiashift_daemon/agent.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/agent.py
@@ -178,7 +178,7 @@
                 id=upstream,
                 host=self.cfg.host,
                 data_centre=self.cfg.data_centre,
-                healthy=self.healthy.get(upstream, False),
+                healthy=self.health[upstream].is_healthy,
                 draining=bool(self._refusal_reason(upstream)),
                 in_flight=self.attempts.in_flight.get(upstream, 0),
             )
