--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -197,7 +197,7 @@
             rng=self.rng,
         )
         self.runner.blocks_digest = lambda: self.guard.table.digest
-        self.guard.sharing.on_blocked = self.placement.refuse_blocked
+        self.guard.sharing.on_blocked = self.placement.admission.refuse_blocked
         self.exchange.on_leaving = self._record_leaving
         self.exchange.on_back_off = self._record_back_off
         self.exchange.on_limit = self.runner.record_limit
--- a/tests/daemon/direct/test_poison_guard.py
+++ b/tests/daemon/direct/test_poison_guard.py
@@ -22,7 +22,7 @@
         )
 
     site.ingress.guard.sharing.on_blocked = (
-        site.ingress.placement.refuse_blocked
+        site.ingress.placement.admission.refuse_blocked
     )
     return block
 
