Elect a leader at once after a restart of all voters

Cause: every voter waited for its election timeout of 1 s after a start, for the sake of a leader that may hold a lease; after a restart of all there is none, and a leader came 0.8 to 1.1 s after the last start.

Change: voters that have heard no leader since their start ask each other whether all have restarted (RestartProbe, RestartReport); with the answers of all of them one is elected without the wait. A planted fault shows that reports to an earlier start must not count.

--- a/packages/cassiashift-core/cassiashift_core/consensus/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/__init__.py
@@ -29,6 +29,8 @@
 from cassiashift_core.consensus.messages import IdentityRefused
 from cassiashift_core.consensus.messages import Message
 from cassiashift_core.consensus.messages import MESSAGE_TYPES
+from cassiashift_core.consensus.messages import RestartProbe
+from cassiashift_core.consensus.messages import RestartReport
 from cassiashift_core.consensus.messages import SnapshotChunk
 from cassiashift_core.consensus.messages import SnapshotReply
 from cassiashift_core.consensus.messages import TimeoutNow
@@ -75,6 +77,8 @@
     'SavedState',
     'Send',
     'Snapshot',
+    'RestartProbe',
+    'RestartReport',
     'SnapshotChunk',
     'SnapshotReply',
     'SnapshotTaken',
--- a/packages/cassiashift-core/cassiashift_core/consensus/config.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/config.py
@@ -28,6 +28,9 @@
             a host that is added later.
         election_timeout_s: shortest time without a leader before an
             election; the actual time is random and at least this.
+        start: identifies the start of the process, different for each one;
+            empty on a host that always waits for the election timeout after
+            its start.
         snapshot_every_entries: applied entries between two snapshots.
         trailing_entries: entries kept in memory after a snapshot, for slow
             followers.
@@ -35,6 +38,7 @@
 
     host: str
     voters: tuple[str, ...] = ()
+    start: str = ''
     election_timeout_s: float = ELECTION_TIMEOUT_S
     heartbeat_s: float = HEARTBEAT_S
     max_append_bytes: int = MAX_APPEND_BYTES
--- a/packages/cassiashift-core/cassiashift_core/consensus/election.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/election.py
@@ -70,12 +70,15 @@
         """Answer a request for a vote or a pre-vote.
 
         There is no answer while a leader may hold a lease, unless that
-        leader hands over.
+        leader hands over or all voters have restarted.
         """
         replica = self._replica
         if not replica.check_identity(sender, request.incarnation):
             return
-        if replica.has_live_leader() and not request.handover:
+        is_permitted = request.handover or replica.restart.permits_vote(
+            request
+        )
+        if replica.has_live_leader() and not is_permitted:
             return
         if not request.pre_vote:
             replica.observe_term(request.term)
@@ -172,14 +175,16 @@
         replica = self._replica
         self._next_request_at = replica.now + replica.cfg.heartbeat_s
         is_pre_vote = replica.role is effects.Role.PRE_CANDIDATE
-        request = messages.VoteRequest(
-            replica.term + 1 if is_pre_vote else replica.term,
-            replica.log.last_index,
-            replica.log.last_term,
-            replica.incarnation,
-            is_pre_vote,
-            self.is_handover_election and not is_pre_vote,
-        )
         for host in replica.other_voters:
-            if host not in self._vote_incarnations:
-                replica.outbox.send_synced(host, request)
+            if host in self._vote_incarnations:
+                continue
+            request = messages.VoteRequest(
+                replica.term + 1 if is_pre_vote else replica.term,
+                replica.log.last_index,
+                replica.log.last_term,
+                replica.incarnation,
+                is_pre_vote,
+                self.is_handover_election and not is_pre_vote,
+                replica.restart.is_complete,
+            )
+            replica.outbox.send_synced(host, request)
--- a/packages/cassiashift-core/cassiashift_core/consensus/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/messages.py
@@ -12,7 +12,11 @@
 
 @attrs.frozen
 class VoteRequest:
-    """Request a vote, or ask if it would be granted (``pre_vote``)."""
+    """Request a vote, or ask if it would be granted (``pre_vote``).
+
+    Attributes:
+        restarted: all voters are known to have restarted without a leader.
+    """
 
     term: int
     last_index: int
@@ -20,6 +24,7 @@
     incarnation: str
     pre_vote: bool = False
     handover: bool = False
+    restarted: bool = False
 
 
 @attrs.frozen
@@ -114,6 +119,32 @@
     has_lost_entries: bool = False
 
 
+@attrs.frozen
+class RestartProbe:
+    """Ask a voter if it has heard no leader since its start.
+
+    Attributes:
+        start: identifies the start of the sender's process.
+    """
+
+    term: int
+    start: str
+
+
+@attrs.frozen
+class RestartReport:
+    """State that the sender has heard no leader since its start.
+
+    Attributes:
+        probe_start: ``start`` of the probe.
+    """
+
+    term: int
+    probe_start: str
+    last_term: int
+    last_index: int
+
+
 Message = (
     VoteRequest
     | VoteReply
@@ -123,6 +154,8 @@
     | SnapshotReply
     | TimeoutNow
     | IdentityRefused
+    | RestartProbe
+    | RestartReport
 )
 
 MESSAGE_TYPES = {
@@ -136,5 +169,7 @@
         SnapshotReply,
         TimeoutNow,
         IdentityRefused,
+        RestartProbe,
+        RestartReport,
     )
 }
--- a/packages/cassiashift-core/cassiashift_core/consensus/replica.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/replica.py
@@ -83,6 +83,7 @@
             self.election_due()
         else:
             self._election.on_tick()
+        self.restart.on_tick()
         self.save_commit()
 
     @_on_event.register
@@ -174,6 +175,14 @@
             self._election.on_timeout_now()
             self.handover_received()
 
+    @_on_message.register
+    def _(self, message: messages.RestartProbe, sender: str) -> None:
+        self.restart.on_probe(sender, message)
+
+    @_on_message.register
+    def _(self, message: messages.RestartReport, sender: str) -> None:
+        self.restart.on_report(sender, message)
+
     @_on_message.register
     def _(self, message: messages.IdentityRefused, sender: str) -> None:
         if message.has_lost_entries:
--- a/packages/cassiashift-core/cassiashift_core/consensus/roles.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/roles.py
@@ -11,6 +11,7 @@
 from cassiashift_core.consensus import messages
 from cassiashift_core.consensus import proposals
 from cassiashift_core.consensus import records
+from cassiashift_core.consensus import restart
 from cassiashift_core.consensus import state as replica_state
 
 ROLES = {role.value: role for role in effects.Role}
@@ -32,6 +33,7 @@
         """Start as a follower with the saved state."""
         super().__init__(cfg, saved, rng)
         self._election = election.Election(self)
+        self.restart = restart.RestartEvidence(self)
         self._proposals = proposals.Proposals(self)
         self.leadership: leader_state.Leader | None = None
         _chart().bind(self)
@@ -72,6 +74,7 @@
         and is a no-op otherwise.
         """
         self.leader = self.host
+        self.has_heard_leader = True
         self.leadership = leader_state.Leader(self)
         self.leadership.update_peers()
         voters = self.log.voters
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import random
+import secrets
 import time
 from typing import Any
 
@@ -35,6 +36,7 @@
 TRAILING_ENTRIES = 32
 SEGMENT_BYTES = 1024 * 1024
 REOPEN_AFTER_S = 1.0
+START_ID_BYTES = 8
 CHANGE_INTERVAL_S = 0.5
 
 
@@ -181,6 +183,7 @@
                 voters=founders,
                 election_timeout_s=ELECTION_TIMEOUT_S,
                 heartbeat_s=HEARTBEAT_S,
+                start=secrets.token_hex(START_ID_BYTES),
                 snapshot_every_entries=SNAPSHOT_EVERY_ENTRIES,
                 trailing_entries=TRAILING_ENTRIES,
             ),
--- a/tests/core/consensus/cluster.py
+++ b/tests/core/consensus/cluster.py
@@ -129,6 +129,7 @@
         cfg = consensus.ReplicaConfig(
             host=host,
             voters=self.voters if host in self.voters else (),
+            start=f'{host}{node.start_count}',
             election_timeout_s=TIMEOUT_S,
             heartbeat_s=TIMEOUT_S / 10,
             **self.settings,
--- a/tests/core/consensus/scenarios.py
+++ b/tests/core/consensus/scenarios.py
@@ -71,6 +71,8 @@
     cluster.propose(5)
     cluster.settle([leader_host, first])
     cluster.crash(leader_host)
+    # A heartbeat under way would tell the emptied voter that it is refused.
+    cluster.run(0.05)
     cluster.empty_folder(first)
     cluster.start(first)
     cluster.start(second)
@@ -192,7 +194,7 @@
 
 def clocks_of_all_followers_step():
     """Clock steps on all followers must not depose a leader with a lease."""
-    cluster = elected_cluster()
+    cluster = elected_cluster(2)
     old_leader = cluster.leader()
     others = followers(cluster)
     cluster.cuts = {(host, old_leader.host) for host in others}
@@ -219,3 +221,21 @@
     cluster.crash(leader_host)
     cluster.settle([other, 'x'])
     return cluster
+
+
+def late_reports_to_an_earlier_start():
+    """Reports from before a leader's election must not count after it."""
+    cluster = elected_cluster()
+    silent = cluster.leader().host
+    others = followers(cluster)
+    for host in others:
+        cluster.crash(host)
+    cluster.isolate(silent)
+    cluster.run(0.02)
+    for host in others:
+        earlier_start = f'{host}{cluster.nodes[host].start_count - 1}'
+        cluster.start(host)
+        late = consensus.RestartReport(1, earlier_start, 1, 1)
+        cluster.handle(cluster.nodes[host], consensus.Received(silent, late))
+    cluster.run(5)
+    return cluster
--- a/tests/core/consensus/test_messages.py
+++ b/tests/core/consensus/test_messages.py
@@ -23,6 +23,8 @@
     consensus.SnapshotReply(3, 7, 9, 4, 'i'),
     consensus.TimeoutNow(3),
     consensus.IdentityRefused(3, 'i'),
+    consensus.RestartProbe(3, 's'),
+    consensus.RestartReport(3, 's', 2, 9),
 )
 
 
--- a/tests/core/consensus/test_planted_faults.py
+++ b/tests/core/consensus/test_planted_faults.py
@@ -15,6 +15,7 @@
 from cassiashift_core.consensus import progress
 from cassiashift_core.consensus import reads
 from cassiashift_core.consensus import records
+from cassiashift_core.consensus import restart
 from cassiashift_core.consensus import state
 from tests.core.consensus import checks
 from tests.core.consensus import scenarios
@@ -123,6 +124,13 @@
         'holds a lease beside a newer leader',
         scenarios.follower_cut_off_from_the_leader,
     ),
+    'count reports to an earlier start': Fault(
+        restart.RestartEvidence,
+        '_answers_own_probe',
+        lambda self, report: True,
+        'holds a lease beside a newer leader',
+        scenarios.late_reports_to_an_earlier_start,
+    ),
     'overlook clock steps': Fault(
         clock.Clock,
         'read',
