Keep evacuations of data centres in the replicated log

Cause: operators of the users' platform order that nothing more be sent to a data centre. The log has no such order, and the answer to it is 404.

An order names the revision that its proposer knew when the operator's call arrived. If a later opposite order is in the log, it is superseded and changes nothing, however long it was in transit. The answer to a read of the configuration carries the evacuations, and LogConfirmation confirms both.

--- a/packages/cassiashift-core/cassiashift_core/fleet/confirmation.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/confirmation.py
@@ -3,11 +3,13 @@
 A voter saves its commit index some time after it has acknowledged a change.
 After a restart its disk may therefore call an older configuration the newest
 committed one. While any process runs that has a newer one in force, it passes
-it on; after a restart of all nobody has, and the older one would return.
+it on; after a restart of all nobody has, and the older one would return. The
+same holds for evacuations, which one read confirms with the configuration.
 """
 
 import attrs
 
+from cassiashift_core import evacuation
 from cassiashift_core.fleet import documents
 
 
@@ -22,6 +24,7 @@
 
     floor: int | None = None
     _withheld: documents.Document = documents.Document()
+    _evacuations: evacuation.Evacuations = evacuation.Evacuations()
 
     def offer(self, document: documents.Document) -> documents.Document | None:
         """Return a document of the own log if it may be in force, or None."""
@@ -29,10 +32,33 @@
             self._withheld = document
         return self._release()
 
-    def confirm(self, version: int) -> documents.Document | None:
-        """Set the floor; return the newest withheld document if it fits."""
+    def offer_evacuations(
+        self, state: evacuation.Evacuations
+    ) -> evacuation.Evacuations | None:
+        """Return the newest state if it may be in force, or None."""
+        if state.revision > self._evacuations.revision:
+            self._evacuations = state
+        return self.evacuations
+
+    @property
+    def evacuations(self) -> evacuation.Evacuations | None:
+        """Return the newest confirmed state; None before a confirmation."""
+        return None if self.floor is None else self._evacuations
+
+    def confirm(
+        self,
+        version: int,
+        evacuations: evacuation.Evacuations = evacuation.Evacuations(),
+    ) -> documents.Document | None:
+        """Record the answer of a majority to a read.
+
+        Returns:
+            the newest withheld document if it is not older. The evacuations
+            have to be in force before it.
+        """
         if self.floor is None:
             self.floor = version
+        self.offer_evacuations(evacuations)
         return self._release()
 
     def _release(self) -> documents.Document | None:
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from cassiashift_core import evacuation
+
 # An issuer reserves no permit further ahead.
 LONGEST_PATIENCE_S = 1.0
 
@@ -110,6 +112,7 @@
         upstreams_digest: digest of its table of upstreams.
         blocks_digest: digest of the parts of prompts that it blocks.
         secret: the oldest secret that it has heard of.
+        evacuations_revision: revision of the evacuations in force there.
     """
 
     node: EntryRecord
@@ -118,6 +121,7 @@
     upstreams_digest: int = 0
     blocks_digest: int = 0
     secret: SharedSecret | None = None
+    evacuations_revision: int = 0
 
 
 @attrs.frozen
@@ -204,7 +208,13 @@
 
 @attrs.frozen
 class DocumentPush:
-    """A configuration that a majority of the voters holds."""
+    """A configuration that a majority of the voters holds.
+
+    Attributes:
+        evacuations: the evacuations in force at the sender, without which the
+            receiver may not send to any upstream.
+    """
 
     version: int
     body: bytes
+    evacuations: evacuation.Evacuations = evacuation.Evacuations()
--- a/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
@@ -49,10 +49,12 @@
         silent_after_s: an upstream without an announcement for this long is
             only used if no other is ready.
         forget_after_s: an upstream without one for this long is dropped.
+        evacuated: data centres whose upstreams get no new requests.
     """
 
     silent_after_s: float
     forget_after_s: float
+    evacuated: frozenset[str] = frozenset()
     _rows: dict[str, _Row] = attrs.field(factory=dict)
     _digest: int | None = None
 
@@ -193,13 +195,13 @@
     def accepting(self, service: str, now: float) -> list[messages.Upstream]:
         """Return the upstreams of a service that accept new requests.
 
-        Silent ones are left out unless all of them are silent.
+        Those in evacuated data centres are left out, and silent ones unless
+        all of them are silent.
         """
         ready = [
             row
-            for row in self._rows.values()
-            if row.upstream.service == service
-            and row.upstream.state is messages.UpstreamState.READY
+            for row in self._ready_rows(service)
+            if row.upstream.data_centre not in self.evacuated
         ]
         recent = [
             row
@@ -208,6 +210,15 @@
         ]
         return [row.upstream for row in recent or ready]
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether evacuations leave a service without upstreams."""
+        if not self.evacuated:
+            return False
+        data_centres = {
+            row.upstream.data_centre for row in self._ready_rows(service)
+        }
+        return bool(data_centres) and data_centres <= self.evacuated
+
     def all(self) -> tuple[messages.Upstream, ...]:
         """Return all upstreams, including those that are gone."""
         return tuple(row.upstream for row in self._rows.values())
@@ -240,6 +251,14 @@
             self._digest = hashing.stable_digest('\n'.join(rows).encode())
         return self._digest
 
+    def _ready_rows(self, service: str) -> list[_Row]:
+        return [
+            row
+            for row in self._rows.values()
+            if row.upstream.service == service
+            and row.upstream.state is messages.UpstreamState.READY
+        ]
+
     def _held_condition(
         self, id_: str, born_ms: int
     ) -> conditions.Condition | None:
--- a/packages/cassiashift-core/cassiashift_core/state/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/state/__init__.py
@@ -1,4 +1,4 @@
-"""The replicated state: manifest, drains, calls and map switches."""
+"""The replicated state of a deployment, and the commands that change it."""
 
 from cassiashift_core.state.commands import ApplyManifest
 from cassiashift_core.state.commands import CloseCall
@@ -17,6 +17,7 @@
 from cassiashift_core.state.results import CallUnknown
 from cassiashift_core.state.results import Conflict
 from cassiashift_core.state.results import DecisionApplied
+from cassiashift_core.state.results import EvacuationOrdered
 from cassiashift_core.state.results import KeyReused
 from cassiashift_core.state.results import Rejected
 from cassiashift_core.state.shared import pause_target
@@ -36,6 +37,7 @@
     'CloseCall',
     'Conflict',
     'DecisionApplied',
+    'EvacuationOrdered',
     'FindCall',
     'KeyReused',
     'Ledger',
--- a/packages/cassiashift-core/cassiashift_core/state/commands.py
+++ b/packages/cassiashift-core/cassiashift_core/state/commands.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cassiashift_core import codec
+from cassiashift_core import evacuation
 from cassiashift_core.fleet import documents
 from cassiashift_core.manifest import items
 from cassiashift_core import mapswitch
@@ -100,4 +101,5 @@
 CODEC.register('open', OpenCall)
 CODEC.register('close', CloseCall)
 CODEC.register('find', FindCall)
+CODEC.register('evacuate', evacuation.Order)
 CODEC.register('switch', mapswitch.Decision)
--- a/packages/cassiashift-core/cassiashift_core/state/machine.py
+++ b/packages/cassiashift-core/cassiashift_core/state/machine.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cassiashift_core import codec
+from cassiashift_core import evacuation
 from cassiashift_core.fleet import documents
 from cassiashift_core import mapswitch
 from cassiashift_core.state import commands
@@ -44,6 +45,8 @@
         document: the committed configuration of routes by operators.
         pending_documents: new committed configurations that the owner has yet
             to fetch.
+        pending_evacuations: new committed states of evacuations that the
+            owner has yet to fetch.
     """
 
     shared: shared_state.SharedState = attrs.field(
@@ -58,6 +61,9 @@
     )
     document: documents.Document = documents.Document()
     pending_documents: list[documents.Document] = attrs.field(factory=list)
+    pending_evacuations: list[evacuation.Evacuations] = attrs.field(
+        factory=list
+    )
     _answers: dict[str, bytes] = attrs.field(factory=dict)
     _commands_applied: int = 0
 
@@ -161,7 +167,29 @@
         if standing is documents.Standing.NEWER:
             self.document = command.document
             self.pending_documents.append(command.document)
-        return results.DocumentCompared(standing, self.document.version)
+        return results.DocumentCompared(
+            standing, self.document.version, self.shared.evacuations
+        )
+
+    @_apply.register
+    def _(self, command: evacuation.Order, index: int) -> Any:
+        answer = self._answers.get(command.request_id)
+        if command.request_id and answer is not None:
+            return results.CODEC.decode(answer)
+        held = self.shared.evacuations
+        standing = held.compare(command)
+        if standing is evacuation.Standing.TAKEN:
+            taken = held.apply(command, index)
+            self._apply_delta(
+                shared_state.SharedDelta(index, evacuations=taken)
+            )
+            self.pending_evacuations.append(taken)
+        result = results.EvacuationOrdered(standing, self.shared.evacuations)
+        if command.request_id and standing is not (
+            evacuation.Standing.SUPERSEDED
+        ):
+            self._remember_answer(command.request_id, result)
+        return result
 
     def _apply_manifest(
         self, command: commands.ApplyManifest, index: int
@@ -193,6 +221,12 @@
         self.pending_documents = []
         return pending
 
+    def pop_evacuations(self) -> list[evacuation.Evacuations]:
+        """Return and clear the pending states of evacuations."""
+        pending = self.pending_evacuations
+        self.pending_evacuations = []
+        return pending
+
     def _apply_delta(
         self, delta: shared_state.SharedDelta
     ) -> results.Accepted:
--- a/packages/cassiashift-core/cassiashift_core/state/results.py
+++ b/packages/cassiashift-core/cassiashift_core/state/results.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cassiashift_core import codec
+from cassiashift_core import evacuation
 from cassiashift_core.fleet import documents
 
 CODEC = codec.Codec()
@@ -40,10 +41,25 @@
 
     Attributes:
         version: the version in force after the command.
+        evacuations: the evacuated data centres after the command, so that a
+            read confirms both.
     """
 
     standing: documents.Standing
     version: int
+    evacuations: evacuation.Evacuations = evacuation.Evacuations()
+
+
+@attrs.frozen
+class EvacuationOrdered:
+    """How an order of an evacuation compares to the state.
+
+    Attributes:
+        evacuations: the state after the order.
+    """
+
+    standing: evacuation.Standing
+    evacuations: evacuation.Evacuations
 
 
 @attrs.frozen
@@ -102,6 +118,7 @@
 for _tag, _cls in (
     ('accepted', Accepted),
     ('document', DocumentCompared),
+    ('evacuation', EvacuationOrdered),
     ('conflict', Conflict),
     ('rejected', Rejected),
     ('opened', CallOpened),
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -8,6 +8,7 @@
 
 from cassiashift_core import codec
 from cassiashift_core import consensus
+from cassiashift_core import evacuation
 from cassiashift_core import fleet
 from cassiashift_core import mapswitch
 from cassiashift_core import membership
@@ -355,6 +356,8 @@
     CODEC.register(f'switch.{_cls.__name__}', _cls)
 for _cls in rankmaps.MESSAGE_TYPES:
     CODEC.register(f'rank.{_cls.__name__}', _cls)
+for _cls in evacuation.MESSAGE_TYPES:
+    CODEC.register(f'evacuation.{_cls.__name__}', _cls)
 for _cls in poison.MESSAGE_TYPES:
     CODEC.register(f'poison.{_cls.__name__}', _cls)
 for _cls in mapswitch.ORDER_TYPES:
--- /dev/null
+++ b/tests/core/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tables of entries and upstreams."""
--- a/tests/daemon/test_decoders.py
+++ b/tests/daemon/test_decoders.py
@@ -14,6 +14,7 @@
 from cassiashift_core import CassiashiftError
 from cassiashift_core import codec
 from cassiashift_core import consensus
+from cassiashift_core import evacuation
 from cassiashift_core import manifest
 from cassiashift_core import mapswitch
 from cassiashift_core import membership
@@ -34,6 +35,9 @@
     messages.PoolQuery('a'),
     messages.SurveyAnswer('t', (), ()),
     consensus.TimeoutNow(3),
+    evacuation.EvacuationPush(
+        evacuation.Evacuations(9, {'east': evacuation.Record(9, True)})
+    ),
     spread.messages.Pull(3),
     membership.messages.Ping(1),
     messages.Fence('1.2.3'),
@@ -44,6 +48,7 @@
 COMMANDS = (
     state.ApplyManifest('id', 0, manifest.Delta((('models/m', b'{}'),))),
     state.SetDrain('id', 'a', True),
+    evacuation.Order('east', True, 3, 1.0),
     state.OpenCall('w', 'k', 'd', 'a', 'u', 1.0, 2.0),
     state.CloseCall('w', 'k', 'a', Verdict.RAN, 200, 'x', b'y'),
     mapswitch.Decision('g', mapswitch.DecisionKind.OPEN, 1, 1, 0, ('r',)),
