Evacuate data centres at direct entries

Cause: the operators' calls to start and end an evacuation get 404, and an entry has no means to keep requests away from a data centre.

Change: POST evacuations/NAME/start and /end on the control listener order it through the log; 400 for a body, 404 for a data centre that the settings don't name under zones, and 503 for everything else, also for an order that a later one has overtaken. EvacuationRunner applies newer states, pushes them to followers, broadcasts an own order, and pulls or pushes a state after a hello with another revision. UpstreamTable.accepting leaves out the upstreams of evacuated data centres; queued requests move or are refused at once. A voter has the evacuations confirmed by the read that confirms its configuration; other entries get both in one DocumentPush. on_ended is called with each data centre that returns.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -40,6 +40,7 @@
 SHORTEST_RETRY_AFTER_S = 0.1
 NO_ROOM = 'all upstreams back off or have reached their limits'
 LONGEST_RETRY_AFTER_S = 2.0
+EVACUATED = 'all upstreams are in evacuated data centres'
 
 
 @attrs.define(eq=False)
@@ -81,6 +82,8 @@
             CassiashiftError: OVERLOADED or NO_UPSTREAM; nothing was sent.
         """
         if not self.runner.upstreams.accepting(call.service, now):
+            if self.runner.upstreams.is_evacuated(call.service):
+                raise self._refusal(call, EVACUATED)
             raise self._refusal(call, 'no upstream is known')
         max_wait_s = QUEUE_WAIT_SHARE * (call.ends_at - now)
         if call.route.kind is routes.Kind.STREAM:
@@ -133,8 +136,7 @@
     def tick(self) -> None:
         """Place queued requests, and refuse those that waited too long."""
         now = time.monotonic()
-        for service in self.queue.services():
-            self.serve_queue(service)
+        self.apply_evacuations()
         for queued in self.queue.expired(now):
             self._refuse_queued(queued, 'waited too long')
 
@@ -148,6 +150,29 @@
                 if not queued.fut.done():
                     queued.fut.set_exception(exc)
 
+    def apply_evacuations(self) -> None:
+        """Place the queued requests elsewhere, or refuse them at once."""
+        for service in self.queue.services():
+            if self.runner.upstreams.is_evacuated(service):
+                self._refuse_evacuated(service)
+            else:
+                self.serve_queue(service)
+
+    def _refuse_evacuated(self, service: str) -> None:
+        waiting = [
+            queued
+            for queued in self.queue.waiting()
+            if queued.service == service
+        ]
+        for queued in waiting:
+            self._refuse_queued(queued, EVACUATED)
+        logs.warning(
+            'queue_evacuated',
+            service=service,
+            refused=len(waiting),
+            evacuated=','.join(sorted(self.runner.upstreams.evacuated)),
+        )
+
     def use_permit(self, service: str) -> None:
         """Serve or refuse queued requests after an issuer's answer."""
         self.serve_queue(service)
@@ -186,6 +211,9 @@
         failed_at = self._group_failed_at.get(call.service, -GROUP_RECOVERY_S)
         if now - failed_at < GROUP_RECOVERY_S:
             wait_s = max(wait_s, GROUP_RECOVERY_S / (1 + RETRY_AFTER_SPREAD))
+        if self.runner.upstreams.is_evacuated(call.service):
+            # An evacuation lasts for minutes; returns sooner are of no use.
+            wait_s = LONGEST_RETRY_AFTER_S
         wait_s = min(
             max(wait_s, SHORTEST_RETRY_AFTER_S), LONGEST_RETRY_AFTER_S
         )
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
@@ -1,17 +1,22 @@
 """Functions of a direct entry that a platform's adapter calls."""
 
+import asyncio
 from collections.abc import Callable
 import time
+from typing import Any
 
 import attrs
 
 from cassiashift_core import CassiashiftError
 from cassiashift_core import ErrorCode
+from cassiashift_core import evacuation
 from cassiashift_core import fleet
 from cassiashift_core import routes
 from cassiashift_core.state import commands
+from cassiashift_core.state import results
 from cassiashift_daemon.direct import config
 from cassiashift_daemon.direct import dialect
+from cassiashift_daemon.direct import evacuation_runner
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon.direct import tables
 from cassiashift_daemon import logs
@@ -20,6 +25,9 @@
 # Callers of the control API stop waiting after one second.
 COMMIT_TIMEOUT_S = 2.5
 READ_TIMEOUT_S = 0.8
+# A process that was suspended finds an operator's call and the end of its
+# connection at once; the call is cancelled within this time.
+CALL_SETTLED_S = 0.01
 # An attempt at an unreachable voter ends early enough to try two others.
 TRY_TIMEOUT_S = 0.4
 # The directory may name a lost host for this long at most; a look-up costs
@@ -47,6 +55,7 @@
     runner: fleet_runner.FleetRunner
     holder: tables.TableHolder
     proposer: proposals.Proposer
+    evacuations: evacuation_runner.EvacuationRunner
     started_at: float = attrs.field(factory=time.monotonic)
 
     def record_heartbeat(self, upstream: fleet.Upstream) -> None:
@@ -79,7 +88,9 @@
         document = fleet.Document.from_content(
             table.version, tables.compress(content), content
         )
-        result = await self._propose(document, COMMIT_TIMEOUT_S)
+        result = await self._propose(
+            commands.PutDocument(document), COMMIT_TIMEOUT_S
+        )
         logs.info(
             'configuration_offered',
             version=table.version,
@@ -114,19 +125,67 @@
         Raises:
             CassiashiftError: NO_QUORUM when no majority answered in time.
         """
-        result = await self._propose(fleet.Document(), READ_TIMEOUT_S)
-        return result.version
+        return (await self.read_newest()).version
+
+    async def read_newest(self) -> results.DocumentCompared:
+        """Read the newest version and the evacuations through the log.
+
+        The evacuations come into force here.
+
+        Raises:
+            CassiashiftError: NO_QUORUM when no majority answered in time.
+        """
+        result = await self._propose(
+            commands.PutDocument(fleet.Document()), READ_TIMEOUT_S
+        )
+        self.evacuations.apply(result.evacuations, 'log')
+        return result
+
+    async def evacuate(self, data_centre: str, *, is_start: bool) -> None:
+        """Start or end the evacuation of a data centre.
+
+        Raises:
+            CassiashiftError: NOT_FOUND; CONFLICT for a late order; NO_QUORUM,
+                and it may still take effect.
+        """
+        received_at, at_s = time.monotonic(), time.time()
+        evacuation.check_known(data_centre, self.cfg.data_centres)
+        self._require_voters()
+        view = self.evacuations.view
+        if not view.is_known:
+            await self.read_newest()
+        order = evacuation.Order(
+            data_centre, is_start, view.state.revision, at_s
+        )
+        try:
+            await asyncio.sleep(CALL_SETTLED_S)
+            standing = await self._propose_order(order, received_at)
+        except CassiashiftError as exc:
+            self.evacuations.record_order(order, exc.code.value)
+            raise
+        self.evacuations.record_order(order, standing.value)
+
+    async def _propose_order(
+        self, order: evacuation.Order, received_at: float
+    ) -> evacuation.Standing:
+        now, valid_s = time.monotonic(), self.cfg.bounds.order_s
+        evacuation.check_fresh(received_at, now, valid_s)
+        left_s = evacuation.remaining_s(received_at, now, valid_s)
+        result = await self._propose(order, min(COMMIT_TIMEOUT_S, left_s))
+        self.evacuations.apply(result.evacuations, 'log')
+        if result.standing is evacuation.Standing.TAKEN:
+            self.evacuations.broadcast()
+        evacuation.check_taken(order, result.standing)
+        return result.standing
 
-    async def _propose(self, document: fleet.Document, timeout_s: float):
+    async def _propose(self, command: Any, timeout_s: float) -> Any:
         addresses = self.proposer.voters
         addresses.clear()
         addresses.update(
             (host, self.cfg.link_of(host))
             for host in self.runner.voter_hosts()
         )
-        return await self.proposer.propose(
-            commands.PutDocument(document), timeout_s
-        )
+        return await self.proposer.propose(command, timeout_s)
 
     def _require_voters(self) -> None:
         """Raise NO_QUORUM while too few hosts vote for the tolerated losses.
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
@@ -27,6 +27,9 @@
         retry_slack: retries in a window that are allowed in addition, over
             all entries.
         retry_window_s: length of that window in seconds.
+        evacuation_s: seconds until an evacuation is in force at every entry.
+        order_s: seconds for which operators resend an order of an
+            evacuation; an older one is not proposed.
         longest_ttl_s: longest time in seconds that callers may cache an
             answer of the directory.
     """
@@ -34,6 +37,8 @@
     apply_s: float = 2.0
     drain_s: float = 2.0
     grace_s: float = 8.0
+    evacuation_s: float = 5.0
+    order_s: float = 5.0
     retry_ratio: float = 0.2
     retry_slack: float = 0.0
     retry_window_s: float = 10.0
@@ -52,6 +57,8 @@
         is_first_start: the whole system starts with empty disks.
         tolerated_losses: how many hosts with a disk may be lost at once.
         heartbeat_s: seconds between two heartbeats of an upstream.
+        data_centres: names of the data centres that can be evacuated; empty
+            if they are not stated.
     """
 
     host: str
@@ -64,6 +71,7 @@
     is_first_start: bool = False
     tolerated_losses: int = 0
     heartbeat_s: float = 1.0
+    data_centres: frozenset[str] = frozenset()
     bounds: Bounds = Bounds()
 
     def link_of(self, host: str) -> str:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from cassiashift_core import evacuation
 from cassiashift_core import fleet
 from cassiashift_core import poison
 from cassiashift_daemon.direct import config
@@ -58,6 +59,11 @@
         log_voters: hosts of the voter set that this entry knows.
         secret: the oldest secret of an entry that it has heard of.
         blocks_digest: returns the digest of the blocked parts of prompts.
+        evacuations: the evacuated data centres in force at this entry.
+        on_evacuations: called with a state of evacuations that came with a
+            configuration, and its source.
+        on_revision: called with a host and the revision of the evacuations
+            that its hello names.
     """
 
     cfg: config.DirectConfig
@@ -67,6 +73,13 @@
     holder: tables.TableHolder
     started_ns: int
     blocks_digest: Callable[[], int] = lambda: 0
+    evacuations: evacuation.EvacuationView = attrs.field(
+        factory=evacuation.EvacuationView
+    )
+    on_evacuations: Callable[[evacuation.Evacuations, str], Any] = (
+        lambda state, source: None
+    )
+    on_revision: Callable[[str, int], None] = lambda host, revision: None
     is_ready: bool = False
     is_leaving: bool = False
     requests_per_s: float = 0.0
@@ -92,7 +105,7 @@
     def hello_interval_s(self) -> float:
         """Return the seconds between two hellos to every entry."""
         bounds = self.cfg.bounds
-        soonest_s = min(bounds.apply_s, bounds.drain_s)
+        soonest_s = min(bounds.apply_s, bounds.drain_s, bounds.evacuation_s)
         return min(LONGEST_HELLO_INTERVAL_S, HELLO_INTERVAL_SHARE * soonest_s)
 
     def own_record(self) -> fleet.EntryRecord:
@@ -218,6 +231,7 @@
             self.upstreams.digest(),
             self.blocks_digest(),
             self.secret,
+            self.evacuations.state.revision,
         )
 
     def record_heartbeat(self, upstream: fleet.Upstream) -> None:
@@ -258,11 +272,14 @@
             self.broadcast(fleet.UpstreamNews((), (changed,)))
 
     def push_document(self, document: fleet.Document) -> None:
-        """Send a configuration to the entries without a data folder.
+        """Send a configuration to the entries without a data folder."""
+        self.push_to_followers(self._document_push(document))
+
+    def push_to_followers(self, push: Any) -> None:
+        """Send what the log holds to the entries without a data folder.
 
         Only those of this data centre, and of data centres without a voter.
         """
-        push = fleet.DocumentPush(document.version, document.body)
         records = self.live_records()
         with_voter = {record.data_centre for record in records if record.store}
         with_voter.discard(self.cfg.data_centre)
@@ -291,11 +308,12 @@
         if self._is_near(record) and message.sightings:
             self._relay_sightings(message.sightings)
         if not self._has_same_digests(message):
-            self._send_throttled(record.host, fleet.TablePull(self.cfg.host))
+            self.send_throttled(record.host, fleet.TablePull(self.cfg.host))
         if message.blocks_digest not in (0, self.blocks_digest()):
-            self._send_throttled(record.host, poison.BlockPull(self.cfg.host))
+            self.send_throttled(record.host, poison.BlockPull(self.cfg.host))
+        self.on_revision(record.host, message.evacuations_revision)
         if record.document_version > self.holder.version:
-            self._send_throttled(
+            self.send_throttled(
                 record.host,
                 fleet.DocumentPull(self.cfg.host, self.holder.version),
             )
@@ -341,13 +359,16 @@
         """Reply with the configuration if it is newer than the sender's."""
         document = self.holder.document
         if document.version > message.version:
-            push = fleet.DocumentPush(document.version, document.body)
-            self.send(message.host, push)
+            self.send(message.host, self._document_push(document))
 
     def on_document_push(
         self, sender: links.Sender, message: fleet.DocumentPush
     ) -> None:
-        """Apply a committed configuration if it is newer."""
+        """Apply a committed configuration if it is newer.
+
+        The evacuations come into force first.
+        """
+        self.on_evacuations(message.evacuations, sender.host)
         self.holder.apply_if_newer(
             fleet.Document(message.version, message.body), sender.host
         )
@@ -383,9 +404,12 @@
         """
         document = self.holder.document
         if now - self.holder.since > PUSH_MISSED_S:
-            self._send_throttled(
-                host, fleet.DocumentPush(document.version, document.body)
-            )
+            self.send_throttled(host, self._document_push(document))
+
+    def _document_push(self, document: fleet.Document) -> fleet.DocumentPush:
+        return fleet.DocumentPush(
+            document.version, document.body, self.evacuations.state
+        )
 
     def _has_same_digests(self, hello: fleet.Hello) -> bool:
         return (hello.nodes_digest, hello.upstreams_digest) == (
@@ -411,7 +435,7 @@
         """Send a message to an entry."""
         self.links.send(self.cfg.link_of(host), message)
 
-    def _send_throttled(self, host: str, message: Any) -> None:
+    def send_throttled(self, host: str, message: Any) -> None:
         """Send a message unless one of its type was just sent to the host."""
         now = time.monotonic()
         key = (host, type(message))
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
@@ -63,6 +63,12 @@
             ('outcome',),
             registry=registry,
         )
+        self._evacuations = prometheus_client.Counter(
+            'cassiashift_evacuation_orders',
+            'Orders of operators on evacuations, by order and outcome.',
+            ('order', 'outcome'),
+            registry=registry,
+        )
         self._gauges = prometheus_client.Gauge(
             'cassiashift_state',
             'State of this entry, by name.',
@@ -94,6 +100,10 @@
         """Count an issuer's answer: granted, denied or too late."""
         self._permits.labels(outcome).inc()
 
+    def record_evacuation(self, order: str, outcome: str) -> None:
+        """Count an order of an operator to start or end an evacuation."""
+        self._evacuations.labels(order, outcome).inc()
+
     def text(self, **gauges: float) -> bytes:
         """Set the gauges and return all metrics as text."""
         for name, value in gauges.items():
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -9,11 +9,13 @@
 
 from cassiashift_core import CassiashiftError
 from cassiashift_core import consensus
+from cassiashift_core import evacuation
 from cassiashift_core import fleet
 from cassiashift_core import poison
 from cassiashift_daemon.direct import api
 from cassiashift_daemon.direct import config
 from cassiashift_daemon.direct import dialect
+from cassiashift_daemon.direct import evacuation_runner
 from cassiashift_daemon.direct import exchange
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon.direct import ingress
@@ -167,6 +169,9 @@
             holder=self.holder,
             started_ns=time.time_ns(),
         )
+        self.evacuations = evacuation_runner.EvacuationRunner(
+            runner=self.runner, metrics=self.metrics
+        )
         self.voting = voting.VoterSupervisor(
             cfg=cfg,
             deployment=self.adapter.deployment,
@@ -174,6 +179,7 @@
             runner=self.runner,
             rng=self.rng,
             on_document=self._apply_committed,
+            on_evacuations=self._apply_committed_evacuations,
         )
 
     def _open_ingress(self) -> None:
@@ -198,6 +204,9 @@
         )
         self.runner.blocks_digest = lambda: self.guard.table.digest
         self.guard.sharing.on_blocked = self.placement.admission.refuse_blocked
+        self.evacuations.on_changed = (
+            self.placement.admission.apply_evacuations
+        )
         self.exchange.on_leaving = self._record_leaving
         self.exchange.on_back_off = self._record_back_off
         self.exchange.on_limit = self.runner.record_limit
@@ -224,6 +233,7 @@
             runner=self.runner,
             holder=self.holder,
             proposer=self.proposer,
+            evacuations=self.evacuations,
         )
         self.directory = api.DirectoryApi(
             cfg=self.cfg, runner=self.runner, is_serving=self._is_serving
@@ -231,7 +241,12 @@
 
     def _register_handlers(self) -> None:
         register = self.dispatcher.register
-        for part in (self.runner, self.guard.sharing, self.permits):
+        for part in (
+            self.runner,
+            self.guard.sharing,
+            self.permits,
+            self.evacuations,
+        ):
             for cls, handler in part.handlers().items():
                 register(cls, handler)
         for cls in consensus.MESSAGE_TYPES.values():
@@ -285,16 +300,28 @@
         started = time.monotonic()
         while True:
             try:
-                version = await self.control.newest_version()
+                newest = await self.control.read_newest()
                 break
             except CassiashiftError as exc:
                 logs.warning('log_not_confirmed', reason=exc.message)
         logs.info(
             'log_confirmed',
-            version=version,
+            version=newest.version,
+            evacuations=newest.evacuations.revision,
             after_s=time.monotonic() - started,
         )
-        self._apply_confirmed(self.confirmation.confirm(version))
+        document = self.confirmation.confirm(
+            newest.version, newest.evacuations
+        )
+        self.evacuations.apply_committed(self.confirmation.evacuations)
+        self._apply_confirmed(document)
+
+    def _apply_committed_evacuations(
+        self, state: evacuation.Evacuations
+    ) -> None:
+        confirmed = self.confirmation.offer_evacuations(state)
+        if confirmed is not None:
+            self.evacuations.apply_committed(confirmed)
 
     def _apply_committed(self, document: fleet.Document) -> None:
         self._apply_confirmed(self.confirmation.offer(document))
@@ -345,5 +372,6 @@
             log_term=0 if voter is None else voter.replica.term,
             log_commit=0 if voter is None else voter.replica.commit_index,
             leads=float(self.voting.is_leader),
+            **self.evacuations.gauges(),
         )
         return web.Response(body=text, content_type=metrics.CONTENT_TYPE)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
@@ -16,6 +16,7 @@
 
 from cassiashift_core import CassiashiftError
 from cassiashift_core import consensus
+from cassiashift_core import evacuation
 from cassiashift_core import fleet
 from cassiashift_core import state
 from cassiashift_daemon.direct import config
@@ -64,6 +65,7 @@
 
     Attributes:
         on_document: called with each committed configuration.
+        on_evacuations: called with each committed state of evacuations.
         voter: None while the data folder can't be used.
     """
 
@@ -73,6 +75,9 @@
     runner: fleet_runner.FleetRunner
     rng: random.Random
     on_document: Callable[[fleet.Document], None]
+    on_evacuations: Callable[[evacuation.Evacuations], None] = (
+        lambda evacuations: None
+    )
     voter: voters.Voter | None = None
     _failed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _changed_at: float = 0.0
@@ -196,6 +201,7 @@
             on_event=_ignore_event,
             on_failed=self._on_failed,
             on_document=self.on_document,
+            on_evacuations=self.on_evacuations,
         )
         logs.info(
             'voter_opened',
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -13,6 +13,7 @@
 import attrs
 
 from cassiashift_core import consensus
+from cassiashift_core import evacuation
 from cassiashift_core import fleet
 from cassiashift_core import spread
 from cassiashift_core import state
@@ -54,6 +55,7 @@
             storage or its replica has failed.
         on_decision: called with each committed decision of a map switch.
         on_document: called with each committed configuration.
+        on_evacuations: called with each committed state of evacuations.
         on_advanced: called after entries were applied, after a snapshot was
             installed and after the role has changed.
     """
@@ -67,6 +69,9 @@
     on_failed: Callable[[str], None]
     on_decision: Callable[[Any], None] = lambda event: None
     on_document: Callable[[fleet.Document], None] = lambda document: None
+    on_evacuations: Callable[[evacuation.Evacuations], None] = (
+        lambda evacuations: None
+    )
     on_advanced: Callable[[], None] = lambda: None
     _senders: dict[str, links.Sender] = attrs.field(factory=dict)
     _pending: dict[int, _PendingProposal] = attrs.field(factory=dict)
@@ -189,6 +194,8 @@
             self.on_event(spread.Committed(delta.revision, delta.encode()))
         for event in self.machine.pop_decisions():
             self.on_decision(event)
+        for evacuations in self.machine.pop_evacuations():
+            self.on_evacuations(evacuations)
         for document in self.machine.pop_documents():
             self.on_document(document)
         self.on_advanced()
@@ -201,6 +208,7 @@
         self._refuse_pending()
         shared = self.machine.shared
         self.on_event(spread.Restored(shared.revision, shared.encode()))
+        self.on_evacuations(shared.evacuations)
         self.on_document(self.machine.document)
         self.on_advanced()
         self._report_commit()
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -14,6 +14,7 @@
 from cassiashift_core import routes
 from cassiashift_daemon.direct import config
 from cassiashift_daemon.direct import dialect
+from cassiashift_daemon.direct import evacuation_runner
 from cassiashift_daemon.direct import exchange
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon.direct import ingress
@@ -175,6 +176,7 @@
 
     ingress: ingress.Ingress
     runner: fleet_runner.FleetRunner
+    evacuations: evacuation_runner.EvacuationRunner
     url: str
     session: aiohttp.ClientSession
     servers: list = attrs.field(factory=list)
@@ -188,7 +190,7 @@
         """Close the listener of the upstream of a number, from 0."""
         self.servers[number].close()
 
-    async def upstream(self, service, *scripts):
+    async def upstream(self, service, *scripts, data_centre='east'):
         """Start and register an upstream with scripts for its requests."""
         upstream = ScriptedUpstream(scripts=list(scripts))
         server = await asyncio.start_server(upstream.serve, '127.0.0.1', 0)
@@ -196,7 +198,9 @@
         upstream.address = '{}:{}'.format(*server.sockets[0].getsockname())
         id_ = f'{service}-{len(self.servers)}'
         self.runner.upstreams.apply(
-            fleet.Upstream(id_, service, upstream.address, 'east', slots=2),
+            fleet.Upstream(
+                id_, service, upstream.address, data_centre, slots=2
+            ),
             0.0,
         )
         return upstream
@@ -284,6 +288,11 @@
         started_ns=1,
     )
     handler = _ingress(cfg, holder, runner)
+    evacuations = evacuation_runner.EvacuationRunner(
+        runner=runner,
+        metrics=handler.metrics,
+        on_changed=handler.placement.admission.apply_evacuations,
+    )
     server = web.ServerRunner(
         web.Server(handler.handle, handler_cancellation=True, access_log=None)
     )
@@ -292,7 +301,9 @@
     await listener.start()
     port = server.addresses[0][1]
     async with aiohttp.ClientSession() as session:
-        built = Site(handler, runner, f'http://127.0.0.1:{port}', session)
+        built = Site(
+            handler, runner, evacuations, f'http://127.0.0.1:{port}', session
+        )
         yield built
     for upstream in built.servers:
         upstream.close()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -82,6 +82,7 @@
     'heartbeatMs': 1200,
     'faultTolerance': {'machines': 1},
     'bounds': {'configApplyMs': 2500, 'gracePeriodS': 8},
+    'zones': {'east': 'west', 'north': 'west'},
     'new': 'ignored',
 }
 
@@ -187,6 +188,7 @@
     assert_that(cfg.bounds.apply_s, matchers.Equals(2.5))
     assert_that(cfg.heartbeat_s, matchers.Equals(1.2))
     assert_that(cfg.data_dir, matchers.Equals(''))
+    assert_that(cfg.data_centres, matchers.Equals({'east', 'north'}))
 
 
 @pytest.mark.parametrize(
--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -90,6 +90,7 @@
             'ip': self.ip,
             'zone': 'east',
             'region': 'r',
+            'zones': {'east': 'r', 'west': 'r'},
             'listen': {
                 name: f'{self.ip}:{port}' for name, port in PORTS.items()
             },
@@ -216,6 +217,24 @@
                     return (await response.json())['version']
         return None
 
+    async def evacuate(self, entry, name, action, body=None):
+        """Order an evacuation; return the status, 0 without an answer."""
+        path = f'/cassiashift/evacuations/{name}/{action}'
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with self.session.post(
+                entry.url('control', path), data=body
+            ) as response:
+                return response.status
+        return 0
+
+    async def evacuate_until_acknowledged(self, entry, name, action):
+        """Order an evacuation until the order is acknowledged."""
+
+        async def is_acknowledged():
+            return await self.evacuate(entry, name, action) == 200
+
+        await self.wait_until(is_acknowledged)
+
     async def call(self, entry, route, id_):
         """Send a request; return status and body, 0 without an answer."""
         headers = {
