Bound the requests at an upstream over all entries

Cause: an entry knew only its own requests in flight and could use all slots of an engine by itself: 35 entries times 5 slots where an upstream has 5. So requests waited unseen in the upstreams.

Change: entries with requests in flight at services with an engine send work digests to the entries that are busy or were lately. core/workload adds them to the conditions of the upstreams, and withdraws them when they expire, when their sender ends or restarts, and when they arrive much later than usual. Placing chooses the least loaded upstream over all entries and sends nothing beyond the limit of admission. Where requests wait at several entries, each one uses capacity in proportion to its demand; capacity of entries whose digests have stopped is shared. Services without an engine are placed as before, and no digest is sent for them.

--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -31,6 +31,7 @@
 from cassiashift_core.fleet.permits import Issuer
 from cassiashift_core.fleet.permits import PERMIT_VALID_S
 from cassiashift_core.fleet.steering import choose_entries
+from cassiashift_core.fleet.upstreams import short_id
 from cassiashift_core.fleet.upstreams import UpstreamTable
 from cassiashift_core.fleet.voters import next_voter_change
 
@@ -68,4 +69,5 @@
     'next_voter_change',
     'parse_limit',
     'sends_frequent_hellos',
+    'short_id',
 ]
--- a/packages/cassiashift-core/cassiashift_core/fleet/conditions.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/conditions.py
@@ -29,6 +29,11 @@
 
     Attributes:
         in_flight: requests of this entry that have not ended.
+        work_ms: expected time until those are done.
+        tokens: tokens that they hold in the upstream's memory.
+        others_in_flight: requests of the other entries, by their digests;
+            likewise ``others_work_ms`` and ``others_tokens``.
+        others_at: time of the newest of those figures.
         failure_share: moving average of failed requests, 0 to 1.
         full_until: time until which it is skipped after a refusal.
         backs_off_until: time until which it has asked for no requests.
@@ -37,6 +42,12 @@
     """
 
     in_flight: int = 0
+    work_ms: float = 0.0
+    tokens: int = 0
+    others_in_flight: int = 0
+    others_work_ms: float = 0.0
+    others_tokens: int = 0
+    others_at: float = -math.inf
     failures_in_row: int = 0
     failure_share: float = 0.0
     full_until: float = 0.0
@@ -52,6 +63,28 @@
         """Return whether a request needs a permit."""
         return self.limit.per_s > 0
 
+    @property
+    def all_in_flight(self) -> int:
+        """Return the requests in flight of all entries, as far as known."""
+        return self.in_flight + self.others_in_flight
+
+    def add_others(
+        self, in_flight: int, work_ms: float, tokens: int, now: float
+    ) -> None:
+        """Add the work that another entry has in flight."""
+        self.others_in_flight += in_flight
+        self.others_work_ms += work_ms
+        self.others_tokens += tokens
+        self.others_at = max(self.others_at, now)
+
+    def remove_others(
+        self, in_flight: int, work_ms: float, tokens: int
+    ) -> None:
+        """Withdraw work that ``add_others`` has added."""
+        self.others_in_flight -= in_flight
+        self.others_work_ms = max(0.0, self.others_work_ms - work_ms)
+        self.others_tokens -= tokens
+
     def record_send(self, now: float) -> None:
         """Record that a request was sent."""
         self.breaker.record_send(now)
--- a/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
@@ -54,6 +54,8 @@
     silent_after_s: float
     forget_after_s: float
     _rows: dict[str, _Row] = attrs.field(factory=dict)
+    # Rows by the short names of their upstreams in work digests.
+    _by_short: dict[int, _Row] = attrs.field(factory=dict)
     _digest: int | None = None
 
     def apply(
@@ -74,6 +76,8 @@
             upstream = _with_later_state(upstream, old.state)
         else:
             row.condition = conditions.Condition()
+            self._by_short.pop(short_id(old), None)
+            self._by_short[short_id(upstream)] = row
         row.received_at = now
         row.upstream = upstream
         if _without_sequence(upstream) == _without_sequence(old):
@@ -190,6 +194,19 @@
         held = self._held_condition(upstream.id, upstream.born_ms)
         return conditions.Condition() if held is None else held
 
+    def condition_of_short(self, short: int) -> conditions.Condition | None:
+        """Return the condition of a start by its short name, or None."""
+        row = self._by_short.get(short)
+        return None if row is None else row.condition
+
+    def in_use(self) -> list[tuple[messages.Upstream, conditions.Condition]]:
+        """Return the upstreams at which this entry has requests in flight."""
+        return [
+            (row.upstream, row.condition)
+            for row in self._rows.values()
+            if row.condition.in_flight
+        ]
+
     def accepting(self, service: str, now: float) -> list[messages.Upstream]:
         """Return the upstreams of a service that accept new requests.
 
@@ -221,6 +238,7 @@
         ]
         for upstream in dropped:
             del self._rows[upstream.id]
+            self._by_short.pop(short_id(upstream), None)
         if dropped:
             self._digest = None
         return dropped
@@ -251,7 +269,8 @@
     def _add(
         self, upstream: messages.Upstream, now: float
     ) -> messages.Upstream:
-        self._rows[upstream.id] = _Row(upstream, now)
+        row = self._rows[upstream.id] = _Row(upstream, now)
+        self._by_short[short_id(upstream)] = row
         self._resolve_address(upstream)
         return upstream
 
@@ -282,6 +301,11 @@
             )
 
 
+def short_id(upstream: messages.Upstream) -> int:
+    """Return the name of a start of an upstream in work digests."""
+    return hashing.short_id(upstream.id, str(upstream.born_ms))
+
+
 def _start_time(row: _Row) -> int:
     return row.upstream.born_ms
 
--- a/packages/cassiashift-core/cassiashift_core/hashing.py
+++ b/packages/cassiashift-core/cassiashift_core/hashing.py
@@ -29,3 +29,8 @@
 def stable_digest(data: bytes) -> int:
     """Return a 64-bit digest of bytes, equal on every host and run."""
     return xxhash.xxh3_64_intdigest(data)
+
+
+def short_id(*parts: str) -> int:
+    """Return a 32-bit hash of strings, equal on every host and run."""
+    return stable_hash(*parts) & 0xFFFFFFFF
--- a/packages/cassiashift-core/cassiashift_core/placing/chooser.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/chooser.py
@@ -19,7 +19,7 @@
 class Chooser:
     """Chooses among the upstreams of a table.
 
-    ``max_in_flight`` is the maximum of requests in flight from this entry at
+    ``max_in_flight`` is the maximum of requests in flight of all entries at
     one upstream, ``excluded`` the ids of upstreams that must not be chosen.
     """
 
@@ -92,7 +92,9 @@
         best, lowest_cost = None, None
         for upstream in candidates:
             condition = self.upstreams.condition(upstream)
-            if upstream.id in excluded or condition.in_flight >= max_in_flight:
+            if upstream.id in excluded or not (
+                condition.all_in_flight < max_in_flight
+            ):
                 continue
             if not is_eligible(condition):
                 continue
@@ -104,7 +106,9 @@
     def _cost(
         self, upstream: fleet.Upstream, condition: fleet.Condition
     ) -> tuple[float, float]:
-        cost = condition.in_flight + FAILURE_PENALTY * condition.failure_share
+        cost = (
+            condition.all_in_flight + FAILURE_PENALTY * condition.failure_share
+        )
         if upstream.data_centre != self.data_centre:
             cost += DISTANCE_PENALTY
         return cost, self.rng.random()
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/workload/__init__.py
@@ -0,0 +1,33 @@
+"""Outstanding work of upstreams over all entries.
+
+An entry counts its own sends at once and learns of the others' sends by their
+work digests, which expire soon after the sender falls silent.
+"""
+
+from cassiashift_core.workload.digests import pack_rows
+from cassiashift_core.workload.digests import unpack_rows
+from cassiashift_core.workload.digests import WorkDigest
+from cassiashift_core.workload.digests import WorkRow
+from cassiashift_core.workload.schedule import plan
+from cassiashift_core.workload.schedule import Plan
+from cassiashift_core.workload.schedule import TRANSPORT_BYTES
+from cassiashift_core.workload.table import Backlog
+from cassiashift_core.workload.table import Expiry
+from cassiashift_core.workload.table import own_share
+from cassiashift_core.workload.table import RECENTLY_BUSY_S
+from cassiashift_core.workload.table import WorkTable
+
+__all__ = [
+    'Backlog',
+    'Expiry',
+    'Plan',
+    'RECENTLY_BUSY_S',
+    'TRANSPORT_BYTES',
+    'WorkDigest',
+    'WorkRow',
+    'WorkTable',
+    'own_share',
+    'pack_rows',
+    'plan',
+    'unpack_rows',
+]
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/workload/schedule.py
@@ -0,0 +1,44 @@
+"""How often an entry sends its work digest, and to whom.
+
+The bytes that an entry sends are limited, so the interval grows with the
+number of busy entries and the size of a digest. Once it has reached its
+maximum, a digest is sent to a part of the busy entries only; the others take
+this entry for idle. So neither bytes nor time grow further.
+"""
+
+from collections.abc import Collection
+
+import attrs
+
+from cassiashift_core import hashing
+
+SHORTEST_INTERVAL_S = 0.1
+# A stream takes one to two seconds: an older figure is about other requests.
+LONGEST_INTERVAL_S = 1.0
+# Of the 11 KB that control may cost an entry in a second.
+BYTES_PER_S = 6000.0
+# Added to a message by framing, TCP and IP, and by the acknowledgement.
+TRANSPORT_BYTES = 110
+
+
+@attrs.frozen
+class Plan:
+    """When the next digest is due, and who gets this one."""
+
+    interval_s: float
+    hosts: tuple[str, ...]
+
+
+def plan(own_host: str, hosts: Collection[str], size: int) -> Plan:
+    """Return the plan for a digest of a size that several entries need.
+
+    Args:
+        size: bytes of the encoded message.
+    """
+    cost = size + TRANSPORT_BYTES
+    interval_s = max(SHORTEST_INTERVAL_S, len(hosts) * cost / BYTES_PER_S)
+    if interval_s <= LONGEST_INTERVAL_S:
+        return Plan(interval_s, tuple(hosts))
+    count = max(1, int(BYTES_PER_S * LONGEST_INTERVAL_S / cost))
+    order = hashing.rendezvous_order(own_host, hosts)
+    return Plan(LONGEST_INTERVAL_S, tuple(order[:count]))
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/workload/table.py
@@ -0,0 +1,222 @@
+"""What an entry knows of the work that the others have in flight.
+
+The sums are stored in the conditions of the upstreams. This table keeps one
+digest for each busy entry, to replace or to expire its part of the sums.
+"""
+
+import math
+
+import attrs
+
+from cassiashift_core import fleet
+from cassiashift_core import hashing
+from cassiashift_core.workload import digests
+from cassiashift_core.workload import schedule
+
+# A digest expires after this number of its intervals: two may be lost.
+EXPIRY_INTERVALS = 3
+# Entries of one core were seen to handle messages 0.3 s late under load.
+SHORTEST_EXPIRY_S = 0.5
+# An entry whose digests stopped without notice may still be busy for the
+# deadline of a stream.
+SILENT_COUNTED_S = 8.0
+# Peers that this entry sends digests to after their last one.
+RECENTLY_BUSY_S = 5.0
+# Two clocks differ in rate by less than this.
+CLOCK_DRIFT = 2e-4
+# A host that sends many names must not fill the memory.
+MAX_HOSTS = 1024
+MAX_QUEUED_SERVICES = 64
+
+
+@attrs.frozen
+class Expiry:
+    """An entry whose digest expired, and the age that it had."""
+
+    host: str
+    age_s: float
+
+
+@attrs.frozen
+class Backlog:
+    """What other entries have waiting for a service.
+
+    Attributes:
+        queued: requests that wait at the entries that are heard.
+        silent: entries whose digests stopped without saying that they have
+            no work left.
+        heard: busy entries whose digests count.
+    """
+
+    queued: int = 0
+    silent: int = 0
+    heard: int = 0
+
+
+@attrs.define(eq=False)
+class _Peer:
+    """What one process of another entry has told.
+
+    Attributes:
+        offset_s: least difference seen between the clocks of this entry and
+            the sender, transit included.
+        expires_at: time at which its work no longer counts.
+        is_idle: its last digest said that it has no work.
+        queued: requests that wait there, by short names of services.
+        added: the conditions that its rows were added to.
+    """
+
+    started_ns: int
+    offset_s: float
+    sent_ms: int = -1
+    received_at: float = -math.inf
+    expires_at: float = -math.inf
+    is_idle: bool = False
+    queued: dict[int, int] = attrs.field(factory=dict)
+    added: list[tuple[fleet.Condition, digests.WorkRow]] = attrs.field(
+        factory=list
+    )
+
+    def withdraw(self) -> None:
+        """Take its work out of the conditions."""
+        for condition, row in self.added:
+            condition.remove_others(row.in_flight, row.work_ms, row.tokens)
+        self.added, self.queued = [], {}
+
+
+@attrs.define(eq=False)
+class WorkTable:
+    """Adds the work of other entries to the conditions of a table."""
+
+    upstreams: fleet.UpstreamTable
+    _peers: dict[str, _Peer] = attrs.field(factory=dict)
+
+    def apply(self, digest: digests.WorkDigest, now: float) -> bool:
+        """Replace what is known of the sender; return whether it was newer.
+
+        A digest that was in transit much longer than the fastest one of the
+        same process counts for a shorter time, or not at all.
+
+        Raises:
+            ValueError: the rows are malformed.
+        """
+        rows = digests.unpack_rows(digest.rows)
+        peer = self._peers.get(digest.host)
+        offset_s = now - digest.sent_ms / 1000
+        if peer is None or peer.started_ns != digest.started_ns:
+            self.drop(digest.host)
+            if len(self._peers) >= MAX_HOSTS:
+                return False
+            peer = _Peer(digest.started_ns, offset_s)
+            self._peers[digest.host] = peer
+        if digest.sent_ms <= peer.sent_ms:
+            return False
+        if math.isfinite(peer.received_at):
+            peer.offset_s += CLOCK_DRIFT * (now - peer.received_at)
+        peer.offset_s = min(peer.offset_s, offset_s)
+        peer.withdraw()
+        peer.sent_ms, peer.received_at = digest.sent_ms, now
+        peer.is_idle = digest.is_idle
+        lateness_s = offset_s - peer.offset_s
+        peer.expires_at = now - lateness_s + _expiry_s(digest)
+        if now < peer.expires_at:
+            self._add(peer, rows, now - lateness_s)
+            peer.queued = dict(digest.queued[:MAX_QUEUED_SERVICES])
+        return True
+
+    def drop(self, host: str) -> None:
+        """Forget an entry whose process has ended or was replaced."""
+        peer = self._peers.pop(host, None)
+        if peer is not None:
+            peer.withdraw()
+
+    def record_start(self, host: str, started_ns: int, now: float) -> None:
+        """Record that a process of an entry was first heard of.
+
+        What an earlier process told no longer counts. The new one knows
+        nothing of the others' work yet, so it counts as recently busy.
+        """
+        peer = self._peers.get(host)
+        if peer is not None and peer.started_ns == started_ns:
+            return
+        self.drop(host)
+        if len(self._peers) < MAX_HOSTS:
+            self._peers[host] = _Peer(
+                started_ns, math.inf, received_at=now, is_idle=True
+            )
+
+    def expire(self, now: float) -> list[Expiry]:
+        """Withdraw expired work and return whose it was."""
+        expired = []
+        for host, peer in list(self._peers.items()):
+            if peer.added and now >= peer.expires_at:
+                peer.withdraw()
+                expired.append(Expiry(host, now - peer.received_at))
+            if now - peer.received_at >= SILENT_COUNTED_S:
+                self.drop(host)
+        return expired
+
+    def recently_busy(self, now: float) -> list[str]:
+        """Return the entries that are busy or were so lately."""
+        return [
+            host
+            for host, peer in self._peers.items()
+            if now - peer.received_at < RECENTLY_BUSY_S
+        ]
+
+    def backlog(self, service: str, now: float) -> Backlog:
+        """Return what the other entries have waiting for a service."""
+        name = hashing.short_id(service)
+        queued = silent = heard = 0
+        for peer in self._peers.values():
+            if peer.is_idle:
+                continue
+            if now >= peer.expires_at:
+                silent += 1
+            else:
+                heard += 1
+                queued += peer.queued.get(name, 0)
+        return Backlog(queued, silent, heard)
+
+    def _add(
+        self, peer: _Peer, rows: list[digests.WorkRow], sent_at: float
+    ) -> None:
+        for row in rows:
+            condition = self.upstreams.condition_of_short(row.short_id)
+            if condition is not None:
+                condition.add_others(
+                    row.in_flight, row.work_ms, row.tokens, sent_at
+                )
+                peer.added.append((condition, row))
+
+
+def _expiry_s(digest: digests.WorkDigest) -> float:
+    interval_s = min(digest.interval_ms / 1000, schedule.LONGEST_INTERVAL_S)
+    return max(SHORTEST_EXPIRY_S, EXPIRY_INTERVALS * interval_s)
+
+
+def own_share(
+    capacity: float, own: int, own_queued: int, others: int, backlog: Backlog
+) -> float:
+    """Return how many requests an entry may have in flight at a service.
+
+    While requests wait at other entries too, capacity is divided in
+    proportion to what each entry has in flight and queued. Otherwise the
+    entry at which a request ends would always be the first to know of the
+    free slot, and the others would never get it. Capacity that no digest
+    accounts for is shared equally with the entries that have fallen silent.
+
+    Args:
+        capacity: requests in flight that all upstreams together may have.
+        own: requests that this entry has in flight.
+        own_queued: requests that wait at this entry.
+        others: requests in flight of the entries that are heard.
+    """
+    share = math.inf
+    if backlog.queued:
+        own_demand = own + max(1, own_queued)
+        demand = own_demand + others + backlog.queued
+        share = capacity * own_demand / max(capacity, demand)
+    if backlog.silent:
+        share = min(share, (capacity - others) / (1 + backlog.silent))
+    return max(1.0, share)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -58,6 +58,7 @@
         log_voters: hosts of the voter set that this entry knows.
         secret: the oldest secret of an entry that it has heard of.
         blocks_digest: returns the digest of the blocked parts of prompts.
+        on_entry_start: called with the first record of each process.
     """
 
     cfg: config.DirectConfig
@@ -67,6 +68,7 @@
     holder: tables.TableHolder
     started_ns: int
     blocks_digest: Callable[[], int] = lambda: 0
+    on_entry_start: Callable[[fleet.EntryRecord], None] = lambda record: None
     is_ready: bool = False
     is_leaving: bool = False
     requests_per_s: float = 0.0
@@ -285,7 +287,7 @@
             self.secret = min(self.secret, message.secret)
         previous = self.entries.by_host.get(record.host)
         if self.entries.update(record, now):
-            self._log_entry_change(previous, record)
+            self._record_entry_change(previous, record)
         for sighting in message.sightings:
             self.upstreams.apply_sighting(sighting, now)
         if self._is_near(record) and message.sightings:
@@ -419,9 +421,12 @@
             self._sent_at[key] = now
             self.send(host, message)
 
-    def _log_entry_change(
+    def _record_entry_change(
         self, previous: fleet.KnownEntry | None, record: fleet.EntryRecord
     ) -> None:
+        """Log a change of an entry's record; announce a new process."""
+        if previous is None or previous.record.started_ns != record.started_ns:
+            self.on_entry_start(record)
         if previous is not None:
             old = previous.record
             if (old.is_ready, old.is_leaving, old.started_ns) == (
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -10,6 +10,7 @@
 from cassiashift_core import ErrorCode
 from cassiashift_core import fleet
 from cassiashift_core import placing
+from cassiashift_core import workload
 from cassiashift_daemon.direct import admission as admissions
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import config
@@ -18,6 +19,7 @@
 from cassiashift_daemon.direct import permit_runner
 from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon.direct import tables
+from cassiashift_daemon.direct import workload_runner
 from cassiashift_daemon import logs
 
 # An upstream that refused gets no request for this long, which is the mean
@@ -35,6 +37,7 @@
     runner: fleet_runner.FleetRunner
     guard: poison_guard.PoisonGuard
     permits: permit_runner.PermitRunner
+    work: workload_runner.WorkloadRunner
     rng: random.Random
     admission: admissions.Admission = attrs.field(init=False)
     chooser: placing.Chooser = attrs.field(init=False)
@@ -56,6 +59,7 @@
             request_permit=self._request_permit,
         )
         self.permits.on_answer = self.admission.use_permit
+        self.work.queue = self.admission.queue
 
     async def place(self, call: calls.Call) -> fleet.Upstream:
         """Return the upstream for a request, after a wait if needed.
@@ -83,6 +87,8 @@
             route=call.route.name,
             send=len(call.log.attempts) + 1,
             in_flight=self._condition(chosen).in_flight,
+            others_in_flight=self._condition(chosen).others_in_flight,
+            others_age_s=self._others_age_s(chosen),
             limit_per_s=self._condition(chosen).limit.per_s,
             waited_s=time.monotonic() - now,
             left_s=call.remaining_s(),
@@ -134,7 +140,7 @@
         return any(
             candidate.id not in excluded
             and self._condition(candidate).accepts(now)
-            and self._condition(candidate).in_flight < limit
+            and self._condition(candidate).all_in_flight < limit
             for candidate in candidates
         )
 
@@ -208,12 +214,40 @@
     ) -> fleet.Upstream | None:
         candidates = self.runner.upstreams.accepting(call.service, now)
         limit = self.admission.in_flight_limit(call.service, candidates)
+        if not self._may_use_more(call.service, candidates, limit, now):
+            return None
         chosen = self.chooser.choose(candidates, limit, call.log.excluded, now)
         if chosen is not None:
             self._condition(chosen).record_send(now)
             self._request_next_permit(call, now)
         return chosen
 
+    def _may_use_more(
+        self,
+        service: str,
+        candidates: list[fleet.Upstream],
+        limit: float,
+        now: float,
+    ) -> bool:
+        """Return whether this entry is within its share of a service."""
+        backlog = self.work.backlog(service, now)
+        if not backlog.queued and not backlog.silent:
+            return True
+        conditions = [self._condition(upstream) for upstream in candidates]
+        own = sum(condition.in_flight for condition in conditions)
+        return own < workload.own_share(
+            limit * len(candidates),
+            own,
+            self.admission.queue.count(service),
+            sum(condition.others_in_flight for condition in conditions),
+            backlog,
+        )
+
+    def _others_age_s(self, upstream: fleet.Upstream) -> float:
+        """Return the age of the other entries' work there; -1 if none."""
+        others_at = self._condition(upstream).others_at
+        return time.monotonic() - others_at if others_at > 0 else -1.0
+
     def _request_next_permit(self, call: calls.Call, now: float) -> None:
         """Request a permit ahead if the next request is likely to use it."""
         placed_at = self._placed_at.get(call.service, -math.inf)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -11,6 +11,7 @@
 from cassiashift_core import consensus
 from cassiashift_core import fleet
 from cassiashift_core import poison
+from cassiashift_core import workload
 from cassiashift_daemon.direct import api
 from cassiashift_daemon.direct import config
 from cassiashift_daemon.direct import dialect
@@ -23,6 +24,7 @@
 from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon.direct import tables
 from cassiashift_daemon.direct import voting
+from cassiashift_daemon.direct import workload_runner
 from cassiashift_daemon import dispatch
 from cassiashift_daemon import lifecycle
 from cassiashift_daemon import logs
@@ -147,6 +149,7 @@
         logs.info('stopped', in_flight=self.ingress.in_flight)
         for listener in self.listeners:
             await listener.close()
+        self.work.send_end()
         await self.exchange.close()
         self.links.close()
 
@@ -188,12 +191,17 @@
             metrics=self.metrics,
             issuer=fleet.Issuer(time.monotonic()),
         )
+        self.work = workload_runner.WorkloadRunner(
+            runner=self.runner,
+            table=workload.WorkTable(self.runner.upstreams),
+        )
         self.placement = placement.Placement(
             cfg=self.cfg,
             holder=self.holder,
             runner=self.runner,
             guard=self.guard,
             permits=self.permits,
+            work=self.work,
             rng=self.rng,
         )
         self.runner.blocks_digest = lambda: self.guard.table.digest
@@ -231,7 +239,8 @@
 
     def _register_handlers(self) -> None:
         register = self.dispatcher.register
-        for part in (self.runner, self.guard.sharing, self.permits):
+        parts = (self.runner, self.guard.sharing, self.permits, self.work)
+        for part in parts:
             for cls, handler in part.handlers().items():
                 register(cls, handler)
         for cls in consensus.MESSAGE_TYPES.values():
@@ -323,6 +332,7 @@
         self.ingress.tick()
         self.guard.sharing.tick()
         self.permits.tick()
+        self.work.tick()
 
     def _update_load(self) -> None:
         handled, self.ingress.handled = self.ingress.handled, 0
@@ -339,6 +349,8 @@
             upstreams=len(self.runner.upstreams.all()),
             limited_upstreams=self.runner.upstreams.limited_count(),
             in_flight=self.ingress.in_flight,
+            busy_entries=self.work.busy_count(),
+            silent_entries=self.work.silent_count(),
             blocked_parts=self.guard.table.blocked_count,
             suspected_parts=self.guard.table.suspected_count,
             suspected_requests=self.guard.table.suspected_request_count,
--- /dev/null
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
@@ -0,0 +1,169 @@
+"""Exchanges the work in flight of this entry with the other busy ones."""
+
+import math
+import time
+from typing import Any
+
+import attrs
+
+from cassiashift_core import fleet
+from cassiashift_core import hashing
+from cassiashift_core import placing
+from cassiashift_core import workload
+from cassiashift_daemon.direct import fleet_runner
+from cassiashift_daemon import logs
+from cassiashift_net import links
+from cassiashift_net import messages
+
+
+@attrs.define(eq=False)
+class WorkloadRunner:
+    """Sends work digests while this entry is busy, and applies the others'.
+
+    Only services with an engine are included: the upstreams of others don't
+    bound the requests of all entries together.
+
+    Attributes:
+        queue: the requests that wait at this entry.
+    """
+
+    runner: fleet_runner.FleetRunner
+    table: workload.WorkTable
+    queue: placing.RequestQueue = attrs.field(factory=placing.RequestQueue)
+    _due: float = -math.inf
+    _sent_at: float = -math.inf
+    _sent_ms: int = 0
+    _is_idle: bool = True
+
+    def __attrs_post_init__(self) -> None:
+        """Listen to starts of entries."""
+        self.runner.on_entry_start = self.on_entry_start
+
+    def tick(self) -> None:
+        """Send a digest if one is due; withdraw expired ones."""
+        now = time.monotonic()
+        for expiry in self.table.expire(now):
+            logs.info(
+                'work_digest_expired', host=expiry.host, age_s=expiry.age_s
+            )
+        if now < self._due:
+            return
+        digest = self._own_digest(now)
+        if not digest.is_idle:
+            self._send(digest, now)
+        elif not self._is_idle:
+            self.send_end()
+
+    def send_end(self) -> None:
+        """Tell the others that this entry has no work left."""
+        if self._is_idle:
+            return
+        self._is_idle = True
+        now = time.monotonic()
+        digest = attrs.evolve(
+            self._own_digest(now), rows=b'', queued=(), interval_ms=0
+        )
+        for host in self._busy_hosts(now):
+            self.runner.send(host, digest)
+
+    def backlog(self, service: str, now: float) -> workload.Backlog:
+        """Return what other entries have waiting for a service."""
+        if not self._has_engine(service):
+            return workload.Backlog()
+        return self.table.backlog(service, now)
+
+    def busy_count(self) -> int:
+        """Return the number of other entries whose work counts now."""
+        return self.table.backlog('', time.monotonic()).heard
+
+    def silent_count(self) -> int:
+        """Return the number of busy entries whose digests have expired."""
+        return self.table.backlog('', time.monotonic()).silent
+
+    def handlers(self) -> dict[type, Any]:
+        """Return the handlers of the messages on work by message type."""
+        return {workload.WorkDigest: self.on_digest}
+
+    def on_digest(
+        self, sender: links.Sender, message: workload.WorkDigest
+    ) -> None:
+        """Apply the digest of another entry, unless its process has ended."""
+        known = self.runner.entries.by_host.get(message.host)
+        if message.host == self.runner.cfg.host or (
+            known is not None and message.started_ns in known.ended_starts
+        ):
+            return
+        try:
+            self.table.apply(message, time.monotonic())
+        except ValueError as exc:
+            logs.warning(
+                'work_digest_ignored', host=message.host, reason=str(exc)
+            )
+
+    def on_entry_start(self, record: fleet.EntryRecord) -> None:
+        """Withdraw the work of an earlier process of an entry.
+
+        The new process gets the work of this one with the next digest.
+        """
+        self.table.record_start(
+            record.host, record.started_ns, time.monotonic()
+        )
+
+    def _send(self, digest: workload.WorkDigest, now: float) -> None:
+        """Send a digest to the busy entries.
+
+        The first one after a pause goes to all entries: busy ones that don't
+        know of this entry yet then send theirs.
+        """
+        is_first = now - self._sent_at >= workload.RECENTLY_BUSY_S
+        size = sum(map(len, messages.CODEC.encode_frames(digest)))
+        busy = self._busy_hosts(now)
+        plan = workload.plan(self.runner.cfg.host, busy, size)
+        digest = attrs.evolve(digest, interval_ms=round(plan.interval_s * 1e3))
+        hosts = set(plan.hosts)
+        if is_first:
+            hosts |= {record.host for record in self.runner.live_records()}
+        for host in hosts:
+            self.runner.send(host, digest)
+        self._is_idle = False
+        self._sent_at = now
+        self._due = now + plan.interval_s
+
+    def _busy_hosts(self, now: float) -> list[str]:
+        """Return the entries that need the digest: those with callers."""
+        live = self.runner.live_records()
+        hosts = {record.host for record in live if record.requests_per_s > 0}
+        hosts.update(self.table.recently_busy(now))
+        return sorted(hosts)
+
+    def _own_digest(self, now: float) -> workload.WorkDigest:
+        rows = [
+            workload.WorkRow(
+                fleet.short_id(upstream),
+                condition.in_flight,
+                condition.work_ms,
+                condition.tokens,
+            )
+            for upstream, condition in self.runner.upstreams.in_use()
+            if self._has_engine(upstream.service)
+        ]
+        queued = tuple(
+            (hashing.short_id(service), self.queue.count(service))
+            for service in self.queue.services()
+            if self._has_engine(service)
+        )
+        # Digests of one millisecond would have no order.
+        self._sent_ms = max(int(now * 1000), self._sent_ms + 1)
+        return workload.WorkDigest(
+            host=self.runner.cfg.host,
+            started_ns=self.runner.started_ns,
+            sent_ms=self._sent_ms,
+            interval_ms=0,
+            rows=workload.pack_rows(rows),
+            queued=queued,
+        )
+
+    def _has_engine(self, name: str) -> bool:
+        table = self.runner.holder.table
+        service = None if table is None else table.service(name)
+        return service is not None and service.engine is not None
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -16,6 +16,7 @@
 from cassiashift_core import spread
 from cassiashift_core import timeline
 from cassiashift_core import verdicts
+from cassiashift_core import workload
 
 CODEC = codec.Codec()
 ORDERS = codec.Codec()
@@ -341,6 +342,7 @@
     'documented': fleet.DocumentPush,
     'permit': fleet.PermitRequest,
     'permitted': fleet.Permit,
+    'work': workload.WorkDigest,
 }
 
 for _tag, _cls in _OWN_TYPES.items():
--- /dev/null
+++ b/tests/core/workload/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the outstanding work of upstreams over all entries."""
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -12,6 +12,7 @@
 from cassiashift_core import fleet
 from cassiashift_core import poison
 from cassiashift_core import routes
+from cassiashift_core import workload
 from cassiashift_daemon.direct import config
 from cassiashift_daemon.direct import dialect
 from cassiashift_daemon.direct import exchange
@@ -22,6 +23,7 @@
 from cassiashift_daemon.direct import placement
 from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon.direct import tables
+from cassiashift_daemon.direct import workload_runner
 from cassiashift_net import links
 
 NAMES = dialect.HeaderNames(
@@ -239,6 +241,9 @@
         runner=runner,
         guard=guard,
         permits=permits,
+        work=workload_runner.WorkloadRunner(
+            runner=runner, table=workload.WorkTable(runner.upstreams)
+        ),
         rng=rng,
     )
     sender = exchange.Exchange.from_config(NAMES)
--- /dev/null
+++ b/tests/daemon/direct/test_workload.py
@@ -0,0 +1,141 @@
+"""Tests of placing by the work of all entries."""
+
+import asyncio
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import fleet
+from cassiashift_core import routes
+from cassiashift_core import workload
+from tests.daemon.direct import conftest
+
+PEER = '127.0.0.2'
+ENGINE = routes.Engine(slots=1)
+
+
+@attrs.define
+class _Recorder:
+    """Links that record work digests and drop other messages."""
+
+    digests: list
+
+    def send(self, address, message):
+        """Record the address and the message."""
+        if isinstance(message, workload.WorkDigest):
+            self.digests.append((address, message))
+
+
+@pytest.fixture
+def engine_site(site):
+    """Return a site whose service ``read`` has an engine of one slot."""
+    holder = site.ingress.holder
+    services = tuple(
+        attrs.evolve(item, engine=ENGINE) if item.name == 'read' else item
+        for item in conftest.TABLE.services
+    )
+    holder.table = attrs.evolve(conftest.TABLE, services=services)
+    return site
+
+
+@pytest.fixture
+def sent(engine_site):
+    """Return the hosts and work digests that the entry sends."""
+    digests = []
+    engine_site.runner.links = _Recorder(digests)
+    return digests
+
+
+def _hear(site, counts, sent_ms, started_ns=1, **fields):
+    upstreams = site.runner.upstreams
+    rows = [
+        workload.WorkRow(fleet.short_id(upstreams.find(id_)), count)
+        for id_, count in counts.items()
+    ]
+    digest = workload.WorkDigest(
+        PEER, started_ns, sent_ms, 100, workload.pack_rows(rows), **fields
+    )
+    site.ingress.placement.work.on_digest(conftest.SENDER, digest)
+
+
+def _hello(site, started_ns):
+    record = fleet.EntryRecord(PEER, '', 'east', 'r', started_ns)
+    site.runner.on_hello(conftest.SENDER, fleet.Hello(record))
+
+
+async def test_no_send_beyond_the_slots_of_all_entries(engine_site):
+    first = await engine_site.upstream('read')
+    second = await engine_site.upstream('read')
+    _hear(engine_site, {'read-1': 1}, 1)
+    for _ in range(5):
+        async with engine_site.request('read') as answer:
+            assert_that(answer.status, matchers.Equals(200))
+    assert_that(first.heads, matchers.HasLength(0))
+    assert_that(second.heads, matchers.HasLength(5))
+
+
+async def test_a_request_waits_until_another_entry_frees_a_slot(
+    engine_site, ticking
+):
+    upstream = await engine_site.upstream('read')
+    _hear(engine_site, {'read-1': 1}, 1)
+    task = asyncio.ensure_future(engine_site.request('read').__aenter__())
+    await asyncio.sleep(0.2)
+    assert_that(upstream.heads, matchers.HasLength(0))
+    _hear(engine_site, {}, 2)
+    answer = await task
+    assert_that(answer.status, matchers.Equals(200))
+
+
+async def test_services_without_an_engine_do_not_count_others(site):
+    upstream = await site.upstream('read')
+    _hear(site, {}, 1, queued=((1, 9),))
+    backlog = site.ingress.placement.work.backlog('read', 1e9)
+    assert_that(backlog, matchers.Equals(workload.Backlog()))
+    async with site.request('read') as answer:
+        assert_that(answer.status, matchers.Equals(200))
+    assert_that(upstream.heads, matchers.HasLength(1))
+
+
+async def test_an_idle_entry_sends_one_last_digest_and_no_more(
+    engine_site, sent
+):
+    await engine_site.upstream('read')
+    work = engine_site.ingress.placement.work
+    _hello(engine_site, 1)
+    work.tick()
+    assert_that(sent, matchers.Equals([]))
+    condition = engine_site.condition('read-1')
+    condition.record_send(0.0)
+    work.tick()
+    condition.record_end()
+    await asyncio.sleep(0.15)
+    work.tick()
+    work.tick()
+    rows = [workload.unpack_rows(digest.rows) for _, digest in sent]
+    assert_that([len(row) for row in rows], matchers.Equals([1, 0]))
+
+
+async def test_a_hello_of_a_new_process_withdraws_the_work_of_the_old(
+    engine_site,
+):
+    await engine_site.upstream('read')
+    _hello(engine_site, 1)
+    _hear(engine_site, {'read-1': 1}, 5)
+    condition = engine_site.condition('read-1')
+    assert_that(condition.all_in_flight, matchers.Equals(1))
+    _hello(engine_site, 2)
+    assert_that(condition.all_in_flight, matchers.Equals(0))
+    # A late digest of the ended process does not count again.
+    _hear(engine_site, {'read-1': 1}, 6)
+    assert_that(condition.all_in_flight, matchers.Equals(0))
+
+
+async def test_malformed_rows_are_ignored(engine_site):
+    work = engine_site.ingress.placement.work
+    work.on_digest(
+        conftest.SENDER, workload.WorkDigest(PEER, 1, 1, 100, b'12345')
+    )
+    assert_that(work.busy_count(), matchers.Equals(0))
--- a/tests/daemon/test_decoders.py
+++ b/tests/daemon/test_decoders.py
@@ -21,6 +21,7 @@
 from cassiashift_core import spread
 from cassiashift_core import state
 from cassiashift_core import Verdict
+from cassiashift_core import workload
 from cassiashift_daemon import requests
 from cassiashift_daemon import settings
 from cassiashift_net import messages
@@ -37,6 +38,7 @@
     spread.messages.Pull(3),
     membership.messages.Ping(1),
     messages.Fence('1.2.3'),
+    workload.WorkDigest('h', 1, 2, 100, b'123456789', ((1, 2),)),
     messages.Fenced('1.2.3', Verdict.NOT_RUN),
     messages.CallData('1.2.3', 0, b'data'),
     messages.CallFailed('1.2.3', 'x', 'y', Verdict.MAY_HAVE_RUN),
