Limit the requests of a group by the pauses of its streams

Cause: each upstream of a lock-step group was given as many requests as its engine has slots, also while one slow rank made every pass longer than the objective for pauses. All streams of the group were late then.

Change: core/capacity derives a limit per upstream, from 1 to the slots, for services with an engine and a gap objective. Admission.in_flight_limit returns the limit, which may be fractional.

Result: tests/core/capacity and tests/daemon/direct: 140 passed. The tests of slow callers and resumed streams fail without the two conditions in streams.py. tests/process/test_platform.py: 14 passed.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from cassiashift_core import capacity
 from cassiashift_core import CassiashiftError
 from cassiashift_core import ErrorCode
 from cassiashift_core import fleet
@@ -69,6 +70,9 @@
     choose_upstream: Callable[[calls.Call, float], fleet.Upstream | None]
     request_permit: Callable[[calls.Call, float, float], None]
     queue: placing.RequestQueue = attrs.field(factory=placing.RequestQueue)
+    limits: capacity.ServiceLimits = attrs.field(
+        factory=capacity.ServiceLimits
+    )
     _group_failed_at: dict[str, float] = attrs.field(factory=dict)
     _mean_hold_s: dict[str, float] = attrs.field(
         factory=lambda: collections.defaultdict(lambda: INITIAL_HOLD_S)
@@ -133,6 +137,7 @@
     def tick(self) -> None:
         """Place queued requests, and refuse those that waited too long."""
         now = time.monotonic()
+        self._update_limits(now)
         for service in self.queue.services():
             self.serve_queue(service)
         for queued in self.queue.expired(now):
@@ -170,8 +175,14 @@
 
     def in_flight_limit(
         self, service_name: str, candidates: list[fleet.Upstream]
-    ) -> int:
-        """Return how many requests this entry sends an upstream at once."""
+    ) -> float:
+        """Return how many requests may be in flight at one upstream.
+
+        The limit may be fractional for services with an engine.
+        """
+        limit = self.limits.limit(service_name)
+        if limit is not None:
+            return limit
         table = self.holder.table
         service = None if table is None else table.service(service_name)
         if service is not None and service.engine is not None:
@@ -179,6 +190,10 @@
         slots = [upstream.slots for upstream in candidates if upstream.slots]
         return max(slots, default=DEFAULT_SLOTS)
 
+    def record_pause(self, call: calls.Call, pause_s: float) -> None:
+        """Record a pause of a stream that its upstream alone has caused."""
+        self.limits.record_pause(call.service, id(call), pause_s)
+
     def retry_after_s(self, call: calls.Call) -> float:
         """Return the seconds after which a refused caller should retry."""
         now = time.monotonic()
@@ -195,6 +210,26 @@
         room_in_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
         return max(SHORTEST_RETRY_AFTER_S, min(wait_s, longest_s), room_in_s)
 
+    def _update_limits(self, now: float) -> None:
+        table = self.holder.table
+        if table is None:
+            return
+        self.limits.apply_table(table)
+        for service, before in self.limits.update(
+            now, self._mean_hold_s.__getitem__
+        ):
+            limiter = self.limits.limiters[service]
+            logs.info(
+                'concurrency_limit_changed',
+                service=service,
+                limit=limiter.limit,
+                before=before,
+                pause_s=limiter.pause_s,
+                objective_s=limiter.objective_s,
+                slots=limiter.slots,
+                hold_s=self._mean_hold_s[service],
+            )
+
     def _refuse_queued(self, queued: _QueuedCall, reason: str) -> None:
         queued.is_over = True
         if not queued.fut.done():
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -21,6 +21,9 @@
 from cassiashift_daemon import logs
 
 STATUS_OK = 200
+# A write that takes longer waits for the caller: the kernel's buffer is full.
+# The upstream's next events are then read late.
+SLOW_WRITE_S = 0.005
 
 
 class Owner(Protocol):
@@ -87,6 +90,9 @@
     # Expires when the upstream has stalled.
     _scope: asyncio.Timeout | None = None
     _waits_for_caller: bool = False
+    # Arrival of the newest event of this send; None before the first event
+    # and after one for which the caller had to be waited for.
+    _pause_began_at: float | None = None
 
     async def run(self) -> web.StreamResponse:
         """Relay the stream to its end and return the caller's response.
@@ -175,6 +181,7 @@
             body = await self.owner.exchange.read_body(opened)
             return self._error_answer(answer, body)
         self.reader.restart()
+        self._pause_began_at = None
         async for chunk in opened.chunks():
             try:
                 events = self.reader.feed(chunk)
@@ -231,6 +238,10 @@
         else:
             pause_s = now - self._last_event_at
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        if self._pause_began_at is not None:
+            self.owner.placement.admission.record_pause(
+                self.call, now - self._pause_began_at
+            )
         self._last_event_at = now
         self._waits_for_caller = True
         if is_first:
@@ -238,7 +249,10 @@
         await self.response.write(b''.join(event.data for event in events))
         self._waits_for_caller = False
         # The upstream had no part in a caller's slowness.
-        self._watch.since = time.monotonic()
+        written_at = time.monotonic()
+        self._watch.since = written_at
+        waited = written_at - now > SLOW_WRITE_S
+        self._pause_began_at = None if waited else now
 
     def _log_end(self, response: web.StreamResponse) -> None:
         call = self.call
--- /dev/null
+++ b/tests/core/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the concurrency limits of services."""
