Bound the arrivals at cold upstreams over all entries

Cause: coldRemainingMs in heartbeats and Cassiashift-Cold-Ms in answers were not decoded, so each entry sent to an upstream that had just started as to any other one.

Change: core/fleet/coldness.py decides when a start of an upstream is cold, until when, and what ends it. A cold upstream needs a permit for each send; its issuer issues coldPerS a second, without bursts, and less if it hears only some of the entries with a disk. Coldness is told to other entries with announcements (Upstream.cold_s, UpstreamNews.colds, TableDump.colds) and found by the digest of the table. UpstreamTable.presume_cold takes the upstreams of a data centre for cold until they announce otherwise. Services without coldPerS have no cold upstreams. Metric cold_upstreams, log lines upstream_cold and coldness_ignored.

--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -2,6 +2,8 @@
 
 from cassiashift_core.fleet.bootstrap import BootstrapAction
 from cassiashift_core.fleet.bootstrap import decide_bootstrap
+from cassiashift_core.fleet.coldness import ColdTerms
+from cassiashift_core.fleet.coldness import parse_cold_s
 from cassiashift_core.fleet.conditions import Condition
 from cassiashift_core.fleet.confirmation import LogConfirmation
 from cassiashift_core.fleet.documents import Document
@@ -11,6 +13,7 @@
 from cassiashift_core.fleet.gossip import is_relay
 from cassiashift_core.fleet.gossip import sends_frequent_hellos
 from cassiashift_core.fleet.limits import parse_limit
+from cassiashift_core.fleet.messages import ColdRecord
 from cassiashift_core.fleet.messages import DocumentPull
 from cassiashift_core.fleet.messages import DocumentPush
 from cassiashift_core.fleet.messages import EntryRecord
@@ -27,15 +30,20 @@
 from cassiashift_core.fleet.messages import UpstreamNews
 from cassiashift_core.fleet.messages import UpstreamState
 from cassiashift_core.fleet.permits import choose_issuer
+from cassiashift_core.fleet.permits import ColdShare
 from cassiashift_core.fleet.permits import issued_share
 from cassiashift_core.fleet.permits import Issuer
 from cassiashift_core.fleet.permits import PERMIT_VALID_S
+from cassiashift_core.fleet.permits import rate_to_issue
 from cassiashift_core.fleet.steering import choose_entries
 from cassiashift_core.fleet.upstreams import UpstreamTable
 from cassiashift_core.fleet.voters import next_voter_change
 
 __all__ = [
     'BootstrapAction',
+    'ColdRecord',
+    'ColdShare',
+    'ColdTerms',
     'Condition',
     'Document',
     'DocumentPull',
@@ -66,6 +74,8 @@
     'is_relay',
     'issued_share',
     'next_voter_change',
+    'parse_cold_s',
     'parse_limit',
+    'rate_to_issue',
     'sends_frequent_hellos',
 ]
--- a/packages/cassiashift-core/cassiashift_core/fleet/conditions.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/conditions.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cassiashift_core.fleet import coldness as colds
 from cassiashift_core.fleet import limits
 from cassiashift_core.fleet import permits
 from cassiashift_core.routing import breaker as breakers
@@ -23,7 +24,7 @@
 
 @attrs.define(eq=False)
 class Condition:
-    """Requests in flight, outcomes, pauses and limit of one upstream.
+    """Requests in flight, outcomes, pauses, limit, coldness of an upstream.
 
     Times are of the entry's monotonic clock, in seconds.
 
@@ -33,7 +34,8 @@
         full_until: time until which it is skipped after a refusal.
         backs_off_until: time until which it has asked for no requests.
         limit: the limit that it names to all entries.
-        permit: permit of this entry to send in spite of a limit.
+        coldness: whether it takes only few requests for a while.
+        permit: permit of this entry to send in spite of a limit or coldness.
     """
 
     in_flight: int = 0
@@ -45,18 +47,49 @@
         factory=lambda: breakers.Breaker(LONGEST_PAUSE_S)
     )
     limit: limits.NamedLimit = attrs.field(factory=limits.NamedLimit)
+    coldness: colds.Coldness = attrs.field(factory=colds.Coldness)
     permit: permits.HeldPermit = attrs.field(factory=permits.HeldPermit)
 
     @property
     def is_limited(self) -> bool:
-        """Return whether a request needs a permit."""
+        """Return whether it names a limit."""
         return self.limit.per_s > 0
 
+    def is_cold(self, now: float) -> bool:
+        """Return whether it is cold, as far as this entry knows."""
+        return self.coldness.is_cold(now)
+
+    def is_rationed(self, now: float) -> bool:
+        """Return whether a request needs a permit."""
+        return self.is_limited or self.is_cold(now)
+
+    def rate_per_s(self, now: float) -> float:
+        """Return the requests a second that it takes; 0 if not bounded."""
+        if not self.is_cold(now):
+            return self.limit.per_s
+        cold_per_s = self.coldness.terms.per_s
+        return min(cold_per_s, self.limit.per_s or cold_per_s)
+
+    def cold_cost(self, now: float) -> float:
+        """Return the extra cost of coldness, in requests in flight."""
+        return self.coldness.cost(now)
+
+    def presume_cold(self, now: float) -> bool:
+        """Take it for cold until it announces; return whether this is new."""
+        is_new = self.coldness.presume(now)
+        if is_new and self.coldness.terms.per_s > 0:
+            self.drop_permit()
+        return is_new
+
+    def drop_permit(self) -> None:
+        """Drop a permit that was issued for another rate."""
+        self.permit = permits.HeldPermit(self.permit.number)
+
     def record_send(self, now: float) -> None:
         """Record that a request was sent."""
         self.breaker.record_send(now)
         self.in_flight += 1
-        if self.is_limited:
+        if self.is_rationed(now):
             self.permit.spend()
 
     def record_end(self) -> None:
@@ -75,6 +108,9 @@
         self.failure_share += FAILURE_WEIGHT * (1 - self.failure_share)
         if is_down or self.failures_in_row >= FAILURES_TO_OPEN:
             self.breaker.record_failure(now, FIRST_PAUSE_S)
+        if is_down:
+            # It may have ended, and may be cold when it is back.
+            self.presume_cold(now)
 
     def record_refusal(self, now: float, pause_s: float) -> None:
         """Record a refusal; the upstream is skipped for a pause."""
@@ -101,14 +137,14 @@
 
     def accepts(self, now: float) -> bool:
         """Return whether a request may be sent now."""
-        if self.is_limited and not self.permit.is_valid(now):
+        if self.is_rationed(now) and not self.permit.is_valid(now):
             return False
         return self.is_available(now)
 
     def needs_permit(self, now: float) -> bool:
         """Return whether a permit would let it accept a request."""
         return (
-            self.is_limited
+            self.is_rationed(now)
             and self.is_available(now)
             and self.permit.may_request(now)
         )
@@ -116,7 +152,7 @@
     def room_at(self, now: float) -> float:
         """Return the next time known at which it takes a request."""
         room_at = max(now, self.backs_off_until)
-        if self.is_limited:
+        if self.is_rationed(now):
             room_at = max(room_at, self.permit.room_at(now))
         return room_at
 
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -6,6 +6,7 @@
 
 # An issuer reserves no permit further ahead.
 LONGEST_PATIENCE_S = 1.0
+PERMIT_VALID_S = 0.5
 
 
 class UpstreamState(enum.Enum):
@@ -25,6 +26,8 @@
         slots: requests that it runs at once; 0 if not announced.
         born_ms: start of the upstream, in milliseconds since 1970.
         sequence: number of the announcement, increasing within one start.
+        cold_s: seconds for which it stays cold, by this announcement; None
+            if it does not state that. Tables don't store it.
     """
 
     id: str
@@ -35,6 +38,7 @@
     slots: int = 0
     born_ms: int = 0
     sequence: int = 0
+    cold_s: float | None = None
 
     @property
     def age_key(self) -> tuple[int, int]:
@@ -135,12 +139,28 @@
     revision: int
 
 
+@attrs.frozen
+class ColdRecord:
+    """A belief about the coldness of one start of an upstream.
+
+    Attributes:
+        remaining_s: seconds for which it stays cold from now on.
+        revision: number of the belief; a higher one is newer.
+    """
+
+    id: str
+    born_ms: int
+    remaining_s: float
+    revision: int
+
+
 @attrs.frozen
 class UpstreamNews:
-    """Announcements and limits that changed the sender's table."""
+    """Announcements, limits and coldness that changed the sender's table."""
 
     upstreams: tuple[Upstream, ...]
     limits: tuple[LimitRecord, ...] = ()
+    colds: tuple[ColdRecord, ...] = ()
 
 
 @attrs.frozen
@@ -152,22 +172,24 @@
 
 @attrs.frozen
 class TableDump:
-    """The hosts, upstreams and limits in the sender's tables."""
+    """The hosts, upstreams, limits and coldness in the sender's tables."""
 
     hosts: tuple[str, ...]
     upstreams: tuple[Upstream, ...]
     limits: tuple[LimitRecord, ...] = ()
+    colds: tuple[ColdRecord, ...] = ()
 
 
 @attrs.frozen
 class PermitRequest:
-    """Requests a permit to send a request to a limited upstream.
+    """Requests a permit to send to a limited or cold upstream.
 
     Attributes:
         host: the entry that asks.
-        per_s: the limit that it knows, in requests a second.
+        per_s: the rate that it knows, in requests a second.
         number: identifies the answer.
         patience_s: longest time ahead for which a permit is of use.
+        is_cold: the upstream is cold as far as that entry knows.
     """
 
     host: str
@@ -176,6 +198,7 @@
     per_s: float
     number: int
     patience_s: float = 0.0
+    is_cold: bool = False
 
 
 @attrs.frozen
@@ -185,6 +208,7 @@
     Attributes:
         after_s: seconds until the permit is valid, or, if it is not granted,
             until there may be one.
+        valid_s: seconds for which it is valid then.
     """
 
     upstream: str
@@ -192,6 +216,7 @@
     number: int
     is_granted: bool
     after_s: float
+    valid_s: float = PERMIT_VALID_S
 
 
 @attrs.frozen
--- a/packages/cassiashift-core/cassiashift_core/fleet/permits.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/permits.py
@@ -1,4 +1,4 @@
-"""Permits to send requests to an upstream that names a limit.
+"""Permits to send requests to an upstream that names a limit or is cold.
 
 A limit holds for all entries together, and is often lower than one request a
 second and entry. So one entry issues the permits for an upstream, and the
@@ -10,6 +10,12 @@
 all entries hear these often. Entries that are cut apart choose two issuers; an
 issuer therefore issues only the part of the limit that the entries with a disk
 it hears are of all those it knows.
+
+The bound on arrivals at a cold upstream is on one second and holds through
+partitions as well, however long they last and whoever restarts meanwhile.
+Permits for a cold upstream are therefore issued without bursts and are valid
+for a shorter time, and an issuer's part is counted against the most entries
+with a disk that it has ever known (``Issuer.cold_share``).
 """
 
 from collections.abc import Collection
@@ -17,10 +23,11 @@
 
 import attrs
 
+from cassiashift_core.fleet import coldness
 from cassiashift_core.fleet import messages
 from cassiashift_core import hashing
 
-PERMIT_VALID_S = 0.5
+PERMIT_VALID_S = messages.PERMIT_VALID_S
 # A lost answer blocks no upstream for longer; a later one is not used.
 ANSWER_TIMEOUT_S = 0.3
 # Share of a limit that is issued. Permits of two issuers overlap for a while
@@ -32,6 +39,15 @@
 FIRST_PERMIT_AFTER_S = 1.0
 # Until then a new entry may not hear the other ones yet.
 QUIET_AFTER_START_S = 2.0
+# The same for a cold upstream, whose intervals are short: entries that know
+# the other ones by frequent hellos agree on an issuer within a second, and
+# what two issue meanwhile must fit into the reserve.
+FIRST_COLD_PERMIT_AFTER_S = 0.5
+# Part of the rate for cold upstreams that all entries together issue that hear
+# no entry with a disk. It is issued beside the whole rate of those with one.
+TRICKLE_SHARE = 0.2
+# An entry that may issue no permits refuses them for this long.
+NO_SHARE_WAIT_S = 1.0
 # An issuer drops what it knows of an upstream without requests for so long.
 FORGET_AFTER_S = 60.0
 
@@ -50,11 +66,12 @@
     _requested_at: float = -math.inf
     _is_pending: bool = False
     _valid_from: float = -math.inf
+    _valid_s: float = PERMIT_VALID_S
     _denied_until: float = 0.0
 
     def is_valid(self, now: float) -> bool:
         """Return whether a request may be sent now."""
-        return self._valid_from <= now < self._valid_from + PERMIT_VALID_S
+        return self._valid_from <= now < self._valid_from + self._valid_s
 
     def spend(self) -> None:
         """Use the permit for a request."""
@@ -82,23 +99,36 @@
         self._is_pending = False
         if answer.is_granted:
             self._valid_from = now + answer.after_s
+            self._valid_s = min(answer.valid_s, PERMIT_VALID_S)
         else:
             self._denied_until = now + answer.after_s
         return True
 
     def is_open(self, now: float) -> bool:
         """Return whether one is awaited, held or reserved."""
-        return self.is_pending(now) or (
-            now < self._valid_from + PERMIT_VALID_S
-        )
+        return self.is_pending(now) or now < self._valid_from + self._valid_s
 
     def room_at(self, now: float) -> float:
         """Return the next time known at which a request may be sent."""
-        if now < self._valid_from + PERMIT_VALID_S:
+        if now < self._valid_from + self._valid_s:
             return max(now, self._valid_from)
         return max(now, self._denied_until)
 
 
+@attrs.frozen
+class ColdShare:
+    """What an entry may issue of the rate for a cold upstream.
+
+    Attributes:
+        part: part of the rate, 0 to 1.
+        phase: part of its interval after which the first permit is issued;
+            differs between entries that may be cut off at the same time.
+    """
+
+    part: float
+    phase: float = 0.0
+
+
 @attrs.define
 class _Bucket:
     """The permits issued for one start of an upstream.
@@ -118,6 +148,8 @@
 
     started_at: float
     _buckets: dict[str, _Bucket] = attrs.field(factory=dict)
+    _most_hosts: int = 0
+    _most_with_disk: int = 0
 
     def issue(
         self,
@@ -125,16 +157,30 @@
         per_s: float,
         share: float,
         now: float,
+        cold: ColdShare | None = None,
     ) -> messages.Permit:
         """Return a permit, or the time after which to ask again.
 
         Args:
             per_s: the upstream's limit, in requests a second.
             share: part of the limit that this entry may issue, 0 to 1.
+            cold: part of the rate for a cold upstream; None for a warm one.
         """
+        if cold is not None:
+            share = min(share, cold.part)
+        if share <= 0:
+            return _denial(request, NO_SHARE_WAIT_S)
         interval_s = 1 / (per_s * ISSUED_SHARE * share)
-        tolerance_s = (BURST - 1) * interval_s
-        bucket = self._bucket(request, interval_s, tolerance_s, now)
+        if cold is None:
+            tolerance_s = (BURST - 1) * interval_s
+            first_s = min(interval_s, FIRST_PERMIT_AFTER_S) + tolerance_s
+        else:
+            tolerance_s = 0.0
+            first_s = max(cold.phase * interval_s, FIRST_COLD_PERMIT_AFTER_S)
+        bucket = self._bucket(request, first_s, now)
+        # A limit that was raised leaves no reservations far ahead.
+        horizon = now + messages.LONGEST_PATIENCE_S + tolerance_s + interval_s
+        bucket.next_at = min(bucket.next_at, horizon)
         wait_s = max(
             0.0,
             bucket.next_at - tolerance_s - now,
@@ -149,6 +195,43 @@
             request.number,
             is_granted,
             wait_s,
+            PERMIT_VALID_S if cold is None else coldness.PERMIT_VALID_S,
+        )
+
+    def cold_share(
+        self,
+        own: messages.EntryRecord,
+        live: Collection[messages.EntryRecord],
+        known: Collection[messages.EntryRecord],
+    ) -> ColdShare:
+        """Return the part of the rate for cold upstreams to issue.
+
+        The parts of issuers that don't hear each other add up to 1 among
+        entries with a disk and to ``TRICKLE_SHARE`` among the others. An
+        entry that has been cut off for long forgets the others, so the most
+        that were ever known count.
+
+        Args:
+            live: the other entries that it hears.
+            known: the other entries that it has heard lately.
+        """
+        staying = [item for item in known if not item.is_leaving]
+        with_disk = {item.host for item in staying if item.has_disk}
+        founded = max(len(item.founded) for item in (own, *known))
+        self._most_hosts = max(self._most_hosts, len(staying) + 1)
+        self._most_with_disk = max(
+            self._most_with_disk, len(with_disk) + own.has_disk, founded
+        )
+        if not self._most_with_disk:
+            # It has not heard of the fleet yet.
+            return ColdShare(0.0)
+        if own.has_disk:
+            heard = sum(item.host in with_disk for item in live)
+            return ColdShare((heard + 1) / self._most_with_disk)
+        hosts = sorted({own.host, *(item.host for item in staying)})
+        return ColdShare(
+            TRICKLE_SHARE / self._most_hosts,
+            (hosts.index(own.host) + 1) / len(hosts),
         )
 
     def forget_unused(self, now: float) -> None:
@@ -160,22 +243,47 @@
     def _bucket(
         self,
         request: messages.PermitRequest,
-        interval_s: float,
-        tolerance_s: float,
+        first_s: float,
         now: float,
     ) -> _Bucket:
         bucket = self._buckets.get(request.upstream)
         if bucket is None or bucket.born_ms < request.born_ms:
-            first_s = min(interval_s, FIRST_PERMIT_AFTER_S)
-            bucket = _Bucket(request.born_ms, now + first_s + tolerance_s, now)
+            bucket = _Bucket(request.born_ms, now + first_s, now)
             self._buckets[request.upstream] = bucket
-        # A limit that was raised leaves no reservations far ahead.
-        horizon = now + messages.LONGEST_PATIENCE_S + tolerance_s + interval_s
-        bucket.next_at = min(bucket.next_at, horizon)
         bucket.used_at = now
         return bucket
 
 
+def _denial(
+    request: messages.PermitRequest, after_s: float
+) -> messages.Permit:
+    return messages.Permit(
+        request.upstream, request.born_ms, request.number, False, after_s
+    )
+
+
+def rate_to_issue(
+    limit_per_s: float,
+    own_per_s: float,
+    is_cold: bool,
+    request: messages.PermitRequest,
+) -> float:
+    """Return the rate at which to issue permits, in requests a second.
+
+    The issuer's own belief about a limit counts. Of two beliefs about a cold
+    upstream, the lower rate counts, as either may be newer.
+
+    Args:
+        limit_per_s: the limit that the issuer knows; 0 for none.
+        own_per_s: the lower of that and the rate of a cold upstream; 0 if
+            the issuer knows of neither.
+        is_cold: the issuer or the entry that asks takes it for cold.
+    """
+    if not is_cold:
+        return limit_per_s or request.per_s
+    return min(per_s for per_s in (own_per_s, request.per_s) if per_s > 0)
+
+
 def choose_issuer(
     upstream: str,
     born_ms: int,
--- a/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
@@ -5,13 +5,15 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
+import math
 
 import attrs
 
+from cassiashift_core.fleet import coldness
 from cassiashift_core.fleet import conditions
 from cassiashift_core.fleet import limits
 from cassiashift_core.fleet import messages
-from cassiashift_core.fleet import permits
 from cassiashift_core import hashing
 
 _STATE_ORDER = {
@@ -53,6 +55,7 @@
 
     silent_after_s: float
     forget_after_s: float
+    _cold_terms: Mapping[str, coldness.ColdTerms] = attrs.field(factory=dict)
     _rows: dict[str, _Row] = attrs.field(factory=dict)
     _digest: int | None = None
 
@@ -69,15 +72,19 @@
             return self._add(upstream, now)
         old = row.upstream
         if upstream.age_key <= old.age_key:
+            if self._hear_outdated(row, upstream.cold_s, now):
+                return attrs.evolve(old, cold_s=upstream.cold_s)
             return self._advance_state(row, upstream)
+        is_other_coldness = False
         if upstream.born_ms == old.born_ms:
             upstream = _with_later_state(upstream, old.state)
+            is_other_coldness = self._hear(row, upstream.cold_s, now)
         else:
-            row.condition = conditions.Condition()
+            row.condition = self._new_condition(upstream, now)
         row.received_at = now
-        row.upstream = upstream
-        if _without_sequence(upstream) == _without_sequence(old):
-            return None
+        row.upstream = attrs.evolve(upstream, cold_s=None)
+        if _without_sequence(row.upstream) == _without_sequence(old):
+            return upstream if is_other_coldness else None
         self._resolve_address(upstream)
         return upstream
 
@@ -94,6 +101,7 @@
         if row is None or row.upstream.born_ms != sighting.born_ms:
             return
         if sighting.sequence > row.upstream.sequence:
+            self._hear(row, None, now)
             row.received_at = now
             row.upstream = attrs.evolve(
                 row.upstream, sequence=sighting.sequence
@@ -146,7 +154,7 @@
             per_s, sent_at, now
         ):
             return None
-        condition.permit = permits.HeldPermit(condition.permit.number)
+        condition.drop_permit()
         self._digest = None
         return _limit_record(upstream, condition.limit.limit)
 
@@ -159,7 +167,7 @@
             condition = self._held_condition(record.id, record.born_ms)
             limit = limits.Limit(record.per_s, record.revision)
             if condition is not None and condition.limit.apply(limit, now):
-                condition.permit = permits.HeldPermit(condition.permit.number)
+                condition.drop_permit()
                 changed.append(record)
         if changed:
             self._digest = None
@@ -177,6 +185,86 @@
         """Return the number of upstreams that name a limit."""
         return sum(row.condition.is_limited for row in self._rows.values())
 
+    def set_cold_terms(self, terms: Mapping[str, coldness.ColdTerms]) -> None:
+        """Set by service how many requests its cold upstreams take."""
+        self._cold_terms = terms
+        for row in self._rows.values():
+            row.condition.coldness.terms = self._terms_of(row.upstream)
+
+    def presume_cold(
+        self, data_centre: str, now: float
+    ) -> list[messages.Upstream]:
+        """Take the upstreams of a data centre for cold.
+
+        Each counts as cold until a newer announcement of it says otherwise.
+
+        Returns:
+            those that were not yet presumed to be cold.
+        """
+        return [
+            row.upstream
+            for row in self._rows.values()
+            if row.upstream.data_centre == data_centre
+            and row.condition.presume_cold(now)
+        ]
+
+    def record_cold_answer(
+        self,
+        upstream: messages.Upstream,
+        cold_s: float,
+        sent_at: float,
+        now: float,
+    ) -> messages.ColdRecord | None:
+        """Record the coldness that an answer of an upstream states.
+
+        Args:
+            cold_s: seconds for which it stays cold.
+            sent_at: time at which the answer's request was sent.
+
+        Returns:
+            the new belief if other entries must be told, or None.
+        """
+        condition = self._held_condition(upstream.id, upstream.born_ms)
+        if condition is None or not condition.coldness.record_answer(
+            cold_s, sent_at, now
+        ):
+            return None
+        condition.drop_permit()
+        self._digest = None
+        return _cold_record(upstream, condition.coldness, now)
+
+    def apply_colds(
+        self, records: Iterable[messages.ColdRecord], now: float
+    ) -> list[messages.ColdRecord]:
+        """Apply other entries' beliefs; return those that were newer."""
+        changed = []
+        for record in records:
+            condition = self._held_condition(record.id, record.born_ms)
+            if condition is not None and condition.coldness.apply(
+                record.remaining_s, record.revision, now
+            ):
+                condition.drop_permit()
+                changed.append(record)
+        if changed:
+            self._digest = None
+        return changed
+
+    def colds(self, now: float) -> tuple[messages.ColdRecord, ...]:
+        """Return the beliefs about coldness that were ever announced."""
+        return tuple(
+            _cold_record(row.upstream, row.condition.coldness, now)
+            for row in self._rows.values()
+            if row.condition.coldness.revision
+        )
+
+    def cold_count(self, now: float) -> int:
+        """Return the number of upstreams that are cold and not gone."""
+        return sum(
+            row.condition.is_cold(now)
+            for row in self._rows.values()
+            if row.upstream.state is not messages.UpstreamState.GONE
+        )
+
     def find(self, id_: str) -> messages.Upstream | None:
         """Return an upstream by its id, or None."""
         row = self._rows.get(id_)
@@ -213,7 +301,13 @@
         return tuple(row.upstream for row in self._rows.values())
 
     def forget_silent(self, now: float) -> list[messages.Upstream]:
-        """Drop and return the upstreams silent for ``forget_after_s``."""
+        """Drop and return the upstreams silent for ``forget_after_s``.
+
+        Those silent for ``silent_after_s`` are taken for cold.
+        """
+        for row in self._rows.values():
+            if self._is_unheard(row, now):
+                row.condition.presume_cold(now)
         dropped = [
             row.upstream
             for row in self._rows.values()
@@ -228,8 +322,8 @@
     def digest(self) -> int:
         """Return a digest of the upstreams that aren't gone.
 
-        It covers ids, starts, states and limits, which all entries must agree
-        on.
+        It covers ids, starts, states, limits and announced coldness, which
+        all entries must agree on.
         """
         if self._digest is None:
             rows = sorted(
@@ -251,10 +345,62 @@
     def _add(
         self, upstream: messages.Upstream, now: float
     ) -> messages.Upstream:
-        self._rows[upstream.id] = _Row(upstream, now)
+        self._rows[upstream.id] = _Row(
+            attrs.evolve(upstream, cold_s=None),
+            now,
+            self._new_condition(upstream, now),
+        )
         self._resolve_address(upstream)
         return upstream
 
+    def _new_condition(
+        self, upstream: messages.Upstream, now: float
+    ) -> conditions.Condition:
+        condition = conditions.Condition()
+        condition.coldness.terms = self._terms_of(upstream)
+        condition.coldness.record_start(upstream.cold_s, now)
+        return condition
+
+    def _terms_of(self, upstream: messages.Upstream) -> coldness.ColdTerms:
+        return self._cold_terms.get(upstream.service, coldness.ColdTerms())
+
+    def _hear(self, row: _Row, cold_s: float | None, now: float) -> bool:
+        """Record a newer announcement of a start.
+
+        Returns:
+            whether other entries must be told of its coldness.
+        """
+        if self._is_unheard(row, now):
+            row.condition.presume_cold(now)
+        if not row.condition.coldness.record_announcement(cold_s, now):
+            return False
+        row.condition.drop_permit()
+        self._digest = None
+        return True
+
+    def _hear_outdated(
+        self, row: _Row, cold_s: float | None, now: float
+    ) -> bool:
+        """Record an announcement that is not newer than the held one.
+
+        After a step of the time of day, a new start may look older than the
+        one before it. Its coldness counts, its end does not.
+
+        Returns:
+            whether other entries must be told of its coldness.
+        """
+        if not cold_s or not row.condition.coldness.record_answer(
+            cold_s, -math.inf, now
+        ):
+            return False
+        row.condition.drop_permit()
+        self._digest = None
+        return True
+
+    def _is_unheard(self, row: _Row, now: float) -> bool:
+        heard_at = max(row.received_at, row.condition.coldness.heard_at)
+        return now - heard_at > self.silent_after_s
+
     def _advance_state(
         self, row: _Row, upstream: messages.Upstream
     ) -> messages.Upstream | None:
@@ -289,7 +435,17 @@
 def _digest_line(row: _Row) -> str:
     upstream, limit = row.upstream, row.condition.limit.limit
     line = f'{upstream.id} {upstream.born_ms} {upstream.state.value}'
-    return f'{line} {limit.revision} {limit.per_s:g}'
+    line = f'{line} {limit.revision} {limit.per_s:g}'
+    cold_revision = row.condition.coldness.revision
+    return f'{line} {cold_revision}' if cold_revision else line
+
+
+def _cold_record(
+    upstream: messages.Upstream, belief: coldness.Coldness, now: float
+) -> messages.ColdRecord:
+    return messages.ColdRecord(
+        upstream.id, upstream.born_ms, belief.remaining_s(now), belief.revision
+    )
 
 
 def _limit_record(
--- a/packages/cassiashift-core/cassiashift_core/placing/chooser.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/chooser.py
@@ -39,7 +39,9 @@
         def accepts(condition: fleet.Condition) -> bool:
             return condition.accepts(now)
 
-        return self._cheapest(candidates, max_in_flight, excluded, accepts)
+        return self._cheapest(
+            candidates, max_in_flight, excluded, accepts, now
+        )
 
     def choose_limited(
         self,
@@ -66,7 +68,7 @@
             return condition.needs_permit(now)
 
         return self._cheapest(
-            candidates, max_in_flight, excluded, needs_permit
+            candidates, max_in_flight, excluded, needs_permit, now
         )
 
     def room_in_s(
@@ -88,6 +90,7 @@
         max_in_flight: float,
         excluded: Collection[str],
         is_eligible: Callable[[fleet.Condition], bool],
+        now: float,
     ) -> fleet.Upstream | None:
         best, lowest_cost = None, None
         for upstream in candidates:
@@ -96,15 +99,16 @@
                 continue
             if not is_eligible(condition):
                 continue
-            cost = self._cost(upstream, condition)
+            cost = self._cost(upstream, condition, now)
             if lowest_cost is None or cost < lowest_cost:
                 best, lowest_cost = upstream, cost
         return best
 
     def _cost(
-        self, upstream: fleet.Upstream, condition: fleet.Condition
+        self, upstream: fleet.Upstream, condition: fleet.Condition, now: float
     ) -> tuple[float, float]:
         cost = condition.in_flight + FAILURE_PENALTY * condition.failure_share
+        cost += condition.cold_cost(now)
         if upstream.data_centre != self.data_centre:
             cost += DISTANCE_PENALTY
         return cost, self.rng.random()
--- a/packages/cassiashift-core/cassiashift_core/routes/checks.py
+++ b/packages/cassiashift-core/cassiashift_core/routes/checks.py
@@ -1,6 +1,7 @@
 """Checks of a route table before it is accepted."""
 
 from collections.abc import Iterator
+import math
 
 from cassiashift_core.routes import model
 
@@ -19,6 +20,9 @@
         if item.name in names:
             yield f'service {item.name!r} is defined twice'
         names.add(item.name)
+        for value in (item.cold_per_s, item.cold_start_s):
+            if not math.isfinite(value) or value < 0:
+                yield f'service {item.name!r}: {value} is no bound on coldness'
 
 
 def _route_problems(table: model.RouteTable) -> Iterator[str]:
--- a/packages/cassiashift-core/cassiashift_core/routes/model.py
+++ b/packages/cassiashift-core/cassiashift_core/routes/model.py
@@ -108,12 +108,17 @@
         max_connections: connections that one upstream accepts from all
             hosts together; 0 if not configured.
         engine: the model engine; None for plain services.
+        cold_per_s: requests a second that a cold upstream takes from all
+            entries together; 0 if not stated.
+        cold_start_s: how long an upstream is cold after its start.
     """
 
     name: str
     health_path: str = ''
     max_connections: int = 0
     engine: Engine | None = None
+    cold_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
@@ -27,6 +27,9 @@
         retry_slack: retries in a window that are allowed in addition, over
             all entries.
         retry_window_s: length of that window in seconds.
+        cold_overage: arrivals at a cold upstream in any second that are
+            allowed for each request a second that it takes.
+        cold_slack: arrivals in a second that are allowed in addition.
         longest_ttl_s: longest time in seconds that callers may cache an
             answer of the directory.
     """
@@ -38,6 +41,8 @@
     retry_slack: float = 0.0
     retry_window_s: float = 10.0
     longest_ttl_s: float = 5.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
@@ -35,6 +35,8 @@
         prompt: lists the parts of the prompt.
         limit: requests a second that an upstream takes from all entries
             together, as a decimal number.
+        cold_ms: milliseconds for which an upstream stays cold, as a decimal
+            number; empty if the platform has no such header.
     """
 
     request_id: str
@@ -50,6 +52,7 @@
     leaving: str
     limit: str
     prompt: str
+    cold_ms: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -109,6 +109,8 @@
         on_back_off: called with an upstream and the Retry-After of its 503.
         on_limit: called with an upstream, the limit that its answer names,
             None for none, and the time at which the request was sent.
+        on_cold: called with an upstream, the coldness that its answer states,
+            and the time at which the request was sent.
         buffered_bytes: bytes of answers that are not complete yet.
     """
 
@@ -121,6 +123,9 @@
     on_limit: Callable[[fleet.Upstream, str | None, float], None] = (
         lambda upstream, value, sent_at: None
     )
+    on_cold: Callable[[fleet.Upstream, str, float], None] = (
+        lambda upstream, value, sent_at: None
+    )
     buffered_bytes: int = 0
 
     @classmethod
@@ -259,6 +264,9 @@
         limit = headers.get(self.names.limit)
         if limit is not None:
             self.on_limit(upstream, limit, sent_at)
+        cold_ms = headers.get(self.names.cold_ms)
+        if cold_ms is not None:
+            self.on_cold(upstream, cold_ms, sent_at)
         retry_after = headers.get('Retry-After')
         if response.status == STATUS_UNAVAILABLE and retry_after is not None:
             self.on_back_off(upstream, retry_after)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -311,6 +311,7 @@
         ):
             self._log_upstream_change(upstream, sender.host)
         self._apply_limits(message.limits, sender.host)
+        self._apply_colds(message.colds, sender.host)
 
     def on_table_pull(
         self, sender: links.Sender, message: fleet.TablePull
@@ -322,6 +323,7 @@
                 tuple(self.entries.hosts()),
                 self.upstreams.all(),
                 self.upstreams.limits(),
+                self.upstreams.colds(time.monotonic()),
             ),
         )
 
@@ -334,6 +336,7 @@
         for upstream in self.upstreams.apply_all(message.upstreams, now):
             self._log_upstream_change(upstream, sender.host)
         self._apply_limits(message.limits, sender.host)
+        self._apply_colds(message.colds, sender.host)
 
     def on_document_pull(
         self, sender: links.Sender, message: fleet.DocumentPull
@@ -448,6 +451,22 @@
             logs.warning('entry_silent', host=host, age_s=age)
         self._silent = silent
 
+    def _apply_colds(
+        self, records: Iterable[fleet.ColdRecord], source: str
+    ) -> None:
+        for record in self.upstreams.apply_colds(records, time.monotonic()):
+            self.log_cold(record, source)
+
+    def log_cold(self, record: fleet.ColdRecord, source: str) -> None:
+        """Log a new belief about the coldness of an upstream."""
+        logs.info(
+            'upstream_cold',
+            upstream=record.id,
+            for_s=record.remaining_s,
+            revision=record.revision,
+            heard_from=source,
+        )
+
     def _log_limit(self, record: fleet.LimitRecord, source: str) -> None:
         logs.info(
             'upstream_limit',
@@ -467,5 +486,6 @@
             state=upstream.state.value,
             address=upstream.address,
             sequence=upstream.sequence,
+            cold_s=upstream.cold_s,
             heard_from=source,
         )
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/permit_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/permit_runner.py
@@ -1,4 +1,4 @@
-"""Requests and issues permits for upstreams that name a limit."""
+"""Requests and issues permits for upstreams that are limited or cold."""
 
 import asyncio
 from collections.abc import Callable
@@ -8,6 +8,7 @@
 import attrs
 
 from cassiashift_core import fleet
+from cassiashift_core import routes
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon.direct import metrics
 from cassiashift_daemon import logs
@@ -29,7 +30,7 @@
     on_answer: Callable[[str], None] = lambda service: None
 
     def request(self, upstream: fleet.Upstream, patience_s: float) -> None:
-        """Request a permit for a limited upstream.
+        """Request a permit for a limited or cold upstream.
 
         Args:
             patience_s: longest time ahead for which it is of use.
@@ -40,9 +41,10 @@
             self.runner.cfg.host,
             upstream.id,
             upstream.born_ms,
-            condition.limit.per_s,
+            condition.rate_per_s(now),
             condition.permit.request(now),
             patience_s,
+            condition.is_cold(now),
         )
         host = fleet.choose_issuer(
             upstream.id,
@@ -58,6 +60,39 @@
         else:
             self.runner.send(host, request)
 
+    def apply_table(self, table: routes.RouteTable) -> None:
+        """Use the rates of a configuration for cold upstreams."""
+        bounds = self.runner.cfg.bounds
+        self.runner.upstreams.set_cold_terms(
+            {
+                service.name: fleet.ColdTerms.from_bounds(
+                    service.cold_per_s,
+                    service.cold_start_s,
+                    bounds.cold_overage,
+                    bounds.cold_slack,
+                )
+                for service in table.services
+            }
+        )
+
+    def record_cold(
+        self, upstream: fleet.Upstream, value: str, sent_at: float
+    ) -> None:
+        """Record the coldness that an answer states, in milliseconds."""
+        try:
+            cold_s = fleet.parse_cold_s(value)
+        except ValueError as exc:
+            logs.warning(
+                'coldness_ignored', upstream=upstream.id, reason=str(exc)
+            )
+            return
+        changed = self.runner.upstreams.record_cold_answer(
+            upstream, cold_s, sent_at, time.monotonic()
+        )
+        if changed is not None:
+            self.runner.log_cold(changed, 'its answer')
+            self.runner.broadcast(fleet.UpstreamNews((), (), (changed,)))
+
     def tick(self) -> None:
         """Drop what is known of upstreams that no entry asks for."""
         self.issuer.forget_unused(time.monotonic())
@@ -80,19 +115,29 @@
         self._apply(message, sender.host)
 
     def _issue(self, request: fleet.PermitRequest) -> fleet.Permit:
+        now = time.monotonic()
+        condition = fleet.Condition()
         held = self.runner.upstreams.find(request.upstream)
-        per_s = 0.0
         if held is not None and held.born_ms == request.born_ms:
-            per_s = self.runner.upstreams.condition(held).limit.per_s
+            condition = self.runner.upstreams.condition(held)
+        is_cold = request.is_cold or condition.is_cold(now)
+        entries = (
+            self.runner.own_record(),
+            self.runner.live_records(),
+            self.runner.known_records(),
+        )
+        cold_share = self.issuer.cold_share(*entries)
         return self.issuer.issue(
             request,
-            per_s or request.per_s,
-            fleet.issued_share(
-                self.runner.own_record(),
-                self.runner.live_records(),
-                self.runner.known_records(),
+            fleet.rate_to_issue(
+                condition.limit.per_s,
+                condition.rate_per_s(now),
+                is_cold,
+                request,
             ),
-            time.monotonic(),
+            fleet.issued_share(*entries),
+            now,
+            cold_share if is_cold else None,
         )
 
     def _apply(self, answer: fleet.Permit, issuer: str) -> None:
@@ -113,6 +158,7 @@
                 service=upstream.service,
                 issuer=issuer,
                 limit_per_s=condition.limit.per_s,
+                cold=condition.is_cold(time.monotonic()),
                 room_in_s=answer.after_s,
             )
         self.on_answer(upstream.service)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -84,6 +84,7 @@
             send=len(call.log.attempts) + 1,
             in_flight=self._condition(chosen).in_flight,
             limit_per_s=self._condition(chosen).limit.per_s,
+            cold=self._condition(chosen).is_cold(now),
             waited_s=time.monotonic() - now,
             left_s=call.remaining_s(),
             configuration=self.holder.version,
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -201,6 +201,8 @@
         self.exchange.on_leaving = self._record_leaving
         self.exchange.on_back_off = self._record_back_off
         self.exchange.on_limit = self.runner.record_limit
+        self.exchange.on_cold = self.permits.record_cold
+        self.holder.on_table = self.permits.apply_table
         self.ingress = ingress.Ingress(
             dialect=self.adapter,
             holder=self.holder,
@@ -338,6 +340,7 @@
             entries_alive=len(self.runner.live_records()) + 1,
             upstreams=len(self.runner.upstreams.all()),
             limited_upstreams=self.runner.upstreams.limited_count(),
+            cold_upstreams=self.runner.upstreams.cold_count(time.monotonic()),
             in_flight=self.ingress.in_flight,
             blocked_parts=self.guard.table.blocked_count,
             suspected_parts=self.guard.table.suspected_count,
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/tables.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/tables.py
@@ -1,6 +1,7 @@
 """The route table in force in this process; its version never decreases."""
 
 import asyncio
+from collections.abc import Callable
 import time
 import zlib
 
@@ -25,6 +26,7 @@
         table: the decoded configuration; None until there is one.
         content: the configuration as the operator sent it.
         since: monotonic time at which it came into force here.
+        on_table: called with each table that comes into force.
     """
 
     dialect: dialect.Dialect
@@ -32,6 +34,7 @@
     document: fleet.Document = fleet.Document()
     content: bytes = b''
     since: float = 0.0
+    on_table: Callable[[routes.RouteTable], None] = lambda table: None
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
@@ -55,6 +58,7 @@
         self.document = document
         self.content = content
         self.since = time.monotonic()
+        self.on_table(self.table)
         logs.info(
             'configuration_in_force',
             version=document.version,
--- a/tests/core/fleet/simulated_limits.py
+++ b/tests/core/fleet/simulated_limits.py
@@ -321,13 +321,22 @@
 
     def _on_permit_request(self, entry, request):
         upstream = entry.table.find(request.upstream)
-        limit = entry.table.condition(upstream).limit
+        condition = entry.table.condition(upstream)
         known = [item.record for item in entry.known.by_host.values()]
+        entries = (entry.record(), entry.live(self.now), known)
+        is_cold = request.is_cold or condition.is_cold(self.now)
+        cold_share = entry.issuer.cold_share(*entries)
         answer = entry.issuer.issue(
             request,
-            limit.per_s or request.per_s,
-            fleet.issued_share(entry.record(), entry.live(self.now), known),
+            fleet.rate_to_issue(
+                condition.limit.per_s,
+                condition.rate_per_s(self.now),
+                is_cold,
+                request,
+            ),
+            fleet.issued_share(*entries),
             self.now,
+            cold_share if is_cold else None,
         )
         if request.host == entry.host:
             self.at(self.now, self._deliver, entry, self._on_permit, answer)
@@ -391,9 +400,10 @@
             entry.host,
             limited.id,
             limited.born_ms,
-            condition.limit.per_s,
+            condition.rate_per_s(self.now),
             condition.permit.request(self.now),
             patience_s,
+            condition.is_cold(self.now),
         )
         issuer = fleet.choose_issuer(
             limited.id,
