--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -90,6 +90,7 @@
             others_in_flight=self._condition(chosen).others_in_flight,
             others_age_s=self._others_age_s(chosen),
             limit_per_s=self._condition(chosen).limit.per_s,
+            cold=self._condition(chosen).is_cold(now),
             waited_s=time.monotonic() - now,
             left_s=call.remaining_s(),
             configuration=self.holder.version,
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -212,12 +212,15 @@
         )
         self.runner.blocks_digest = lambda: self.guard.table.digest
         self.guard.sharing.on_blocked = self.placement.admission.refuse_blocked
+        self.evacuations.on_ended = self._presume_cold
         self.evacuations.on_changed = (
             self.placement.admission.apply_evacuations
         )
         self.exchange.on_leaving = self._record_leaving
         self.exchange.on_back_off = self._record_back_off
         self.exchange.on_limit = self.runner.record_limit
+        self.exchange.on_cold = self.permits.record_cold
+        self.holder.on_table = self.permits.apply_table
         self.ingress = ingress.Ingress(
             dialect=self.adapter,
             holder=self.holder,
@@ -301,6 +304,20 @@
         self.metrics.record_signal('leaving')
         self.runner.record_leaving(upstream)
 
+    def _presume_cold(self, data_centre: str) -> None:
+        """Take the upstreams of a data centre for cold until they announce.
+
+        They may have restarted during the evacuation.
+        """
+        presumed = self.runner.upstreams.presume_cold(
+            data_centre, time.monotonic()
+        )
+        logs.info(
+            'upstreams_presumed_cold',
+            data_centre=data_centre,
+            upstreams=len(presumed),
+        )
+
     def _record_back_off(self, upstream: fleet.Upstream, value: str) -> None:
         self.metrics.record_signal('back_off')
         self.placement.record_back_off(upstream, value)
@@ -376,6 +393,7 @@
             entries_alive=len(self.runner.live_records()) + 1,
             upstreams=len(self.runner.upstreams.all()),
             limited_upstreams=self.runner.upstreams.limited_count(),
+            cold_upstreams=self.runner.upstreams.cold_count(time.monotonic()),
             in_flight=self.ingress.in_flight,
             busy_entries=self.work.busy_count(),
             silent_entries=self.work.silent_count(),
