Estimate the cost of requests

Cause: requests that look alike require very different amounts of work, and nothing decided by their tokens.

The platform's adapter decodes the headers and the engine's cost fields; a malformed header counts as not stated.

--- a/packages/cassiashift-core/cassiashift_core/routes/model.py
+++ b/packages/cassiashift-core/cassiashift_core/routes/model.py
@@ -83,6 +83,13 @@
         expert_mb: size of an expert, in MB.
         expert_share: share of the token work that experts do, 0 to 1.
         link_mbps: bandwidth for copying experts, in Mbit/s.
+        context_per_thousand_s: time that 1,000 tokens of context of the
+            running requests add to a step.
+        pairs_per_million_s: time that a million pairs of a prompt's token
+            and an earlier one add to its processing.
+        chunk_tokens: prompt tokens processed in one step; 0 if not stated.
+        usual_prompt_tokens: of requests that state none; likewise
+            ``usual_output_tokens``; 0 if not stated.
     """
 
     slots: int
@@ -98,6 +105,11 @@
     expert_mb: float = 0.0
     expert_share: float = 0.0
     link_mbps: float = 0.0
+    context_per_thousand_s: float = 0.0
+    pairs_per_million_s: float = 0.0
+    chunk_tokens: int = 0
+    usual_prompt_tokens: float = 0.0
+    usual_output_tokens: float = 0.0
 
 
 @attrs.frozen
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/dialect.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from cassiashift_core import costs
 from cassiashift_core import routes
 
 
@@ -62,6 +63,7 @@
             operator sent it; raises ``InvalidDocumentError``.
         shared_parts: returns the ids of the parts of a request's prompt, by
             its headers, that other requests may share.
+        stated_size: returns the size of a request that its headers state.
         deployment: name stored in the data folder; a folder of another
             deployment is not opened.
     """
@@ -72,4 +74,7 @@
     shared_parts: Callable[[Mapping[str, str]], tuple[str, ...]] = (
         lambda headers: ()
     )
+    stated_size: Callable[[Mapping[str, str]], costs.StatedSize] = (
+        lambda headers: costs.StatedSize()
+    )
     deployment: str = 'cassiashift'
--- /dev/null
+++ b/tests/core/costs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the expected cost of requests."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,6 +8,7 @@
 from testtools import matchers
 import yaml
 
+from cassiashift_core import costs
 from cassiashift_core import fleet
 from cassiashift_core import routes
 from cassiashift_daemon.direct import dialect
@@ -220,3 +221,52 @@
 
 def test_a_request_without_a_prompt_has_no_parts():
     assert_that(prompts.shared_parts({}), matchers.Equals(()))
+
+
+@pytest.mark.parametrize(
+    ('usage', 'hint', 'expected'),
+    [
+        ('900,400', '120', (900, 400, 120)),
+        (' 900 , 400 ', ' 120 ', (900, 400, 120)),
+        ('900', '120', (0, 0, 120)),
+        ('900,x', '-5', (0, 0, 0)),
+        ('900,400,1', '1e3', (0, 0, 0)),
+        ('-1,400', 'nan', (0, 0, 0)),
+        ('9' * 400 + ',1', '9' * 400, (0, 0, 0)),
+        ('', '', (0, 0, 0)),
+        ('\u0663,4', '\u0663', (0, 0, 0)),
+    ],
+)
+def test_a_malformed_size_counts_as_not_stated(usage, hint, expected):
+    headers = {
+        'Cassiashift-Token-Usage': usage,
+        'Cassiashift-Length-Hint': hint,
+    }
+    size = prompts.stated_size(headers)
+    assert_that(size, matchers.Equals(costs.StatedSize(*expected)))
+    unstated = prompts.stated_size({})
+    assert_that(unstated, matchers.Equals(costs.StatedSize()))
+
+
+def test_the_costs_of_an_engine_are_decoded():
+    document = copy.deepcopy(DOCUMENT)
+    document['services'][0]['engine'] |= {
+        'per_seq_ms': 0.426,
+        'context_per_k': 0.1,
+        'pairs_per_m': 5.0,
+        'chunk': 512,
+        'usual': {'prompt': 812.5, 'answer': 96},
+    }
+    table = documents.decode(json.dumps(document).encode())
+    engine = table.service('model').engine
+    assert_that(
+        engine,
+        matchers.MatchesStructure.byEquality(
+            step_per_request_s=0.000426,
+            context_per_thousand_s=0.0001,
+            pairs_per_million_s=0.005,
+            chunk_tokens=512,
+            usual_prompt_tokens=812.5,
+            usual_output_tokens=96,
+        ),
+    )
