--- a/packages/cassiashift-core/cassiashift_core/fleet/conditions.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/conditions.py
@@ -7,7 +7,7 @@
 from cassiashift_core.fleet import coldness as colds
 from cassiashift_core.fleet import limits
 from cassiashift_core.fleet import permits
-from cassiashift_core.routing import breaker as breakers
+from cassiashift_core import breaker as breakers
 
 # Pauses of an upstream's circuit breaker. The first one outlasts a short
 # stall; the longest one bounds the delay until a recovered upstream is used.
--- a/packages/cassiashift-core/cassiashift_core/routing/upstream.py
+++ b/packages/cassiashift-core/cassiashift_core/routing/upstream.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from cassiashift_core.routing import breaker
+from cassiashift_core import breaker
 from cassiashift_core.routing import limits
 from cassiashift_core.routing import model
 
