Refuse orders of evacuations under a leader of an earlier release

Cause: such a leader rejects the command; the entry expected another result and answered 500.

Change: the entry answers 503.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
@@ -172,6 +172,10 @@
         evacuation.check_fresh(received_at, now, valid_s)
         left_s = evacuation.remaining_s(received_at, now, valid_s)
         result = await self._propose(order, min(COMMIT_TIMEOUT_S, left_s))
+        if not isinstance(result, results.EvacuationOrdered):
+            raise CassiashiftError(
+                ErrorCode.NO_QUORUM, 'the leader is of an earlier release'
+            )
         self.evacuations.apply(result.evacuations, 'log')
         if result.standing is evacuation.Standing.TAKEN:
             self.evacuations.broadcast()
--- a/tests/daemon/direct/test_evacuations.py
+++ b/tests/daemon/direct/test_evacuations.py
@@ -196,6 +196,18 @@
     assert_that(control.proposer.proposed, matchers.Equals([]))
 
 
+async def test_a_leader_of_an_earlier_release_takes_no_order(
+    control, monkeypatch
+):
+    """It rejects the command as one that it can't decode."""
+    control.evacuations.apply(evacuation.Evacuations(), 'log')
+    monkeypatch.setattr(
+        state.StateMachine, 'apply', lambda *args: state.Rejected('tag')
+    )
+    with pytest.raises(CassiashiftError, match='earlier release'):
+        await control.evacuate('east', is_start=True)
+
+
 async def test_a_call_whose_caller_has_left_is_not_proposed(control):
     """A suspended entry finds the call and the end of its connection."""
     call = asyncio.ensure_future(control.evacuate('east', is_start=True))
