--- a/packages/cassiashift-cli/cassiashift_cli/deployment_commands.py
+++ b/packages/cassiashift-cli/cassiashift_cli/deployment_commands.py
@@ -38,6 +38,7 @@
         f'consensus role {answer.role}, leader {answer.leader or "unknown"}'
     )
     output.show(f'draining: {", ".join(answer.drains) or "nothing"}')
+    output.show(f'evacuated: {", ".join(answer.evacuations) or "nothing"}')
     output.show_table(('HOST', 'REVISION'), sorted(answer.hosts.items()))
     return STATUS.OK
 
--- a/packages/cassiashift-core/cassiashift_core/admission/gate.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/gate.py
@@ -212,6 +212,24 @@
                 refused.append(self._refuse_expired(pool, waiting, now))
         return refused
 
+    def refuse_all(self, name: str, reason: str) -> list[model.Refused]:
+        """Remove and refuse the waiting calls of a pool without upstreams."""
+        pool = self._pool(name)
+        return [
+            refusals.build(
+                self.cfg,
+                waiting.req,
+                ErrorCode.NO_UPSTREAM,
+                self.cfg.max_retry_after_s,
+                reason,
+            )
+            for waiting in list(pool.queue.drop(lambda waiting: True))
+        ]
+
+    def waiting_pools(self) -> list[str]:
+        """Return the pools with waiting calls."""
+        return [name for name, pool in self._pools.items() if pool.queue.count]
+
     def _pool(self, name: str) -> pools.Pool:
         pool = self._pools.get(name)
         if pool is None:
--- a/packages/cassiashift-core/cassiashift_core/manifest/view.py
+++ b/packages/cassiashift-core/cassiashift_core/manifest/view.py
@@ -88,6 +88,11 @@
         """Return a group, or None."""
         return self._find('groups', group_id)
 
+    def data_centres(self) -> set[str]:
+        """Return the names of the data centres of all regions."""
+        regions = (self._find('regions', id_) for id_ in self.ids('regions'))
+        return {item.id for region in regions for item in region.data_centres}
+
     def ids(self, section: str) -> set[str]:
         """Return the ids of all items in a section."""
         prefix = f'{section}/'
--- a/packages/cassiashift-daemon/cassiashift_daemon/admin.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/admin.py
@@ -1,5 +1,6 @@
 """The administration API for operators."""
 
+import collections
 from collections.abc import Callable
 import time
 from typing import Any
@@ -11,6 +12,7 @@
 
 from cassiashift_core import CassiashiftError
 from cassiashift_core import ErrorCode
+from cassiashift_core import evacuation
 from cassiashift_core import manifest
 from cassiashift_core import mapswitch
 from cassiashift_core import state
@@ -89,6 +91,13 @@
             web.post(
                 f'{PREFIX}/drains', self.wrap_handler(self.drain, OPERATOR)
             ),
+            web.get(
+                f'{PREFIX}/evacuations', self.wrap_handler(self.evacuations)
+            ),
+            web.post(
+                f'{PREFIX}/evacuations',
+                self.wrap_handler(self.evacuate, OPERATOR),
+            ),
             web.get(f'{PREFIX}/timeline', self.wrap_handler(self.timeline)),
         ]
 
@@ -124,6 +133,7 @@
             revision=self.holder.revision,
             confirmed=self.holder.confirmed,
             drains=tuple(sorted(self.holder.drains)),
+            evacuations=tuple(sorted(self.holder.evacuated)),
             hosts=hosts,
             **self.voter_status(),
         )
@@ -160,6 +170,52 @@
         )
         return await self._change(command, operator)
 
+    async def evacuate(
+        self, req: web.Request, operator: access.Operator
+    ) -> administration.Revision:
+        """Start or end the evacuation of a data centre."""
+        body = await _decode_body(req, administration.EvacuationRequest)
+        current = self.holder.shared.evacuations
+        known = self.holder.view.data_centres() | set(current.records)
+        evacuation.check_known(body.data_centre, known)
+        order = evacuation.Order(
+            body.data_centre,
+            body.evacuate,
+            current.revision,
+            time.time(),
+            operator.name,
+            body.request_id,
+        )
+        result = await self._propose(order, operator)
+        if not isinstance(result, state.EvacuationOrdered):
+            return _to_revision(result)
+        evacuation.check_taken(order, result.standing)
+        return administration.Revision(result.evacuations.revision)
+
+    async def evacuations(
+        self, req: web.Request, operator: access.Operator
+    ) -> administration.EvacuationList:
+        """Return the data centres, and which of them are evacuated."""
+        findings = await self.surveyor.survey()
+        in_flight = collections.Counter()
+        for item in findings.upstreams.values():
+            in_flight[item.data_centre] += item.in_flight
+        current = self.holder.shared.evacuations
+        names = self.holder.view.data_centres() | current.evacuated
+        rows = []
+        for name in sorted(names):
+            record = current.records.get(name, evacuation.Record(0, False))
+            rows.append(
+                administration.EvacuationRow(
+                    name,
+                    record.is_evacuated,
+                    record.since_s,
+                    record.operator,
+                    in_flight[name],
+                )
+            )
+        return administration.EvacuationList(current.revision, tuple(rows))
+
     async def upstreams(
         self, req: web.Request, operator: access.Operator
     ) -> administration.Upstreams:
@@ -257,6 +313,9 @@
     async def _change(
         self, command: Any, operator: access.Operator
     ) -> administration.Revision:
+        return _to_revision(await self._propose(command, operator))
+
+    async def _propose(self, command: Any, operator: access.Operator) -> Any:
         result = await self.proposer.propose(command)
         logs.info(
             'configuration_change',
@@ -265,7 +324,7 @@
             request=command.request_id,
             result=type(result).__name__,
         )
-        return _to_revision(result)
+        return result
 
     def _diff_manifest(
         self, expected_revision: int, content: manifest.Manifest
--- a/packages/cassiashift-daemon/cassiashift_daemon/agent.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/agent.py
@@ -199,6 +199,8 @@
             return 'the agent is leaving'
         if upstream in self.holder.drains:
             return 'the upstream is draining'
+        if self.cfg.data_centre in self.holder.evacuated:
+            return 'the data centre is evacuated'
         return ''
 
     def _announce(self) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/calls.py
@@ -17,6 +17,7 @@
 from cassiashift_core import Verdict
 from cassiashift_daemon import block_sharing
 from cassiashift_daemon import gate
+from cassiashift_daemon import logs
 from cassiashift_daemon import members
 from cassiashift_daemon import remote
 from cassiashift_daemon import request_guard
@@ -25,6 +26,7 @@
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 NO_UPSTREAM_RETRY_S = 1.0
 SSE_TYPE = 'text/event-stream'
+EVACUATED_RETRY_S = 2.0
 _REFUSALS = (ErrorCode.DRAINING, ErrorCode.FENCED, ErrorCode.NO_UPSTREAM)
 
 
@@ -118,6 +120,7 @@
     record: Any
     _attempt_numbers: Any = attrs.field(factory=itertools.count)
     _local_pools: set[str] = attrs.field(factory=set)
+    _evacuated_pools: set[str] = attrs.field(factory=set)
 
     async def enter(self, call: Call) -> None:
         """Wait for admission.
@@ -131,9 +134,15 @@
         await self.members.lent.borrow(
             call.pool, call.pool in self._local_pools
         )
-        if capacity == 0:
+        if capacity == 0 or call.pool in self._evacuated_pools:
             self.refresh()
             capacity = self.router.capacity(call.pool, time.monotonic())
+        if call.pool in self._evacuated_pools:
+            raise CassiashiftError(
+                ErrorCode.NO_UPSTREAM,
+                _evacuated_reason(call.pool),
+                retry_after_s=EVACUATED_RETRY_S,
+            )
         self.gate.set_capacity(call.pool, capacity)
         await self.gate.enter(
             admission.AdmissionRequest(
@@ -153,6 +162,19 @@
             self.members.upstream_views(), time.monotonic()
         )
         self._local_pools = self.members.local_pools()
+        self._evacuated_pools = self.members.evacuated_pools()
+
+    async def leave_evacuated(self) -> None:
+        """Let waiting calls use borrowed upstreams, or refuse them."""
+        for pool in self.gate.admission.waiting_pools():
+            await self.members.lent.borrow(pool, pool in self._local_pools)
+            self.refresh()
+            if pool in self._evacuated_pools:
+                refused = self.gate.refuse_all(pool, _evacuated_reason(pool))
+                logs.warning('queue_evacuated', pool=pool, refused=refused)
+            else:
+                capacity = self.router.capacity(pool, time.monotonic())
+                self.gate.set_capacity(pool, capacity)
 
     def release(self, call: Call, used_tokens: float) -> None:
         """Release the admission of a call that has ended."""
@@ -378,3 +400,7 @@
     if exc.code in _REFUSALS:
         return retries.AttemptEnd.REFUSED_BY_AGENT
     return retries.AttemptEnd.CONNECT_FAILED
+
+
+def _evacuated_reason(pool: str) -> str:
+    return f'all upstreams of {pool} are in evacuated data centres'
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -11,6 +11,7 @@
 from cassiashift_core import directory
 from cassiashift_core import draining
 from cassiashift_core import ErrorCode
+from cassiashift_core import evacuation
 from cassiashift_core import mapswitch
 from cassiashift_core import membership
 from cassiashift_core import retries
@@ -67,6 +68,7 @@
         self.voter: voter.Voter | None = None
         self.coordination: coordination.Coordination | None = None
         self.planning: planning.Planning | None = None
+        self.evacuations = evacuation.EvacuationView()
         self.tls = tls.server_context(cfg.tls_cert_file, cfg.tls_key_file)
         scheme = 'https' if self.tls else 'http'
         self.http_address = cfg.advertise or f'{scheme}://{cfg.http}'
@@ -370,6 +372,25 @@
         logs.info('revision_in_force', revision=self.holder.revision)
         self.events.record('revision', revision=self.holder.revision)
         self._update_views()
+        self._note_evacuations()
+
+    def _note_evacuations(self) -> None:
+        """Log which evacuations have started or ended; clear the queue."""
+        current = self.holder.shared.evacuations
+        change = self.evacuations.apply(current)
+        if change is None or not (change.started or change.ended):
+            return
+        for kind, names in (
+            ('evacuation_started', change.started),
+            ('evacuation_ended', change.ended),
+        ):
+            for name in names:
+                logs.info(kind, data_centre=name, revision=current.revision)
+                self.events.record(
+                    kind, data_centre=name, revision=current.revision
+                )
+        if change.started:
+            self.spawn(self.calls.leave_evacuated())
 
     def _update_views(self) -> None:
         self.calls.refresh()
@@ -396,6 +417,11 @@
         gauge('revision', self.holder.revision)
         gauge('messages_dropped', self.links.dropped)
         gauge('late_answers', self.attempts.late_messages)
+        gauge('evacuated_data_centres', len(self.holder.evacuated))
+        gauge(
+            'longest_evacuation_s',
+            self.holder.shared.evacuations.longest_s(time.time()),
+        )
         gauge('upstreams', len(self.presence.member.upstreams()))
         if self.voter is not None:
             gauge('log.term', self.voter.replica.term)
--- a/packages/cassiashift-daemon/cassiashift_daemon/gate.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/gate.py
@@ -58,6 +58,12 @@
             self.admission.release(request_id, used_tokens, now)
         )
 
+    def refuse_all(self, pool: str, reason: str) -> int:
+        """Refuse the waiting calls of a pool; return how many there were."""
+        refused = self.admission.refuse_all(pool, reason)
+        self._resolve_refused(refused)
+        return len(refused)
+
     def tick(self) -> None:
         """Refuse calls past their deadline, admit those that may start."""
         now = time.monotonic()
--- a/packages/cassiashift-daemon/cassiashift_daemon/members.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/members.py
@@ -45,10 +45,30 @@
 
     def upstream_views(self) -> list[routing.UpstreamView]:
         """Return the announced upstreams that are in the manifest."""
+        views = (self._upstream_view(item) for item in self._announced())
+        return [view for view in views if view is not None]
+
+    def evacuated_pools(self) -> set[str]:
+        """Return the pools that evacuations leave without an upstream.
+
+        Upstreams of other data centres count once some are borrowed.
+        """
+        evacuated = self.holder.evacuated
+        usable, lost = set(), set()
+        for item in self._announced() if evacuated else ():
+            view = self._upstream_view(item)
+            if view is None:
+                continue
+            if view.alive and not view.draining:
+                usable |= lending.pools(item)
+            elif view.data_centre in evacuated:
+                lost |= lending.pools(item)
+        return lost - usable
+
+    def _announced(self) -> list[membership.Announcement]:
         announced = dict(self.lent.announcements())
         announced.update(self.member.upstreams())
-        views = (self._upstream_view(item) for item in announced.values())
-        return [view for view in views if view is not None]
+        return list(announced.values())
 
     def local_pools(self) -> set[str]:
         """Return the pools with a usable upstream in this data centre."""
@@ -57,6 +77,7 @@
             for item in self.member.upstreams().values()
             if item.healthy
             and not item.draining
+            and self.member.cfg.data_centre not in self.holder.evacuated
             and item.upstream not in self.holder.drains
             for pool in lending.pools(item)
         }
@@ -79,7 +100,11 @@
         expected = self.holder.view.upstream(announced.upstream)
         if expected is None:
             return None
-        draining = announced.draining or expected.id in self.holder.drains
+        draining = (
+            announced.draining
+            or expected.id in self.holder.drains
+            or expected.data_centre in self.holder.evacuated
+        )
         return routing.UpstreamView(
             id=expected.id,
             host=expected.host,
--- a/packages/cassiashift-daemon/cassiashift_daemon/shared_state.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/shared_state.py
@@ -43,6 +43,11 @@
         """Return the targets of drains: upstreams, and pauses of groups."""
         return self.shared.drains
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the names of the evacuated data centres."""
+        return self.shared.evacuations.evacuated
+
     def apply_snapshot(self, data: bytes) -> None:
         """Replace the state, unless the snapshot is not newer."""
         shared = state.SharedState.decode(data)
--- a/packages/cassiashift-net/cassiashift_net/administration.py
+++ b/packages/cassiashift-net/cassiashift_net/administration.py
@@ -45,6 +45,40 @@
     draining: bool
 
 
+@attrs.frozen
+class EvacuationRequest:
+    """An operator's request to start or to end an evacuation."""
+
+    request_id: RequestId
+    data_centre: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+    evacuate: bool
+
+
+@attrs.frozen
+class EvacuationRow:
+    """One data centre of the manifest, or one that is evacuated.
+
+    Attributes:
+        since_s: time of the start, in seconds since 1970; 0 while it is not
+            evacuated.
+        in_flight: requests in progress at its upstreams.
+    """
+
+    data_centre: str
+    evacuated: bool
+    since_s: float = 0.0
+    operator: str = ''
+    in_flight: int = 0
+
+
+@attrs.frozen
+class EvacuationList:
+    """The data centres, and which of them are evacuated."""
+
+    revision: int
+    rows: tuple[EvacuationRow, ...] = ()
+
+
 @attrs.frozen
 class Revision:
     """The revision that a change of configuration was committed as."""
@@ -76,6 +110,7 @@
     revision: int
     confirmed: bool
     drains: tuple[str, ...] = ()
+    evacuations: tuple[str, ...] = ()
     hosts: dict[str, int] = attrs.field(factory=dict)
     role: str = 'none'
     leader: str | None = None
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -171,6 +171,46 @@
     assert_that(err, matchers.Contains("there is no upstream 'drafting-1'"))
 
 
+def test_an_evacuation_starts_is_listed_and_ends(cassiashift, deployment):
+    _apply(cassiashift)
+    status, out, _ = cassiashift('evacuation', 'start', 'trnava')
+    assert_that(status, matchers.Equals(0))
+    assert_that(out, matchers.Contains('trnava is evacuated as of revision'))
+    shared = deployment.machine.shared
+    assert_that(shared.evacuations.evacuated, matchers.Equals({'trnava'}))
+    _, out, _ = cassiashift('evacuation', 'list', '--json')
+    rows = {row['data_centre']: row for row in json.loads(out)['rows']}
+    assert_that(rows['trnava']['operator'], matchers.Equals('operator'))
+    _, out, _ = cassiashift('status')
+    assert_that(out, matchers.Contains('evacuated: trnava'))
+    status, out, _ = cassiashift('evacuation', 'end', 'trnava')
+    assert_that(status, matchers.Equals(0))
+    assert_that(out, matchers.Contains('trnava is in service'))
+    _, out, _ = cassiashift('evacuation', 'list')
+    assert_that(out, matchers.Not(matchers.Contains('operator ')))
+
+
+def test_an_evacuation_of_an_unknown_data_centre_is_refused(cassiashift):
+    _apply(cassiashift)
+    status, _, err = cassiashift('evacuation', 'start', 'trnawa')
+    assert_that(status, matchers.Equals(2))
+    assert_that(err, matchers.Contains("no data centre 'trnawa'; known: "))
+
+
+def test_an_order_with_a_used_request_id_gets_its_first_answer(
+    cassiashift, deployment
+):
+    """A copy of a start that arrives after the end starts nothing."""
+    _apply(cassiashift)
+    for order in ('start', 'end', 'start'):
+        status, _, _ = cassiashift(
+            'evacuation', order, 'trnava', f'--request-id={order}'
+        )
+        assert_that(status, matchers.Equals(0))
+    evacuated = deployment.machine.shared.evacuations.evacuated
+    assert_that(evacuated, matchers.Equals(frozenset()))
+
+
 @pytest.mark.parametrize('command', ['status', 'groups', 'upstreams'])
 def test_a_command_prints_text_and_json(cassiashift, command):
     _apply(cassiashift)
--- a/tests/core/admission/test_gate.py
+++ b/tests/core/admission/test_gate.py
@@ -183,3 +183,16 @@
 
 def test_unknown_release_changes_nothing(gate):
     assert_that(gate.release('r9', 1, 0.0), matchers.Equals([]))
+
+
+def test_waiting_calls_of_an_evacuated_pool_are_refused_at_once(gate):
+    """Calls in progress hold the slots until they end."""
+    fill(gate)
+    gate.offer(request('a'), 0.0)
+    assert_that(gate.waiting_pools(), matchers.Equals(['m@1']))
+    refused = gate.refuse_all('m@1', 'evacuated')
+    assert_that(request_ids(refused), matchers.Equals(['a']))
+    assert_that(refused[0].code, matchers.Is(ErrorCode.NO_UPSTREAM))
+    assert_that(refused[0].retry_after_s, matchers.GreaterThan(0))
+    assert_that(gate.waiting_pools(), matchers.Equals([]))
+    assert_that(gate.in_flight, matchers.Equals(2))
--- a/tests/daemon/test_admin.py
+++ b/tests/daemon/test_admin.py
@@ -22,6 +22,8 @@
     ('POST', '/groups/moe/map'),
     ('POST', '/groups/moe/rollback'),
     ('POST', '/drains'),
+    ('GET', '/evacuations'),
+    ('POST', '/evacuations'),
     ('GET', '/timeline'),
 )
 FUZZ = hypothesis.settings(
@@ -84,6 +86,7 @@
     [
         ('PUT', '/manifest'),
         ('POST', '/drains'),
+        ('POST', '/evacuations'),
         ('POST', '/groups/moe/map'),
         ('POST', '/groups/moe/rollback'),
     ],
@@ -142,6 +145,7 @@
     for method, path in (
         ('PUT', '/manifest'),
         ('POST', '/drains'),
+        ('POST', '/evacuations'),
         ('POST', '/groups/moe/map'),
     ):
         status, answer = _request(
--- a/tests/process/test_path.py
+++ b/tests/process/test_path.py
@@ -61,3 +61,24 @@
         await caller.draft('drafting', f'quote {number}', 2)
     after = len(standins['drafting-1'].record.ran)
     assert_that(after, matchers.Equals(before))
+
+
+async def test_an_evacuated_data_centre_gets_no_new_calls(deployment):
+    """All upstreams of the model are there; those of the service are not."""
+    operator = deployment.operator
+    _, answer = await operator.evacuate('trnava', 'start', is_start=True)
+    await operator.wait_in_force(answer['revision'])
+    standins = deployment.cluster.standins
+    engines = [standins[f'drafting-{number}'].record for number in (1, 2)]
+    before = sum(len(record.ran) for record in engines)
+    caller = deployment.create_caller()
+    draft = asyncio.ensure_future(caller.draft('drafting', 'late', 2))
+    booked = await deployment.create_caller().book('warehouse', 'dock-9')
+    assert_that(booked.verdict, matchers.Equals('ran'))
+    await asyncio.sleep(1.0)
+    after = sum(len(record.ran) for record in engines)
+    assert_that(after, matchers.Equals(before))
+    await operator.evacuate('trnava', 'end', is_start=False)
+    reply = await draft
+    assert_that(reply.verdict, matchers.Equals('ran'))
+    assert_that(reply.tries, matchers.GreaterThan(1))
--- a/tools/cluster/operator.py
+++ b/tools/cluster/operator.py
@@ -59,6 +59,17 @@
         }
         return await self._send_until_decided('POST', 'drains', body)
 
+    async def evacuate(
+        self, data_centre: str, request_id: str, *, is_start: bool
+    ) -> tuple[int, dict]:
+        """Start or end an evacuation; resend while the answer is 503."""
+        body = {
+            'request_id': request_id,
+            'data_centre': data_centre,
+            'evacuate': is_start,
+        }
+        return await self._send_until_decided('POST', 'evacuations', body)
+
     async def wait_in_force(self, revision: int) -> None:
         """Wait until every running process has a revision in force."""
         while not await self.is_in_force(revision):
