Place a queued request again if its data centre was evacuated meanwhile

Cause: a queued request gets its slot in one turn of the event loop and is sent in the next; an evacuation that came into force between the two did not stop it.

Change: the entry releases the slot and waits again, or refuses.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -74,6 +74,10 @@
             chosen = self._choose_upstream(call, now)
         if chosen is None:
             chosen = await self.admission.wait(call, now)
+            while chosen.data_centre in self.runner.upstreams.evacuated:
+                # Evacuated since the queue was served.
+                self._condition(chosen).record_end()
+                chosen = await self.admission.wait(call, time.monotonic())
             self._check_before_send(call, chosen)
         logs.info(
             'request_placed',
