Queue, refuse or admit requests by what can be on time

Cause: the queue of an entry was ordered by priority and arrival and seldom refused anything: under overload all requests waited until they were late, the most urgent ones included, and Retry-After times did not count each other.

Change: core/admission has a gate for each service. It serves requests that can be on time first, by urgency, then fair by workspace over the existing fair queue, with a floor so that no class starves. Services without an engine keep the order by priority and arrival and the refusal by the length of the queue. Queued requests are refused at once when no upstream is left. A time to return is promised only for requests that have not run. Metrics and log lines for waits, refusals, returns and the limit. Fair queues forget idle workspaces.

--- a/packages/cassiashift-core/cassiashift_core/admission/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/__init__.py
@@ -8,12 +8,14 @@
 from cassiashift_core.admission.model import Queued
 from cassiashift_core.admission.model import Refused
 from cassiashift_core.admission.model import WorkspaceLimits
+from cassiashift_core.admission.service_gate import ServiceGate
 from cassiashift_core.admission.shares import DemandSummary
 from cassiashift_core.admission.shares import LEASE_S
 from cassiashift_core.admission.shares import ShareGranter
 from cassiashift_core.admission.shares import ShareHolder
 from cassiashift_core.admission.shares import ShareLease
 from cassiashift_core.admission.slots import SlotTable
+from cassiashift_core.admission.urgency_queue import QueuedRequest
 
 __all__ = [
     'AdmissionGate',
@@ -24,7 +26,9 @@
     'DemandMeter',
     'DemandSummary',
     'Queued',
+    'QueuedRequest',
     'Refused',
+    'ServiceGate',
     'ShareGranter',
     'ShareHolder',
     'ShareLease',
--- a/packages/cassiashift-core/cassiashift_core/admission/fair_queue.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/fair_queue.py
@@ -191,6 +191,13 @@
         queue.counter += correction / queue.weight
         self._drop_idle(workspace, queue)
 
+    def drop_settled(self) -> None:
+        """Delete the queues of idle workspaces that are no longer ahead."""
+        lowest = self._lowest_counter()
+        for workspace, queue in list(self.queues.items()):
+            if not queue.is_active and queue.counter <= lowest:
+                del self.queues[workspace]
+
     def drop(
         self, predicate: Callable[[WaitingCall], bool]
     ) -> Iterator[WaitingCall]:
--- /dev/null
+++ b/packages/cassiashift-core/cassiashift_core/admission/service_gate.py
@@ -0,0 +1,237 @@
+"""Decides which requests of a service start, wait or are refused.
+
+Used by entries that call the upstreams themselves. ``slots`` is always the
+number of requests over all upstreams that this entry can expect to have in
+flight.
+"""
+
+import collections
+from collections.abc import Iterator
+import math
+import random
+
+import attrs
+
+from cassiashift_core.admission import load as loads
+from cassiashift_core.admission import returns
+from cassiashift_core.admission import urgency_queue
+
+# Arrivals above this part of the service rate are a burst: the queue grows.
+BURST_LOAD = 0.9
+# Part of its slots that an entry uses under overload. The rest covers the
+# requests of other entries that it does not know of yet; with all of them in
+# use a request more than an upstream has slots waits there for a whole other.
+OWN_SHARE = 0.9
+REASON_TOO_LONG = 'the queue is too long'
+REASON_WAITED = 'waited too long'
+
+
+@attrs.define
+class ServiceGate:
+    """The queue of one service at one entry, and its load.
+
+    Attributes:
+        in_flight: requests that were started and have not ended.
+        is_predictive: requests are refused by the estimate of their waits;
+            otherwise only by the length of the queue on arrival.
+        own_share: part of its slots that it uses under overload.
+    """
+
+    plan: returns.ReturnPlan
+    queue: urgency_queue.UrgencyQueue = attrs.field(
+        factory=urgency_queue.UrgencyQueue
+    )
+    load: loads.LoadEstimate = attrs.field(factory=loads.LoadEstimate)
+    in_flight: int = 0
+    is_predictive: bool = True
+    own_share: float = OWN_SHARE
+
+    @classmethod
+    def from_rng(cls, rng: random.Random) -> 'ServiceGate':
+        """Return a gate without any load."""
+        return cls(returns.ReturnPlan(rng))
+
+    def configure(self, is_predictive: bool) -> None:
+        """Set whether the service is one whose waits are predicted."""
+        self.is_predictive = is_predictive
+        self.queue.floor = urgency_queue.FLOOR if is_predictive else 0.0
+
+    def record_arrival(self, priority: int, cost: int, now: float) -> None:
+        """Record a request that arrived, before any decision on it."""
+        self.load.record_arrival(priority, cost, now)
+        self.queue.record_arrival(priority, cost, now)
+
+    def is_overloaded(self, slots: float, now: float) -> bool:
+        """Return whether the arrivals need about all slots, or more."""
+        if not self.is_predictive:
+            return False
+        rate = self.load.service_rate(slots)
+        return self.load.certain_arrival_rate(now) >= BURST_LOAD * rate
+
+    def has_room(self, slots: float, now: float) -> bool:
+        """Return whether another request may be in flight.
+
+        Only under overload is an entry bound to its own slots: what it knows
+        of the other entries' requests is a moment old, so that all of them
+        would send to the few upstreams that seem to have a free slot.
+        """
+        if self.in_flight < self.own_share * slots:
+            return True
+        return not self.is_overloaded(slots, now)
+
+    def may_start(
+        self, priority: int, on_time_s: float, slots: float, now: float
+    ) -> bool:
+        """Return whether a request that need not wait may start.
+
+        Args:
+            on_time_s: shortest objective of the more urgent classes.
+        """
+        if self.queue or not self.has_room(slots, now):
+            return False
+        reserved = self.reserve(priority, on_time_s, slots, now)
+        return not reserved or slots - self.in_flight >= 1 + reserved
+
+    def reserve(
+        self, priority: int, on_time_s: float, slots: float, now: float
+    ) -> int:
+        """Return the slots that a class leaves free for more urgent ones.
+
+        These are the slots for the urgent requests that arrive before a slot
+        becomes free, if waiting for one made them late. They are released
+        with the measured rate of their arrivals.
+        """
+        rate = self.load.service_rate(slots)
+        urgent_rate = self.load.arrival_rate(now, below=priority)
+        if not urgent_rate or not math.isfinite(on_time_s):
+            return 0
+        if not self.is_overloaded(slots, now):
+            return 0
+        if 1 / rate + self.load.first_event_s <= on_time_s:
+            return 0
+        wanted = math.ceil(urgent_rate / rate)
+        return max(0, min(wanted, math.ceil(slots) - 1))
+
+    def offer(
+        self, item: urgency_queue.QueuedRequest, slots: float, now: float
+    ) -> str:
+        """Queue a request, or return the reason for which it is refused."""
+        item.arrived_at = now
+        reason = self._judge(item, self.queue.ahead_of(item, now), slots, now)
+        if not reason:
+            item.expected_wait_s = self.expected_wait_s(item, slots, now)
+            self.queue.add(item)
+        return reason
+
+    def start(self, item: urgency_queue.QueuedRequest, now: float) -> None:
+        """Record that a request starts; it is not in the queue any more."""
+        self.in_flight += 1
+        if now > item.arrived_at:
+            self.load.record_wait(item.expected_wait_s, now - item.arrived_at)
+        self.queue.charge(item, now)
+
+    def end(
+        self, item: urgency_queue.QueuedRequest, held_s: float | None
+    ) -> None:
+        """Record the end of a request that was started.
+
+        Args:
+            held_s: time that it occupied a slot; None if it was not sent.
+        """
+        self.in_flight -= 1
+        self.queue.settle(item)
+        if held_s is not None:
+            self.load.hold.record(held_s / item.cost)
+
+    def pop(self, now: float) -> urgency_queue.QueuedRequest | None:
+        """Remove and return the request that goes next, or None."""
+        return self.queue.pop(now)
+
+    def put_back(self, item: urgency_queue.QueuedRequest) -> None:
+        """Queue a request again, first of its workspace."""
+        self.queue.add(item, front=True)
+
+    def hopeless(
+        self, slots: float, now: float
+    ) -> Iterator[tuple[urgency_queue.QueuedRequest, str]]:
+        """Remove and yield the queued requests that can't be served in time.
+
+        Each comes with the reason.
+        """
+        ahead = urgency_queue.Ahead(is_late=False)
+        own_class: collections.Counter[int] = collections.Counter()
+        late = []
+        for item in self.queue.in_order(now):
+            if not item.can_be_on_time(now):
+                late.append(item)
+                continue
+            ahead.own_class = own_class[item.priority]
+            reason = self._judge(item, ahead, slots, now)
+            if reason:
+                self.queue.remove(item)
+                yield item, reason
+            elif item.is_late:
+                late.append(item)
+            else:
+                ahead.total += item.cost
+                own_class[item.priority] += item.cost
+        ahead.is_late = True
+        for item in late:
+            reason = self._judge(item, ahead, slots, now)
+            if reason:
+                self.queue.remove(item)
+                yield item, reason
+            else:
+                ahead.total += item.cost
+
+    def expected_wait_s(
+        self, item: urgency_queue.QueuedRequest, slots: float, now: float
+    ) -> float:
+        """Return the time that a request has to wait from now on."""
+        ahead = self.queue.ahead_of(item, now)
+        return self.load.wait_s(ahead, item.priority, slots, now)
+
+    def return_at(
+        self,
+        item: urgency_queue.QueuedRequest,
+        earliest_at: float,
+        latest_at: float,
+        slots: float,
+        now: float,
+    ) -> float:
+        """Return the time at which the caller of a request should return."""
+        rate = self.load.service_rate(slots)
+        spare = rate - self.load.arrival_rate(now, below=item.priority + 1)
+        return self.plan.promise(
+            item.priority, item.cost, earliest_at, latest_at, spare, rate
+        )
+
+    def _judge(
+        self,
+        item: urgency_queue.QueuedRequest,
+        ahead: urgency_queue.Ahead,
+        slots: float,
+        now: float,
+    ) -> str:
+        """Return why a request can't be served in time, or nothing.
+
+        A request that can't be on time becomes late first. The waits are
+        those of the estimate less its error, since a wrong refusal has the
+        higher cost.
+        """
+        if now > item.give_up_at:
+            return REASON_WAITED
+        if not self.is_predictive:
+            is_new = item.arrived_at == now
+            wait_s = ahead.total / self.load.service_rate(slots)
+            too_long = is_new and now + wait_s > item.give_up_at
+            return REASON_TOO_LONG if too_long else ''
+        error = self.load.error
+        wait_s = self.load.wait_s(ahead, item.priority, slots, now, error)
+        if item.can_be_on_time(now):
+            if now + wait_s <= min(item.on_time_until, item.give_up_at):
+                return ''
+            item.is_late = True
+            ahead = self.queue.ahead_of(item, now)
+            wait_s = self.load.wait_s(ahead, item.priority, slots, now, error)
+        return REASON_TOO_LONG if now + wait_s > item.give_up_at else ''
--- a/packages/cassiashift-core/cassiashift_core/placing/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/__init__.py
@@ -4,14 +4,10 @@
 from cassiashift_core.placing.attempts import AttemptLog
 from cassiashift_core.placing.budget import WindowBudget
 from cassiashift_core.placing.chooser import Chooser
-from cassiashift_core.placing.request_queue import QueuedRequest
-from cassiashift_core.placing.request_queue import RequestQueue
 
 __all__ = [
     'Attempt',
     'AttemptLog',
     'Chooser',
-    'QueuedRequest',
-    'RequestQueue',
     'WindowBudget',
 ]
--- a/packages/cassiashift-core/cassiashift_core/routes/model.py
+++ b/packages/cassiashift-core/cassiashift_core/routes/model.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import enum
 import functools
+import math
 
 import attrs
 
@@ -182,6 +183,24 @@
         ]
         return min(gaps, default=0.0)
 
+    def shortest_objective_s(self, service: str, below: int) -> float:
+        """Return the shortest objective of a service's more urgent routes.
+
+        Args:
+            below: only routes with a lower priority number count.
+
+        Returns:
+            infinity if no such route has an objective.
+        """
+        return min(
+            (
+                objective_s
+                for priority, objective_s in self._objectives.get(service, ())
+                if priority < below
+            ),
+            default=math.inf,
+        )
+
     def workspace_of(self, key: str) -> Workspace | None:
         """Return the workspace with a key, or None."""
         return self._by_key.get(key)
@@ -193,6 +212,18 @@
             by_host.setdefault(route.host.lower(), {})[route.prefix] = route
         return by_host
 
+    @functools.cached_property
+    def _objectives(self) -> Mapping[str, set[tuple[int, float]]]:
+        """Distinct priorities and objectives of the routes to a service."""
+        found: dict[str, set[tuple[int, float]]] = {}
+        for route in self.routes:
+            if not route.objective_s:
+                continue
+            for target in route.targets:
+                pair = route.priority, route.objective_s
+                found.setdefault(target.service, set()).add(pair)
+        return found
+
     @functools.cached_property
     def _services(self) -> Mapping[str, Service]:
         return {item.name: item for item in self.services}
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -3,11 +3,13 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import math
 import random
 import time
 
 import attrs
 
+from cassiashift_core import admission as gates
 from cassiashift_core import capacity
 from cassiashift_core import CassiashiftError
 from cassiashift_core import ErrorCode
@@ -16,6 +18,7 @@
 from cassiashift_core import routes
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import fleet_runner
+from cassiashift_daemon.direct import metrics
 from cassiashift_daemon.direct import poison_guard
 from cassiashift_daemon.direct import tables
 from cassiashift_daemon import logs
@@ -32,32 +35,41 @@
 QUEUE_WAIT_SHARE = 0.4
 # Callers abandon a stream without an event within two seconds.
 STREAM_QUEUE_WAIT_S = 1.2
-# Weight of the newest send in the moving average of the time at an upstream.
-HOLD_WEIGHT = 0.1
-INITIAL_HOLD_S = 0.5
 # Random share of the delay that is added to it, so that refused callers
 # don't all retry at once.
 RETRY_AFTER_SPREAD = 0.5
 SHORTEST_RETRY_AFTER_S = 0.1
+# Promised returns that are remembered, to count those that are kept.
+MAX_PROMISES = 1024
+# The share of the load that this entry handles is computed this often; the
+# other entries announce their rates once a second.
+SHARE_PERIOD_S = 0.5
+NO_UPSTREAM = 'no upstream is known'
 NO_ROOM = 'all upstreams back off or have reached their limits'
 LONGEST_RETRY_AFTER_S = 2.0
 
 
+def cost_of(call: calls.Call) -> int:
+    """Return the cost units of a request; all requests count the same."""
+    return 1
+
+
 @attrs.define(eq=False)
-class _QueuedCall(placing.QueuedRequest):
+class _QueuedCall:
     """A queued request; ``fut`` gets its upstream or the refusal."""
 
-    call: calls.Call | None = None
-    fut: asyncio.Future | None = None
+    call: calls.Call
+    fut: asyncio.Future
 
 
 @attrs.define(eq=False)
 class Admission:
-    """The queue of one entry's requests, and its refusals.
+    """The queues of one entry's requests, and its refusals.
 
     Attributes:
         choose_upstream: returns the upstream for a request and occupies a
-            slot of it; None if none can take it now.
+            slot of it; None if none can take it now. Its last argument is
+            an upstream that is taken if it can.
         request_permit: requests a permit for a request that can wait for a
             number of seconds.
     """
@@ -67,16 +79,40 @@
     chooser: placing.Chooser
     guard: poison_guard.PoisonGuard
     rng: random.Random
-    choose_upstream: Callable[[calls.Call, float], fleet.Upstream | None]
+    metrics: metrics.Metrics
+    choose_upstream: Callable[
+        [calls.Call, float, fleet.Upstream | None], fleet.Upstream | None
+    ]
     request_permit: Callable[[calls.Call, float, float], None]
-    queue: placing.RequestQueue = attrs.field(factory=placing.RequestQueue)
     limits: capacity.ServiceLimits = attrs.field(
         factory=capacity.ServiceLimits
     )
-    _group_failed_at: dict[str, float] = attrs.field(factory=dict)
-    _mean_hold_s: dict[str, float] = attrs.field(
-        factory=lambda: collections.defaultdict(lambda: INITIAL_HOLD_S)
+    _gates: dict[str, gates.ServiceGate] = attrs.field(factory=dict)
+    _waiting: dict[gates.QueuedRequest, _QueuedCall] = attrs.field(
+        factory=dict
+    )
+    _started: dict[calls.Call, gates.QueuedRequest] = attrs.field(factory=dict)
+    _promises: collections.OrderedDict[str, float] = attrs.field(
+        factory=collections.OrderedDict
     )
+    _returned: set[calls.Call] = attrs.field(factory=set)
+    _group_failed_at: dict[str, float] = attrs.field(factory=dict)
+    _share: float = 1.0
+    _share_at: float = -SHARE_PERIOD_S
+
+    def try_start(self, call: calls.Call, now: float) -> fleet.Upstream | None:
+        """Return an upstream that can take an arrived request now, or None."""
+        gate = self._gate(call.service)
+        gate.record_arrival(call.priority, cost_of(call), now)
+        self._note_return(call, now)
+        slots = self._slots(call.service, now)
+        urgent_s = self._urgent_objective_s(call)
+        if not gate.may_start(call.priority, urgent_s, slots, now):
+            return None
+        chosen = self.choose_upstream(call, now, None)
+        if chosen is not None:
+            self._start(call, self._describe(call, now), now)
+        return chosen
 
     async def wait(self, call: calls.Call, now: float) -> fleet.Upstream:
         """Return the upstream for a request once one can take it.
@@ -85,71 +121,88 @@
             CassiashiftError: OVERLOADED or NO_UPSTREAM; nothing was sent.
         """
         if not self.runner.upstreams.accepting(call.service, now):
-            raise self._refusal(call, 'no upstream is known')
-        max_wait_s = QUEUE_WAIT_SHARE * (call.ends_at - now)
-        if call.route.kind is routes.Kind.STREAM:
-            max_wait_s = min(max_wait_s, STREAM_QUEUE_WAIT_S)
-        if self._room_in_s(call, now) > max_wait_s:
+            raise self._refusal(call, NO_UPSTREAM)
+        item = self._describe(call, now)
+        if now + self._room_in_s(call, now) > item.give_up_at:
             raise self._refusal(call, NO_ROOM)
-        if self._expected_wait_s(call, now) > max_wait_s:
-            raise self._refusal(call, 'the queue is too long')
-        queued = _QueuedCall(
-            call.service,
-            call.priority,
-            now + max_wait_s,
-            call=call,
-            fut=asyncio.get_running_loop().create_future(),
-        )
-        self.queue.add(queued)
+        gate = self._gate(call.service)
+        slots = self._slots(call.service, now)
+        reason = gate.offer(item, slots, now)
+        if reason:
+            raise self._refusal(call, reason)
+        queued = _QueuedCall(call, asyncio.get_running_loop().create_future())
+        self._waiting[item] = queued
         logs.info(
             'request_queued',
             request=call.id,
             service=call.service,
-            ahead=self.queue.count(call.service) - 1,
-            patience_s=max_wait_s,
+            priority=call.priority,
+            ahead=len(gate.queue) - 1,
+            patience_s=item.give_up_at - now,
+            expected_wait_s=item.expected_wait_s,
+            late=item.is_late,
+            slots=slots,
+            in_flight=gate.in_flight,
+            hold_s=gate.load.hold.mean,
         )
         self.serve_queue(call.service)
         try:
             return await queued.fut
         except asyncio.CancelledError:
-            self._release_unused(queued.fut)
+            self._release_unused(call, queued.fut)
             raise
         finally:
-            queued.is_over = True
+            gate.queue.remove(item)
+            self._waiting.pop(item, None)
+            self._returned.discard(call)
+
+    def serve_queue(
+        self, service: str, freed: fleet.Upstream | None = None
+    ) -> None:
+        """Place the queued requests of a service that upstreams can take.
 
-    def serve_queue(self, service: str) -> None:
-        """Place the queued requests of a service that upstreams can take."""
+        Args:
+            freed: upstream of which a request of this entry has just left a
+                slot. Under overload it is used for the next one: other
+                entries don't know yet that it is free.
+        """
+        gate = self._gate(service)
+        if not gate.queue:
+            return
         now = time.monotonic()
-        while True:
-            queued = self.queue.peek(service)
-            if queued is None:
-                return
-            chosen = self.choose_upstream(queued.call, now)
-            if chosen is None:
-                patience_s = min(
-                    queued.give_up_at - now, fleet.LONGEST_PATIENCE_S
-                )
-                self.request_permit(queued.call, patience_s, now)
-                return
-            queued.is_over = True
-            queued.fut.set_result(chosen)
+        if not self.runner.upstreams.accepting(service, now):
+            self._refuse_all(gate)
+            return
+        skipped = self._place_queued(service, freed, now)
+        for item in reversed(skipped):
+            gate.put_back(item)
+        if skipped:
+            patience_s = skipped[0].give_up_at - now
+            self.request_permit(
+                self._waiting[skipped[0]].call,
+                min(patience_s, fleet.LONGEST_PATIENCE_S),
+                now,
+            )
 
     def tick(self) -> None:
-        """Place queued requests, and refuse those that waited too long."""
+        """Place queued requests, and refuse those that can't be in time."""
         now = time.monotonic()
         self._update_limits(now)
-        for service in self.queue.services():
+        for service, gate in self._gates.items():
+            if not gate.queue:
+                continue
             self.serve_queue(service)
-        for queued in self.queue.expired(now):
-            self._refuse_queued(queued, 'waited too long')
+            slots = self._slots(service, now)
+            for item, reason in list(gate.hopeless(slots, now)):
+                self._refuse_queued(item, reason)
 
     def refuse_blocked(self) -> None:
         """Refuse the queued requests that may not be sent any more."""
-        for queued in self.queue.waiting():
+        for item, queued in list(self._waiting.items()):
             try:
                 self.guard.check(queued.call)
             except CassiashiftError as exc:
-                queued.is_over = True
+                self._gate(queued.call.service).queue.remove(item)
                 if not queued.fut.done():
                     queued.fut.set_exception(exc)
 
@@ -157,17 +210,30 @@
         """Serve or refuse queued requests after an issuer's answer."""
         self.serve_queue(service)
         now = time.monotonic()
-        for queued in self.queue.waiting():
+        for item, queued in list(self._waiting.items()):
             call = queued.call
             if call.service != service:
                 continue
-            if now + self._room_in_s(call, now) > queued.give_up_at:
-                self._refuse_queued(queued, NO_ROOM)
+            if now + self._room_in_s(call, now) > item.give_up_at:
+                self._refuse_queued(item, NO_ROOM)
+
+    def queued_count(self, service: str) -> int:
+        """Return the number of requests queued for a service."""
+        return len(self._gate(service).queue)
+
+    def record_end(self, call: calls.Call, held_s: float | None) -> None:
+        """Record the end of a send.
+
+        Args:
+            held_s: time that the send took; None if nothing was sent.
+        """
+        item = self._started.pop(call, None)
+        if item is not None:
+            self._gate(call.service).end(item, held_s)
 
-    def record_hold(self, service: str, held_s: float) -> None:
-        """Record the time that a send to a service took, in seconds."""
-        mean_s = self._mean_hold_s[service]
-        self._mean_hold_s[service] = mean_s + HOLD_WEIGHT * (held_s - mean_s)
+    def record_first_event(self, call: calls.Call, after_s: float) -> None:
+        """Record the time from a send to the first event of its stream."""
+        self._gate(call.service).load.first_event.record(after_s)
 
     def record_group_failure(self, service: str, now: float) -> None:
         """Record that a group of a service has lost a rank."""
@@ -197,28 +263,154 @@
     def retry_after_s(self, call: calls.Call) -> float:
         """Return the seconds after which a refused caller should retry."""
         now = time.monotonic()
-        wait_s = self._expected_wait_s(call, now)
+        item = self._describe(call, now)
+        item.is_late = False
+        gate = self._gate(call.service)
+        slots = self._slots(call.service, now)
+        wait_s = SHORTEST_RETRY_AFTER_S
+        if self.runner.upstreams.accepting(call.service, now):
+            wait_s = max(wait_s, gate.expected_wait_s(item, slots, now))
         failed_at = self._group_failed_at.get(call.service, -GROUP_RECOVERY_S)
         if now - failed_at < GROUP_RECOVERY_S:
             wait_s = max(wait_s, GROUP_RECOVERY_S / (1 + RETRY_AFTER_SPREAD))
-        wait_s = min(
-            max(wait_s, SHORTEST_RETRY_AFTER_S), LONGEST_RETRY_AFTER_S
-        )
-        wait_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
+        wait_s = min(wait_s, LONGEST_RETRY_AFTER_S)
         longest_s = RETRY_AFTER_SHARE * (call.deadline_at - now)
+        if gate.is_predictive:
+            latest_s = min(longest_s, LONGEST_RETRY_AFTER_S)
+            wait_s = gate.return_at(
+                item, now + wait_s, now + latest_s, slots, now
+            )
+            wait_s -= now
+        else:
+            wait_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
         room_in_s = self._room_in_s(call, now)
         room_in_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
-        return max(SHORTEST_RETRY_AFTER_S, min(wait_s, longest_s), room_in_s)
+        wait_s = max(SHORTEST_RETRY_AFTER_S, min(wait_s, longest_s), room_in_s)
+        self._note_promise(call, now + wait_s)
+        return wait_s
+
+    def _gate(self, service: str) -> gates.ServiceGate:
+        gate = self._gates.get(service)
+        if gate is None:
+            gate = gates.ServiceGate.from_rng(self.rng)
+            self._gates[service] = gate
+        if gate.is_predictive != self._has_engine(service):
+            gate.configure(not gate.is_predictive)
+        return gate
+
+    def _has_engine(self, service_name: str) -> bool:
+        table = self.holder.table
+        service = None if table is None else table.service(service_name)
+        return service is not None and service.engine is not None
+
+    def _describe(self, call: calls.Call, now: float) -> gates.QueuedRequest:
+        """Return what the gate of its service has to know of a request."""
+        max_wait_s = QUEUE_WAIT_SHARE * (call.ends_at - now)
+        is_stream = call.route.kind is routes.Kind.STREAM
+        on_time_until, workspace = math.inf, ''
+        if self._has_engine(call.service):
+            load = self._gate(call.service).load
+            hold_s = max(0.0, load.hold.mean - load.hold.deviation)
+            max_wait_s = max(max_wait_s, call.ends_at - now - hold_s)
+            answer_s = load.first_event_s if is_stream else load.hold.mean
+            if call.workspace is not None:
+                workspace = call.workspace.name
+            # The first event of a resumed stream has been sent already.
+            if call.route.objective_s and not call.send_events:
+                objective_at = call.arrived_at + call.route.objective_s
+                on_time_until = objective_at - answer_s
+        if is_stream:
+            max_wait_s = min(max_wait_s, STREAM_QUEUE_WAIT_S)
+        return gates.QueuedRequest(
+            workspace,
+            call.priority,
+            cost_of(call),
+            on_time_until,
+            now + max_wait_s,
+        )
+
+    def _urgent_objective_s(self, call: calls.Call) -> float:
+        """Return the shortest objective of more urgent routes of a service."""
+        table = self.holder.table
+        if table is None or not self._has_engine(call.service):
+            return math.inf
+        return table.shortest_objective_s(call.service, call.priority)
+
+    def _slots(self, service: str, now: float) -> float:
+        """Return the requests that this entry can expect to have in flight.
+
+        They are its share, by rate, of what all upstreams may have in flight.
+        """
+        candidates = self.runner.upstreams.accepting(service, now)
+        total = len(candidates) * self.in_flight_limit(service, candidates)
+        if self._has_engine(service):
+            total *= self._load_share(now)
+        return max(1.0, total)
+
+    def _load_share(self, now: float) -> float:
+        if now - self._share_at >= SHARE_PERIOD_S:
+            own = max(1.0, self.runner.requests_per_s)
+            others = sum(
+                record.requests_per_s for record in self.runner.live_records()
+            )
+            self._share = own / (own + others)
+            self._share_at = now
+        return self._share
+
+    def _start(
+        self, call: calls.Call, item: gates.QueuedRequest, now: float
+    ) -> None:
+        self._gate(call.service).start(item, now)
+        self._started[call] = item
+        if call in self._returned:
+            self._returned.discard(call)
+            self.metrics.record_return('placed')
+
+    def _start_queued(
+        self, item: gates.QueuedRequest, upstream: fleet.Upstream, now: float
+    ) -> None:
+        queued = self._waiting[item]
+        waited_s = now - item.arrived_at
+        self.metrics.record_queue_wait(item.priority, waited_s)
+        self._start(queued.call, item, now)
+        queued.fut.set_result(upstream)
+
+    def _note_promise(self, call: calls.Call, at: float) -> None:
+        self.metrics.record_return('promised')
+        self._promises[call.identity] = at
+        self._promises.move_to_end(call.identity)
+        if len(self._promises) > MAX_PROMISES:
+            self._promises.popitem(last=False)
+
+    def _note_return(self, call: calls.Call, now: float) -> None:
+        """Record that a caller has returned, if one was asked to."""
+        if call.log.attempts:
+            return
+        promised_at = self._promises.pop(call.identity, None)
+        if promised_at is None:
+            return
+        self._returned.add(call)
+        self.metrics.record_return('returned')
+        logs.info(
+            'caller_returned',
+            request=call.id,
+            service=call.service,
+            priority=call.priority,
+            after_promise_s=now - promised_at,
+        )
 
     def _update_limits(self, now: float) -> None:
         table = self.holder.table
         if table is None:
             return
         self.limits.apply_table(table)
-        for service, before in self.limits.update(
-            now, self._mean_hold_s.__getitem__
-        ):
+
+        def hold_s(service: str) -> float:
+            return self._gate(service).load.hold.mean
+
+        for service, before in self.limits.update(now, hold_s):
             limiter = self.limits.limiters[service]
+            self.metrics.record_limit(service, limiter.limit)
             logs.info(
                 'concurrency_limit_changed',
                 service=service,
@@ -227,11 +419,45 @@
                 pause_s=limiter.pause_s,
                 objective_s=limiter.objective_s,
                 slots=limiter.slots,
-                hold_s=self._mean_hold_s[service],
+                hold_s=hold_s(service),
             )
 
-    def _refuse_queued(self, queued: _QueuedCall, reason: str) -> None:
-        queued.is_over = True
+    def _place_queued(
+        self, service: str, freed: fleet.Upstream | None, now: float
+    ) -> list[gates.QueuedRequest]:
+        """Place queued requests; return those that no upstream can take."""
+        gate = self._gate(service)
+        slots = self._slots(service, now)
+        if not gate.is_overloaded(slots, now):
+            freed = None
+        skipped = []
+        while gate.has_room(slots, now):
+            item = gate.pop(now)
+            if item is None:
+                break
+            queued = self._waiting[item]
+            if queued.fut.done():
+                continue
+            chosen = self.choose_upstream(queued.call, now, freed)
+            freed = None
+            if chosen is not None:
+                self._start_queued(item, chosen, now)
+                continue
+            skipped.append(item)
+            if not queued.call.log.excluded:
+                # No upstream can take any request of the service.
+                break
+        return skipped
+
+    def _refuse_all(self, gate: gates.ServiceGate) -> None:
+        """Refuse all queued requests of a service without upstreams."""
+        for item in gate.queue.in_order(time.monotonic()):
+            gate.queue.remove(item)
+            self._refuse_queued(item, NO_UPSTREAM)
+
+    def _refuse_queued(self, item: gates.QueuedRequest, reason: str) -> None:
+        queued = self._waiting[item]
+        self._gate(queued.call.service).queue.remove(item)
         if not queued.fut.done():
             queued.fut.set_exception(self._refusal(queued.call, reason))
 
@@ -239,11 +465,33 @@
         now = time.monotonic()
         has_any = self.runner.upstreams.accepting(call.service, now)
         code = ErrorCode.OVERLOADED if has_any else ErrorCode.NO_UPSTREAM
+        retry_after_s = self.retry_after_s(call)
+        self.metrics.record_refusal(reason, call.priority)
+        if call in self._returned:
+            self._returned.discard(call)
+            self.metrics.record_return('refused')
+        gate = self._gate(call.service)
+        logs.info(
+            'request_refused',
+            request=call.id,
+            service=call.service,
+            priority=call.priority,
+            reason=reason,
+            retry_after_s=retry_after_s,
+            waited_s=now - call.arrived_at,
+            queued=len(gate.queue),
+            in_flight=gate.in_flight,
+            slots=self._slots(call.service, now),
+            hold_s=gate.load.hold.mean,
+            first_event_s=gate.load.first_event_s,
+            arrivals_per_s=gate.load.arrival_rate(now),
+            error=gate.load.error,
+        )
         return CassiashiftError(
             code,
             f'service {call.service}: {reason}',
             call.log.verdict,
-            retry_after_s=self.retry_after_s(call),
+            retry_after_s=retry_after_s,
         )
 
     def _room_in_s(self, call: calls.Call, now: float) -> float:
@@ -251,17 +499,8 @@
         candidates = self.runner.upstreams.accepting(call.service, now)
         return self.chooser.room_in_s(candidates, now)
 
-    def _expected_wait_s(self, call: calls.Call, now: float) -> float:
-        candidates = self.runner.upstreams.accepting(call.service, now)
-        if not candidates:
-            return 0.0
-        slot_count = len(candidates) * self.in_flight_limit(
-            call.service, candidates
-        )
-        ahead = self.queue.count(call.service)
-        return ahead * self._mean_hold_s[call.service] / slot_count
-
-    def _release_unused(self, fut: asyncio.Future) -> None:
+    def _release_unused(self, call: calls.Call, fut: asyncio.Future) -> None:
         """Release the slot of a placed request that was cancelled."""
         if fut.done() and not fut.cancelled() and fut.exception() is None:
             self.runner.upstreams.condition(fut.result()).record_end()
+            self.record_end(call, None)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -264,7 +264,9 @@
         self, failure: exchange.SendFailedError, call: calls.Call
     ) -> CassiashiftError:
         """Return the error for a request whose last send has failed."""
-        retry_after_s = self.placement.admission.retry_after_s(call)
+        retry_after_s = 0.0
+        if call.log.verdict is Verdict.NOT_RUN:
+            retry_after_s = self.placement.admission.retry_after_s(call)
         return refusals.error_of_send(failure, call, retry_after_s)
 
     def record_answer(
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
@@ -63,6 +63,31 @@
             ('outcome',),
             registry=registry,
         )
+        self._queue_waits = prometheus_client.Histogram(
+            'cassiashift_queue_wait_seconds',
+            'Time in the queue of requests that were placed, by priority.',
+            ('priority',),
+            registry=registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self._refusals = prometheus_client.Counter(
+            'cassiashift_refusals',
+            'Requests refused for want of capacity, by reason and priority.',
+            ('reason', 'priority'),
+            registry=registry,
+        )
+        self._returns = prometheus_client.Counter(
+            'cassiashift_promised_returns',
+            'Returns of refused callers that were promised a time.',
+            ('outcome',),
+            registry=registry,
+        )
+        self._limits = prometheus_client.Gauge(
+            'cassiashift_concurrency_limit',
+            'Requests that may be in flight at one upstream, by service.',
+            ('service',),
+            registry=registry,
+        )
         self._gauges = prometheus_client.Gauge(
             'cassiashift_state',
             'State of this entry, by name.',
@@ -94,6 +119,22 @@
         """Count an issuer's answer: granted, denied or too late."""
         self._permits.labels(outcome).inc()
 
+    def record_queue_wait(self, priority: int, waited_s: float) -> None:
+        """Record the time that a placed request has waited."""
+        self._queue_waits.labels(str(priority)).observe(waited_s)
+
+    def record_refusal(self, reason: str, priority: int) -> None:
+        """Count a request that was refused for want of capacity."""
+        self._refusals.labels(reason, str(priority)).inc()
+
+    def record_return(self, outcome: str) -> None:
+        """Count a return: promised, returned, and then placed or refused."""
+        self._returns.labels(outcome).inc()
+
+    def record_limit(self, service: str, limit: float) -> None:
+        """Set the concurrency limit of a service."""
+        self._limits.labels(service).set(limit)
+
     def text(self, **gauges: float) -> bytes:
         """Set the gauges and return all metrics as text."""
         for name, value in gauges.items():
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -52,6 +52,7 @@
             chooser=self.chooser,
             guard=self.guard,
             rng=self.rng,
+            metrics=self.permits.metrics,
             choose_upstream=self._choose_upstream,
             request_permit=self._request_permit,
         )
@@ -69,9 +70,7 @@
         self.guard.check(call)
         self._charge_budget(call)
         now = time.monotonic()
-        chosen = None
-        if self.admission.queue.peek(call.service) is None:
-            chosen = self._choose_upstream(call, now)
+        chosen = self.admission.try_start(call, now)
         if chosen is None:
             chosen = await self.admission.wait(call, now)
             self._check_before_send(call, chosen)
@@ -102,6 +101,7 @@
             self.guard.check(call)
         except CassiashiftError:
             self._condition(upstream).record_end()
+            self.admission.record_end(call, None)
             self.admission.serve_queue(call.service)
             raise
 
@@ -114,8 +114,8 @@
             held_s: seconds that the send took.
         """
         self._condition(upstream).record_end()
-        self.admission.record_hold(call.service, held_s)
-        self.admission.serve_queue(call.service)
+        self.admission.record_end(call, held_s)
+        self.admission.serve_queue(call.service, freed=upstream)
 
     def may_move(self, call: calls.Call, upstream: fleet.Upstream) -> bool:
         """Return whether a send in progress may go to another upstream now."""
@@ -204,11 +204,19 @@
             )
 
     def _choose_upstream(
-        self, call: calls.Call, now: float
+        self,
+        call: calls.Call,
+        now: float,
+        preferred: fleet.Upstream | None = None,
     ) -> fleet.Upstream | None:
         candidates = self.runner.upstreams.accepting(call.service, now)
         limit = self.admission.in_flight_limit(call.service, candidates)
-        chosen = self.chooser.choose(candidates, limit, call.log.excluded, now)
+        excluded = call.log.excluded
+        chosen = None
+        if preferred in candidates:
+            chosen = self.chooser.choose([preferred], limit, excluded, now)
+        if chosen is None:
+            chosen = self.chooser.choose(candidates, limit, excluded, now)
         if chosen is not None:
             self._condition(chosen).record_send(now)
             self._request_next_permit(call, now)
@@ -231,7 +239,7 @@
             self.admission.in_flight_limit(call.service, candidates),
             call.log.excluded,
             now,
-            wanted=max(1, self.admission.queue.count(call.service)),
+            wanted=max(1, self.admission.queued_count(call.service)),
         )
         if limited is not None:
             self.permits.request(limited, patience_s)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -82,6 +82,7 @@
     reader: eventstream.EventReader = attrs.field(
         factory=eventstream.EventReader
     )
+    _sent_at: float = 0.0
     _first_event_at: float = 0.0
     _last_event_at: float = 0.0
     _longest_pause_s: float = 0.0
@@ -157,8 +158,9 @@
                 ``stalled`` if ``check_stall`` has ended the send.
         """
         self._upstream = upstream
+        self._sent_at = time.monotonic()
         self._watch = self.owner.stall_judge.begin(
-            self.call.service, time.monotonic()
+            self.call.service, self._sent_at
         )
         try:
             async with asyncio.timeout(None) as self._scope:
@@ -235,6 +237,9 @@
             self.owner.close_if_leaving(self.response)
             self._first_event_at = now
             self.owner.metrics.record_first_event(now - self.call.arrived_at)
+            self.owner.placement.admission.record_first_event(
+                self.call, now - self._sent_at
+            )
         else:
             pause_s = now - self._last_event_at
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
--- a/tests/core/placing/test_placing.py
+++ b/tests/core/placing/test_placing.py
@@ -134,22 +134,6 @@
     assert_that(log.excluded, matchers.Equals(set()))
 
 
-def test_requests_are_queued_by_priority_then_arrival():
-    queue = placing.RequestQueue()
-    rows = [
-        placing.QueuedRequest('s', priority, 9.0) for priority in (2, 1, 1)
-    ]
-    for row in rows:
-        queue.add(row)
-    assert_that(queue.peek('s'), matchers.Is(rows[1]))
-    rows[1].is_over = True
-    assert_that(queue.peek('s'), matchers.Is(rows[2]))
-    assert_that(queue.count('s'), matchers.Equals(2))
-    assert_that(queue.expired(9.0), matchers.HasLength(2))
-    rows[0].is_over = rows[2].is_over = True
-    assert_that(queue.services(), matchers.Equals([]))
-
-
 def _queued_share(entries):
     """Simulate streams on 16 upstreams; return the share that queued.
 
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -51,9 +51,21 @@
     )
 
 
+def route_to_model(name, priority):
+    """Return a public route of a priority to the service model."""
+    return attrs.evolve(
+        route(name, routes.Kind.STREAM, is_public=True, priority=priority),
+        targets=(routes.Target('model'),),
+        objective_s=0.5,
+        gap_objective_s=0.15,
+    )
+
+
 TABLE = routes.RouteTable(
     1,
     (
+        route_to_model('chat', 0),
+        route_to_model('bulk', 2),
         route('read', routes.Kind.SAFE),
         route('book', routes.Kind.UNSAFE, attempts=1),
         route('draft', routes.Kind.STREAM, is_resumable=True),
@@ -61,9 +73,12 @@
         route('brief', routes.Kind.STREAM, timeout_s=0.4),
         route('open', routes.Kind.SAFE, is_public=True),
     ),
-    tuple(
-        routes.Service(name)
-        for name in ('read', 'book', 'draft', 'talk', 'brief', 'open')
+    (
+        routes.Service('model', engine=routes.Engine(slots=1)),
+        *(
+            routes.Service(name)
+            for name in ('read', 'book', 'draft', 'talk', 'brief', 'open')
+        ),
     ),
     (routes.Workspace('acme', ('secret',), 3),),
 )
