--- a/packages/cassiashift-core/cassiashift_core/placing/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/__init__.py
@@ -11,8 +11,6 @@
 from cassiashift_core.placing.decision import Snapshot
 from cassiashift_core.placing.decision import Terms
 from cassiashift_core.placing.decision import Weighed
-from cassiashift_core.placing.request_queue import QueuedRequest
-from cassiashift_core.placing.request_queue import RequestQueue
 
 __all__ = [
     'Attempt',
@@ -20,8 +18,6 @@
     'Chooser',
     'Decision',
     'Exclusion',
-    'QueuedRequest',
-    'RequestQueue',
     'Snapshot',
     'Terms',
     'Weighed',
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -67,12 +67,13 @@
             chooser=self.chooser,
             guard=self.guard,
             rng=self.rng,
+            metrics=self.permits.metrics,
             choose_upstream=self._choose_upstream,
             release_slot=self._release_slot,
             request_permit=self._request_permit,
         )
         self.permits.on_answer = self.admission.use_permit
-        self.work.queue = self.admission.queue
+        self.work.queued = self.admission.queued_counts
         self.work.refresh = self.running.refresh
 
     async def place(self, call: calls.Call) -> fleet.Upstream:
@@ -88,14 +89,13 @@
         now = time.monotonic()
         self._check_size(call, now)
         self._charge_budget(call)
-        chosen = None
-        if self.admission.queue.peek(call.service) is None:
-            chosen = self._choose_upstream(call, now)
+        chosen = self.admission.try_start(call, now)
         if chosen is None:
             chosen = await self.admission.wait(call, now)
             while chosen.data_centre in self.runner.upstreams.evacuated:
                 # Evacuated since the queue was served.
-                self._condition(chosen).record_end()
+                self._release_slot(call, chosen)
+                self.admission.record_end(call, None)
                 chosen = await self.admission.wait(call, time.monotonic())
             self._check_before_send(call, chosen)
         logs.info(
@@ -131,6 +131,7 @@
             self.guard.check(call)
         except CassiashiftError:
             self._release_slot(call, upstream)
+            self.admission.record_end(call, None)
             self.admission.serve_queue(call.service)
             raise
 
@@ -143,8 +144,8 @@
             held_s: seconds that the send took.
         """
         self._release_slot(call, upstream)
-        self.admission.record_hold(call.service, held_s)
-        self.admission.serve_queue(call.service)
+        self.admission.record_end(call, held_s)
+        self.admission.serve_queue(call.service, freed=upstream)
 
     def may_move(self, call: calls.Call, upstream: fleet.Upstream) -> bool:
         """Return whether a send in progress may go to another upstream now."""
@@ -233,14 +234,17 @@
             )
 
     def snapshot(
-        self, call: calls.Call, now: float, **fields: Any
+        self,
+        call: calls.Call,
+        now: float,
+        candidates: list[fleet.Upstream],
+        **fields: Any,
     ) -> placing.Snapshot:
         """Return the snapshot that a request would be placed by.
 
         Args:
             fields: overrides of fields, such as the random number.
         """
-        candidates = self.runner.upstreams.accepting(call.service, now)
         limit = self.admission.in_flight_limit(call.service, candidates)
         return self.chooser.snapshot(
             candidates,
@@ -257,9 +261,20 @@
         )
 
     def _choose_upstream(
-        self, call: calls.Call, now: float
+        self,
+        call: calls.Call,
+        now: float,
+        preferred: fleet.Upstream | None = None,
     ) -> fleet.Upstream | None:
-        chosen = placing.decide(self.snapshot(call, now)).chosen
+        candidates = self.runner.upstreams.accepting(call.service, now)
+        chosen = None
+        if preferred in candidates:
+            snapshot = self.snapshot(call, now, [preferred])
+            chosen = placing.decide(snapshot).chosen
+        if chosen is None:
+            chosen = placing.decide(
+                self.snapshot(call, now, candidates)
+            ).chosen
         if chosen is not None:
             condition = self._condition(chosen)
             condition.record_send(now)
@@ -336,7 +351,7 @@
         return own < workload.own_share(
             limit * len(candidates),
             own,
-            self.admission.queue.count(service),
+            self.admission.queued_count(service),
             sum(condition.others_in_flight for condition in conditions),
             backlog,
         )
@@ -363,7 +378,7 @@
             self.admission.in_flight_limit(call.service, candidates),
             call.log.excluded,
             now,
-            wanted=max(1, self.admission.queue.count(call.service)),
+            wanted=max(1, self.admission.queued_count(call.service)),
         )
         if limited is not None:
             self.permits.request(limited, patience_s)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
@@ -9,7 +9,6 @@
 
 from cassiashift_core import fleet
 from cassiashift_core import hashing
-from cassiashift_core import placing
 from cassiashift_core import workload
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon import logs
@@ -25,13 +24,14 @@
     bound the requests of all entries together.
 
     Attributes:
-        queue: the requests that wait at this entry.
+        queued: returns the numbers of requests that wait at this entry, by
+            service.
         refresh: updates the remaining work of the requests in flight.
     """
 
     runner: fleet_runner.FleetRunner
     table: workload.WorkTable
-    queue: placing.RequestQueue = attrs.field(factory=placing.RequestQueue)
+    queued: Callable[[], dict[str, int]] = dict
     refresh: Callable[[float], None] = lambda now: None
     _due: float = -math.inf
     _sent_at: float = -math.inf
@@ -152,8 +152,8 @@
             if self._has_engine(upstream.service)
         ]
         queued = tuple(
-            (hashing.short_id(service), self.queue.count(service))
-            for service in self.queue.services()
+            (hashing.short_id(service), count)
+            for service, count in self.queued().items()
             if self._has_engine(service)
         )
         # Digests of one millisecond would have no order.
--- a/tests/daemon/direct/test_evacuations.py
+++ b/tests/daemon/direct/test_evacuations.py
@@ -88,7 +88,7 @@
         calls.append(asyncio.ensure_future(send(f'q{number}')))
         await asyncio.sleep(0.05)
     admission = site.ingress.placement.admission
-    assert_that(admission.queue.count('book'), matchers.Equals(1))
+    assert_that(admission.queued_count('book'), matchers.Equals(1))
     if has_west:
         await site.upstream('book', data_centre='west')
     if is_placed:
