Simulate admission under overload of a lock-step group

Cause: the routing experiment had engines that step alone, no priorities and no callers that return, so that it could not show what admission does when all streams of a group become late together.

--- a/packages/cassiashift-cli/cassiashift_cli/experiment_routing.py
+++ b/packages/cassiashift-cli/cassiashift_cli/experiment_routing.py
@@ -27,6 +27,21 @@
     'broken',
 )
 
+OVERLOAD_HEADINGS = (
+    'load',
+    'policy',
+    'on time by priority',
+    'value by priority',
+    'on time',
+    'during',
+    '2 s after',
+    'worst workspace',
+    'largest tenth',
+    'wait ms by priority',
+    'refused',
+    'returns placed',
+)
+
 
 def routing(
     *,
@@ -40,8 +55,28 @@
     policy: Annotated[
         tuple[str, ...], cyclopts.Parameter(help='Policies to run.')
     ] = (),
+    overload: Annotated[
+        bool,
+        cyclopts.Parameter(
+            help='Overload a lock-step group; the scenarios are its loads.'
+        ),
+    ] = False,
+    seeds: Annotated[
+        int,
+        cyclopts.Parameter(help='Seeds of the overload, from --seed on.'),
+    ] = 1,
 ) -> None:
     """Compare routing policies over the same seeded arrivals."""
+    if overload:
+        cells = experiment.run_overload(
+            experiment.OverloadConfig(),
+            range(seed, seed + seeds),
+            scenario,
+            policy,
+        )
+        text = _encode(cells) if json else overload_table(cells)
+        sys.stdout.write(text)
+        return
     cfg = experiment.ExperimentConfig(scenarios=scenario, policies=policy)
     result = experiment.run(cfg, seed)
     text = to_json(result) if json else to_table(result)
@@ -50,6 +85,39 @@
 
 def to_json(result: experiment.ExperimentResult) -> str:
     """Return indented JSON; equal results give equal text."""
+    return _encode(result)
+
+
+def overload_table(cells: list[experiment.OverloadCell]) -> str:
+    """Return a Markdown table with a row for each load and policy."""
+    headings = OVERLOAD_HEADINGS
+    lines = [_table_row(headings), _table_row(['---'] * len(headings))]
+    lines.extend(_table_row(_overload_fields(cell)) for cell in cells)
+    return '\n'.join(lines) + '\n'
+
+
+def _overload_fields(cell: experiment.OverloadCell) -> list[str]:
+    return [
+        cell.shape,
+        cell.policy,
+        _join(cell.on_time, '.2f'),
+        _join(cell.value, '.2f'),
+        f'{cell.all_on_time:.3f}',
+        f'{cell.disturbed:.3f}',
+        f'{cell.after:.3f}',
+        f'{cell.worst_workspace:.3f}',
+        f'{cell.largest:.3f}',
+        _join(cell.wait_ms, '.0f'),
+        f'{cell.refused:.3f}',
+        f'{cell.returns_placed:.3f}',
+    ]
+
+
+def _join(values: tuple[float, ...], spec: str) -> str:
+    return ' / '.join(format(value, spec) for value in values)
+
+
+def _encode(result: object) -> str:
     encoded = msgspec.json.encode(result)
     return msgspec.json.format(encoded, indent=2).decode() + '\n'
 
--- a/packages/cassiashift-core/cassiashift_core/experiment/engine.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/engine.py
@@ -14,8 +14,6 @@
 from cassiashift_core import admission
 from cassiashift_core.experiment import model
 
-PROGRESS_INTERVAL_TOKENS = 16
-
 
 @attrs.define(eq=False)
 class EngineAttempt:
@@ -140,6 +138,11 @@
         self._queued.append(attempt)
         return True
 
+    @property
+    def idle_step_s(self) -> float:
+        """Duration of a step without any attempt."""
+        return self.slowdown * self.cfg.step_s
+
     def begin_step(self, now: float) -> float | None:
         """Start a step and return its duration, or None if idle.
 
@@ -260,7 +263,7 @@
 
     def _schedule_progress(self, attempt: EngineAttempt) -> None:
         left = attempt.output_tokens - attempt.generated
-        step = self._steps + min(PROGRESS_INTERVAL_TOKENS, left)
+        step = self._steps + min(self.cfg.progress_tokens, left)
         self._sequence += 1
         heapq.heappush(self._progress_due, (step, self._sequence, attempt))
 
@@ -271,7 +274,7 @@
             if attempt.cancelled:
                 continue
             left = attempt.output_tokens - attempt.generated
-            tokens = min(PROGRESS_INTERVAL_TOKENS, left)
+            tokens = min(self.cfg.progress_tokens, left)
             attempt.generated += tokens
             events.append(Progress(attempt.attempt_id, tokens))
             if attempt.generated >= attempt.output_tokens:
--- a/packages/cassiashift-core/cassiashift_core/experiment/model.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/model.py
@@ -23,6 +23,7 @@
         report_period_s: time between two load reports.
         event_lag_s: time from a cache event to its delivery.
         event_loss: share of cache events that are lost.
+        progress_tokens: tokens between two events of a stream.
     """
 
     step_s: float = 0.008
@@ -37,6 +38,7 @@
     report_period_s: float = 0.5
     event_lag_s: float = 0.5
     event_loss: float = 0.01
+    progress_tokens: int = 16
 
 
 @attrs.frozen
--- a/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/simulation.py
@@ -93,10 +93,7 @@
         ).start()
         self._schedule_fault()
         self._schedule(self.cfg.warm_up_s, self._discard_warm_up)
-        end = self.cfg.duration_s + AFTER_ARRIVALS_S
-        while self._queue and self._queue[0][0] < end:
-            now, _, action = heapq.heappop(self._queue)
-            action(now)
+        self._run_until(self.cfg.duration_s + AFTER_ARRIVALS_S)
 
     def send(
         self, entry: entries.Entry, dispatch: entries.Dispatch, now: float
@@ -107,6 +104,11 @@
         deliver = functools.partial(self._deliver_attempt, entry, dispatch)
         self._schedule(now + NETWORK_DELAY_S, deliver)
 
+    def _run_until(self, end: float) -> None:
+        while self._queue and self._queue[0][0] < end:
+            now, _, action = heapq.heappop(self._queue)
+            action(now)
+
     def _schedule(self, when: float, action: feeds.Action) -> None:
         self._sequence += 1
         heapq.heappush(self._queue, (when, self._sequence, action))
