Bound what a direct entry holds for slow callers and upstreams

Cause: for a caller that reads slowly, an entry held up to 256 KB of one read, 128 KB read ahead and the transport's buffer; for an upstream that reads slowly, each body twice. Nothing bounded the process, and what a closed connection still had to send stayed until the caller left.

Change: core/buffers decides what may be held for a connection (16 KB and one read) and, where the settings state limits.memoryMb, for the process; which new work is refused as not run, large work first; and which callers are given up: after 2 s without reading, or 0.5 s if memory is short, the longest waiting first. Their answers end as incomplete. Bodies go to upstreams in pieces, large answers to callers likewise; the receive buffer towards upstreams is limited.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
@@ -40,6 +40,23 @@
     longest_ttl_s: float = 5.0
 
 
+@attrs.frozen(kw_only=True)
+class HostLimits:
+    """What this process may use of its host; 0 where it is not stated.
+
+    Attributes:
+        cpu_cores: cores of the host.
+        cpu_share: share of them for this process.
+        memory_mb: resident memory in MiB.
+        link_mbps: rate of the link in Mbit/s.
+    """
+
+    cpu_cores: float = 0.0
+    cpu_share: float = 0.0
+    memory_mb: int = 0
+    link_mbps: float = 0.0
+
+
 @attrs.frozen(kw_only=True)
 class DirectConfig:
     """Settings of a direct entry.
@@ -65,6 +82,7 @@
     tolerated_losses: int = 0
     heartbeat_s: float = 1.0
     bounds: Bounds = Bounds()
+    limits: HostLimits = HostLimits()
 
     def link_of(self, host: str) -> str:
         """Return the link address of an entry, as ``tcp://IP:PORT``."""
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -15,10 +15,12 @@
 import multidict
 import yarl
 
+from cassiashift_core import buffers
 from cassiashift_core import fleet
 from cassiashift_core import Verdict
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import dialect
+from cassiashift_daemon.direct import payloads
 from cassiashift_net import body_ends
 from cassiashift_net import single_sends
 
@@ -109,6 +111,7 @@
         on_back_off: called with an upstream and the Retry-After of its 503.
         on_limit: called with an upstream, the limit that its answer names,
             None for none, and the time at which the request was sent.
+        ledger: counts what the process buffers.
         buffered_bytes: bytes of answers that are not complete yet.
     """
 
@@ -121,6 +124,7 @@
     on_limit: Callable[[fleet.Upstream, str | None, float], None] = (
         lambda upstream, value, sent_at: None
     )
+    ledger: buffers.Ledger = attrs.field(factory=buffers.Ledger)
     buffered_bytes: int = 0
 
     @classmethod
@@ -128,8 +132,13 @@
         """Return an exchange with an HTTP session on the running loop."""
         session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
-                limit=0, force_close=True, use_dns_cache=False
+                limit=0,
+                force_close=True,
+                use_dns_cache=False,
+                socket_factory=payloads.upstream_socket,
             ),
+            # Reading pauses at twice this.
+            read_bufsize=buffers.CONNECTION_BYTES // 2,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=(
@@ -203,6 +212,7 @@
             async for chunk in opened.chunks():
                 body += chunk
                 self.buffered_bytes += len(chunk)
+                self.ledger.hold(len(chunk))
                 if self._is_too_large(body):
                     raise SendFailedError(
                         'answer_too_large', Verdict.MAY_HAVE_RUN
@@ -210,11 +220,13 @@
             return bytes(body)
         finally:
             self.buffered_bytes -= len(body)
+            self.ledger.release(len(body))
             # The traceback of a failure keeps the body until it is handled.
             body.clear()
 
     def _is_too_large(self, body: bytearray) -> bool:
-        if self.buffered_bytes > MAX_BUFFERED_BYTES:
+        is_short = self.ledger.refusal(0) is not None
+        if is_short or self.buffered_bytes > MAX_BUFFERED_BYTES:
             return len(body) > SMALL_ANSWER_BYTES
         return len(body) > MAX_ANSWER_BYTES
 
@@ -233,7 +245,7 @@
                     f'http://{upstream.address}{call.path}', encoded=True
                 ),
                 headers=call.headers_for(self.names, upstream, last_event),
-                data=call.body or None,
+                data=payloads.SlicedPayload(call.body) if call.body else None,
                 allow_redirects=False,
             )
         except (
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -13,6 +13,7 @@
 from cassiashift_core import routes
 from cassiashift_core import stalls
 from cassiashift_core import Verdict
+from cassiashift_daemon.direct import callers
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import dialect
 from cassiashift_daemon.direct import exchange
@@ -33,6 +34,10 @@
 STATUS_REDIRECT = 300
 # Parts of a prompt in one log line.
 MAX_LOGGED_PARTS = 8
+# Retry-After of work that is refused for want of memory: within this time the
+# requests that hold it end, or their callers are given up.
+MEMORY_RETRY_S = 1.0
+MEMORY_RETRY_SPREAD = 1.0
 
 
 class StreamBrokenOffError(Exception):
@@ -65,17 +70,25 @@
     started_at: float = attrs.field(factory=time.monotonic)
     stall_judge: stalls.StallJudge = attrs.field(factory=stalls.StallJudge)
     _relays: set[streams.StreamRelay] = attrs.field(factory=set)
+    writer: callers.CallerWriter = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the writer of answers, which counts in the same ledger."""
+        self.writer = callers.CallerWriter(self.exchange.ledger, self.metrics)
 
     def tick(self) -> None:
         """Move streams whose upstream has stalled to others."""
         now = time.monotonic()
         for relay in list(self._relays):
             relay.check_stall(now)
+        self.writer.tick()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and log and count its outcome."""
         self.in_flight += 1
         self.handled += 1
+        self.exchange.ledger.begin_request()
+        self.writer.limit(request)
         started = time.monotonic()
         request_id = request.headers.get(self.dialect.headers.request_id, '')
         outcome = 'cancelled'
@@ -105,11 +118,11 @@
             )
             # Closed without the final chunk, so that the caller sees that
             # the stream is incomplete.
-            if request.transport is not None:
-                request.transport.close()
+            self.writer.break_off(request)
             raise asyncio.CancelledError from exc
         finally:
             self.in_flight -= 1
+            self.exchange.ledger.end_request()
             spent_s = time.monotonic() - started
             self.metrics.record_request(outcome, spent_s)
             if outcome == 'cancelled':
@@ -117,6 +130,18 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         call = await self._read_call(request)
+        try:
+            response = await self._answer(request, call)
+        finally:
+            self.exchange.ledger.release(len(call.body))
+        try:
+            return await self.writer.deliver(request, response)
+        except CassiashiftError as exc:
+            raise StreamBrokenOffError(str(exc)) from exc
+
+    async def _answer(
+        self, request: web.BaseRequest, call: calls.Call
+    ) -> web.StreamResponse:
         if call.route.kind is routes.Kind.STREAM:
             relay = streams.StreamRelay(self, request, call)
             return await self._relay_stream(call, relay)
@@ -167,7 +192,7 @@
                 ErrorCode.NOT_FOUND, 'no route for this host and path'
             )
         workspace = self._authenticate(request, table, route)
-        body = await _read_body(request, table.limits.max_body_bytes)
+        body = await self._read_body(request, table.limits.max_body_bytes)
         names = self.dialect.headers
         wait_s = _parse_deadline_s(request.headers.get(names.deadline_ms))
         if wait_s is None:
@@ -195,6 +220,65 @@
             ),
         )
 
+    async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes:
+        """Return the body of a request, counted as held.
+
+        Raises:
+            CassiashiftError: BODY_TOO_LARGE, or OVERLOADED for want of
+                memory.
+        """
+        ledger = self.exchange.ledger
+        self._require_memory(request, request.content_length or 0)
+        if not request.body_exists:
+            return b''
+        body = bytearray()
+        is_read = False
+        try:
+            async for chunk in request.content.iter_any():
+                body += chunk
+                ledger.hold(len(chunk))
+                if len(body) > limit:
+                    raise CassiashiftError(
+                        ErrorCode.BODY_TOO_LARGE,
+                        f'the body exceeds {limit} bytes',
+                    )
+                self._require_memory(request, len(body), len(body))
+            is_read = True
+        finally:
+            if not is_read:
+                ledger.release(len(body))
+        return bytes(body)
+
+    def _require_memory(
+        self, request: web.BaseRequest, size: int, held: int = 0
+    ) -> None:
+        """Raise OVERLOADED if work of a size is refused for want of memory.
+
+        Args:
+            held: bytes of it that are counted as held already.
+        """
+        ledger = self.exchange.ledger
+        reason = ledger.refusal(size, held)
+        if reason is None:
+            return
+        self.metrics.record_memory_event(reason.value)
+        logs.warning(
+            'memory_short',
+            request=request.headers.get(self.dialect.headers.request_id, ''),
+            reason=reason.value,
+            size=size,
+            buffered=ledger.buffered_bytes,
+            limit=ledger.limits.process_bytes,
+            requests=ledger.requests,
+            unread=ledger.unread_count,
+        )
+        spread = 1 + MEMORY_RETRY_SPREAD * self.rng.random()
+        raise CassiashiftError(
+            ErrorCode.OVERLOADED,
+            'this entry is short of memory',
+            retry_after_s=MEMORY_RETRY_S * spread,
+        )
+
     def _unconfigured_retry_s(self, now: float) -> float:
         left_s = self.started_at + CONFIGURED_AFTER_S - now
         spread = 1 + UNCONFIGURED_RETRY_SPREAD * self.rng.random()
@@ -330,19 +414,6 @@
         return response
 
 
-async def _read_body(request: web.BaseRequest, limit: int) -> bytes:
-    if not request.body_exists:
-        return b''
-    body = bytearray()
-    async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > limit:
-            raise CassiashiftError(
-                ErrorCode.BODY_TOO_LARGE, f'the body exceeds {limit} bytes'
-            )
-    return bytes(body)
-
-
 def _parse_deadline_s(milliseconds: str | None) -> float | None:
     if milliseconds is None:
         return None
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
@@ -63,6 +63,12 @@
             ('outcome',),
             registry=registry,
         )
+        self._memory_events = prometheus_client.Counter(
+            'cassiashift_memory_events',
+            'Requests refused and callers given up for want of memory.',
+            ('cause',),
+            registry=registry,
+        )
         self._gauges = prometheus_client.Gauge(
             'cassiashift_state',
             'State of this entry, by name.',
@@ -94,6 +100,10 @@
         """Count an issuer's answer: granted, denied or too late."""
         self._permits.labels(outcome).inc()
 
+    def record_memory_event(self, cause: str) -> None:
+        """Count a refusal, or a caller given up, to bound the memory."""
+        self._memory_events.labels(cause).inc()
+
     def text(self, **gauges: float) -> bytes:
         """Set the gauges and return all metrics as text."""
         for name, value in gauges.items():
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Callable
 import random
+import socket
 import time
 
 from aiohttp import web
 
+from cassiashift_core import buffers
 from cassiashift_core import CassiashiftError
 from cassiashift_core import consensus
 from cassiashift_core import fleet
@@ -178,6 +180,10 @@
 
     def _open_ingress(self) -> None:
         self.exchange = exchange.Exchange.from_config(self.adapter.headers)
+        if self.cfg.limits.memory_mb:
+            self.exchange.ledger.limits = buffers.BufferLimits.from_memory(
+                self.cfg.limits.memory_mb
+            )
         self.guard = poison_guard.PoisonGuard.from_runner(
             poison.PoisonTable(self.cfg.host, self.rng),
             self.runner,
@@ -257,6 +263,7 @@
             )
             await server.setup()
             self.front = await webserver.listen(server, listeners.front)
+            self._limit_kernel_buffers()
             self.listeners.append(self.front)
         surfaces = self.surfaces(self.control, self.directory)
         surfaces['metrics'] = [web.get('/metrics', self._serve_metrics)]
@@ -269,6 +276,19 @@
                     )
                 )
 
+    def _limit_kernel_buffers(self) -> None:
+        """Limit what the kernel holds for each caller, and one read.
+
+        Connections inherit it from the listening socket. Otherwise up to
+        4 MB wait there for a caller that doesn't read.
+        """
+        limits = self.exchange.ledger.limits
+        if limits.is_stated:
+            for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                self.front.sock.setsockopt(
+                    socket.SOL_SOCKET, option, limits.connection_bytes
+                )
+
     def _is_serving(self) -> bool:
         return self.holder.table is not None and not self.is_leaving
 
@@ -339,6 +359,8 @@
             upstreams=len(self.runner.upstreams.all()),
             limited_upstreams=self.runner.upstreams.limited_count(),
             in_flight=self.ingress.in_flight,
+            buffered_bytes=self.exchange.ledger.buffered_bytes,
+            unread_callers=self.exchange.ledger.unread_count,
             blocked_parts=self.guard.table.blocked_count,
             suspected_parts=self.guard.table.suspected_count,
             suspected_requests=self.guard.table.suspected_request_count,
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -13,6 +13,7 @@
 from cassiashift_core import poison
 from cassiashift_core import stalls
 from cassiashift_core import Verdict
+from cassiashift_daemon.direct import callers
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import exchange
 from cassiashift_daemon.direct import metrics
@@ -26,6 +27,7 @@
 class Owner(Protocol):
     """The part of the ingress that a relay uses."""
 
+    writer: callers.CallerWriter
     exchange: exchange.Exchange
     placement: placement.Placement
     guard: poison_guard.PoisonGuard
@@ -188,7 +190,8 @@
             raise exchange.SendFailedError(
                 'incomplete_stream', Verdict.MAY_HAVE_RUN
             )
-        await self.response.write_eof()
+        self._waits_for_caller = True
+        await self.owner.writer.end(self.request, self.response)
         return self.response
 
     def _error_answer(
@@ -235,7 +238,8 @@
         self._waits_for_caller = True
         if is_first:
             await self.response.prepare(self.request)
-        await self.response.write(b''.join(event.data for event in events))
+        data = b''.join(event.data for event in events)
+        await self.owner.writer.write(self.request, self.response, data)
         self._waits_for_caller = False
         # The upstream had no part in a caller's slowness.
         self._watch.since = time.monotonic()
--- /dev/null
+++ b/tests/core/buffers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the bounds on buffered bytes."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -10,6 +10,7 @@
 
 from cassiashift_core import fleet
 from cassiashift_core import routes
+from cassiashift_daemon.direct import config
 from cassiashift_daemon.direct import dialect
 from cassiashift_platform import documents
 from cassiashift_platform import prompts
@@ -82,6 +83,7 @@
     'heartbeatMs': 1200,
     'faultTolerance': {'machines': 1},
     'bounds': {'configApplyMs': 2500, 'gracePeriodS': 8},
+    'limits': {'cpuShare': 0.5, 'cpuCores': 2, 'memoryMb': 200},
     'new': 'ignored',
 }
 
@@ -185,6 +187,12 @@
     assert_that(cfg.seeds, matchers.Equals(('10.1.0.40', '10.2.0.29')))
     assert_that(cfg.link_of('h'), matchers.Equals('tcp://h:7340'))
     assert_that(cfg.bounds.apply_s, matchers.Equals(2.5))
+    assert_that(
+        cfg.limits,
+        matchers.Equals(
+            config.HostLimits(cpu_cores=2.0, cpu_share=0.5, memory_mb=200)
+        ),
+    )
     assert_that(cfg.heartbeat_s, matchers.Equals(1.2))
     assert_that(cfg.data_dir, matchers.Equals(''))
 
--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -59,6 +59,7 @@
         base: the first three parts of its address.
         seeds: addresses of hosts to contact first.
         is_first: it has never been started.
+        settings: fields of the settings file beside the usual ones.
     """
 
     folder: pathlib.Path
@@ -68,6 +69,7 @@
     seeds: list[str]
     is_first: bool = True
     process: subprocess.Popen | None = None
+    settings: dict = attrs.field(factory=dict)
 
     @property
     def ip(self):
@@ -100,7 +102,7 @@
             'heartbeatMs': 500,
             'faultTolerance': {'machines': 1},
             'bounds': {'gracePeriodS': 8, 'retryBudgetSlack': 50},
-        }
+        } | self.settings
         path = self.folder / f'settings-{self.number}.yaml'
         path.write_text(yaml.safe_dump(settings))
         log = (self.folder / f'entry-{self.number}.log').open('ab')
@@ -154,6 +156,7 @@
         arrived_at: times of all requests.
         is_leaving: its answers say that it leaves; its heartbeats don't.
         born: number of its start.
+        slots: requests that it runs at once.
     """
 
     address: str
@@ -165,6 +168,7 @@
     arrived_at: list[float] = attrs.field(factory=list)
     is_leaving: bool = False
     born: int = 1
+    slots: int = 20
 
     async def handle(self, request):
         """Run a request and answer with its id."""
@@ -251,7 +255,7 @@
                 'address': self.upstream.address,
                 'zone': 'east',
                 'state': 'ready',
-                'slots': 20,
+                'slots': self.upstream.slots,
                 'sequence': self.sequence,
                 'born': self.upstream.born,
             }
@@ -292,15 +296,29 @@
 
 
 @contextlib.asynccontextmanager
-async def site(folder, base, with_disk=3, without=2):
+async def site(
+    folder,
+    base,
+    with_disk=3,
+    without=2,
+    settings=None,
+    upstream_class=CountingUpstream,
+):
     """Run entries with and without a disk, and one upstream."""
     numbers = range(1, 1 + with_disk + without)
     seeds = [f'{base}.{number}' for number in list(numbers)[:3]]
     entries = [
-        Entry(folder, number, base, number <= with_disk, seeds)
+        Entry(
+            folder,
+            number,
+            base,
+            number <= with_disk,
+            seeds,
+            settings=settings or {},
+        )
         for number in numbers
     ]
-    upstream = CountingUpstream(f'{base}.99:18300')
+    upstream = upstream_class(f'{base}.99:18300')
     server = web.ServerRunner(web.Server(upstream.handle))
     await server.setup()
     await web.TCPSite(server, f'{base}.99', 18300).start()
--- /dev/null
+++ b/tests/process/test_slow_readers.py
@@ -0,0 +1,226 @@
+"""Tests of callers and upstreams that read slowly, with real processes."""
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+import time
+
+import aiohttp
+from aiohttp import web
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from tests.process import platform_site
+
+pytestmark = pytest.mark.process
+
+# The memory that the settings of an entry state.
+MEMORY_MB = 200
+SLOW_CALLERS = 500
+FAST_CALLERS = 50
+SLOW_BYTES_PER_S = 1024
+STREAM_S = 5.0
+# The shortest objectives of a deployment for streams.
+FIRST_EVENT_S = 0.406
+LONGEST_PAUSE_S = 0.12
+# The stub aborts a stream that isn't read for this long.
+ABORT_S = 3.0
+BIG_EVENT = b'id: 1\ndata: ' + b'x' * 16000 + b'\n\n'
+BIG_STREAM_EVENTS = 125
+BODY = b'b' * (2 * 1024 * 1024)
+BODIES = 100
+
+
+@attrs.define(eq=False)
+class SlowUpstream(platform_site.CountingUpstream):
+    """An upstream with large streams, small streams, and unread bodies.
+
+    Attributes:
+        aborted: streams that it aborted because they weren't read.
+    """
+
+    slots: int = 1000
+    aborted: int = 0
+
+    async def handle(self, request):
+        """Answer by the first part of the path."""
+        id_ = request.headers.get('Cassiashift-Request-Id', '')
+        headers = {
+            'Cassiashift-Request-Id': id_,
+            'Cassiashift-Response-Stamp': 's',
+        }
+        if request.path.startswith('/book/'):
+            self.ran[id_] = 1
+            await asyncio.sleep(2.0)
+            return web.Response(body=b'done', headers=headers)
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        if request.path.startswith('/big/'):
+            await self._write_big(response)
+            return response
+        for number in range(20):
+            await response.write(f'id: {number}\ndata: x\n\n'.encode())
+            await asyncio.sleep(0.02)
+        return response
+
+    async def _write_big(self, response):
+        try:
+            for _ in range(BIG_STREAM_EVENTS):
+                async with asyncio.timeout(ABORT_S):
+                    await response.write(BIG_EVENT)
+        except TimeoutError:
+            self.aborted += 1
+            raise
+
+
+@pytest.fixture
+async def site(tmp_path, request):
+    worker = getattr(request.config, 'workerinput', {}).get('workerid', 'gw0')
+    base = f'127.{150 + int(worker[2:])}.0'
+    async with platform_site.site(
+        tmp_path,
+        base,
+        without=1,
+        settings={'limits': {'memoryMb': MEMORY_MB}},
+        upstream_class=SlowUpstream,
+    ) as running:
+        document = platform_site.document(
+            1, ('big', 'streaming'), ('talk', 'streaming')
+        )
+        for row in document['routes']:
+            row['timeoutMs'] = 8000
+        entry = running.entries[-1]
+        await running.put_until_acknowledged(entry, document)
+        await running.wait_until(running.is_ready, entry)
+
+        async def is_served():
+            return (await _fast_stream(running, 'first')) is not None
+
+        await running.wait_until(is_served)
+        yield running
+
+
+def _headers(id_, deadline_ms=8000):
+    return {
+        'Host': platform_site.HOST,
+        'Cassiashift-Request-Id': id_,
+        'Cassiashift-Deadline-Ms': str(deadline_ms),
+        'Authorization': 'Token secret',
+    }
+
+
+def _peak_mb(site):
+    """Return the peak of the resident memory of the last entry, in MiB."""
+    pid = site.entries[-1].process.pid
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    fields = dict(line.split(':\t') for line in status.splitlines())
+    return int(fields['VmHWM'].split()[0]) / 1024
+
+
+async def _slow_stream(site, number):
+    """Read 1 KB a second for some seconds; return the last bytes read."""
+    loop = asyncio.get_running_loop()
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    lines = [
+        f'{key}: {value}' for key, value in _headers(f's{number}').items()
+    ]
+    head = '\r\n'.join(['POST /big/x HTTP/1.1', *lines, '', ''])
+    data = b''
+    with sock, contextlib.suppress(ConnectionError):
+        address = (site.entries[-1].ip, platform_site.PORTS['front'])
+        await loop.sock_connect(sock, address)
+        await loop.sock_sendall(sock, head.encode())
+        ends_at = time.monotonic() + STREAM_S
+        while time.monotonic() < ends_at:
+            received = await loop.sock_recv(sock, SLOW_BYTES_PER_S)
+            if not received:
+                break
+            data = received
+            await asyncio.sleep(1.0)
+    return data
+
+
+async def _fast_stream(site, id_):
+    """Return time to the first event and longest pause; None if it failed."""
+    started = time.monotonic()
+    times = []
+    url = site.entries[-1].url('front', '/talk/x')
+    with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+        async with site.session.post(url, headers=_headers(id_)) as response:
+            async for _ in response.content.iter_any():
+                times.append(time.monotonic())
+            if response.status == 200:
+                pauses = [
+                    b - a for a, b in zip(times, times[1:], strict=False)
+                ]
+                return times[0] - started, max(pauses)
+    return None
+
+
+async def _fast_caller(site, number, results):
+    ends_at = time.monotonic() + STREAM_S
+    await asyncio.sleep(number / FAST_CALLERS)
+    while time.monotonic() < ends_at:
+        results.append(await _fast_stream(site, f'f{number}-{len(results)}'))
+        await asyncio.sleep(0.6)
+
+
+def _p99(values):
+    return sorted(values)[int(0.99 * (len(values) - 1))]
+
+
+async def test_slow_callers_leave_memory_and_other_callers_alone(site):
+    """Guards against streams that are read into memory without bound."""
+    results = []
+    fast = [
+        asyncio.ensure_future(_fast_caller(site, number, results))
+        for number in range(FAST_CALLERS)
+    ]
+    slow = []
+    for number in range(SLOW_CALLERS):
+        slow.append(asyncio.ensure_future(_slow_stream(site, number)))
+        await asyncio.sleep(0.004)
+    last_bytes = await asyncio.gather(*slow)
+    await asyncio.gather(*fast)
+    assert_that(_peak_mb(site), matchers.LessThan(MEMORY_MB))
+    assert_that(results, matchers.Not(matchers.Contains(None)))
+    first_s = _p99([first for first, _ in results])
+    assert_that(first_s, matchers.LessThan(FIRST_EVENT_S))
+    pause_s = _p99([pause for _, pause in results])
+    assert_that(pause_s, matchers.LessThan(LONGEST_PAUSE_S))
+    assert_that(site.upstream.aborted, matchers.Equals(0))
+    # No answer ended as if it were complete.
+    complete = [data for data in last_bytes if data.endswith(b'\r\n0\r\n\r\n')]
+    assert_that(complete, matchers.Equals([]))
+    log = site.entries[-1].log()
+    assert_that(log, matchers.Contains('caller_given_up'))
+
+
+async def test_bodies_for_upstreams_that_do_not_read_are_bounded(site):
+    """Guards against bodies that are held for a slow upstream."""
+
+    async def send(number):
+        url = site.entries[-1].url('front', '/book/x')
+        async with session.post(
+            url, headers=_headers(f'b{number}'), data=BODY
+        ) as response:
+            return response.status, response.headers.get('Retry-After')
+
+    async with aiohttp.ClientSession() as session:
+        answers = await asyncio.gather(*(send(n) for n in range(BODIES)))
+    assert_that(_peak_mb(site), matchers.LessThan(MEMORY_MB))
+    statuses = [status for status, _ in answers]
+    assert_that(set(statuses), matchers.Equals({200, 503}))
+    # A refusal states that nothing has run.
+    assert_that(len(site.upstream.ran), matchers.Equals(statuses.count(200)))
+    assert_that(
+        [after for status, after in answers if status == 503 and not after],
+        matchers.Equals([]),
+    )
+    assert_that(site.entries[-1].log(), matchers.Contains('memory_short'))
+    assert_that(await site.is_ready(site.entries[-1]), matchers.Is(True))
