Direct callers by what each entry can carry

Cause: the directory took 35 requests a second for every entry, whatever its processor share, and followed each change of the load at once. An entry five times slower kept its share of the callers.

Change: where the settings state limits.cpuCores and limits.cpuShare, an entry fits its processor time to a line over requests a second, bounds the result by its link and its buffers, and announces it in its record, with a mark while its loop is delayed. The directory names as few entries as can carry the load expected in 3 s, at least two near the caller, slow ones last; entries of other data centres before the near ones are full. A set grows at once and shrinks by one entry in 15 s. Without a capacity the choice is as before.

--- a/packages/cassiashift-core/cassiashift_core/buffers/ledger.py
+++ b/packages/cassiashift-core/cassiashift_core/buffers/ledger.py
@@ -28,11 +28,13 @@
     Attributes:
         held_bytes: bodies of requests and answers that are held.
         requests: requests in flight.
+        passed_bytes: bytes of bodies and events so far, in one direction.
     """
 
     limits: buffer_limits.BufferLimits = buffer_limits.BufferLimits()
     held_bytes: int = 0
     requests: int = 0
+    passed_bytes: int = 0
     # Key of a caller to the time since which it hasn't read, oldest first.
     _unread: dict[int, float] = attrs.field(factory=dict)
 
--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -2,6 +2,9 @@
 
 from cassiashift_core.fleet.bootstrap import BootstrapAction
 from cassiashift_core.fleet.bootstrap import decide_bootstrap
+from cassiashift_core.fleet.capacity import CapacityEstimator
+from cassiashift_core.fleet.capacity import Supply
+from cassiashift_core.fleet.capacity import Usage
 from cassiashift_core.fleet.conditions import Condition
 from cassiashift_core.fleet.confirmation import LogConfirmation
 from cassiashift_core.fleet.documents import Document
@@ -31,11 +34,13 @@
 from cassiashift_core.fleet.permits import Issuer
 from cassiashift_core.fleet.permits import PERMIT_VALID_S
 from cassiashift_core.fleet.steering import choose_entries
+from cassiashift_core.fleet.steering import Steering
 from cassiashift_core.fleet.upstreams import UpstreamTable
 from cassiashift_core.fleet.voters import next_voter_change
 
 __all__ = [
     'BootstrapAction',
+    'CapacityEstimator',
     'Condition',
     'Document',
     'DocumentPull',
@@ -54,12 +59,15 @@
     'SharedSecret',
     'Sighting',
     'Standing',
+    'Steering',
+    'Supply',
     'TableDump',
     'TablePull',
     'Upstream',
     'UpstreamNews',
     'UpstreamState',
     'UpstreamTable',
+    'Usage',
     'choose_entries',
     'choose_issuer',
     'decide_bootstrap',
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -68,6 +68,8 @@
             is started.
         document_version: version of the configuration that it uses.
         requests_per_s: recent rate of requests from callers.
+        capacity_per_s: rate that it can carry; 0 if not stated.
+        is_slow: its events are delayed; callers should go elsewhere.
     """
 
     host: str
@@ -82,6 +84,8 @@
     founded: tuple[str, ...] = ()
     document_version: int = 0
     requests_per_s: float = 0.0
+    capacity_per_s: float = 0.0
+    is_slow: bool = False
 
 
 @attrs.frozen(order=True)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/api.py
@@ -155,6 +155,7 @@
     cfg: config.DirectConfig
     runner: fleet_runner.FleetRunner
     is_serving: Callable[[], bool]
+    steering: fleet.Steering = attrs.field(factory=fleet.Steering)
 
     @property
     def is_ready(self) -> bool:
@@ -163,9 +164,10 @@
 
     def resolve(self, data_centre: str) -> DirectoryAnswer | None:
         """Return the entries for a caller; None if none is ready."""
-        chosen = fleet.choose_entries(
+        chosen = self.steering.choose(
             [*self.runner.responsive_records(), self.runner.own_record()],
             data_centre,
+            time.monotonic(),
         )
         if not chosen:
             return None
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -213,6 +213,7 @@
                 body += chunk
                 self.buffered_bytes += len(chunk)
                 self.ledger.hold(len(chunk))
+                self.ledger.passed_bytes += len(chunk)
                 if self._is_too_large(body):
                     raise SendFailedError(
                         'answer_too_large', Verdict.MAY_HAVE_RUN
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -70,6 +70,8 @@
     is_ready: bool = False
     is_leaving: bool = False
     requests_per_s: float = 0.0
+    capacity_per_s: float = 0.0
+    is_slow: bool = False
     store_id: str = ''
     log_voters: tuple[str, ...] = ()
     started_at: float = attrs.field(factory=time.monotonic)
@@ -110,6 +112,8 @@
             founded=self.log_voters,
             document_version=self.holder.version,
             requests_per_s=self.requests_per_s,
+            capacity_per_s=self.capacity_per_s,
+            is_slow=self.is_slow,
         )
 
     def live_records(self) -> list[fleet.EntryRecord]:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -237,6 +237,7 @@
             async for chunk in request.content.iter_any():
                 body += chunk
                 ledger.hold(len(chunk))
+                ledger.passed_bytes += len(chunk)
                 if len(body) > limit:
                     raise CassiashiftError(
                         ErrorCode.BODY_TOO_LARGE,
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -19,6 +19,7 @@
 from cassiashift_daemon.direct import exchange
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon.direct import ingress
+from cassiashift_daemon.direct import load_meter
 from cassiashift_daemon.direct import metrics
 from cassiashift_daemon.direct import permit_runner
 from cassiashift_daemon.direct import placement
@@ -108,6 +109,8 @@
         )
         self.spawn(self.run_periodically(RELOAD_INTERVAL_S, self.reload))
         self.spawn(self.run_periodically(LOAD_INTERVAL_S, self._update_load))
+        if self.meter.is_enabled:
+            self.spawn(self.meter.measure_lag_forever())
         if self.cfg.data_dir:
             self.spawn(self.voting.run_forever())
             self.spawn(self._confirm_log())
@@ -184,6 +187,9 @@
             self.exchange.ledger.limits = buffers.BufferLimits.from_memory(
                 self.cfg.limits.memory_mb
             )
+        self.meter = load_meter.LoadMeter.from_config(
+            self.cfg.limits, self.exchange.ledger
+        )
         self.guard = poison_guard.PoisonGuard.from_runner(
             poison.PoisonTable(self.cfg.host, self.rng),
             self.runner,
@@ -349,6 +355,9 @@
         rate = self.runner.requests_per_s
         rate += LOAD_WEIGHT * (handled / LOAD_INTERVAL_S - rate)
         self.runner.requests_per_s = round(rate, 1)
+        self.meter.record(handled)
+        self.runner.capacity_per_s = self.meter.estimator.capacity_per_s
+        self.runner.is_slow = self.meter.estimator.is_slow
 
     async def _serve_metrics(self, request: web.Request) -> web.Response:
         voter = self.voting.voter
@@ -359,6 +368,9 @@
             upstreams=len(self.runner.upstreams.all()),
             limited_upstreams=self.runner.upstreams.limited_count(),
             in_flight=self.ingress.in_flight,
+            requests_per_s=self.runner.requests_per_s,
+            capacity_per_s=self.runner.capacity_per_s,
+            slow=float(self.runner.is_slow),
             buffered_bytes=self.exchange.ledger.buffered_bytes,
             unread_callers=self.exchange.ledger.unread_count,
             blocked_parts=self.guard.table.blocked_count,
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -239,6 +239,7 @@
         if is_first:
             await self.response.prepare(self.request)
         data = b''.join(event.data for event in events)
+        self.owner.exchange.ledger.passed_bytes += len(data)
         await self.owner.writer.write(self.request, self.response, data)
         self._waits_for_caller = False
         # The upstream had no part in a caller's slowness.
