--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -2,6 +2,9 @@
 
 from cassiashift_core.fleet.bootstrap import BootstrapAction
 from cassiashift_core.fleet.bootstrap import decide_bootstrap
+from cassiashift_core.fleet.capacity import CapacityEstimator
+from cassiashift_core.fleet.capacity import Supply
+from cassiashift_core.fleet.capacity import Usage
 from cassiashift_core.fleet.coldness import ColdTerms
 from cassiashift_core.fleet.coldness import parse_cold_s
 from cassiashift_core.fleet.conditions import Condition
@@ -36,6 +39,7 @@
 from cassiashift_core.fleet.permits import PERMIT_VALID_S
 from cassiashift_core.fleet.permits import rate_to_issue
 from cassiashift_core.fleet.steering import choose_entries
+from cassiashift_core.fleet.steering import Steering
 from cassiashift_core.fleet.upstreams import short_id
 from cassiashift_core.fleet.upstreams import UpstreamTable
 from cassiashift_core.fleet.voters import next_voter_change
@@ -45,6 +49,7 @@
     'ColdRecord',
     'ColdShare',
     'ColdTerms',
+    'CapacityEstimator',
     'Condition',
     'Document',
     'DocumentPull',
@@ -63,12 +68,15 @@
     'SharedSecret',
     'Sighting',
     'Standing',
+    'Steering',
+    'Supply',
     'TableDump',
     'TablePull',
     'Upstream',
     'UpstreamNews',
     'UpstreamState',
     'UpstreamTable',
+    'Usage',
     'choose_entries',
     'choose_issuer',
     'decide_bootstrap',
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
@@ -103,6 +103,12 @@
             ('service',),
             registry=registry,
         )
+        self._memory_events = prometheus_client.Counter(
+            'cassiashift_memory_events',
+            'Requests refused and callers given up for want of memory.',
+            ('cause',),
+            registry=registry,
+        )
         self._gauges = prometheus_client.Gauge(
             'cassiashift_state',
             'State of this entry, by name.',
@@ -163,6 +169,10 @@
         """Set the concurrency limit of a service."""
         self._limits.labels(service).set(limit)
 
+    def record_memory_event(self, cause: str) -> None:
+        """Count a refusal, or a caller given up, to bound the memory."""
+        self._memory_events.labels(cause).inc()
+
     def text(self, **gauges: float) -> bytes:
         """Set the gauges and return all metrics as text."""
         for name, value in gauges.items():
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Callable
 import random
+import socket
 import time
 
 from aiohttp import web
 
+from cassiashift_core import buffers
 from cassiashift_core import CassiashiftError
 from cassiashift_core import consensus
 from cassiashift_core import evacuation
@@ -20,6 +22,7 @@
 from cassiashift_daemon.direct import exchange
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon.direct import ingress
+from cassiashift_daemon.direct import load_meter
 from cassiashift_daemon.direct import metrics
 from cassiashift_daemon.direct import permit_runner
 from cassiashift_daemon.direct import placement
@@ -110,6 +113,8 @@
         )
         self.spawn(self.run_periodically(RELOAD_INTERVAL_S, self.reload))
         self.spawn(self.run_periodically(LOAD_INTERVAL_S, self._update_load))
+        if self.meter.is_enabled:
+            self.spawn(self.meter.measure_lag_forever())
         if self.cfg.data_dir:
             self.spawn(self.voting.run_forever())
             self.spawn(self._confirm_log())
@@ -187,6 +192,13 @@
 
     def _open_ingress(self) -> None:
         self.exchange = exchange.Exchange.from_config(self.adapter.headers)
+        if self.cfg.limits.memory_mb:
+            self.exchange.ledger.limits = buffers.BufferLimits.from_memory(
+                self.cfg.limits.memory_mb
+            )
+        self.meter = load_meter.LoadMeter.from_config(
+            self.cfg.limits, self.exchange.ledger
+        )
         self.guard = poison_guard.PoisonGuard.from_runner(
             poison.PoisonTable(self.cfg.host, self.rng),
             self.runner,
@@ -285,6 +297,7 @@
             )
             await server.setup()
             self.front = await webserver.listen(server, listeners.front)
+            self._limit_kernel_buffers()
             self.listeners.append(self.front)
         surfaces = self.surfaces(self.control, self.directory)
         surfaces['metrics'] = [web.get('/metrics', self._serve_metrics)]
@@ -297,6 +310,19 @@
                     )
                 )
 
+    def _limit_kernel_buffers(self) -> None:
+        """Limit what the kernel holds for each caller, and one read.
+
+        Connections inherit it from the listening socket. Otherwise up to
+        4 MB wait there for a caller that doesn't read.
+        """
+        limits = self.exchange.ledger.limits
+        if limits.is_stated:
+            for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                self.front.sock.setsockopt(
+                    socket.SOL_SOCKET, option, limits.connection_bytes
+                )
+
     def _is_serving(self) -> bool:
         return self.holder.table is not None and not self.is_leaving
 
@@ -384,6 +410,9 @@
         rate = self.runner.requests_per_s
         rate += LOAD_WEIGHT * (handled / LOAD_INTERVAL_S - rate)
         self.runner.requests_per_s = round(rate, 1)
+        self.meter.record(handled)
+        self.runner.capacity_per_s = self.meter.estimator.capacity_per_s
+        self.runner.is_slow = self.meter.estimator.is_slow
 
     async def _serve_metrics(self, request: web.Request) -> web.Response:
         voter = self.voting.voter
@@ -397,6 +426,11 @@
             in_flight=self.ingress.in_flight,
             busy_entries=self.work.busy_count(),
             silent_entries=self.work.silent_count(),
+            requests_per_s=self.runner.requests_per_s,
+            capacity_per_s=self.runner.capacity_per_s,
+            slow=float(self.runner.is_slow),
+            buffered_bytes=self.exchange.ledger.buffered_bytes,
+            unread_callers=self.exchange.ledger.unread_count,
             blocked_parts=self.guard.table.blocked_count,
             suspected_parts=self.guard.table.suspected_count,
             suspected_requests=self.guard.table.suspected_request_count,
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -13,6 +13,7 @@
 from cassiashift_core import poison
 from cassiashift_core import stalls
 from cassiashift_core import Verdict
+from cassiashift_daemon.direct import callers
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import exchange
 from cassiashift_daemon.direct import metrics
@@ -29,6 +30,7 @@
 class Owner(Protocol):
     """The part of the ingress that a relay uses."""
 
+    writer: callers.CallerWriter
     exchange: exchange.Exchange
     placement: placement.Placement
     guard: poison_guard.PoisonGuard
@@ -197,7 +199,8 @@
             raise exchange.SendFailedError(
                 'incomplete_stream', Verdict.MAY_HAVE_RUN
             )
-        await self.response.write_eof()
+        self._waits_for_caller = True
+        await self.owner.writer.end(self.request, self.response)
         return self.response
 
     def _error_answer(
@@ -251,7 +254,9 @@
         self._waits_for_caller = True
         if is_first:
             await self.response.prepare(self.request)
-        await self.response.write(b''.join(event.data for event in events))
+        data = b''.join(event.data for event in events)
+        self.owner.exchange.ledger.passed_bytes += len(data)
+        await self.owner.writer.write(self.request, self.response, data)
         self._waits_for_caller = False
         # The upstream had no part in a caller's slowness.
         written_at = time.monotonic()
