Keep all slots where no concurrency limit makes streams be on time

Change: the limit follows the engine's timings, by which only a part of a step grows with the requests, and returns to the slots where meeting the objective would cost more than half of the throughput.

--- a/packages/cassiashift-core/cassiashift_core/capacity/limiter.py
+++ b/packages/cassiashift-core/cassiashift_core/capacity/limiter.py
@@ -1,10 +1,12 @@
 """Concurrency limit of the upstreams of a group, from the pauses of streams.
 
 All ranks of a group run each pass together, so the pauses between the events
-of any stream show the duration of the passes, which grows with the number of
-requests in the group. The limit is lowered in proportion when the pauses
-exceed a part of the objective, and raised by steps that shrink as they come
-near it.
+of any stream show the duration of the passes. Only a part of a pass grows with
+the requests that run: by the engine's timings the limit is lowered to where
+the pauses meet a part of the objective, and raised by steps that shrink as
+they come near it. Where that would cost more than half of the throughput, as
+with a slow rank or an uneven expert map, the limit returns to the slots: late
+answers to all callers are worth more than answers in time to a few.
 """
 
 import statistics
@@ -33,6 +35,8 @@
 # formation of a group that lost a rank. Fewer requests would not avoid them.
 INTERRUPTION_FACTOR = 4.0
 MIN_LIMIT = 1.0
+# A limit that costs more than this part of the throughput is not used.
+MIN_THROUGHPUT = 0.5
 
 
 @attrs.define
@@ -44,12 +48,17 @@
     Attributes:
         slots: requests that the engine runs at once on one upstream.
         objective_s: longest pause that is on time; 0 if there is none.
+        step_s: part of a token step that doesn't depend on the requests.
+        step_per_request_s: part that each request adds; 0 if not stated, and
+            then a step grows in proportion to the requests.
         limit: the present limit, from 1 to ``slots``; may be fractional.
         pause_s: the pause that the newest evaluation found; 0 before it.
     """
 
     slots: int
     objective_s: float
+    step_s: float = 0.0
+    step_per_request_s: float = 0.0
     limit: float = attrs.field(
         default=attrs.Factory(lambda self: float(self.slots), takes_self=True)
     )
@@ -59,8 +68,16 @@
     _measured_at: float | None = None
     _settled_at: float = 0.0
 
-    def configure(self, slots: int, objective_s: float) -> None:
+    def configure(
+        self,
+        slots: int,
+        objective_s: float,
+        step_s: float = 0.0,
+        step_per_request_s: float = 0.0,
+    ) -> None:
         """Apply a changed configuration."""
+        self.step_s = step_s
+        self.step_per_request_s = step_per_request_s
         if slots != self.slots:
             self.limit = min(self.limit, float(slots))
         if not objective_s:
@@ -115,9 +132,29 @@
             step = RAISE_SHARE * self.slots * (1 - self.pause_s / target_s)
             self.limit = min(float(self.slots), self.limit + step)
             return
-        ratio = max(MIN_RATIO, target_s / self.pause_s)
-        lowered = max(MIN_LIMIT, self.limit * ratio)
+        wanted = self._limit_for(target_s)
+        if self._throughput(wanted) < MIN_THROUGHPUT:
+            self.limit = float(self.slots)
+            return
+        lowered = max(wanted, MIN_LIMIT, self.limit * MIN_RATIO)
         # Requests in progress finish: their number falls to the new limit
         # only after this part of the time that they take.
         self._settled_at = now + hold_s * (1 - lowered / self.limit)
         self.limit = lowered
+
+    def _limit_for(self, target_s: float) -> float:
+        """Return the limit at which pauses are expected to take a time."""
+        if not self.step_per_request_s:
+            return self.limit * target_s / self.pause_s
+        step_s = self.step_s + self.limit * self.step_per_request_s
+        wanted_s = step_s * target_s / self.pause_s
+        return max(0.0, (wanted_s - self.step_s) / self.step_per_request_s)
+
+    def _throughput(self, limit: float) -> float:
+        """Return the throughput at a limit as a part of that at all slots."""
+        if not self.step_per_request_s:
+            # Steps that grow with the requests leave the throughput as it is.
+            return 1.0
+        full_s = self.step_s + self.slots * self.step_per_request_s
+        limited_s = self.step_s + limit * self.step_per_request_s
+        return (limit / limited_s) / (self.slots / full_s)
--- a/packages/cassiashift-core/cassiashift_core/capacity/services.py
+++ b/packages/cassiashift-core/cassiashift_core/capacity/services.py
@@ -33,7 +33,12 @@
                 held = limiter.ConcurrencyLimiter(
                     service.engine.slots, objective_s
                 )
-            held.configure(service.engine.slots, objective_s)
+            held.configure(
+                service.engine.slots,
+                objective_s,
+                service.engine.step_s,
+                service.engine.step_per_request_s,
+            )
             limiters[service.name] = held
         self.limiters = limiters
 
