Divide the slots among busy entries; visit others only with room

Change: every slot is the home slot of one busy entry, by a rule that all apply alike. An entry prefers its home slots, and draws others by their free slots while less than 0.9 of capacity is known to be used. An entry that hears none of the busy ones keeps to its home slots. Figures above twice the capacity are ignored. This replaces the shares by queued requests, so digests lose that field. decide checks only the cheapest upstreams for what excludes them.

--- a/packages/cassiashift-core/cassiashift_core/placing/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/__init__.py
@@ -4,6 +4,7 @@
 from cassiashift_core.placing.attempts import AttemptLog
 from cassiashift_core.placing.budget import WindowBudget
 from cassiashift_core.placing.chooser import Chooser
+from cassiashift_core.placing.decision import Candidate
 from cassiashift_core.placing.decision import decide
 from cassiashift_core.placing.decision import Decision
 from cassiashift_core.placing.decision import Exclusion
@@ -17,6 +18,7 @@
 __all__ = [
     'Attempt',
     'AttemptLog',
+    'Candidate',
     'Chooser',
     'Decision',
     'Exclusion',
--- a/packages/cassiashift-core/cassiashift_core/placing/decision.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/decision.py
@@ -9,11 +9,13 @@
 adds for the requests already there.
 """
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Sequence
 import enum
 import functools
+import itertools
 import math
 
 import attrs
@@ -32,10 +34,10 @@
 # such a difference, and all entries would choose the same one.
 TOLERANCE = 0.25
 # More candidates than the first number are sampled, to limit the time of a
-# decision to 0.1 ms. The best of 56 is among the best twentieth of any number
-# with a probability of 0.94.
+# decision to 0.1 ms. The best of 45 is among the best twentieth of any number
+# with a probability of 0.9.
 MAX_WEIGHED = 72
-SAMPLE = 56
+SAMPLE = 45
 
 Candidate = tuple[fleet.Upstream, fleet.Condition]
 # The terms of one upstream, in the order of the fields of ``Terms``.
@@ -50,7 +52,7 @@
     NO_MEMORY = 'no_memory'
     NEEDS_PERMIT = 'needs_permit'
     PAUSED = 'paused'
-    OVER_SHARE = 'over_share'
+    NOT_HOME = 'not_home'
 
 
 @attrs.frozen
@@ -65,8 +67,10 @@
         cost: expected cost of the request.
         engine: engine of its service; None for plain services.
         time_left_s: time until the request must be answered.
-        is_over_share: the entry has as many requests in flight at the
-            service as it may.
+        homes: candidates with home slots of this entry, and their number;
+            None if all slots are its own. See ``workload.home_slots``.
+        may_visit: it may use other slots than these too.
+        ignores_others: what the other entries told does not count.
     """
 
     candidates: Sequence[Candidate]
@@ -78,7 +82,9 @@
     cost: costs.Cost | None = None
     engine: routes.Engine | None = None
     time_left_s: float = math.inf
-    is_over_share: bool = False
+    homes: Sequence[tuple[Candidate, int]] | None = None
+    may_visit: bool = True
+    ignores_others: bool = False
 
     @property
     def has_timings(self) -> bool:
@@ -122,12 +128,14 @@
 
     Attributes:
         exclusion: None if it could be chosen.
+        is_home: the entry has a free slot of its own there.
         age_s: age of what other entries told of it; infinite without.
     """
 
     upstream: fleet.Upstream
     terms: Terms
     exclusion: Exclusion | None
+    is_home: bool
     age_s: float
 
 
@@ -140,20 +148,42 @@
 
     @functools.cached_property
     def weighed(self) -> tuple[Weighed, ...]:
-        """Return all candidates, the cheapest first, the excluded last."""
+        """Return all candidates; see ``Weighed``.
+
+        The excluded come last, those without a free home slot before them,
+        and the cheapest of each first.
+        """
         snapshot = self.snapshot
+        homes = {
+            candidate[0].id
+            for candidate, count in snapshot.homes or ()
+            if candidate[1].in_flight < count
+        }
+        is_shared = snapshot.homes is not None and not snapshot.may_visit
+
+        def is_open(id_: str) -> bool:
+            return not is_shared or id_ in homes
+
         terms_of = _terms_function(snapshot)
         exclusion = _exclusion_function(snapshot)
         rows = [
             Weighed(
                 upstream,
                 Terms(*terms_of(upstream, condition)),
-                exclusion(upstream, condition),
+                exclusion(upstream, condition)
+                or (None if is_open(upstream.id) else Exclusion.NOT_HOME),
+                upstream.id in homes,
                 snapshot.now - condition.others_at,
             )
             for upstream, condition in snapshot.candidates
         ]
-        rows.sort(key=lambda row: (row.exclusion is not None, row.terms.total))
+        rows.sort(
+            key=lambda row: (
+                row.exclusion is not None,
+                not row.is_home,
+                row.terms.total,
+            )
+        )
         return tuple(rows)
 
     @property
@@ -176,15 +206,21 @@
 
 
 def decide(snapshot: Snapshot) -> Decision:
-    """Return the decision on a request: the cheapest upstream that accepts."""
-    if snapshot.is_over_share:
-        return Decision(snapshot, None)
+    """Return the decision on a request.
+
+    It is the cheapest upstream that accepts. Where slots are divided among
+    entries, the cheapest one with a free home slot is preferred; otherwise
+    one is drawn by the number of its free slots, as the cheapest one by old
+    figures would be that of many entries.
+    """
     candidates = snapshot.candidates
-    if len(candidates) > MAX_WEIGHED:
-        sampled = _cheapest(snapshot, _sample(candidates, snapshot.draw))
-        if sampled is not None:
-            return Decision(snapshot, sampled)
-    return Decision(snapshot, _cheapest(snapshot, candidates))
+    if snapshot.homes is None:
+        chosen = _choose(snapshot, candidates, _cheapest)
+    else:
+        chosen = _choose(snapshot, snapshot.homes, _cheapest_home)
+        if chosen is None and snapshot.may_visit:
+            chosen = _choose(snapshot, candidates, _drawn)
+    return Decision(snapshot, chosen)
 
 
 def fits(cost: costs.Cost, engine: routes.Engine | None) -> bool:
@@ -195,28 +231,86 @@
     return prompt.sigma > 0 or prompt.median < engine.capacity_tokens
 
 
+def _choose(
+    snapshot: Snapshot,
+    candidates: Sequence,
+    choice: Callable[[Snapshot, Sequence], fleet.Upstream | None],
+) -> fleet.Upstream | None:
+    """Return the choice from a sample, or else from all candidates."""
+    if len(candidates) > MAX_WEIGHED:
+        chosen = choice(snapshot, _sample(candidates, snapshot.draw))
+        if chosen is not None:
+            return chosen
+    return choice(snapshot, candidates)
+
+
+def _cheapest_home(
+    snapshot: Snapshot, homes: Sequence[tuple[Candidate, int]]
+) -> fleet.Upstream | None:
+    free = [
+        candidate
+        for candidate, count in homes
+        if candidate[1].in_flight < count
+    ]
+    return _cheapest(snapshot, free)
+
+
 def _cheapest(
     snapshot: Snapshot, candidates: Sequence[Candidate]
 ) -> fleet.Upstream | None:
     terms_of = _terms_function(snapshot)
     exclusion = _exclusion_function(snapshot)
+    tolerance = 0.0
+    if snapshot.has_timings:
+        tolerance = TOLERANCE * _unit_s(snapshot)
     priced = [
-        (sum(terms_of(upstream, condition)), upstream)
-        for upstream, condition in candidates
-        if exclusion(upstream, condition) is None
+        (sum(terms_of(*candidate)), index)
+        for index, candidate in enumerate(candidates)
     ]
-    if not priced:
+    priced.sort()
+    equals: list[fleet.Upstream] = []
+    bound = math.inf
+    # Most checks are saved, as few of the cheapest ones are excluded.
+    for cost, index in priced:
+        if cost > bound:
+            break
+        if exclusion(*candidates[index]) is None:
+            bound = min(bound, cost + tolerance)
+            equals.append(candidates[index][0])
+    if not equals:
         return None
-    bound = min(cost for cost, _ in priced)
-    if snapshot.has_timings:
-        bound += TOLERANCE * _unit_s(snapshot)
-    equals = [upstream for cost, upstream in priced if cost <= bound]
     return equals[min(int(snapshot.draw * len(equals)), len(equals) - 1)]
 
 
-def _sample(
-    candidates: Sequence[Candidate], draw: float
-) -> Sequence[Candidate]:
+def _drawn(
+    snapshot: Snapshot, candidates: Sequence[Candidate]
+) -> fleet.Upstream | None:
+    """Return an upstream drawn by its free slots, fewer if slow or failing."""
+    accepted = _accepted(snapshot, candidates)
+    if not accepted:
+        return None
+    # An upstream whose others are ignored may look more than full.
+    weights = [
+        max(
+            1.0,
+            snapshot.limit - condition.in_flight - condition.others_in_flight,
+        )
+        / (condition.slowness + FAILURE_PENALTY * condition.failure_share)
+        for _, condition in accepted
+    ]
+    sums = list(itertools.accumulate(weights))
+    index = bisect.bisect(sums, snapshot.draw * sums[-1])
+    return accepted[min(index, len(accepted) - 1)][0]
+
+
+def _accepted(
+    snapshot: Snapshot, candidates: Sequence[Candidate]
+) -> list[Candidate]:
+    exclusion = _exclusion_function(snapshot)
+    return [item for item in candidates if exclusion(*item) is None]
+
+
+def _sample(candidates: Sequence, draw: float) -> Sequence:
     """Return ``SAMPLE`` candidates at equal distances from a random one."""
     count = len(candidates)
     start = int(draw * count)
@@ -235,11 +329,12 @@
     """Return the function of what excludes an upstream."""
     limit, now, tried = snapshot.limit, snapshot.now, snapshot.excluded
     room = _token_room(snapshot)
+    weight = 0 if snapshot.ignores_others else 1
 
     def exclusion(
         upstream: fleet.Upstream, condition: fleet.Condition
     ) -> Exclusion | None:
-        if condition.in_flight + condition.others_in_flight >= limit:
+        if condition.in_flight + weight * condition.others_in_flight >= limit:
             return Exclusion.FULL
         if upstream.id in tried:
             return Exclusion.TRIED
@@ -249,10 +344,10 @@
             return Exclusion.PAUSED
         # An upstream without requests is never excluded: a wrong estimate
         # must not keep a request from being tried anywhere.
-        held = condition.tokens + condition.others_tokens
+        held = condition.tokens + weight * condition.others_tokens
         if held > room and held > 0:
             return Exclusion.NO_MEMORY
-        return Exclusion.OVER_SHARE if snapshot.is_over_share else None
+        return None
 
     return exclusion
 
@@ -277,13 +372,14 @@
     if snapshot.has_timings:
         return _timed_terms_function(snapshot)
     data_centre = snapshot.data_centre
+    weight = 0 if snapshot.ignores_others else 1
 
     def terms(
         upstream: fleet.Upstream, condition: fleet.Condition
     ) -> tuple[float, ...]:
         return (
             0.0,
-            condition.in_flight + condition.others_in_flight,
+            condition.in_flight + weight * condition.others_in_flight,
             0.0,
             0.0,
             FAILURE_PENALTY * condition.failure_share,
--- a/packages/cassiashift-core/cassiashift_core/workload/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/__init__.py
@@ -8,17 +8,19 @@
 from cassiashift_core.workload.digests import unpack_rows
 from cassiashift_core.workload.digests import WorkDigest
 from cassiashift_core.workload.digests import WorkRow
+from cassiashift_core.workload.homes import home_slots
+from cassiashift_core.workload.homes import is_credible
+from cassiashift_core.workload.homes import may_visit
+from cassiashift_core.workload.schedule import BYTES_PER_S
 from cassiashift_core.workload.schedule import plan
 from cassiashift_core.workload.schedule import Plan
 from cassiashift_core.workload.schedule import TRANSPORT_BYTES
-from cassiashift_core.workload.table import Backlog
 from cassiashift_core.workload.table import Expiry
-from cassiashift_core.workload.table import own_share
 from cassiashift_core.workload.table import RECENTLY_BUSY_S
 from cassiashift_core.workload.table import WorkTable
 
 __all__ = [
-    'Backlog',
+    'BYTES_PER_S',
     'Expiry',
     'Plan',
     'RECENTLY_BUSY_S',
@@ -26,7 +28,9 @@
     'WorkDigest',
     'WorkRow',
     'WorkTable',
-    'own_share',
+    'home_slots',
+    'is_credible',
+    'may_visit',
     'pack_rows',
     'plan',
     'unpack_rows',
--- a/packages/cassiashift-core/cassiashift_core/workload/digests.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/digests.py
@@ -46,8 +46,6 @@
         sent_ms: sender's monotonic clock; orders the digests of one process.
         interval_ms: time until the next digest.
         rows: see ``pack_rows``; empty once nothing is in flight any more.
-        queued: short names of services, and the requests that wait for them
-            at the sender.
     """
 
     host: str
@@ -55,12 +53,6 @@
     sent_ms: int
     interval_ms: int
     rows: bytes = b''
-    queued: tuple[tuple[int, int], ...] = ()
-
-    @property
-    def is_idle(self) -> bool:
-        """Return whether the sender has neither sent nor queued anything."""
-        return not self.rows and not self.queued
 
 
 def pack_rows(rows: Iterable[WorkRow]) -> bytes:
--- a/packages/cassiashift-core/cassiashift_core/workload/schedule.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/schedule.py
@@ -29,16 +29,22 @@
     hosts: tuple[str, ...]
 
 
-def plan(own_host: str, hosts: Collection[str], size: int) -> Plan:
+def plan(
+    own_host: str,
+    hosts: Collection[str],
+    size: int,
+    bytes_per_s: float = BYTES_PER_S,
+) -> Plan:
     """Return the plan for a digest of a size that several entries need.
 
     Args:
         size: bytes of the encoded message.
+        bytes_per_s: bytes that the entry may send in a second.
     """
     cost = size + TRANSPORT_BYTES
-    interval_s = max(SHORTEST_INTERVAL_S, len(hosts) * cost / BYTES_PER_S)
+    interval_s = max(SHORTEST_INTERVAL_S, len(hosts) * cost / bytes_per_s)
     if interval_s <= LONGEST_INTERVAL_S:
         return Plan(interval_s, tuple(hosts))
-    count = max(1, int(BYTES_PER_S * LONGEST_INTERVAL_S / cost))
+    count = max(1, int(bytes_per_s * LONGEST_INTERVAL_S / cost))
     order = hashing.rendezvous_order(own_host, hosts)
     return Plan(LONGEST_INTERVAL_S, tuple(order[:count]))
--- a/packages/cassiashift-core/cassiashift_core/workload/table.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/table.py
@@ -9,7 +9,6 @@
 import attrs
 
 from cassiashift_core import fleet
-from cassiashift_core import hashing
 from cassiashift_core.workload import digests
 from cassiashift_core.workload import schedule
 
@@ -26,7 +25,6 @@
 CLOCK_DRIFT = 2e-4
 # A host that sends many names must not fill the memory.
 MAX_HOSTS = 1024
-MAX_QUEUED_SERVICES = 64
 
 
 @attrs.frozen
@@ -37,22 +35,6 @@
     age_s: float
 
 
-@attrs.frozen
-class Backlog:
-    """What other entries have waiting for a service.
-
-    Attributes:
-        queued: requests that wait at the entries that are heard.
-        silent: entries whose digests stopped without saying that they have
-            no work left.
-        heard: busy entries whose digests count.
-    """
-
-    queued: int = 0
-    silent: int = 0
-    heard: int = 0
-
-
 @attrs.define(eq=False)
 class _Peer:
     """What one process of another entry has told.
@@ -62,7 +44,6 @@
             the sender, transit included.
         expires_at: time at which its work no longer counts.
         is_idle: its last digest said that it has no work.
-        queued: requests that wait there, by short names of services.
         added: the conditions that its rows were added to.
     """
 
@@ -72,7 +53,6 @@
     received_at: float = -math.inf
     expires_at: float = -math.inf
     is_idle: bool = False
-    queued: dict[int, int] = attrs.field(factory=dict)
     added: list[tuple[fleet.Condition, digests.WorkRow]] = attrs.field(
         factory=list
     )
@@ -81,7 +61,7 @@
         """Take its work out of the conditions."""
         for condition, row in self.added:
             condition.remove_others(row.in_flight, row.work_ms, row.tokens)
-        self.added, self.queued = [], {}
+        self.added = []
 
 
 @attrs.define(eq=False)
@@ -116,12 +96,11 @@
         peer.offset_s = min(peer.offset_s, offset_s)
         peer.withdraw()
         peer.sent_ms, peer.received_at = digest.sent_ms, now
-        peer.is_idle = digest.is_idle
+        peer.is_idle = not rows
         lateness_s = offset_s - peer.offset_s
         peer.expires_at = now - lateness_s + _expiry_s(digest)
         if now < peer.expires_at:
             self._add(peer, rows, now - lateness_s)
-            peer.queued = dict(digest.queued[:MAX_QUEUED_SERVICES])
         return True
 
     def drop(self, host: str) -> None:
@@ -164,19 +143,19 @@
             if now - peer.received_at < RECENTLY_BUSY_S
         ]
 
-    def backlog(self, service: str, now: float) -> Backlog:
-        """Return what the other entries have waiting for a service."""
-        name = hashing.short_id(service)
-        queued = silent = heard = 0
-        for peer in self._peers.values():
-            if peer.is_idle:
-                continue
-            if now >= peer.expires_at:
-                silent += 1
-            else:
-                heard += 1
-                queued += peer.queued.get(name, 0)
-        return Backlog(queued, silent, heard)
+    def silent_count(self, now: float) -> int:
+        """Return how many entries are known to be busy, but not with what.
+
+        Their digests stopped without saying that nothing is in flight.
+        """
+        return sum(
+            not peer.is_idle and now >= peer.expires_at
+            for peer in self._peers.values()
+        )
+
+    def heard_count(self, now: float) -> int:
+        """Return the number of entries whose digests count, idle ones too."""
+        return sum(now < peer.expires_at for peer in self._peers.values())
 
     def _add(
         self, peer: _Peer, rows: list[digests.WorkRow], sent_at: float
@@ -193,30 +172,3 @@
 def _expiry_s(digest: digests.WorkDigest) -> float:
     interval_s = min(digest.interval_ms / 1000, schedule.LONGEST_INTERVAL_S)
     return max(SHORTEST_EXPIRY_S, EXPIRY_INTERVALS * interval_s)
-
-
-def own_share(
-    capacity: float, own: int, own_queued: int, others: int, backlog: Backlog
-) -> float:
-    """Return how many requests an entry may have in flight at a service.
-
-    While requests wait at other entries too, capacity is divided in
-    proportion to what each entry has in flight and queued. Otherwise the
-    entry at which a request ends would always be the first to know of the
-    free slot, and the others would never get it. Capacity that no digest
-    accounts for is shared equally with the entries that have fallen silent.
-
-    Args:
-        capacity: requests in flight that all upstreams together may have.
-        own: requests that this entry has in flight.
-        own_queued: requests that wait at this entry.
-        others: requests in flight of the entries that are heard.
-    """
-    share = math.inf
-    if backlog.queued:
-        own_demand = own + max(1, own_queued)
-        demand = own_demand + others + backlog.queued
-        share = capacity * own_demand / max(capacity, demand)
-    if backlog.silent:
-        share = min(share, (capacity - others) / (1 + backlog.silent))
-    return max(1.0, share)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -13,7 +13,6 @@
 from cassiashift_core import fleet
 from cassiashift_core import placing
 from cassiashift_core import routes
-from cassiashift_core import workload
 from cassiashift_daemon.direct import admission as admissions
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import config
@@ -72,7 +71,6 @@
             request_permit=self._request_permit,
         )
         self.permits.on_answer = self.admission.use_permit
-        self.work.queue = self.admission.queue
         self.work.refresh = self.running.refresh
 
     async def place(self, call: calls.Call) -> fleet.Upstream:
@@ -245,9 +243,7 @@
             cost=call.cost,
             engine=self._engine(call.service),
             time_left_s=call.ends_at - now,
-            is_over_share=not self._may_use_more(
-                call.service, candidates, limit, now
-            ),
+            **self.work.share_fields(call.service, candidates, limit),
             **fields,
         )
 
@@ -315,27 +311,6 @@
             'expected_s': call.cost.time_s.mean,
         }
 
-    def _may_use_more(
-        self,
-        service: str,
-        candidates: list[fleet.Upstream],
-        limit: float,
-        now: float,
-    ) -> bool:
-        """Return whether this entry is within its share of a service."""
-        backlog = self.work.backlog(service, now)
-        if not backlog.queued and not backlog.silent:
-            return True
-        conditions = [self._condition(upstream) for upstream in candidates]
-        own = sum(condition.in_flight for condition in conditions)
-        return own < workload.own_share(
-            limit * len(candidates),
-            own,
-            self.admission.queue.count(service),
-            sum(condition.others_in_flight for condition in conditions),
-            backlog,
-        )
-
     def _others_age_s(self, upstream: fleet.Upstream) -> float:
         """Return the age of the other entries' work there; -1 if none."""
         others_at = self._condition(upstream).others_at
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
@@ -1,6 +1,7 @@
 """Exchanges the work in flight of this entry with the other busy ones."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import math
 import time
 from typing import Any
@@ -8,7 +9,6 @@
 import attrs
 
 from cassiashift_core import fleet
-from cassiashift_core import hashing
 from cassiashift_core import placing
 from cassiashift_core import workload
 from cassiashift_daemon.direct import fleet_runner
@@ -25,18 +25,18 @@
     bound the requests of all entries together.
 
     Attributes:
-        queue: the requests that wait at this entry.
         refresh: updates the remaining work of the requests in flight.
     """
 
     runner: fleet_runner.FleetRunner
     table: workload.WorkTable
-    queue: placing.RequestQueue = attrs.field(factory=placing.RequestQueue)
     refresh: Callable[[float], None] = lambda now: None
     _due: float = -math.inf
     _sent_at: float = -math.inf
     _sent_ms: int = 0
     _is_idle: bool = True
+    _busy: list[str] = attrs.field(factory=list)
+    _held_homes: dict[str, tuple] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Listen to starts of entries."""
@@ -49,11 +49,12 @@
             logs.info(
                 'work_digest_expired', host=expiry.host, age_s=expiry.age_s
             )
+        self._busy = sorted({*self._busy_hosts(now), self.runner.cfg.host})
         if now < self._due:
             return
         self.refresh(now)
         digest = self._own_digest(now)
-        if not digest.is_idle:
+        if digest.rows:
             self._send(digest, now)
         elif not self._is_idle:
             self.send_end()
@@ -64,25 +65,47 @@
             return
         self._is_idle = True
         now = time.monotonic()
-        digest = attrs.evolve(
-            self._own_digest(now), rows=b'', queued=(), interval_ms=0
-        )
+        digest = attrs.evolve(self._own_digest(now), rows=b'', interval_ms=0)
         for host in self._busy_hosts(now):
             self.runner.send(host, digest)
 
-    def backlog(self, service: str, now: float) -> workload.Backlog:
-        """Return what other entries have waiting for a service."""
+    def share_fields(
+        self, service: str, candidates: Sequence[fleet.Upstream], limit: float
+    ) -> dict[str, Any]:
+        """Return the fields of a snapshot that state the entry's share."""
         if not self._has_engine(service):
-            return workload.Backlog()
-        return self.table.backlog(service, now)
+            return {'ignores_others': True}
+        if len(self._busy) <= 1:
+            return {}
+        now = time.monotonic()
+        conditions = [
+            condition
+            for _, condition in self.runner.upstreams.with_conditions(
+                candidates
+            )
+        ]
+        capacity = limit * len(candidates)
+        others = sum(item.others_in_flight for item in conditions)
+        return {
+            'homes': self._homes(service, candidates, limit),
+            'ignores_others': not workload.is_credible(capacity, others),
+            'may_visit': workload.may_visit(
+                capacity,
+                sum(item.in_flight for item in conditions),
+                others,
+                busy=len(self._busy),
+                heard=self.table.heard_count(now),
+                silent=self.table.silent_count(now),
+            ),
+        }
 
     def busy_count(self) -> int:
-        """Return the number of other entries whose work counts now."""
-        return self.table.backlog('', time.monotonic()).heard
+        """Return the number of busy entries, this one included."""
+        return len(self._busy)
 
     def silent_count(self) -> int:
         """Return the number of busy entries whose digests have expired."""
-        return self.table.backlog('', time.monotonic()).silent
+        return self.table.silent_count(time.monotonic())
 
     def handlers(self) -> dict[type, Any]:
         """Return the handlers of the messages on work by message type."""
@@ -113,6 +136,22 @@
             record.host, record.started_ns, time.monotonic()
         )
 
+    def _homes(
+        self, service: str, candidates: Sequence[fleet.Upstream], limit: float
+    ) -> list[tuple[placing.Candidate, int]]:
+        """Return the home slots, divided again after a change only."""
+        ids = [upstream.id for upstream in candidates]
+        key = (self._busy, ids, limit)
+        held = self._held_homes.get(service)
+        if held is None or held[0] != key:
+            homes = workload.home_slots(
+                self.runner.cfg.host, self._busy, ids, limit
+            )
+            held = self._held_homes[service] = key, homes
+        upstreams = self.runner.upstreams
+        homes = upstreams.with_conditions(map(upstreams.find, held[1]))
+        return list(zip(homes, held[1].values(), strict=True))
+
     def _send(self, digest: workload.WorkDigest, now: float) -> None:
         """Send a digest to the busy entries.
 
@@ -151,11 +190,6 @@
             for upstream, condition in self.runner.upstreams.in_use()
             if self._has_engine(upstream.service)
         ]
-        queued = tuple(
-            (hashing.short_id(service), self.queue.count(service))
-            for service in self.queue.services()
-            if self._has_engine(service)
-        )
         # Digests of one millisecond would have no order.
         self._sent_ms = max(int(now * 1000), self._sent_ms + 1)
         return workload.WorkDigest(
@@ -164,7 +198,6 @@
             sent_ms=self._sent_ms,
             interval_ms=0,
             rows=workload.pack_rows(rows),
-            queued=queued,
         )
 
     def _has_engine(self, name: str) -> bool:
