--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -225,14 +225,6 @@
             if now + self._room_in_s(call, now) > item.give_up_at:
                 self._refuse_queued(item, NO_ROOM)
 
-    def queued_counts(self) -> dict[str, int]:
-        """Return the numbers of queued requests by service."""
-        return {
-            service: len(gate.queue)
-            for service, gate in self._gates.items()
-            if gate.queue
-        }
-
     def queued_count(self, service: str) -> int:
         """Return the number of requests queued for a service."""
         return len(self._gate(service).queue)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -13,7 +13,6 @@
 from cassiashift_core import fleet
 from cassiashift_core import placing
 from cassiashift_core import routes
-from cassiashift_core import workload
 from cassiashift_daemon.direct import admission as admissions
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import config
@@ -73,7 +72,6 @@
             request_permit=self._request_permit,
         )
         self.permits.on_answer = self.admission.use_permit
-        self.work.queued = self.admission.queued_counts
         self.work.refresh = self.running.refresh
 
     async def place(self, call: calls.Call) -> fleet.Upstream:
@@ -254,9 +252,7 @@
             cost=call.cost,
             engine=self._engine(call.service),
             time_left_s=call.ends_at - now,
-            is_over_share=not self._may_use_more(
-                call.service, candidates, limit, now
-            ),
+            **self.work.share_fields(call.service, candidates, limit),
             **fields,
         )
 
@@ -267,14 +263,16 @@
         preferred: fleet.Upstream | None = None,
     ) -> fleet.Upstream | None:
         candidates = self.runner.upstreams.accepting(call.service, now)
+        snapshot = self.snapshot(call, now, candidates)
         chosen = None
         if preferred in candidates:
-            snapshot = self.snapshot(call, now, [preferred])
-            chosen = placing.decide(snapshot).chosen
-        if chosen is None:
+            # Its slot was this entry's, so no home slots are needed.
+            only = self.runner.upstreams.with_conditions([preferred])
             chosen = placing.decide(
-                self.snapshot(call, now, candidates)
+                attrs.evolve(snapshot, candidates=only, homes=None)
             ).chosen
+        if chosen is None:
+            chosen = placing.decide(snapshot).chosen
         if chosen is not None:
             condition = self._condition(chosen)
             condition.record_send(now)
@@ -335,27 +333,6 @@
             'expected_s': call.cost.time_s.mean,
         }
 
-    def _may_use_more(
-        self,
-        service: str,
-        candidates: list[fleet.Upstream],
-        limit: float,
-        now: float,
-    ) -> bool:
-        """Return whether this entry is within its share of a service."""
-        backlog = self.work.backlog(service, now)
-        if not backlog.queued and not backlog.silent:
-            return True
-        conditions = [self._condition(upstream) for upstream in candidates]
-        own = sum(condition.in_flight for condition in conditions)
-        return own < workload.own_share(
-            limit * len(candidates),
-            own,
-            self.admission.queued_count(service),
-            sum(condition.others_in_flight for condition in conditions),
-            backlog,
-        )
-
     def _others_age_s(self, upstream: fleet.Upstream) -> float:
         """Return the age of the other entries' work there; -1 if none."""
         others_at = self._condition(upstream).others_at
