Name no entry in the directory that ended over 7 s ago

Cause: a hello counted as sent when it arrived. What a partition held up, or what waited for a stopped process, showed ended processes as live; an entry that had just started believed it too. Entries of other data centres without a disk counted as live for 19.2 s after their last hello.

Change: hellos state for how long their sender has been running. The fastest hello of a process shows how this relates to the local clock, so the time at which a later one was sent is known without the time of day. A hello that is over 2 s late is ignored, and callers are sent to a process only once two hellos were in step with the local clock.

--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -114,6 +114,7 @@
         upstreams_digest: digest of its table of upstreams.
         blocks_digest: digest of the parts of prompts that it blocks.
         secret: the oldest secret that it has heard of.
+        uptime_s: how long the sender has been running; 0 if not stated.
     """
 
     node: EntryRecord
@@ -122,6 +123,7 @@
     upstreams_digest: int = 0
     blocks_digest: int = 0
     secret: SharedSecret | None = None
+    uptime_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
@@ -29,6 +29,8 @@
         retry_window_s: length of that window in seconds.
         longest_ttl_s: longest time in seconds that callers may cache an
             answer of the directory.
+        contact_s: seconds until the loss of a host is known; callers may be
+            sent to it for three seconds more.
     """
 
     apply_s: float = 2.0
@@ -38,6 +40,7 @@
     retry_slack: float = 0.0
     retry_window_s: float = 10.0
     longest_ttl_s: float = 5.0
+    contact_s: float = 4.0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -42,6 +42,12 @@
 SILENT_AFTER_S = 3.2 * LONGEST_HELLO_INTERVAL_S
 RARE_SILENT_AFTER_S = 3.2 * RARE_HELLO_INTERVAL_S
 NEAR_SILENT_AFTER_S = 1.3
+# Callers may be sent to a process for contact_s and this after its end; of
+# that, a hello may be on its way for MARGIN_S.
+NAMED_AFTER_CONTACT_S = 3.0
+MARGIN_S = 0.5
+# Stated by the first hello, as 0 means that it isn't stated.
+SHORTEST_UPTIME_S = 0.001
 # An entry whose hellos still state an older configuration this long after a
 # newer one came into force here has missed its push.
 PUSH_MISSED_S = 0.5
@@ -133,16 +139,20 @@
     def responsive_records(self) -> list[fleet.EntryRecord]:
         """Return the records of the entries that callers may be sent to.
 
-        Entries of the own data centre count as silent sooner.
+        Entries of the own data centre count as silent sooner; those with rare
+        hellos while their end may be longer ago than the bound allows.
         """
         now = time.monotonic()
-        return [
-            record
-            for record in self.live_records()
-            if not self._is_near(record)
-            or now - self.entries.by_host[record.host].received_at
-            <= NEAR_SILENT_AFTER_S
-        ]
+        bound_s = self.cfg.bounds.contact_s + NAMED_AFTER_CONTACT_S - MARGIN_S
+        responsive = []
+        for record in self.live_records():
+            known = self.entries.by_host[record.host]
+            longest_s = (
+                NEAR_SILENT_AFTER_S if self._is_near(record) else bound_s
+            )
+            if known.is_confirmed and now - known.received_at <= longest_s:
+                responsive.append(record)
+        return responsive
 
     def voter_hosts(self) -> list[str]:
         """Return the hosts with an open data folder, or else the seeds."""
@@ -222,6 +232,7 @@
             self.upstreams.digest(),
             self.blocks_digest(),
             self.secret,
+            max(SHORTEST_UPTIME_S, time.monotonic() - self.started_at),
         )
 
     def record_heartbeat(self, upstream: fleet.Upstream) -> None:
@@ -285,11 +296,10 @@
         record = message.node
         if record.host == self.cfg.host:
             return
+        if not self._receive_record(record, message.uptime_s, now):
+            return
         if message.secret is not None:
             self.secret = min(self.secret, message.secret)
-        previous = self.entries.by_host.get(record.host)
-        if self.entries.update(record, now):
-            self._log_entry_change(previous, record)
         for sighting in message.sightings:
             self.upstreams.apply_sighting(sighting, now)
         if self._is_near(record) and message.sightings:
@@ -306,6 +316,18 @@
         elif record.document_version < self.holder.version:
             self._push_again(record.host, now)
 
+    def _receive_record(
+        self, record: fleet.EntryRecord, uptime_s: float, now: float
+    ) -> bool:
+        """Store the record of a hello; return whether it came in time."""
+        sent_at = self.entries.sent_at(record, uptime_s, now)
+        if sent_at is None:
+            return False
+        previous = self.entries.by_host.get(record.host)
+        if self.entries.update(record, sent_at):
+            self._log_entry_change(previous, record)
+        return True
+
     def on_upstream_news(
         self, sender: links.Sender, message: fleet.UpstreamNews
     ) -> None:
