--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -121,6 +121,7 @@
         blocks_digest: digest of the parts of prompts that it blocks.
         secret: the oldest secret that it has heard of.
         evacuations_revision: revision of the evacuations in force there.
+        uptime_s: how long the sender has been running; 0 if not stated.
     """
 
     node: EntryRecord
@@ -130,6 +131,7 @@
     blocks_digest: int = 0
     secret: SharedSecret | None = None
     evacuations_revision: int = 0
+    uptime_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/config.py
@@ -35,6 +35,8 @@
         cold_slack: arrivals in a second that are allowed in addition.
         longest_ttl_s: longest time in seconds that callers may cache an
             answer of the directory.
+        contact_s: seconds until the loss of a host is known; callers may be
+            sent to it for three seconds more.
     """
 
     apply_s: float = 2.0
@@ -48,6 +50,7 @@
     longest_ttl_s: float = 5.0
     cold_overage: float = 1.5
     cold_slack: float = 5.0
+    contact_s: float = 4.0
 
 
 @attrs.frozen(kw_only=True)
