Bind an entry to its slots only while requests wait at upstreams

Cause: the share of an entry follows from announced rates, which are seconds old. An entry that callers had just moved to saw few slots, and would have queued or refused requests while upstreams had free ones.

Change: under overload an entry is bound to its share only if first events also take over 0.4 of the shortest objective of the service. Gates are configured once for each new configuration.

--- a/packages/cassiashift-core/cassiashift_core/admission/service_gate.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/service_gate.py
@@ -22,6 +22,10 @@
 # requests of other entries that it does not know of yet; with all of them in
 # use a request more than an upstream has slots waits there for a whole other.
 OWN_SHARE = 0.9
+# First events that take this part of the objective show that requests wait at
+# the upstreams. Without that sign an entry is not bound to its share: the
+# announced rates that it follows from may be some seconds old.
+FIRST_EVENT_SHARE = 0.4
 REASON_TOO_LONG = 'the queue is too long'
 REASON_WAITED = 'waited too long'
 
@@ -34,6 +38,8 @@
         in_flight: requests that were started and have not ended.
         is_predictive: requests are refused by the estimate of their waits;
             otherwise only by the length of the queue on arrival.
+        objective_s: shortest objective of the routes to the service;
+            infinite if none is configured.
         own_share: part of its slots that it uses under overload.
     """
 
@@ -44,6 +50,7 @@
     load: loads.LoadEstimate = attrs.field(factory=loads.LoadEstimate)
     in_flight: int = 0
     is_predictive: bool = True
+    objective_s: float = math.inf
     own_share: float = OWN_SHARE
 
     @classmethod
@@ -51,9 +58,10 @@
         """Return a gate without any load."""
         return cls(returns.ReturnPlan(rng))
 
-    def configure(self, is_predictive: bool) -> None:
-        """Set whether the service is one whose waits are predicted."""
+    def configure(self, is_predictive: bool, objective_s: float) -> None:
+        """Apply the configuration of the service."""
         self.is_predictive = is_predictive
+        self.objective_s = objective_s
         self.queue.floor = urgency_queue.FLOOR if is_predictive else 0.0
 
     def record_arrival(self, priority: int, cost: int, now: float) -> None:
@@ -77,6 +85,8 @@
         """
         if self.in_flight < self.own_share * slots:
             return True
+        if self.load.first_event_s < FIRST_EVENT_SHARE * self.objective_s:
+            return True
         return not self.is_overloaded(slots, now)
 
     def may_start(
--- a/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
@@ -100,7 +100,8 @@
     ) -> 'OverloadEntry':
         """Return an entry with the named policy."""
         gate = admission.ServiceGate.from_rng(rng)
-        gate.configure(policy in (ADMISSION, OWN_SLOT, IDEAL))
+        is_predictive = policy in (ADMISSION, OWN_SLOT, IDEAL)
+        gate.configure(is_predictive, cfg.first_event_s)
         if policy == IDEAL:
             gate.own_share = 1.0
         limiter = capacity.ConcurrencyLimiter(
--- a/packages/cassiashift-core/cassiashift_core/routes/model.py
+++ b/packages/cassiashift-core/cassiashift_core/routes/model.py
@@ -183,11 +183,14 @@
         ]
         return min(gaps, default=0.0)
 
-    def shortest_objective_s(self, service: str, below: int) -> float:
-        """Return the shortest objective of a service's more urgent routes.
+    def shortest_objective_s(
+        self, service: str, below: int | None = None
+    ) -> float:
+        """Return the shortest objective of a service's routes.
 
         Args:
-            below: only routes with a lower priority number count.
+            below: only routes with a lower priority number, which are more
+                urgent, count.
 
         Returns:
             infinity if no such route has an objective.
@@ -196,7 +199,7 @@
             (
                 objective_s
                 for priority, objective_s in self._objectives.get(service, ())
-                if priority < below
+                if below is None or priority < below
             ),
             default=math.inf,
         )
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -97,6 +97,7 @@
     )
     _returned: set[calls.Call] = attrs.field(factory=set)
     _group_failed_at: dict[str, float] = attrs.field(factory=dict)
+    _table: routes.RouteTable | None = None
     _share: float = 1.0
     _share_at: float = -SHARE_PERIOD_S
 
@@ -290,14 +291,23 @@
         return wait_s
 
     def _gate(self, service: str) -> gates.ServiceGate:
+        if self.holder.table is not self._table:
+            self._table = self.holder.table
+            for name, gate in self._gates.items():
+                self._configure(name, gate)
         gate = self._gates.get(service)
         if gate is None:
             gate = gates.ServiceGate.from_rng(self.rng)
+            self._configure(service, gate)
             self._gates[service] = gate
-        if gate.is_predictive != self._has_engine(service):
-            gate.configure(not gate.is_predictive)
         return gate
 
+    def _configure(self, service: str, gate: gates.ServiceGate) -> None:
+        objective_s = math.inf
+        if self._table is not None:
+            objective_s = self._table.shortest_objective_s(service)
+        gate.configure(self._has_engine(service), objective_s)
+
     def _has_engine(self, service_name: str) -> bool:
         table = self.holder.table
         service = None if table is None else table.service(service_name)
--- a/tests/core/admission/test_service_gate.py
+++ b/tests/core/admission/test_service_gate.py
@@ -251,6 +251,21 @@
     )
 
 
+def test_an_entry_is_bound_to_its_share_only_while_requests_wait_there():
+    """Announced rates are seconds old after callers moved to an entry."""
+    gate = admission.ServiceGate.from_rng(random.Random(1))
+    gate.configure(is_predictive=True, objective_s=OBJECTIVE_S)
+    gate.in_flight = SLOTS
+    for tick in range(400):
+        gate.record_arrival(0, 1, tick * 0.01)
+    assert_that(gate.is_overloaded(SLOTS, 4.0), matchers.Equals(True))
+    gate.load.first_event.mean = 0.1
+    assert_that(gate.has_room(SLOTS, 4.0), matchers.Equals(True))
+    gate.load.first_event.mean = 0.3
+    assert_that(gate.has_room(SLOTS, 4.0), matchers.Equals(False))
+    assert_that(gate.has_room(2 * SLOTS, 4.0), matchers.Equals(True))
+
+
 def test_returns_are_spread_at_the_rate_of_the_capacity():
     """Two sets of callers that are given the same time are refused again."""
     plan = returns.ReturnPlan(random.Random(1))
