Compare admission with gradient, AIMD and DAGOR

Change: the overload experiment runs two other limits in the place of the one by the objective, and DAGOR's thresholds. Breakwater is not simulated.

--- a/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
@@ -11,6 +11,7 @@
 from cassiashift_core.experiment import engine as engines
 from cassiashift_core.experiment import entry as entries
 from cassiashift_core.experiment import overload_model
+from cassiashift_core.experiment import overload_rivals
 from cassiashift_core import retries
 
 # Today's placing knows the entry's own calls only; the next two know those of
@@ -24,14 +25,28 @@
 OWN_SLOT = 'own_slot'
 # One entry with this queue, without lag, that knows the speed of the ranks.
 IDEAL = 'ideal'
+# OWN_SLOT with another limit.
+GRADIENT = 'gradient'
+AIMD = 'aimd'
+# LEAST_IN_FLIGHT that refuses by a threshold of urgency and caller.
+DAGOR = 'dagor'
 POLICIES = (
     OWN_LEAST,
     LEAST_IN_FLIGHT,
     TWO_CHOICES,
+    DAGOR,
+    GRADIENT,
+    AIMD,
     ADMISSION,
     OWN_SLOT,
     IDEAL,
 )
+_OWN_SLOT = (OWN_SLOT, GRADIENT, AIMD)
+_MEASURED = (ADMISSION, *_OWN_SLOT)
+_LIMITERS = {
+    GRADIENT: overload_rivals.GradientLimiter,
+    AIMD: overload_rivals.AimdLimiter,
+}
 
 DIGEST_INTERVAL_S = 0.15
 REFUSAL_PAUSE_S = 0.15
@@ -76,6 +91,7 @@
     schedule: Callable
     gate: admission.ServiceGate
     limiter: capacity.ConcurrencyLimiter
+    dagor: overload_rivals.Dagor = attrs.field(factory=overload_rivals.Dagor)
     records: list[overload_model.CallState] = attrs.field(factory=list)
     in_flight: collections.Counter = attrs.field(factory=collections.Counter)
     _paused_until: dict[str, float] = attrs.field(factory=dict)
@@ -100,13 +116,12 @@
     ) -> 'OverloadEntry':
         """Return an entry with the named policy."""
         gate = admission.ServiceGate.from_rng(rng)
-        is_predictive = policy in (ADMISSION, OWN_SLOT, IDEAL)
+        is_predictive = policy == IDEAL or policy in _MEASURED
         gate.configure(is_predictive, cfg.first_event_s)
         if policy == IDEAL:
             gate.own_share = 1.0
-        limiter = capacity.ConcurrencyLimiter(
-            overload_model.GROUP.batch, cfg.pause_s
-        )
+        cls_of_limiter = _LIMITERS.get(policy, capacity.ConcurrencyLimiter)
+        limiter = cls_of_limiter(overload_model.GROUP.batch, cfg.pause_s)
         return cls(id_, cfg, policy, board, rng, send, schedule, gate, limiter)
 
     def offer_call(
@@ -120,6 +135,7 @@
     def tick(self, now: float) -> None:
         """Refuse hopeless calls, start others, update limit and digest."""
         self.limiter.update(now, self.gate.load.hold.mean)
+        self.dagor.update(now, self.gate.load.first_event.mean)
         if now - self._published_at >= DIGEST_INTERVAL_S - 1e-9:
             self._published_at = now
             self.board.in_flight[self.id] = self.in_flight.copy()
@@ -186,6 +202,9 @@
     def _offer(self, state: overload_model.CallState, now: float) -> None:
         call = state.call
         self.gate.record_arrival(call.priority, 1, now)
+        if self.policy_name == DAGOR and not self.dagor.admits(call):
+            self._refuse(state, now)
+            return
         item = self._describe(state, now)
         slots = self._slots()
         urgent_s = self.cfg.first_event_s
@@ -257,7 +276,7 @@
     ) -> None:
         self.gate.end(item, held_s)
         self.in_flight[rank] -= 1
-        if self.policy_name == OWN_SLOT:
+        if self.policy_name in _OWN_SLOT:
             self._freed = rank
 
     def _refuse(self, state: overload_model.CallState, now: float) -> None:
@@ -294,7 +313,7 @@
     def _limit(self) -> float:
         if self.policy_name == IDEAL:
             return self.board.ideal_limit
-        if self.policy_name in (ADMISSION, OWN_SLOT):
+        if self.policy_name in _MEASURED:
             return self.limiter.limit
         return float(overload_model.GROUP.batch)
 
