Keep the bound on cold upstreams through cuts and stops of entries

Cause: entries that were cut off or stopped did not learn that an upstream had become cold. When all upstreams of a simulated fleet restarted, 28 to 30 requests arrived in a second after a cut into two parts, 39 to 63 where no entry heard another, and once 31 after an entry had been stopped for 3.7 s; 27.5 may arrive. Two issuers that took over from each other also added up.

Change: an entry that hears no majority of the entries with a disk needs permits for all upstreams of a service that states coldPerS; the state in which it does not is a lease that ends by itself. An issuer counts only entries with a disk that it heard within 1.6 s and that hear no fewer than it does (EntryRecord.disks_heard), of the most that it has ever known. The extra cost of a cold upstream falls earlier at some entries than at others, so that its share rises gradually. Simulated entries hear sightings within 1.4 s, as real ones do.

--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -3,6 +3,7 @@
 from cassiashift_core.fleet.bootstrap import BootstrapAction
 from cassiashift_core.fleet.bootstrap import decide_bootstrap
 from cassiashift_core.fleet.coldness import ColdTerms
+from cassiashift_core.fleet.coldness import HEARD_S
 from cassiashift_core.fleet.coldness import parse_cold_s
 from cassiashift_core.fleet.conditions import Condition
 from cassiashift_core.fleet.confirmation import LogConfirmation
@@ -31,6 +32,7 @@
 from cassiashift_core.fleet.messages import UpstreamState
 from cassiashift_core.fleet.permits import choose_issuer
 from cassiashift_core.fleet.permits import ColdShare
+from cassiashift_core.fleet.permits import count_disks
 from cassiashift_core.fleet.permits import issued_share
 from cassiashift_core.fleet.permits import Issuer
 from cassiashift_core.fleet.permits import PERMIT_VALID_S
@@ -50,6 +52,7 @@
     'DocumentPush',
     'EntryRecord',
     'EntryTable',
+    'HEARD_S',
     'Hello',
     'Issuer',
     'KnownEntry',
@@ -70,6 +73,7 @@
     'UpstreamTable',
     'choose_entries',
     'choose_issuer',
+    'count_disks',
     'decide_bootstrap',
     'is_relay',
     'issued_share',
--- a/packages/cassiashift-core/cassiashift_core/fleet/coldness.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/coldness.py
@@ -22,11 +22,19 @@
 PERMIT_VALID_S = 0.25
 # The bound on arrivals holds for any window of this length.
 WINDOW_S = 1.0
+# An entry with a disk says hello each second. One that was not heard for this
+# long may be cut off, or its hello was lost.
+HEARD_S = 1.6
+# A majority that is not heard for this much longer is lost. A short stall of
+# the entry itself is not taken for that.
+LOST_AFTER_S = 0.8
+# Bounds that allow nothing must not mean that no upstream is cold.
+LOWEST_PER_S = 0.05
 # Part of the allowed arrivals that is kept free for permits of issuers that
 # overlap and for requests that are on the way.
 RESERVED_SHARE = 0.25
-# Cost of a cold upstream in the comparison, in requests in flight: while a
-# warm upstream has at most one request of this entry less, it is preferred.
+# Highest cost of a cold upstream in the comparison, in requests in flight. A
+# warm upstream with less than one request of this entry more is preferred.
 COLD_COST = 1.0
 
 
@@ -53,7 +61,19 @@
         to ``PERMIT_VALID_S`` after it was issued.
         """
         allowed = (per_s * overage + slack) * (1 - RESERVED_SHARE)
-        return cls(min(per_s, allowed / (WINDOW_S + PERMIT_VALID_S)), start_s)
+        safe_per_s = allowed / (WINDOW_S + PERMIT_VALID_S)
+        return cls(min(per_s, max(safe_per_s, LOWEST_PER_S)), start_s)
+
+
+@attrs.define
+class Lease:
+    """Time until which an entry would be told of cold upstreams.
+
+    It ends by itself, so that an entry that was stopped for a while does not
+    go on with what it knew before.
+    """
+
+    until: float = math.inf
 
 
 @attrs.define
@@ -68,6 +88,8 @@
         revision: number of the announced belief; a higher one is newer.
         heard_at: time of the newest announcement.
         is_presumed: it may have restarted; an announcement is awaited.
+        lease: time for which the entry would be told that it became cold.
+        ease: 0 to 1; its cost is lower at an entry with a higher value.
     """
 
     terms: ColdTerms = ColdTerms()
@@ -75,6 +97,8 @@
     revision: int = 0
     heard_at: float = -math.inf
     is_presumed: bool = False
+    lease: Lease = attrs.field(factory=Lease)
+    ease: float = 0.0
     # Time of an announcement that did not state whether it is cold.
     _unstated_at: float = -math.inf
     _presumed_at: float = -math.inf
@@ -83,20 +107,29 @@
         """Return whether its requests need permits."""
         if self.terms.per_s <= 0:
             return False
-        return self.is_presumed or now < self._ends_at()
+        if self.is_presumed or now >= self.lease.until:
+            return True
+        return now < self._ends_at()
 
     def cost(self, now: float) -> float:
         """Return its extra cost, in requests in flight of this entry.
 
-        It falls to 0 while the upstream has been warm for ``start_s``, so
-        that the share of an upstream that returns rises gradually.
+        It falls to 0 from ``start_s`` before the end of coldness to
+        ``start_s`` after it, at some entries sooner than at others. So the
+        share of an upstream that returns rises gradually, also while all
+        entries have few requests in flight and any cost keeps them away.
         """
-        if self.is_cold(now):
-            return COLD_COST
-        if self.terms.per_s <= 0 or self.terms.start_s <= 0:
+        if now >= self.lease.until:
+            # All upstreams are then, so that none is better.
             return 0.0
-        warm_s = now - self._ends_at()
-        return COLD_COST * max(0.0, 1 - warm_s / self.terms.start_s)
+        if self.is_presumed and self.is_cold(now):
+            share = 1.0
+        elif self.terms.per_s <= 0 or self.terms.start_s <= 0:
+            share = float(self.is_cold(now))
+        else:
+            left_s = self._ends_at() + self.terms.start_s - now
+            share = min(1.0, left_s / (2 * self.terms.start_s))
+        return COLD_COST * max(0.0, share - self.ease)
 
     def remaining_s(self, now: float) -> float:
         """Return the seconds that it stays cold if it is only announced."""
@@ -191,6 +224,32 @@
         return max(self.until, self._unstated_at + self.terms.start_s)
 
 
+@attrs.define
+class Contact:
+    """Whether an entry would be told that an upstream became cold.
+
+    It would be while it hears a majority of the entries with a disk, since
+    an announcement may arrive at any entry and reach it through them. An
+    entry that regains them first has to learn what it missed.
+    """
+
+    _majority_at: float
+    _lost_at: float = -math.inf
+
+    def update(self, heard: int, most: int, now: float) -> bool:
+        """Return whether it would be told now.
+
+        Args:
+            heard: entries with a disk that it has heard lately, or is.
+            most: the most entries with a disk that it has ever known.
+        """
+        if 2 * heard > most:
+            self._majority_at = now
+        elif now - self._majority_at > LOST_AFTER_S:
+            self._lost_at = now
+        return now - self._lost_at > HEARD_S
+
+
 def parse_cold_s(value: Any) -> float:
     """Return the seconds of coldness that an upstream states in ms.
 
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -72,6 +72,8 @@
             is started.
         document_version: version of the configuration that it uses.
         requests_per_s: recent rate of requests from callers.
+        disks_heard: entries with a disk, itself included, that it has heard
+            within ``coldness.HEARD_S``; -1 if not stated.
     """
 
     host: str
@@ -86,6 +88,7 @@
     founded: tuple[str, ...] = ()
     document_version: int = 0
     requests_per_s: float = 0.0
+    disks_heard: int = -1
 
 
 @attrs.frozen(order=True)
--- a/packages/cassiashift-core/cassiashift_core/fleet/permits.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/permits.py
@@ -46,6 +46,8 @@
 # Part of the rate for cold upstreams that all entries together issue that hear
 # no entry with a disk. It is issued beside the whole rate of those with one.
 TRICKLE_SHARE = 0.2
+# Number of different offsets of upstreams in the order of first permits.
+PHASES = 1024
 # An entry that may issue no permits refuses them for this long.
 NO_SHARE_WAIT_S = 1.0
 # An issuer drops what it knows of an upstream without requests for so long.
@@ -121,12 +123,14 @@
 
     Attributes:
         part: part of the rate, 0 to 1.
-        phase: part of its interval after which the first permit is issued;
+        phase: part of its interval by which its first permit is later; it
             differs between entries that may be cut off at the same time.
+        is_trickle: this entry hears no entry with a disk.
     """
 
     part: float
     phase: float = 0.0
+    is_trickle: bool = False
 
 
 @attrs.define
@@ -150,6 +154,14 @@
     _buckets: dict[str, _Bucket] = attrs.field(factory=dict)
     _most_hosts: int = 0
     _most_with_disk: int = 0
+    _contact: coldness.Contact = attrs.field(
+        default=attrs.Factory(
+            lambda self: coldness.Contact(
+                self.started_at + QUIET_AFTER_START_S
+            ),
+            takes_self=True,
+        )
+    )
 
     def issue(
         self,
@@ -176,7 +188,12 @@
             first_s = min(interval_s, FIRST_PERMIT_AFTER_S) + tolerance_s
         else:
             tolerance_s = 0.0
-            first_s = max(cold.phase * interval_s, FIRST_COLD_PERMIT_AFTER_S)
+            # Another order for each upstream, so that no entry is the last
+            # one for all of them.
+            offset = hashing.stable_hash(request.upstream) % PHASES / PHASES
+            first_s = FIRST_COLD_PERMIT_AFTER_S
+            if cold.is_trickle:
+                first_s += (cold.phase + offset) % 1 * interval_s
         bucket = self._bucket(request, first_s, now)
         # A limit that was raised leaves no reservations far ahead.
         horizon = now + messages.LONGEST_PATIENCE_S + tolerance_s + interval_s
@@ -201,39 +218,73 @@
     def cold_share(
         self,
         own: messages.EntryRecord,
-        live: Collection[messages.EntryRecord],
+        heard: Collection[messages.EntryRecord],
         known: Collection[messages.EntryRecord],
     ) -> ColdShare:
         """Return the part of the rate for cold upstreams to issue.
 
         The parts of issuers that don't hear each other add up to 1 among
         entries with a disk and to ``TRICKLE_SHARE`` among the others. An
-        entry that has been cut off for long forgets the others, so the most
-        that were ever known count.
+        entry that hears fewer others than this one does may issue permits
+        for those that it hears, so it does not count here.
 
         Args:
-            live: the other entries that it hears.
+            heard: the other entries heard within ``coldness.HEARD_S``. It is
+                shorter than the silence after which an issuer is replaced,
+                so that the part of one falls before the next one begins.
             known: the other entries that it has heard lately.
         """
+        self.count_entries(own, known)
         staying = [item for item in known if not item.is_leaving]
-        with_disk = {item.host for item in staying if item.has_disk}
-        founded = max(len(item.founded) for item in (own, *known))
-        self._most_hosts = max(self._most_hosts, len(staying) + 1)
-        self._most_with_disk = max(
-            self._most_with_disk, len(with_disk) + own.has_disk, founded
-        )
         if not self._most_with_disk:
             # It has not heard of the fleet yet.
             return ColdShare(0.0)
         if own.has_disk:
-            heard = sum(item.host in with_disk for item in live)
-            return ColdShare((heard + 1) / self._most_with_disk)
+            count = count_disks(own, heard)
+            agreeing = sum(
+                item.has_disk and not 0 <= item.disks_heard < count
+                for item in heard
+            )
+            return ColdShare(min(1.0, (agreeing + 1) / self._most_with_disk))
         hosts = sorted({own.host, *(item.host for item in staying)})
         return ColdShare(
             TRICKLE_SHARE / self._most_hosts,
-            (hosts.index(own.host) + 1) / len(hosts),
+            hosts.index(own.host) / len(hosts),
+            is_trickle=True,
         )
 
+    def told_until(
+        self,
+        own: messages.EntryRecord,
+        heard: Collection[messages.EntryRecord],
+        now: float,
+    ) -> float:
+        """Return until when this entry would be told of cold upstreams.
+
+        Args:
+            heard: the other entries heard within ``coldness.HEARD_S``.
+        """
+        is_told = self._contact.update(
+            count_disks(own, heard), self._most_with_disk, now
+        )
+        return now + coldness.LOST_AFTER_S if is_told else now
+
+    def count_entries(
+        self,
+        own: messages.EntryRecord,
+        known: Collection[messages.EntryRecord],
+    ) -> None:
+        """Record how many entries there are.
+
+        An entry that is cut off forgets the others after a while. Its part
+        must not grow then, so the most that it has ever known count.
+        """
+        staying = [own, *(item for item in known if not item.is_leaving)]
+        with_disk = sum(item.has_disk for item in staying)
+        founded = max(len(item.founded) for item in (own, *known))
+        self._most_hosts = max(self._most_hosts, len(staying))
+        self._most_with_disk = max(self._most_with_disk, with_disk, founded)
+
     def forget_unused(self, now: float) -> None:
         """Drop what no entry has asked for lately."""
         for id_, bucket in list(self._buckets.items()):
@@ -254,6 +305,13 @@
         return bucket
 
 
+def count_disks(
+    own: messages.EntryRecord, heard: Collection[messages.EntryRecord]
+) -> int:
+    """Return the entries with a disk among this one and those it hears."""
+    return sum(item.has_disk and not item.is_leaving for item in (own, *heard))
+
+
 def _denial(
     request: messages.PermitRequest, after_s: float
 ) -> messages.Permit:
--- a/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
@@ -21,6 +21,8 @@
     messages.UpstreamState.DRAINING: 1,
     messages.UpstreamState.GONE: 2,
 }
+# Number of different eases of upstreams that have been cold.
+EASE_STEPS = 1024
 
 
 @attrs.define
@@ -51,10 +53,14 @@
         silent_after_s: an upstream without an announcement for this long is
             only used if no other is ready.
         forget_after_s: an upstream without one for this long is dropped.
+        owner: name of the entry. It decides which upstreams that have been
+            cold the entry uses sooner than others do.
     """
 
     silent_after_s: float
     forget_after_s: float
+    owner: str = ''
+    _lease: coldness.Lease = attrs.field(factory=coldness.Lease)
     _cold_terms: Mapping[str, coldness.ColdTerms] = attrs.field(factory=dict)
     _rows: dict[str, _Row] = attrs.field(factory=dict)
     _digest: int | None = None
@@ -191,6 +197,10 @@
         for row in self._rows.values():
             row.condition.coldness.terms = self._terms_of(row.upstream)
 
+    def set_told_until(self, until: float) -> None:
+        """Set how long this entry would be told of cold upstreams."""
+        self._lease.until = until
+
     def presume_cold(
         self, data_centre: str, now: float
     ) -> list[messages.Upstream]:
@@ -358,6 +368,11 @@
     ) -> conditions.Condition:
         condition = conditions.Condition()
         condition.coldness.terms = self._terms_of(upstream)
+        condition.coldness.lease = self._lease
+        hashed = hashing.stable_hash(
+            self.owner, upstream.id, str(upstream.born_ms)
+        )
+        condition.coldness.ease = hashed % EASE_STEPS / EASE_STEPS
         condition.coldness.record_start(upstream.cold_s, now)
         return condition
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -97,7 +97,7 @@
 
     def own_record(self) -> fleet.EntryRecord:
         """Return the record of this entry, as its hellos carry it."""
-        return fleet.EntryRecord(
+        record = fleet.EntryRecord(
             host=self.cfg.host,
             front=self.cfg.listeners.front,
             data_centre=self.cfg.data_centre,
@@ -111,6 +111,13 @@
             document_version=self.holder.version,
             requests_per_s=self.requests_per_s,
         )
+        disks_heard = fleet.count_disks(record, self.heard_records())
+        return attrs.evolve(record, disks_heard=disks_heard)
+
+    def heard_records(self) -> list[fleet.EntryRecord]:
+        """Return the records of the other entries that were just heard."""
+        alive = self.entries.alive(time.monotonic(), fleet.HEARD_S)
+        return [known.record for known in alive]
 
     def live_records(self) -> list[fleet.EntryRecord]:
         """Return the records of the other entries that are not silent."""
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/permit_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/permit_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import time
 from typing import Any
 
@@ -14,6 +15,10 @@
 from cassiashift_daemon import logs
 from cassiashift_net import links
 
+# An entry that is cut off notices this late that it would not be told of cold
+# upstreams.
+COUNT_INTERVAL_S = 0.2
+
 
 @attrs.define(eq=False)
 class PermitRunner:
@@ -28,6 +33,9 @@
     metrics: metrics.Metrics
     issuer: fleet.Issuer
     on_answer: Callable[[str], None] = lambda service: None
+    _count_at: float = 0.0
+    _is_told: bool = True
+    _has_cold: bool = False
 
     def request(self, upstream: fleet.Upstream, patience_s: float) -> None:
         """Request a permit for a limited or cold upstream.
@@ -62,6 +70,7 @@
 
     def apply_table(self, table: routes.RouteTable) -> None:
         """Use the rates of a configuration for cold upstreams."""
+        self._has_cold = any(item.cold_per_s > 0 for item in table.services)
         bounds = self.runner.cfg.bounds
         self.runner.upstreams.set_cold_terms(
             {
@@ -94,8 +103,23 @@
             self.runner.broadcast(fleet.UpstreamNews((), (), (changed,)))
 
     def tick(self) -> None:
-        """Drop what is known of upstreams that no entry asks for."""
-        self.issuer.forget_unused(time.monotonic())
+        """Count the entries; forget upstreams that no entry asks for."""
+        now = time.monotonic()
+        if now < self._count_at:
+            return
+        self._count_at = now + COUNT_INTERVAL_S
+        self.issuer.forget_unused(now)
+        own = self.runner.own_record()
+        self.issuer.count_entries(own, self.runner.known_records())
+        until = math.inf
+        if self._has_cold:
+            until = self.issuer.told_until(
+                own, self.runner.heard_records(), now
+            )
+        self.runner.upstreams.set_told_until(until)
+        if (until > now) != self._is_told:
+            self._is_told = until > now
+            logs.info('told_of_cold_upstreams', told=self._is_told)
 
     def handlers(self) -> dict[type, Any]:
         """Return the handlers of the messages on permits by message type."""
@@ -121,12 +145,10 @@
         if held is not None and held.born_ms == request.born_ms:
             condition = self.runner.upstreams.condition(held)
         is_cold = request.is_cold or condition.is_cold(now)
-        entries = (
-            self.runner.own_record(),
-            self.runner.live_records(),
-            self.runner.known_records(),
+        own, known = self.runner.own_record(), self.runner.known_records()
+        cold_share = self.issuer.cold_share(
+            own, self.runner.heard_records(), known
         )
-        cold_share = self.issuer.cold_share(*entries)
         return self.issuer.issue(
             request,
             fleet.rate_to_issue(
@@ -135,7 +157,7 @@
                 is_cold,
                 request,
             ),
-            fleet.issued_share(*entries),
+            fleet.issued_share(own, self.runner.live_records(), known),
             now,
             cold_share if is_cold else None,
         )
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -162,7 +162,9 @@
             links=self.links,
             entries=fleet.EntryTable(cfg.host),
             upstreams=fleet.UpstreamTable(
-                SILENT_HEARTBEATS * cfg.heartbeat_s, FORGET_UPSTREAM_S
+                SILENT_HEARTBEATS * cfg.heartbeat_s,
+                FORGET_UPSTREAM_S,
+                cfg.host,
             ),
             holder=self.holder,
             started_ns=time.time_ns(),
--- a/tests/core/fleet/simulated_cold.py
+++ b/tests/core/fleet/simulated_cold.py
@@ -4,6 +4,7 @@
 
 from cassiashift_core import fleet
 from tests.core.fleet import simulated_limits
+from tests.process import limited_upstreams
 
 # From docs/design/uneven-load.md: coldPerS x coldOverage + coldSlack.
 ALLOWED_ARRIVALS = 15 * 1.5 + 5
@@ -11,6 +12,8 @@
 COLD_START_S = 3.0
 HEARTBEAT_S = 1.0
 SILENT_S = 4.0
+# The next hello to the own data centre and that of a relay carry sightings.
+SIGHTING_S = 1.4
 TERMS = fleet.ColdTerms.from_bounds(15.0, COLD_START_S, 1.5, 5.0)
 DATA_CENTRES = ('east', 'north', 'west')
 
@@ -47,7 +50,6 @@
     def __init__(self, seed, entries=35, disks=6, upstreams=6, terms=TERMS):
         self.terms = terms
         self.loss = 0.0
-        self._unsent_sightings = {}
         super().__init__(seed, entries, disks, upstreams)
         for number, id_ in enumerate(list(self.upstreams)):
             announced = attrs.evolve(
@@ -64,6 +66,8 @@
     def add_entry(self, host, has_disk=False):
         """Start an entry; it knows what stands in the configuration."""
         super().add_entry(host, has_disk)
+        number = len(self.entries)
+        self.entries[host].chooser.data_centre = DATA_CENTRES[number % 3]
         table = self.entries[host].table
         table.silent_after_s = SILENT_S
         table.set_cold_terms({simulated_limits.SERVICE: self.terms})
@@ -95,33 +99,30 @@
 
     def end_evacuation(self, data_centre):
         """Let every entry hear that an evacuation has ended."""
-        for host in self.entries:
-            self.at(
-                self.now + self.rng.uniform(*simulated_limits.DELAY_S),
-                self._presume_cold,
-                host,
-                data_centre,
-            )
+        for entry in self.entries.values():
+            self._deliver(entry, self._presume_cold, data_centre)
 
-    def _presume_cold(self, host, data_centre):
-        self.entries[host].table.presume_cold(data_centre, self.now)
+    def _presume_cold(self, entry, data_centre):
+        entry.table.presume_cold(data_centre, self.now)
 
     # What is checked.
 
     def most_cold_arrivals(self):
         """Return the most arrivals in a second at any cold upstream."""
         return max(
-            self._most_in_window(item.cold_arrivals)
+            limited_upstreams.most_in_window(item.cold_arrivals, 0.0, WINDOW_S)
             for item in self.upstreams.values()
         )
 
-    def _most_in_window(self, times):
-        most = first = 0
-        for last, at in enumerate(times):
-            while times[first] <= at - WINDOW_S:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
+    def share_of(self, data_centre, since, until):
+        """Return the share of the requests that a data centre got."""
+        counts = {True: 0, False: 0}
+        for item in self.upstreams.values():
+            is_there = item.announcement.data_centre == data_centre
+            counts[is_there] += sum(
+                since <= at < until for at, _, _ in item.arrivals
+            )
+        return counts[True] / (counts[True] + counts[False])
 
     # Messages.
 
@@ -146,28 +147,32 @@
 
     def _on_heartbeat(self, entry, announced):
         changed = entry.table.apply(announced, self.now)
-        self._unsent_sightings.setdefault(entry.host, {})[announced.id] = (
-            fleet.Sighting(announced.id, announced.born_ms, announced.sequence)
+        sighting = fleet.Sighting(
+            announced.id, announced.born_ms, announced.sequence
+        )
+        self.at(
+            self.now + SIGHTING_S * self.rng.random(),
+            self._deliver,
+            entry,
+            self._send_to_all,
+            self._on_sighting,
+            sighting,
         )
         if changed is not None:
-            for host in list(self.entries):
-                self._send(entry, host, self._on_news, (changed,), ())
+            self._send_to_all(entry, self._on_news, (changed,), ())
 
     def _on_news(self, entry, upstreams, colds):
         entry.table.apply_all(upstreams, self.now)
         entry.table.apply_colds(colds, self.now)
         self._serve(entry)
 
-    def _send_hello_to_all(self, entry):
-        super()._send_hello_to_all(entry)
-        sightings = self._unsent_sightings.pop(entry.host, {})
+    def _send_to_all(self, entry, action, *args):
         for host in list(self.entries):
             if host != entry.host:
-                self._send(entry, host, self._on_sightings, sightings)
+                self._send(entry, host, action, *args)
 
-    def _on_sightings(self, entry, sightings):
-        for sighting in sightings.values():
-            entry.table.apply_sighting(sighting, self.now)
+    def _on_sighting(self, entry, sighting):
+        entry.table.apply_sighting(sighting, self.now)
         entry.table.forget_silent(self.now)
 
     def _on_pull(self, entry, host):
@@ -180,6 +185,16 @@
             entry.table.colds(self.now),
         )
 
+    def _tick(self, entry):
+        if entry.is_up and self.now >= entry.frozen_until:
+            own = entry.record(self.now)
+            known = [item.record for item in entry.known.by_host.values()]
+            entry.issuer.count_entries(own, known)
+            entry.table.set_told_until(
+                entry.issuer.told_until(own, entry.heard(self.now), self.now)
+            )
+        super()._tick(entry)
+
     # Requests.
 
     def _arrive(self, upstream, entry, sent_at):
@@ -205,6 +220,5 @@
                 held, cold_s, sent_at, self.now
             )
             if changed is not None:
-                for host in list(self.entries):
-                    self._send(entry, host, self._on_news, (), (changed,))
+                self._send_to_all(entry, self._on_news, (), (changed,))
         self._serve(entry)
--- a/tests/core/fleet/simulated_limits.py
+++ b/tests/core/fleet/simulated_limits.py
@@ -100,9 +100,9 @@
     queue: list = attrs.field(factory=list)
     placed_at: float = -LONG_S
 
-    def record(self):
+    def record(self, now):
         """Return the record that its hellos carry."""
-        return fleet.EntryRecord(
+        record = fleet.EntryRecord(
             self.host,
             '',
             'east',
@@ -111,6 +111,12 @@
             is_leaving=self.is_leaving,
             has_disk=self.has_disk,
         )
+        disks_heard = fleet.count_disks(record, self.heard(now))
+        return attrs.evolve(record, disks_heard=disks_heard)
+
+    def heard(self, now):
+        """Return the records of the entries that it has just heard."""
+        return [item.record for item in self.known.alive(now, fleet.HEARD_S)]
 
     def live(self, now):
         """Return the records of the entries that it hears."""
@@ -165,7 +171,7 @@
 
     def add_entry(self, host, has_disk=False):
         """Start an entry, new or again."""
-        table = fleet.UpstreamTable(LONG_S, LONG_S)
+        table = fleet.UpstreamTable(LONG_S, LONG_S, host)
         table.apply_all(
             [item.announcement for item in self.upstreams.values()], self.now
         )
@@ -304,7 +310,7 @@
                     entry,
                     host,
                     self._on_hello,
-                    entry.record(),
+                    entry.record(self.now),
                     entry.table.digest(),
                 )
 
@@ -323,9 +329,9 @@
         upstream = entry.table.find(request.upstream)
         condition = entry.table.condition(upstream)
         known = [item.record for item in entry.known.by_host.values()]
-        entries = (entry.record(), entry.live(self.now), known)
+        own = entry.record(self.now)
         is_cold = request.is_cold or condition.is_cold(self.now)
-        cold_share = entry.issuer.cold_share(*entries)
+        cold_share = entry.issuer.cold_share(own, entry.heard(self.now), known)
         answer = entry.issuer.issue(
             request,
             fleet.rate_to_issue(
@@ -334,7 +340,7 @@
                 is_cold,
                 request,
             ),
-            fleet.issued_share(*entries),
+            fleet.issued_share(own, entry.live(self.now), known),
             self.now,
             cold_share if is_cold else None,
         )
@@ -408,7 +414,7 @@
         issuer = fleet.choose_issuer(
             limited.id,
             limited.born_ms,
-            entry.record(),
+            entry.record(self.now),
             entry.live(self.now),
         )
         if issuer == entry.host:
--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -153,6 +153,9 @@
             None while they name none.
         arrived_at: times of all requests.
         is_leaving: its answers say that it leaves; its heartbeats don't.
+        cold_until: time until which its heartbeats and answers state that it
+            is cold; None if they state nothing.
+        cold_arrived_at: times of the requests that arrived while it was cold.
         born: number of its start.
     """
 
@@ -164,14 +167,31 @@
     limit_per_s: float | None = None
     arrived_at: list[float] = attrs.field(factory=list)
     is_leaving: bool = False
+    cold_until: float | None = None
+    cold_arrived_at: list[float] = attrs.field(factory=list)
     born: int = 1
 
+    def become_cold(self, for_s):
+        """Become cold for some seconds."""
+        self.cold_until = time.monotonic() + for_s
+
+    @property
+    def cold_ms(self):
+        """Return the milliseconds for which it stays cold, or None."""
+        if self.cold_until is None:
+            return None
+        return max(0.0, 1000 * (self.cold_until - time.monotonic()))
+
     async def handle(self, request):
         """Run a request and answer with its id."""
         id_ = request.headers['Cassiashift-Request-Id']
         now = time.monotonic()
         self.arrived_at.append(now)
         headers = {'Cassiashift-Request-Id': id_}
+        if self.cold_ms is not None:
+            headers['Cassiashift-Cold-Ms'] = f'{self.cold_ms:.0f}'
+        if self.cold_ms:
+            self.cold_arrived_at.append(now)
         if self.is_leaving:
             headers['Server-Leaving'] = '1'
         if self.limit_per_s is not None:
@@ -255,6 +275,8 @@
                 'sequence': self.sequence,
                 'born': self.upstream.born,
             }
+            if self.upstream.cold_ms is not None:
+                body['coldRemainingMs'] = self.upstream.cold_ms
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 async with self.session.post(
                     entry.url('control', '/cassiashift/instances/d/heartbeat'),
