--- a/tests/core/fleet/test_cold_beliefs.py
+++ b/tests/core/fleet/test_cold_beliefs.py
@@ -3,6 +3,7 @@
 import random
 
 import attrs
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools import matchers
@@ -81,6 +82,13 @@
     assert_that(lambda: fleet.parse_cold_s(value), matchers.raises(ValueError))
 
 
+def test_messages_of_entries_without_coldness_are_not_decoded():
+    news = msgspec.convert({'upstreams': ()}, fleet.UpstreamNews)
+    assert_that(news.colds, matchers.Equals(()))
+    dump = msgspec.convert({'hosts': (), 'upstreams': ()}, fleet.TableDump)
+    assert_that(dump.colds, matchers.Equals(()))
+
+
 @pytest.mark.parametrize('seed', range(20))
 def test_entries_disagree_on_coldness_in_some_order_of_news(seed):
     rng = random.Random(seed)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -172,6 +172,23 @@
         )
 
 
+@pytest.mark.parametrize(
+    ('value', 'cold_s'),
+    [('1500', 1.5), ('0', 0.0), ('null', None)]
+    + [(text, None) for text in ('-1', 'NaN', '1e999', '"soon"', '{}')],
+)
+def test_a_meaningless_coldness_costs_the_heartbeat(value, cold_s):
+    content = json.dumps(HEARTBEAT)[:-1] + f', "coldRemainingMs": {value}}}'
+    upstream = upstreams.decode_heartbeat('i-1', content.encode())
+    assert_that(upstream.cold_s, matchers.Equals(cold_s))
+
+
+def test_deep_nesting_in_a_heartbeat_ends_its_handler():
+    content = b'{"coldRemainingMs": ' + b'[' * 100_000
+    with pytest.raises(ValueError):
+        upstreams.decode_heartbeat('i-1', content)
+
+
 def test_a_leave_may_state_the_start_of_the_upstream():
     assert_that(upstreams.decode_leave(b''), matchers.Equals(0))
     assert_that(upstreams.decode_leave(b'{"born": 7}'), matchers.Equals(7))
