--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -6,6 +6,7 @@
 from cassiashift_core.fleet.capacity import Supply
 from cassiashift_core.fleet.capacity import Usage
 from cassiashift_core.fleet.coldness import ColdTerms
+from cassiashift_core.fleet.coldness import HEARD_S
 from cassiashift_core.fleet.coldness import parse_cold_s
 from cassiashift_core.fleet.conditions import Condition
 from cassiashift_core.fleet.confirmation import LogConfirmation
@@ -34,6 +35,7 @@
 from cassiashift_core.fleet.messages import UpstreamState
 from cassiashift_core.fleet.permits import choose_issuer
 from cassiashift_core.fleet.permits import ColdShare
+from cassiashift_core.fleet.permits import count_disks
 from cassiashift_core.fleet.permits import issued_share
 from cassiashift_core.fleet.permits import Issuer
 from cassiashift_core.fleet.permits import PERMIT_VALID_S
@@ -56,6 +58,7 @@
     'DocumentPush',
     'EntryRecord',
     'EntryTable',
+    'HEARD_S',
     'Hello',
     'Issuer',
     'KnownEntry',
@@ -79,6 +82,7 @@
     'Usage',
     'choose_entries',
     'choose_issuer',
+    'count_disks',
     'decide_bootstrap',
     'is_relay',
     'issued_share',
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -76,6 +76,8 @@
         requests_per_s: recent rate of requests from callers.
         capacity_per_s: rate that it can carry; 0 if not stated.
         is_slow: its events are delayed; callers should go elsewhere.
+        disks_heard: entries with a disk, itself included, that it has heard
+            within ``coldness.HEARD_S``; -1 if not stated.
     """
 
     host: str
@@ -92,6 +94,7 @@
     requests_per_s: float = 0.0
     capacity_per_s: float = 0.0
     is_slow: bool = False
+    disks_heard: int = -1
 
 
 @attrs.frozen(order=True)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -120,7 +120,7 @@
 
     def own_record(self) -> fleet.EntryRecord:
         """Return the record of this entry, as its hellos carry it."""
-        return fleet.EntryRecord(
+        record = fleet.EntryRecord(
             host=self.cfg.host,
             front=self.cfg.listeners.front,
             data_centre=self.cfg.data_centre,
@@ -136,6 +136,13 @@
             capacity_per_s=self.capacity_per_s,
             is_slow=self.is_slow,
         )
+        disks_heard = fleet.count_disks(record, self.heard_records())
+        return attrs.evolve(record, disks_heard=disks_heard)
+
+    def heard_records(self) -> list[fleet.EntryRecord]:
+        """Return the records of the other entries that were just heard."""
+        alive = self.entries.alive(time.monotonic(), fleet.HEARD_S)
+        return [known.record for known in alive]
 
     def live_records(self) -> list[fleet.EntryRecord]:
         """Return the records of the other entries that are not silent."""
