--- a/packages/cassiashift-core/cassiashift_core/fleet/coldness.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/coldness.py
@@ -32,7 +32,7 @@
 LOWEST_PER_S = 0.05
 # Part of the allowed arrivals that is kept free for permits of issuers that
 # overlap and for requests that are on the way.
-RESERVED_SHARE = 0.25
+RESERVED_SHARE = 0.35
 # Highest cost of a cold upstream in the comparison, in requests in flight. A
 # warm upstream with less than one request of this entry more is preferred.
 COLD_COST = 1.0
