--- a/packages/cassiashift-core/cassiashift_core/workload/table.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/table.py
@@ -19,6 +19,9 @@
 # An entry whose digests stopped without notice may still be busy for the
 # deadline of a stream.
 SILENT_COUNTED_S = 8.0
+# Hellos state requests of an entry for this long after the last one, as the
+# rate in them is an average; meanwhile it is known to be idle.
+IDLE_KEPT_S = 20.0
 # Peers that this entry sends digests to after their last one.
 RECENTLY_BUSY_S = 5.0
 # Two clocks differ in rate by less than this.
@@ -131,7 +134,8 @@
             if peer.added and now >= peer.expires_at:
                 peer.withdraw()
                 expired.append(Expiry(host, now - peer.received_at))
-            if now - peer.received_at >= SILENT_COUNTED_S:
+            kept_s = IDLE_KEPT_S if peer.is_idle else SILENT_COUNTED_S
+            if now - peer.received_at >= kept_s:
                 self.drop(host)
         return expired
 
@@ -155,7 +159,10 @@
 
     def heard_count(self, now: float) -> int:
         """Return the number of entries whose digests count, idle ones too."""
-        return sum(now < peer.expires_at for peer in self._peers.values())
+        return sum(
+            peer.is_idle or now < peer.expires_at
+            for peer in self._peers.values()
+        )
 
     def _add(
         self, peer: _Peer, rows: list[digests.WorkRow], sent_at: float
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
@@ -32,6 +32,7 @@
     table: workload.WorkTable
     refresh: Callable[[float], None] = lambda now: None
     _due: float = -math.inf
+    _busy_due: float = -math.inf
     _sent_at: float = -math.inf
     _sent_ms: int = 0
     _is_idle: bool = True
@@ -49,7 +50,10 @@
             logs.info(
                 'work_digest_expired', host=expiry.host, age_s=expiry.age_s
             )
-        self._busy = sorted({*self._busy_hosts(now), self.runner.cfg.host})
+        if now >= self._busy_due:
+            self._busy_due = now + fleet_runner.TICK_S
+            busy = {*self._busy_hosts(now), self.runner.cfg.host}
+            self._busy = sorted(busy)
         if now < self._due:
             return
         self.refresh(now)
--- a/tests/core/workload/test_work_table.py
+++ b/tests/core/workload/test_work_table.py
@@ -99,6 +99,8 @@
     table.apply(_digest(1.1, []), 1.1)
     assert_that(_counts(table), matchers.Equals([0, 0, 0]))
     assert_that(table.silent_count(5.0), matchers.Equals(0))
+    # An entry known to be idle must not count like the mean of the busy.
+    assert_that(table.heard_count(5.0), matchers.Equals(1))
     table.apply(_digest(1.2, [2, 2, 2]), 1.2)
     table.record_start('b', 2, 1.3)
     assert_that(_counts(table), matchers.Equals([0, 0, 0]))
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -9,6 +9,7 @@
 import attrs
 import pytest
 
+from cassiashift_core import costs
 from cassiashift_core import fleet
 from cassiashift_core import poison
 from cassiashift_core import routes
@@ -278,6 +279,9 @@
         key_scheme='Token',
         decode_document=lambda content: TABLE,
         shared_parts=lambda headers: tuple(headers.get('X-Parts', '').split()),
+        stated_size=lambda headers: costs.StatedSize(
+            int(headers.get('X-Prompt-Tokens', 0))
+        ),
     )
     holder = tables.TableHolder(adapter, table=TABLE)
     runner = fleet_runner.FleetRunner(
--- a/tests/daemon/direct/test_workload.py
+++ b/tests/daemon/direct/test_workload.py
@@ -7,13 +7,21 @@
 from testtools.assertions import assert_that
 from testtools import matchers
 
+from cassiashift_core import costs
 from cassiashift_core import fleet
 from cassiashift_core import routes
 from cassiashift_core import workload
 from tests.daemon.direct import conftest
 
 PEER = '127.0.0.2'
-ENGINE = routes.Engine(slots=1)
+ENGINE = routes.Engine(
+    slots=1,
+    capacity_tokens=10_000,
+    stride=5,
+    step_s=0.005,
+    step_per_request_s=0.001,
+    read_tokens_per_s=50_000,
+)
 
 
 @attrs.define
@@ -30,10 +38,12 @@
 
 @pytest.fixture
 def engine_site(site):
-    """Return a site whose service ``read`` has an engine of one slot."""
+    """Return a site with engines of one slot for two of its services."""
     holder = site.ingress.holder
     services = tuple(
-        attrs.evolve(item, engine=ENGINE) if item.name == 'read' else item
+        attrs.evolve(item, engine=ENGINE)
+        if item.name in ('read', 'draft')
+        else item
         for item in conftest.TABLE.services
     )
     holder.table = attrs.evolve(conftest.TABLE, services=services)
@@ -141,3 +151,37 @@
         conftest.SENDER, workload.WorkDigest(PEER, 1, 1, 100, b'12345')
     )
     assert_that(work.table.heard_count(0.0), matchers.Equals(0))
+
+
+async def test_a_prompt_that_fits_nowhere_is_refused_at_once(engine_site):
+    upstream = await engine_site.upstream('read')
+    headers = {'X_Prompt_Tokens': '10000'}
+    async with engine_site.request('read', **headers) as answer:
+        assert_that(answer.status, matchers.Equals(413))
+    assert_that(upstream.heads, matchers.HasLength(0))
+
+
+async def test_the_work_of_a_stream_shrinks_and_ends_with_it(engine_site):
+    script = conftest.streaming(1, 40, pause_s=0.01)
+    await engine_site.upstream('draft', script)
+    condition = engine_site.condition('draft-1')
+    placement = engine_site.ingress.placement
+    req = costs.Request('draft', 'acme', engine=ENGINE)
+    for _ in range(30):
+        placement.estimator.record(req, 100, 1.0)
+    seen = []
+    async with engine_site.request('draft', X_Prompt_Tokens='900') as answer:
+        seen.append(condition.work_ms)
+        async for _ in answer.content.iter_any():
+            placement.running.refresh(0.0)
+            seen.append(condition.work_ms)
+            assert_that(condition.tokens >= 900, matchers.Is(True))
+    # 100 tokens of 6 ms were expected, 200 came in 40 events of 5. What is
+    # beyond the estimate counts by its dispersion, not as nothing.
+    assert_that(seen[-1], matchers.LessThan(seen[0] / 2))
+    assert_that(seen[-1], matchers.GreaterThan(0.0))
+    await asyncio.sleep(0.05)
+    assert_that(condition.work_ms, matchers.Equals(0.0))
+    assert_that(condition.tokens, matchers.Equals(0))
+    learned = placement.estimator.estimate(req).output_tokens.median
+    assert_that(learned, matchers.GreaterThan(100.5))
