--- a/packages/cassiashift-core/cassiashift_core/admission/service_gate.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/service_gate.py
@@ -127,7 +127,9 @@
     ) -> str:
         """Queue a request, or return the reason for which it is refused."""
         item.arrived_at = now
-        reason = self._judge(item, self.queue.ahead_of(item, now), slots, now)
+        reason = self._find_refusal(
+            item, self.queue.ahead_of(item, now), slots, now
+        )
         if not reason:
             item.expected_wait_s = self.expected_wait_s(item, slots, now)
             self.queue.add(item)
@@ -176,7 +178,7 @@
                 late.append(item)
                 continue
             ahead.own_class = own_class[item.priority]
-            reason = self._judge(item, ahead, slots, now)
+            reason = self._find_refusal(item, ahead, slots, now)
             if reason:
                 self.queue.remove(item)
                 yield item, reason
@@ -187,7 +189,7 @@
                 own_class[item.priority] += item.cost
         ahead.is_late = True
         for item in late:
-            reason = self._judge(item, ahead, slots, now)
+            reason = self._find_refusal(item, ahead, slots, now)
             if reason:
                 self.queue.remove(item)
                 yield item, reason
@@ -216,7 +218,7 @@
             item.priority, item.cost, earliest_at, latest_at, spare, rate
         )
 
-    def _judge(
+    def _find_refusal(
         self,
         item: urgency_queue.QueuedRequest,
         ahead: urgency_queue.Ahead,
--- a/packages/cassiashift-core/cassiashift_core/consensus/restart.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/restart.py
@@ -33,21 +33,23 @@
         others = replica.other_voters
         return (
             bool(others)
-            and not replica.has_heard_leader
+            and not replica.had_leader_contact
             and all(host in self._log_ends for host in others)
         )
 
     def permits_vote(self, request: messages.VoteRequest) -> bool:
         """Return whether a vote needn't wait for the election timeout."""
-        has_heard_leader = self._replica.has_heard_leader
-        return bool(self._start) and request.restarted and not has_heard_leader
+        had_leader_contact = self._replica.had_leader_contact
+        return (
+            bool(self._start) and request.restarted and not had_leader_contact
+        )
 
     def on_tick(self) -> None:
         """Probe the other voters until all have reported."""
         replica = self._replica
         if (
             not self._start
-            or replica.has_heard_leader
+            or replica.had_leader_contact
             or replica.role not in WAITING_ROLES
             or replica.now < self._next_probe_at
         ):
@@ -61,7 +63,7 @@
     def on_probe(self, sender: str, probe: messages.RestartProbe) -> None:
         """Report to another voter unless a leader has been heard."""
         replica = self._replica
-        if not self._start or replica.has_heard_leader:
+        if not self._start or replica.had_leader_contact:
             return
         log = replica.log
         report = messages.RestartReport(
--- a/packages/cassiashift-core/cassiashift_core/consensus/roles.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/roles.py
@@ -74,7 +74,7 @@
         and is a no-op otherwise.
         """
         self.leader = self.host
-        self.has_heard_leader = True
+        self.had_leader_contact = True
         self.leadership = leader_state.Leader(self)
         self.leadership.update_peers()
         voters = self.log.voters
--- a/packages/cassiashift-core/cassiashift_core/consensus/state.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/state.py
@@ -17,7 +17,7 @@
         now: the time of the event being handled, in seconds.
         leader: host of the leader of the current term; None if unknown.
         applied_index: the last index passed to the owner.
-        has_heard_leader: whether this process has led, or was in contact
+        had_leader_contact: whether this process has led, or was in contact
             with a leader.
     """
 
@@ -34,7 +34,7 @@
         self.now = 0.0
         self.leader: str | None = None
         self.applied_index = 0
-        self.has_heard_leader = False
+        self.had_leader_contact = False
         self._rng = rng
         self._clock = clock.Clock(cfg.clock_step_s)
         self._leader_contact_at = 0.0
@@ -74,7 +74,7 @@
 
     def record_leader_contact(self, host: str) -> None:
         """Record a message from the leader and reset the election timer."""
-        self.has_heard_leader = True
+        self.had_leader_contact = True
         self.leader = host
         self._leader_contact_at = self.now
         self.reset_election_timer()
--- a/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
@@ -61,7 +61,7 @@
 
 @attrs.define(eq=False)
 class Board:
-    """What the entries tell each other: calls in flight, and their rates.
+    """What the entries send each other: calls in flight, and their rates.
 
     Attributes:
         ideal_limit: limit per rank that keeps the pauses in the objective.
--- a/packages/cassiashift-core/cassiashift_core/fleet/coldness.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/coldness.py
@@ -15,7 +15,7 @@
 # A longer announcement is taken for a mistake and shortened to this.
 LONGEST_COLD_S = 600.0
 # Announcements of one end of coldness differ by their time on the way. They
-# are told to other entries only if they differ by more.
+# are sent to other entries only if they differ by more.
 TOLERANCE_S = 0.25
 # A permit for a cold upstream is valid for so long. All permits of the last
 # window and of this time before it can be used within one window.
@@ -67,7 +67,7 @@
 
 @attrs.define
 class Lease:
-    """Time until which an entry would be told of cold upstreams.
+    """Time until which an entry would be informed of cold upstreams.
 
     It ends by itself, so that an entry that was stopped for a while does not
     go on with what it knew before.
@@ -88,7 +88,7 @@
         revision: number of the announced belief; a higher one is newer.
         heard_at: time of the newest announcement.
         is_presumed: it may have restarted; an announcement is awaited.
-        lease: time for which the entry would be told that it became cold.
+        lease: time for which the entry would be informed that it became cold.
         ease: 0 to 1; its cost is lower at an entry with a higher value.
     """
 
@@ -154,7 +154,7 @@
         presumption the upstream then counts as just started.
 
         Returns:
-            whether other entries must be told.
+            whether other entries must be informed.
         """
         was_presumed, self.is_presumed = self.is_presumed, False
         self.heard_at = now
@@ -178,7 +178,7 @@
         return is_changed
 
     def record_answer(self, cold_s: float, sent_at: float, now: float) -> bool:
-        """Record what an answer states; return whether others must be told.
+        """Record what an answer states; return whether to inform others.
 
         An answer to a request that was sent before the newest announcement
         or presumption may be older than that. It makes an upstream colder
@@ -226,7 +226,7 @@
 
 @attrs.define
 class Contact:
-    """Whether an entry would be told that an upstream became cold.
+    """Whether an entry would be informed that an upstream became cold.
 
     It would be while it hears a majority of the entries with a disk, since
     an announcement may arrive at any entry and reach it through them. An
@@ -237,7 +237,7 @@
     _lost_at: float = -math.inf
 
     def update(self, heard: int, most: int, now: float) -> bool:
-        """Return whether it would be told now.
+        """Return whether it would be informed now.
 
         Args:
             heard: entries with a disk that it has heard lately, or is.
--- a/packages/cassiashift-core/cassiashift_core/fleet/confirmation.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/confirmation.py
@@ -3,8 +3,8 @@
 A voter saves its commit index some time after it has acknowledged a change.
 After a restart its disk may therefore call an older configuration the newest
 committed one. While any process runs that has a newer one in force, it passes
-it on; after a restart of all nobody has, and the older one would return. The
-same holds for evacuations, which one read confirms with the configuration.
+it on; after a restart of all, no process has, and the older one would return.
+The same holds for evacuations, which one read confirms with the configuration.
 """
 
 import attrs
--- a/packages/cassiashift-core/cassiashift_core/fleet/permits.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/permits.py
@@ -259,7 +259,7 @@
         heard: Collection[messages.EntryRecord],
         now: float,
     ) -> float:
-        """Return until when this entry would be told of cold upstreams.
+        """Return until when this entry would be informed of cold upstreams.
 
         Args:
             heard: the other entries heard within ``coldness.HEARD_S``.
--- a/packages/cassiashift-core/cassiashift_core/fleet/steering.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/steering.py
@@ -48,7 +48,7 @@
 FAR_MARGIN = 0.9
 # They are named first while their load is below this share of their capacity.
 FAR_ROOM = 0.5
-# The sets of data centres that nobody has asked for are dropped.
+# The sets of data centres without requests are dropped.
 FORGET_AFTER_S = 60.0
 
 
--- a/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
@@ -204,7 +204,7 @@
             row.condition.coldness.terms = self._terms_of(row.upstream)
 
     def set_told_until(self, until: float) -> None:
-        """Set how long this entry would be told of cold upstreams."""
+        """Set how long this entry would be informed of cold upstreams."""
         self._lease.until = until
 
     def presume_cold(
@@ -238,7 +238,7 @@
             sent_at: time at which the answer's request was sent.
 
         Returns:
-            the new belief if other entries must be told, or None.
+            the new belief if other entries must be informed, or None.
         """
         condition = self._held_condition(upstream.id, upstream.born_ms)
         if condition is None or not condition.coldness.record_answer(
@@ -435,7 +435,7 @@
         """Record a newer announcement of a start.
 
         Returns:
-            whether other entries must be told of its coldness.
+            whether other entries must be informed of its coldness.
         """
         if self._is_unheard(row, now):
             row.condition.presume_cold(now)
@@ -454,7 +454,7 @@
         one before it. Its coldness counts, its end does not.
 
         Returns:
-            whether other entries must be told of its coldness.
+            whether other entries must be informed of its coldness.
         """
         if not cold_s or not row.condition.coldness.record_answer(
             cold_s, -math.inf, now
--- a/packages/cassiashift-core/cassiashift_core/placing/decision.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/decision.py
@@ -70,7 +70,7 @@
         homes: candidates with home slots of this entry, and their number;
             None if all slots are its own. See ``workload.home_slots``.
         may_visit: it may use other slots than these too.
-        ignores_others: what the other entries told does not count.
+        ignores_others: what the other entries reported does not count.
     """
 
     candidates: Sequence[Candidate]
@@ -129,7 +129,7 @@
     Attributes:
         exclusion: None if it could be chosen.
         is_home: the entry has a free slot of its own there.
-        age_s: age of what other entries told of it; infinite without.
+        age_s: age of what other entries reported of it; infinite without.
     """
 
     upstream: fleet.Upstream
--- a/packages/cassiashift-core/cassiashift_core/placing/explanation.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/explanation.py
@@ -36,7 +36,7 @@
         reason: why it would be refused.
         wait_s: expected wait in the queue; None if not queued, or if no end
             of the wait is in sight.
-        retry_after_s: when its caller would be told to return.
+        retry_after_s: when its caller would be informed to return.
     """
 
     outcome: Outcome
@@ -54,8 +54,8 @@
         cost: the sum of ``terms``.
         terms: the parts of the cost by name, as in ``Terms``.
         in_flight: requests of this entry; ``others_in_flight`` of the rest.
-        work_age_s: age of what other entries told of their work there; None
-            if they told nothing.
+        work_age_s: age of what other entries reported of their work there;
+            None if they reported nothing.
         announced_age_s: age of the newest announcement of the upstream.
     """
 
--- a/packages/cassiashift-core/cassiashift_core/workload/homes.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/homes.py
@@ -12,7 +12,7 @@
 import math
 
 # Capacity in use from which entries keep to their home slots. With less, the
-# digests are too old to tell which of the last slots are free; with more, the
+# digests are too old to show which of the last slots are free; with more, the
 # entries whose home slots are free leave them idle.
 VISIT_BELOW = 0.9
 
@@ -78,5 +78,5 @@
 
 
 def is_credible(capacity: float, others: int) -> bool:
-    """Return whether what other entries tell is possible at all."""
+    """Return whether what other entries report is possible at all."""
     return others <= LARGEST_CREDIBLE * capacity
--- a/packages/cassiashift-core/cassiashift_core/workload/table.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/table.py
@@ -40,7 +40,7 @@
 
 @attrs.define(eq=False)
 class _Peer:
-    """What one process of another entry has told.
+    """What one process of another entry has reported.
 
     Attributes:
         offset_s: least difference seen between the clocks of this entry and
@@ -115,7 +115,7 @@
     def record_start(self, host: str, started_ns: int, now: float) -> None:
         """Record that a process of an entry was first heard of.
 
-        What an earlier process told no longer counts. The new one knows
+        What an earlier process reported no longer counts. The new one knows
         nothing of the others' work yet, so it counts as recently busy.
         """
         peer = self._peers.get(host)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/permit_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/permit_runner.py
@@ -34,7 +34,7 @@
     issuer: fleet.Issuer
     on_answer: Callable[[str], None] = lambda service: None
     _count_at: float = 0.0
-    _is_told: bool = True
+    _is_updated: bool = True
     _has_cold: bool = False
 
     def request(self, upstream: fleet.Upstream, patience_s: float) -> None:
@@ -117,9 +117,9 @@
                 own, self.runner.heard_records(), now
             )
         self.runner.upstreams.set_told_until(until)
-        if (until > now) != self._is_told:
-            self._is_told = until > now
-            logs.info('told_of_cold_upstreams', told=self._is_told)
+        if (until > now) != self._is_updated:
+            self._is_updated = until > now
+            logs.info('cold_updates', received=self._is_updated)
 
     def handlers(self) -> dict[type, Any]:
         """Return the handlers of the messages on permits by message type."""
