--- a/packages/cassiashift-core/cassiashift_core/capacity/limiter.py
+++ b/packages/cassiashift-core/cassiashift_core/capacity/limiter.py
@@ -37,6 +37,9 @@
 MIN_LIMIT = 1.0
 # A limit that costs more than this part of the throughput is not used.
 MIN_THROUGHPUT = 0.5
+# Then it isn't lowered again for this long: a slow rank or an uneven expert
+# map lasts for seconds, and each try costs throughput.
+ABANDONED_S = 3.0
 
 
 @attrs.define
@@ -135,6 +138,7 @@
         wanted = self._limit_for(target_s)
         if self._throughput(wanted) < MIN_THROUGHPUT:
             self.limit = float(self.slots)
+            self._settled_at = now + ABANDONED_S
             return
         lowered = max(wanted, MIN_LIMIT, self.limit * MIN_RATIO)
         # Requests in progress finish: their number falls to the new limit
--- a/tests/core/capacity/test_limiter.py
+++ b/tests/core/capacity/test_limiter.py
@@ -158,3 +158,17 @@
     assert_that(
         14 * (0.00455 + limiter.limit * 0.00109), matchers.LessThan(0.15)
     )
+
+
+def test_a_limit_without_effect_is_not_tried_again_at_once():
+    """Guards against half of the throughput while a rank is slow."""
+    limiter = capacity.ConcurrencyLimiter(5, 0.15)
+    limiter.configure(5, 0.15, 0.00455, 0.00218)
+    limits = []
+    for period in range(40):
+        for stream in range(4):
+            limiter.record_pause(stream, 0.25)
+        limiter.update(period * 0.26, 1.0)
+        limits.append(limiter.limit)
+    lowered = sum(limit < 5 for limit in limits)
+    assert_that(lowered / len(limits), matchers.LessThan(0.25))
