Count only a committed voter set as evidence of a restart of all

The entries never remove the leader's own host, but the log allows it. Two guards had no test that fails without them.

Change: the evidence needs a committed voter set. Probes slow down after an election timeout. Planted faults for the set and for reports of a leader.

Result: tests/core/consensus, 157 passed; both planted faults are detected, and both scenarios pass without them.

--- a/packages/cassiashift-core/cassiashift_core/consensus/restart.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/restart.py
@@ -6,6 +6,8 @@
 leader since its own start, the wait protects nothing: a leader with a lease
 has committed an entry of its term, only a host with that entry can be elected,
 and that host received it before its start, so the leader would not state that.
+A leader that removes itself leads on until that is committed; so the voter set
+has to be a committed one.
 """
 
 from cassiashift_core.consensus import effects
@@ -22,6 +24,7 @@
         self._replica = replica
         self._start = replica.cfg.start
         self._next_probe_at = 0.0
+        self._probed_since: float | None = None
         # Last term and index of the log of each voter that has reported.
         self._log_ends: dict[str, tuple[int, int]] = {}
         self._has_campaigned = False
@@ -33,10 +36,15 @@
         others = replica.other_voters
         return (
             bool(others)
+            and self._is_set_committed()
             and not replica.had_leader_contact
             and all(host in self._log_ends for host in others)
         )
 
+    def _is_set_committed(self) -> bool:
+        """Return whether the newest voter set is known to be committed."""
+        return self._replica.log.voters_index <= self._replica.commit_index
+
     def permits_vote(self, request: messages.VoteRequest) -> bool:
         """Return whether a vote needn't wait for the election timeout."""
         had_leader_contact = self._replica.had_leader_contact
@@ -54,7 +62,15 @@
             or replica.now < self._next_probe_at
         ):
             return
-        self._next_probe_at = replica.now + replica.cfg.tick_s
+        if self._probed_since is None:
+            self._probed_since = replica.now
+        # After that the others are down or know a leader.
+        is_recent = (
+            replica.now - self._probed_since < replica.cfg.election_timeout_s
+        )
+        self._next_probe_at = replica.now + (
+            replica.cfg.tick_s if is_recent else replica.cfg.election_timeout_s
+        )
         probe = messages.RestartProbe(replica.term, self._start)
         for host in replica.other_voters:
             if host not in self._log_ends:
--- a/tests/core/consensus/cluster.py
+++ b/tests/core/consensus/cluster.py
@@ -103,6 +103,7 @@
         self.now = 0.0
         self.faults = Faults()
         self.cuts = set()
+        self.losses = set()
         self.checker = checks.Checker(self)
         self.settings = {'snapshot_every_entries': 40} | settings
         self.settings.setdefault('trailing_entries', 10)
@@ -160,9 +161,14 @@
         for other in self.nodes:
             self.cuts |= {(host, other), (other, host)}
 
+    def lose(self, host, message_class):
+        """Lose all messages of a class from a host."""
+        self.losses.add((host, message_class))
+
     def heal(self):
         """Restore all links and disks."""
         self.cuts.clear()
+        self.losses.clear()
         self.faults = Faults()
         for node in self.nodes.values():
             node.is_stalled = False
@@ -316,6 +322,8 @@
     def _send(self, sender, effect):
         self.sent += 1
         message = effect.message
+        if (sender, type(message)) in self.losses:
+            return
         if self.use_codec:
             raw = msgspec.msgpack.encode(message)
             message = msgspec.msgpack.decode(raw, type=type(message))
--- a/tests/core/consensus/scenarios.py
+++ b/tests/core/consensus/scenarios.py
@@ -239,3 +239,38 @@
         cluster.handle(cluster.nodes[host], consensus.Received(silent, late))
     cluster.run(5)
     return cluster
+
+
+def leader_that_removes_itself_is_not_asked():
+    """A removal that isn't committed must not make a leader's lease void."""
+    cluster = elected_cluster()
+    leader_host = cluster.leader().host
+    others = followers(cluster)
+    cluster.run(0.06)
+    cluster.cuts = {(host, leader_host) for host in others}
+    cluster.post(leader_host, consensus.ChangeVoters, remove=leader_host)
+    cluster.run(0.025)
+    cluster.isolate(leader_host)
+    for host in others:
+        cluster.crash(host)
+    cluster.run(0.003)
+    for host in others:
+        cluster.start(host)
+    cluster.run(1.5)
+    return cluster
+
+
+def followers_restart_unheard_by_the_leader():
+    """A leader must not report to followers that miss its heartbeats."""
+    cluster = elected_cluster()
+    leader_host = cluster.leader().host
+    others = followers(cluster)
+    cluster.run(0.02)
+    for host in others:
+        cluster.crash(host)
+    cluster.run(0.012)
+    for host in others:
+        cluster.start(host)
+    cluster.lose(leader_host, consensus.AppendEntries)
+    cluster.run(0.9)
+    return cluster
--- a/tests/core/consensus/test_planted_faults.py
+++ b/tests/core/consensus/test_planted_faults.py
@@ -11,6 +11,7 @@
 from cassiashift_core.consensus import election
 from cassiashift_core.consensus import leader
 from cassiashift_core.consensus import log
+from cassiashift_core.consensus import messages
 from cassiashift_core.consensus import outbox
 from cassiashift_core.consensus import progress
 from cassiashift_core.consensus import reads
@@ -82,6 +83,15 @@
     self._is_lease_revoked = False
 
 
+def report_always(self, sender, probe):
+    replica = self._replica
+    log_state = replica.log
+    report = messages.RestartReport(
+        replica.term, probe.start, log_state.last_term, log_state.last_index
+    )
+    replica.outbox.send_synced(sender, report)
+
+
 FAULTS = {
     'vote and acknowledge without sync': Fault(
         outbox.Outbox, 'send_synced', send_without_sync, 'votes unsynced'
@@ -131,6 +141,20 @@
         'holds a lease beside a newer leader',
         scenarios.late_reports_to_an_earlier_start,
     ),
+    'ask an uncommitted voter set': Fault(
+        restart.RestartEvidence,
+        '_is_set_committed',
+        lambda self: True,
+        'holds a lease beside a newer leader',
+        scenarios.leader_that_removes_itself_is_not_asked,
+    ),
+    'report although it leads': Fault(
+        restart.RestartEvidence,
+        'on_probe',
+        report_always,
+        'holds a lease beside a newer leader',
+        scenarios.followers_restart_unheard_by_the_leader,
+    ),
     'overlook clock steps': Fault(
         clock.Clock,
         'read',
