Lower concurrency limits later; count sound entries with the constant rate

Change: the limit falls only from 0.95 of the objective, and not where that costs over a fifth of the throughput; an entry that is not slow counts with at least 35 requests a second.

--- a/packages/cassiashift-core/cassiashift_core/capacity/limiter.py
+++ b/packages/cassiashift-core/cassiashift_core/capacity/limiter.py
@@ -4,9 +4,9 @@
 of any stream show the duration of the passes. Only a part of a pass grows with
 the requests that run: by the engine's timings the limit is lowered to where
 the pauses meet a part of the objective, and raised by steps that shrink as
-they come near it. Where that would cost more than half of the throughput, as
-with a slow rank or an uneven expert map, the limit returns to the slots: late
-answers to all callers are worth more than answers in time to a few.
+they come near it. Where that would cost more than a fifth of the throughput,
+as with a slow rank or an uneven expert map, the limit returns to the slots:
+the requests that then wait would be late as well.
 """
 
 import statistics
@@ -16,6 +16,9 @@
 # Part of the objective that pauses may take. A stream is late by its single
 # longest pause, so that typical pauses have to stay below the objective.
 TARGET_SHARE = 0.8
+# Pauses from this part of the objective lower the limit. Pauses between the
+# two are on time, and a lower limit would only make requests wait.
+LOWER_FROM_SHARE = 0.95
 # Pauses are evaluated once in this time, which holds a pass at least if
 # passes take as long as the objectives of both deployments (0.12 and 0.15 s).
 PERIOD_S = 0.25
@@ -36,7 +39,7 @@
 INTERRUPTION_FACTOR = 4.0
 MIN_LIMIT = 1.0
 # A limit that costs more than this part of the throughput is not used.
-MIN_THROUGHPUT = 0.5
+MIN_THROUGHPUT = 0.8
 # Then it isn't lowered again for this long: a slow rank or an uneven expert
 # map lasts for seconds, and each try costs throughput.
 ABANDONED_S = 3.0
@@ -135,6 +138,8 @@
             step = RAISE_SHARE * self.slots * (1 - self.pause_s / target_s)
             self.limit = min(float(self.slots), self.limit + step)
             return
+        if self.pause_s <= LOWER_FROM_SHARE * self.objective_s:
+            return
         wanted = self._limit_for(target_s)
         if self._throughput(wanted) < MIN_THROUGHPUT:
             self.limit = float(self.slots)
--- a/packages/cassiashift-core/cassiashift_core/fleet/steering.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/steering.py
@@ -53,8 +53,15 @@
 
 
 def capacity_of(record: messages.EntryRecord) -> float:
-    """Return how many requests a second callers may send to an entry."""
-    return record.capacity_per_s or REQUESTS_PER_S_PER_ENTRY
+    """Return how many requests a second callers may send to an entry.
+
+    A sound entry carries at least the rate that holds for all of them: one
+    whose processor clock runs too fast would announce next to nothing, and
+    callers would be spread over all entries.
+    """
+    if record.is_slow:
+        return record.capacity_per_s or REQUESTS_PER_S_PER_ENTRY
+    return max(record.capacity_per_s, REQUESTS_PER_S_PER_ENTRY)
 
 
 def choose_entries(
