Restore the seed of the scenario of clock steps

Cause: the seed was changed while starts were still drawn from the replica's random numbers; with starts from the settings the old seed detects its planted fault again, as the review of the election found. Change: seed 1 as before. Result: tests/core/consensus/test_planted_faults.py, 30 passed.

--- a/tests/core/consensus/scenarios.py
+++ b/tests/core/consensus/scenarios.py
@@ -194,7 +194,7 @@
 
 def clocks_of_all_followers_step():
     """Clock steps on all followers must not depose a leader with a lease."""
-    cluster = elected_cluster(2)
+    cluster = elected_cluster()
     old_leader = cluster.leader()
     others = followers(cluster)
     cluster.cuts = {(host, old_leader.host) for host in others}
