Count a crash of an upstream that was started again as a new one

Cause: an agent kept a crashed upstream as down until it answered an attempt. If the crashing call was the first attempt after the restart, its crash got the number of the crash before, so that entries counted neither of it: no block was made at the third crash, a test of a block that crashed an upstream renewed no block, and the same call was sent once more. Change: poison.CrashCounts numbers crashes by the time at which an attempt began: an attempt that began after a crash was found has reached a new process.

--- a/packages/cassiashift-core/cassiashift_core/poison/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/poison/__init__.py
@@ -17,6 +17,7 @@
 block is short, for requests that two unrelated crashes have met.
 """
 
+from cassiashift_core.poison.crash_counts import CrashCounts
 from cassiashift_core.poison.evidence import BEGUN_EVENTS
 from cassiashift_core.poison.evidence import PartKey
 from cassiashift_core.poison.identities import ANY_SERVICE
@@ -40,6 +41,7 @@
     'BlockNews',
     'BlockPull',
     'BlockRecord',
+    'CrashCounts',
     'CrashReport',
     'Decision',
     'Judgement',
--- a/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
@@ -15,6 +15,7 @@
 import attrs
 import yarl
 
+from cassiashift_core import poison
 from cassiashift_core import retries
 from cassiashift_core import timeline
 from cassiashift_core import Verdict
@@ -139,8 +140,7 @@
     epoch: int = 0
     in_flight: dict[str, int] = attrs.field(factory=dict)
     _running: dict[str, _Attempt] = attrs.field(factory=dict)
-    _crashes: dict[str, int] = attrs.field(factory=dict)
-    _is_down: set[str] = attrs.field(factory=set)
+    _crashes: poison.CrashCounts = attrs.field(factory=poison.CrashCounts)
     _outcomes: outcomes.OutcomeStore = attrs.field(
         factory=outcomes.OutcomeStore
     )
@@ -248,7 +248,8 @@
         except (AttemptError, TimeoutError) as exc:
             self._fail(attempt, exc)
         except aiohttp.ClientError as exc:
-            self._fail(attempt, exc, await self._find_crash(start, exc))
+            crash = await self._find_crash(start, began, exc)
+            self._fail(attempt, exc, crash)
         except Exception as exc:
             logs.error('attempt_crashed', attempt=start.attempt, error=exc)
             self._fail(attempt, exc)
@@ -273,7 +274,6 @@
             headers=headers,
             allow_redirects=False,
         ) as resp:
-            self._is_down.discard(start.upstream)
             _check_request_id(resp, start.request_id)
             resp_headers = tuple(
                 (str(name), value)
@@ -325,7 +325,10 @@
             )
 
     async def _find_crash(
-        self, start: messages.CallStart, exc: aiohttp.ClientError
+        self,
+        start: messages.CallStart,
+        began_at: float,
+        exc: aiohttp.ClientError,
     ) -> int:
         """Return the number of the crash that ended an attempt, or 0."""
         if isinstance(exc, aiohttp.ClientConnectorError):
@@ -334,10 +337,8 @@
         address = yarl.URL(self.urls[upstream])
         if not await probing.has_crashed(f'{address.host}:{address.port}'):
             return 0
-        if upstream not in self._is_down:
-            self._is_down.add(upstream)
-            self._crashes[upstream] = self._crashes.get(upstream, 0) + 1
-        return self.epoch + self._crashes[upstream]
+        now = time.monotonic()
+        return self.epoch + self._crashes.record(upstream, began_at, now)
 
     def _fail(self, attempt: _Attempt, exc: Exception, crash: int = 0) -> None:
         failure = _to_attempt_error(exc)
--- a/tests/daemon/test_attempts.py
+++ b/tests/daemon/test_attempts.py
@@ -20,6 +20,33 @@
 RESETS = struct.pack('ii', 1, 0)
 
 
+def create_agent(url, session):
+    """Return the attempts of an agent with one upstream."""
+    return attempts.AttemptServer(
+        urls={'u1': url},
+        refusal_reason=lambda upstream: '',
+        session=session,
+        record=lambda *args, **fields: timeline.Timestamp(),
+        fences=retries.FenceTable(EPOCH),
+        epoch=EPOCH,
+    )
+
+
+async def attempt_once(agent, number, add_reply):
+    """Make an attempt and wait for its end."""
+
+    def reply(message):
+        add_reply(message)
+        return True
+
+    attempt = str(retries.AttemptId('entry-1', 1, number, EPOCH))
+    agent.start(
+        messages.CallStart('r1', attempt, EPOCH, 'u1', 'GET', '/', (), b'', 5),
+        reply,
+    )
+    await agent.wait_idle()
+
+
 async def make_attempt(answer, is_reset):
     """Return the last message of an attempt at an upstream.
 
@@ -41,25 +68,9 @@
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     host, port = server.sockets[0].getsockname()
     session = attempts.create_session(1.0)
-    agent = attempts.AttemptServer(
-        urls={'u1': f'http://{host}:{port}'},
-        refusal_reason=lambda upstream: '',
-        session=session,
-        record=lambda *args, **fields: timeline.Timestamp(),
-        fences=retries.FenceTable(EPOCH),
-    )
+    agent = create_agent(f'http://{host}:{port}', session)
     replies = []
-
-    def reply(message):
-        replies.append(message)
-        return True
-
-    attempt = str(retries.AttemptId('entry-1', 1, 1, EPOCH))
-    agent.start(
-        messages.CallStart('r1', attempt, EPOCH, 'u1', 'GET', '/', (), b'', 5),
-        reply,
-    )
-    await agent.wait_idle()
+    await attempt_once(agent, 1, replies.append)
     await session.close()
     server.close()
     return replies[-1]
@@ -92,3 +103,40 @@
 async def test_a_whole_answer_is_complete(framing, body):
     last = await make_attempt(HEAD + framing + b'\r\n' + body, False)
     assert_that(last, matchers.IsInstance(messages.CallEnd))
+
+
+async def crash_repeatedly(times):
+    """Return the last message of each attempt at an upstream that crashes.
+
+    It crashes under every attempt, and is started again after each.
+    """
+    servers = []
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        servers[-1].close()
+        writer.transport.abort()
+
+    session = attempts.create_session(1.0)
+    port = 0
+    replies = []
+    agent = None
+    for number in range(times):
+        servers.append(await asyncio.start_server(serve, '127.0.0.1', port))
+        port = servers[-1].sockets[0].getsockname()[1]
+        agent = agent or create_agent(f'http://127.0.0.1:{port}', session)
+        await attempt_once(agent, number, replies.append)
+    await session.close()
+    return replies
+
+
+async def test_a_crash_after_a_restart_counts_as_the_one_before():
+    """Guards against crashes that no block is renewed for.
+
+    The upstream answers nothing between its crashes.
+    """
+    replies = await crash_repeatedly(3)
+    assert_that(
+        [message.crash for message in replies],
+        matchers.Equals([EPOCH + 1, EPOCH + 2, EPOCH + 3]),
+    )
