Send slow ranks of a group only what does not delay its passes

Entries gave a slow rank of a lock-step group as many requests as the others, so every pass of the group waited for it.

If no other upstream accepts, the slow rank is used up to the limit. Home slots are divided without those that slow ranks may not run, and the count of slots leaves them out. Metric slow_upstreams, log lines upstream_slow and slowdowns_ignored, and explain state what is known.

--- a/packages/cassiashift-cli/cassiashift_cli/explain_command.py
+++ b/packages/cassiashift-cli/cassiashift_cli/explain_command.py
@@ -274,6 +274,7 @@
     terms = [
         name for name in TERMS if any(row.terms.get(name) for row in shown)
     ]
+    has_slow = any(row.slowdown > 1 for row in shown)
     table = [
         (
             row.upstream,
@@ -284,6 +285,7 @@
             f'{row.in_flight}+{row.others_in_flight}',
             _format_age(row.work_age_s),
             _format_age(row.announced_age_s),
+            *((_format_slowdown(row),) if has_slow else ()),
         )
         for row in shown
     ]
@@ -295,6 +297,7 @@
             item.reason,
             *('-' for _ in ('cost', *terms, 'in flight', 'work age')),
             _format_age(item.announced_age_s),
+            *(('-',) if has_slow else ()),
         )
         for item in left
     ]
@@ -307,6 +310,7 @@
         'IN FLIGHT',
         'WORK AGE',
         'ANNOUNCED',
+        *(('SLOWDOWN',) if has_slow else ()),
     )
     output.show_table(header, table)
     count = len(answer.explanation.rows) + len(answer.left_out)
@@ -314,5 +318,12 @@
         output.show(f'{count - len(table)} more; see --rows')
 
 
+def _format_slowdown(row: placing.Row) -> str:
+    """Return how much slower an upstream is, and the age of the report."""
+    if row.slowdown <= 1:
+        return '-'
+    return f'{row.slowdown:.2f}, {_format_age(row.slowdown_age_s)}'
+
+
 def _format_age(age_s: float | None) -> str | None:
     return None if age_s is None else f'{age_s:.2f} s'
--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -29,6 +29,7 @@
 from cassiashift_core.fleet.messages import RankSlowdowns
 from cassiashift_core.fleet.messages import SharedSecret
 from cassiashift_core.fleet.messages import Sighting
+from cassiashift_core.fleet.messages import SlowRecord
 from cassiashift_core.fleet.messages import TableDump
 from cassiashift_core.fleet.messages import TablePull
 from cassiashift_core.fleet.messages import Upstream
@@ -72,6 +73,7 @@
     'RankSlowdowns',
     'SharedSecret',
     'Sighting',
+    'SlowRecord',
     'Standing',
     'Steering',
     'Supply',
--- a/packages/cassiashift-core/cassiashift_core/fleet/conditions.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/conditions.py
@@ -8,6 +8,7 @@
 from cassiashift_core.fleet import coldness as colds
 from cassiashift_core.fleet import limits
 from cassiashift_core.fleet import permits
+from cassiashift_core.fleet import slowdowns
 
 # Pauses of an upstream's circuit breaker. The first one outlasts a short
 # stall; the longest one bounds the delay until a recovered upstream is used.
@@ -49,6 +50,7 @@
         limit: the limit that it names to all entries.
         coldness: whether it takes only few requests for a while.
         permit: permit of this entry to send in spite of a limit or coldness.
+        slowdown: how much slower it is than others of its group.
     """
 
     in_flight: int = 0
@@ -70,6 +72,7 @@
     limit: limits.NamedLimit = attrs.field(factory=limits.NamedLimit)
     coldness: colds.Coldness = attrs.field(factory=colds.Coldness)
     permit: permits.HeldPermit = attrs.field(factory=permits.HeldPermit)
+    slowdown: slowdowns.Slowdown = attrs.field(factory=slowdowns.Slowdown)
 
     @property
     def is_limited(self) -> bool:
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -167,6 +167,24 @@
     revision: int
 
 
+@attrs.frozen
+class SlowRecord:
+    """A belief about the slowdown of one start of an upstream.
+
+    Attributes:
+        factor: time of the same work as a multiple of the median of its
+            group; 1 if it is not slow any more.
+        remaining_s: seconds after which the belief expires.
+        revision: number of the factor; a higher one is newer.
+    """
+
+    id: str
+    born_ms: int
+    factor: float
+    remaining_s: float
+    revision: int
+
+
 @attrs.frozen
 class RankSlowdowns:
     """The slow ranks of a lock-step group, sent by the agent of one of them.
@@ -185,11 +203,12 @@
 
 @attrs.frozen
 class UpstreamNews:
-    """Announcements, limits and coldness that changed the sender's table."""
+    """Announcements and beliefs that changed the sender's table."""
 
     upstreams: tuple[Upstream, ...]
     limits: tuple[LimitRecord, ...] = ()
     colds: tuple[ColdRecord, ...] = ()
+    slows: tuple[SlowRecord, ...] = ()
 
 
 @attrs.frozen
@@ -201,12 +220,13 @@
 
 @attrs.frozen
 class TableDump:
-    """The hosts, upstreams, limits and coldness in the sender's tables."""
+    """The hosts, upstreams and beliefs on them in the sender's tables."""
 
     hosts: tuple[str, ...]
     upstreams: tuple[Upstream, ...]
     limits: tuple[LimitRecord, ...] = ()
     colds: tuple[ColdRecord, ...] = ()
+    slows: tuple[SlowRecord, ...] = ()
 
 
 @attrs.frozen
--- a/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
@@ -14,6 +14,7 @@
 from cassiashift_core.fleet import conditions
 from cassiashift_core.fleet import limits
 from cassiashift_core.fleet import messages
+from cassiashift_core.fleet import slowdowns
 from cassiashift_core import hashing
 
 _STATE_ORDER = {
@@ -67,6 +68,10 @@
     _rows: dict[str, _Row] = attrs.field(factory=dict)
     # Rows by the short names of their upstreams in work digests.
     _by_short: dict[int, _Row] = attrs.field(factory=dict)
+    # Ids of upstreams whose slowdown may not have expired yet.
+    _slow: set[str] = attrs.field(factory=set)
+    # Ids of the slow upstreams by the agent and service that reported them.
+    _reported: dict[tuple[str, str], set[str]] = attrs.field(factory=dict)
     _digest: int | None = None
 
     def apply(
@@ -281,6 +286,95 @@
             if row.upstream.state is not messages.UpstreamState.GONE
         )
 
+    def record_slowdowns(
+        self, report: messages.RankSlowdowns, now: float
+    ) -> tuple[list[messages.SlowRecord], list[str]]:
+        """Record the slow ranks of a group.
+
+        Ranks that the same agent has reported before and that are not in
+        this report are not slow any more.
+
+        Returns:
+            the beliefs that other entries must be informed of, and a
+            description of each row that was ignored.
+        """
+        by_host = self._ids_by_host(report.service)
+        factors: dict[str, float] = {}
+        ignored = []
+        for host, factor in report.rows:
+            if host not in by_host or not slowdowns.is_valid(factor):
+                ignored.append(f'{host}={factor}')
+                continue
+            factors.update(dict.fromkeys(by_host[host], factor))
+        reporter = report.host, report.service
+        ended = self._reported.pop(reporter, set()) - factors.keys()
+        if factors:
+            self._reported[reporter] = set(factors)
+        changed = []
+        for id_, factor in [*factors.items(), *((id_, 1.0) for id_ in ended)]:
+            row = self._rows.get(id_)
+            if row is None:
+                continue
+            slowdown = row.condition.slowdown
+            revision = slowdown.revision
+            if slowdown.record_report(factor, now):
+                self._slow.add(id_)
+                changed.append(_slow_record(row, now))
+            if slowdown.revision != revision:
+                self._digest = None
+        return changed, ignored
+
+    def apply_slows(
+        self, records: Iterable[messages.SlowRecord], now: float
+    ) -> list[messages.SlowRecord]:
+        """Apply other entries' beliefs; return those that changed a speed."""
+        changed = []
+        for record in records:
+            condition = self._held_condition(record.id, record.born_ms)
+            if condition is None or not slowdowns.is_valid(record.factor):
+                continue
+            slowdown = condition.slowdown
+            before = slowdown.revision, slowdown.factor
+            if slowdown.apply(
+                record.factor, record.remaining_s, record.revision, now
+            ):
+                changed.append(record)
+            self._slow.add(record.id)
+            # A renewal, unlike a change, leaves the digest as it is.
+            if before != (slowdown.revision, slowdown.factor):
+                self._digest = None
+        return changed
+
+    def slows(self, now: float) -> tuple[messages.SlowRecord, ...]:
+        """Return the beliefs about slowdowns that were ever reported."""
+        return tuple(
+            _slow_record(row, now)
+            for row in self._rows.values()
+            if row.condition.slowdown.revision
+        )
+
+    def slow_factors(self, now: float) -> dict[str, float]:
+        """Return the slowdowns of the slow upstreams by id."""
+        factors = {}
+        for id_ in list(self._slow):
+            row = self._rows.get(id_)
+            factor = 1.0
+            if row is not None:
+                factor = row.condition.slowdown.factor_at(now)
+            if row is None or factor <= 1.0:
+                self._slow.discard(id_)
+            else:
+                factors[id_] = factor
+        return factors
+
+    def slow_count(self, now: float) -> int:
+        """Return the number of upstreams that are slow and not gone."""
+        return sum(
+            row.condition.slowdown.factor_at(now) > 1.0
+            for row in self._rows.values()
+            if row.upstream.state is not messages.UpstreamState.GONE
+        )
+
     def find(self, id_: str) -> messages.Upstream | None:
         """Return an upstream by its id, or None."""
         row = self._rows.get(id_)
@@ -375,8 +469,8 @@
     def digest(self) -> int:
         """Return a digest of the upstreams that aren't gone.
 
-        It covers ids, starts, states, limits and announced coldness, which
-        all entries must agree on.
+        It covers ids, starts, states, limits, announced coldness and reported
+        slowdowns, which all entries must agree on.
         """
         if self._digest is None:
             rows = sorted(
@@ -387,6 +481,19 @@
             self._digest = hashing.stable_digest('\n'.join(rows).encode())
         return self._digest
 
+    def _ids_by_host(self, service: str) -> dict[str, list[str]]:
+        """Return the upstreams of a service that are not gone by host."""
+        by_host: dict[str, list[str]] = {}
+        for row in self._rows.values():
+            upstream = row.upstream
+            if (
+                upstream.service == service
+                and upstream.state is not messages.UpstreamState.GONE
+            ):
+                host = upstream.address.rpartition(':')[0]
+                by_host.setdefault(host, []).append(upstream.id)
+        return by_host
+
     def _ready_rows(self, service: str) -> list[_Row]:
         return [
             row
@@ -509,7 +616,23 @@
     line = f'{upstream.id} {upstream.born_ms} {upstream.state.value}'
     line = f'{line} {limit.revision} {limit.per_s:g}'
     cold_revision = row.condition.coldness.revision
-    return f'{line} {cold_revision}' if cold_revision else line
+    if cold_revision:
+        line = f'{line} {cold_revision}'
+    slowdown = row.condition.slowdown
+    if slowdown.revision:
+        line = f'{line} slow {slowdown.revision} {slowdown.factor:g}'
+    return line
+
+
+def _slow_record(row: _Row, now: float) -> messages.SlowRecord:
+    slowdown = row.condition.slowdown
+    return messages.SlowRecord(
+        row.upstream.id,
+        row.upstream.born_ms,
+        slowdown.factor,
+        slowdown.remaining_s(now),
+        slowdown.revision,
+    )
 
 
 def _cold_record(
--- a/packages/cassiashift-core/cassiashift_core/placing/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/__init__.py
@@ -17,6 +17,9 @@
 from cassiashift_core.placing.explanation import Explanation
 from cassiashift_core.placing.explanation import Outcome
 from cassiashift_core.placing.explanation import Row
+from cassiashift_core.placing.slow_ranks import may_run
+from cassiashift_core.placing.slow_ranks import slow_slots
+from cassiashift_core.placing.slow_ranks import total_slots
 
 __all__ = [
     'Admittance',
@@ -36,4 +39,7 @@
     'decide',
     'explain',
     'fits',
+    'may_run',
+    'slow_slots',
+    'total_slots',
 ]
--- a/packages/cassiashift-core/cassiashift_core/placing/chooser.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/chooser.py
@@ -46,6 +46,7 @@
             now,
             self.data_centre,
             excluded=excluded,
+            slowdowns=self.upstreams.slow_factors(now),
             **fields,
         )
 
--- a/packages/cassiashift-core/cassiashift_core/placing/decision.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/decision.py
@@ -12,17 +12,20 @@
 import bisect
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
 import functools
 import itertools
 import math
+import types
 
 import attrs
 
 from cassiashift_core import costs
 from cassiashift_core.costs import timing
 from cassiashift_core import fleet
+from cassiashift_core.placing import slow_ranks
 from cassiashift_core import routes
 
 # Cost of a failure share of 1, in requests in flight.
@@ -49,6 +52,7 @@
 
     TRIED = 'tried'
     FULL = 'full'
+    SLOW = 'slow'
     NO_MEMORY = 'no_memory'
     NEEDS_PERMIT = 'needs_permit'
     PAUSED = 'paused'
@@ -71,6 +75,10 @@
             None if all slots are its own. See ``workload.home_slots``.
         may_visit: it may use other slots than these too.
         ignores_others: what the other entries reported does not count.
+        slowdowns: those of the slow upstreams, by id.
+        may_use_slow: a slow upstream may be used up to the limit if no other
+            one accepts the request.
+        ignores_slow: no upstream is excluded because it is slow.
     """
 
     candidates: Sequence[Candidate]
@@ -85,6 +93,9 @@
     homes: Sequence[tuple[Candidate, int]] | None = None
     may_visit: bool = True
     ignores_others: bool = False
+    slowdowns: Mapping[str, float] = types.MappingProxyType({})
+    may_use_slow: bool = True
+    ignores_slow: bool = False
 
     @property
     def has_timings(self) -> bool:
@@ -105,7 +116,7 @@
             processed.
         failures: for the share of requests that failed.
         distance: for another data centre.
-        extra: for other reasons; see ``Condition.cold_cost``.
+        extra: for coldness, see ``Condition.cold_cost``, and for a slowdown.
     """
 
     own: float = 0.0
@@ -211,7 +222,9 @@
     It is the cheapest upstream that accepts. Where slots are divided among
     entries, the cheapest one with a free home slot is preferred; otherwise
     one is drawn by the number of its free slots, as the cheapest one by old
-    figures would be that of many entries.
+    figures would be that of many entries. Slow upstreams that have what they
+    may run are used only if no upstream accepts, at whichever entry its free
+    slots are.
     """
     candidates = snapshot.candidates
     if snapshot.homes is None:
@@ -220,6 +233,10 @@
         chosen = _choose(snapshot, snapshot.homes, _cheapest_home)
         if chosen is None and snapshot.may_visit:
             chosen = _choose(snapshot, candidates, _drawn)
+    if chosen is None and snapshot.may_use_slow and _are_slow_left(snapshot):
+        snapshot = attrs.evolve(snapshot, ignores_slow=True, may_visit=True)
+        choice = _cheapest if snapshot.homes is None else _drawn
+        chosen = _choose(snapshot, candidates, choice)
     return Decision(snapshot, chosen)
 
 
@@ -231,6 +248,15 @@
     return prompt.sigma > 0 or prompt.median < engine.capacity_tokens
 
 
+def _are_slow_left(snapshot: Snapshot) -> bool:
+    """Return whether nothing but slowness excludes the upstreams left."""
+    if not snapshot.slowdowns:
+        return False
+    exclusion = _exclusion_function(snapshot)
+    reasons = {exclusion(*item) for item in snapshot.candidates}
+    return Exclusion.SLOW in reasons and None not in reasons
+
+
 def _choose(
     snapshot: Snapshot,
     candidates: Sequence,
@@ -290,13 +316,16 @@
     if not accepted:
         return None
     # An upstream whose others are ignored may look more than full.
+    limit, slowdowns = snapshot.limit, snapshot.slowdowns
     weights = [
         max(
             1.0,
-            snapshot.limit - condition.in_flight - condition.others_in_flight,
+            (_slots_at(snapshot, upstream) if slowdowns else limit)
+            - condition.in_flight
+            - condition.others_in_flight,
         )
         / (condition.slowness + FAILURE_PENALTY * condition.failure_share)
-        for _, condition in accepted
+        for upstream, condition in accepted
     ]
     sums = list(itertools.accumulate(weights))
     index = bisect.bisect(sums, snapshot.draw * sums[-1])
@@ -323,6 +352,15 @@
     ]
 
 
+def _slots_at(snapshot: Snapshot, upstream: fleet.Upstream) -> float:
+    """Return the requests of all entries that an upstream may run."""
+    slowdown = snapshot.slowdowns.get(upstream.id, 1.0)
+    if slowdown == 1.0 or snapshot.ignores_slow:
+        return snapshot.limit
+    slots = slow_ranks.may_run(snapshot.engine, slowdown)
+    return min(snapshot.limit, slots)
+
+
 def _exclusion_function(
     snapshot: Snapshot,
 ) -> Callable[[fleet.Upstream, fleet.Condition], Exclusion | None]:
@@ -330,11 +368,13 @@
     limit, now, tried = snapshot.limit, snapshot.now, snapshot.excluded
     room = _token_room(snapshot)
     weight = 0 if snapshot.ignores_others else 1
+    slowdowns = snapshot.slowdowns
 
     def exclusion(
         upstream: fleet.Upstream, condition: fleet.Condition
     ) -> Exclusion | None:
-        if condition.in_flight + weight * condition.others_in_flight >= limit:
+        count = condition.in_flight + weight * condition.others_in_flight
+        if count >= limit:
             return Exclusion.FULL
         if upstream.id in tried:
             return Exclusion.TRIED
@@ -347,6 +387,9 @@
         held = condition.tokens + weight * condition.others_tokens
         if held > room and held > 0:
             return Exclusion.NO_MEMORY
+        # Last, so that nothing else excludes an upstream that is only slow.
+        if slowdowns and count >= _slots_at(snapshot, upstream):
+            return Exclusion.SLOW
         return None
 
     return exclusion
@@ -377,8 +420,16 @@
 
 def _terms_function(snapshot: Snapshot) -> TermsFunction:
     """Return the function of the terms of an upstream's cost."""
-    if snapshot.has_timings:
-        return _timed_terms_function(snapshot)
+    has_timings = snapshot.has_timings
+    make = _timed_terms_function if has_timings else _plain_terms_function
+    terms_of = make(snapshot)
+    if not snapshot.slowdowns:
+        return terms_of
+    unit = _unit_s(snapshot) if has_timings else 1.0
+    return _slow_terms_function(snapshot, terms_of, unit)
+
+
+def _plain_terms_function(snapshot: Snapshot) -> TermsFunction:
     data_centre, now = snapshot.data_centre, snapshot.now
     weight = 0 if snapshot.ignores_others else 1
 
@@ -398,6 +449,34 @@
     return terms
 
 
+def _slow_terms_function(
+    snapshot: Snapshot, terms_of: TermsFunction, unit: float
+) -> TermsFunction:
+    """Return the function of the terms where some upstreams are slow.
+
+    Each request at a slow one, this one included, counts as many as its
+    slowdown.
+
+    Args:
+        terms_of: function of the terms without slowdowns.
+        unit: cost of one more request in flight.
+    """
+    slowdowns = snapshot.slowdowns
+    weight = 0 if snapshot.ignores_others else 1
+
+    def terms(
+        upstream: fleet.Upstream, condition: fleet.Condition
+    ) -> tuple[float, ...]:
+        values = terms_of(upstream, condition)
+        if upstream.id not in slowdowns:
+            return values
+        slowdown = slowdowns[upstream.id]
+        count = condition.in_flight + weight * condition.others_in_flight + 1
+        return *values[:-1], values[-1] + unit * (slowdown - 1.0) * count
+
+    return terms
+
+
 def _timed_terms_function(snapshot: Snapshot) -> TermsFunction:
     cost, engine = snapshot.cost, snapshot.engine
     own_s = cost.time_s.mean
--- a/packages/cassiashift-core/cassiashift_core/placing/explanation.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/explanation.py
@@ -57,6 +57,10 @@
         work_age_s: age of what other entries reported of their work there;
             None if they reported nothing.
         announced_age_s: age of the newest announcement of the upstream.
+        slowdown: how much slower it is than others of its group; 1 if it is
+            not, or if nothing was reported.
+        slowdown_age_s: age of the newest report of that known here; None if
+            it is not slow.
     """
 
     upstream: str
@@ -69,6 +73,8 @@
     others_in_flight: int
     work_age_s: float | None
     announced_age_s: float | None
+    slowdown: float = 1.0
+    slowdown_age_s: float | None = None
 
 
 @attrs.frozen
@@ -114,6 +120,8 @@
     rows = []
     for weighed in decision.weighed:
         id_ = weighed.upstream.id
+        slowdown = conditions[id_].slowdown
+        factor = slowdown.factor_at(snapshot.now)
         rows.append(
             Row(
                 upstream=id_,
@@ -126,6 +134,10 @@
                 others_in_flight=conditions[id_].others_in_flight,
                 work_age_s=_finite(weighed.age_s),
                 announced_age_s=announced_ages_s.get(id_),
+                slowdown=factor,
+                slowdown_age_s=(
+                    slowdown.age_s(snapshot.now) if factor > 1 else None
+                ),
             )
         )
     # The chosen one is drawn among about equal ones, so it need not be first.
--- a/packages/cassiashift-core/cassiashift_core/workload/homes.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/homes.py
@@ -8,6 +8,7 @@
 whose tables differ for a moment only meet more often.
 """
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import math
 
@@ -22,7 +23,11 @@
 
 
 def home_slots(
-    own_host: str, hosts: Sequence[str], upstreams: Sequence[str], limit: float
+    own_host: str,
+    hosts: Sequence[str],
+    upstreams: Sequence[str],
+    limit: float,
+    slow: Mapping[str, float] | None = None,
 ) -> dict[str, int]:
     """Return the number of home slots of an entry at each upstream.
 
@@ -30,15 +35,22 @@
         hosts: the busy entries in sorted order, with ``own_host``.
         upstreams: ids of the upstreams.
         limit: requests in flight that one upstream may have.
+        slow: upstreams that may have fewer, and how many. The other slots are
+            divided without theirs, so that no entry keeps to slots that are
+            not used.
     """
     rank, count = hosts.index(own_host), len(hosts)
     ordered = sorted(upstreams)
     homes: dict[str, int] = {}
+    slow = slow or {}
     for layer in range(math.ceil(limit)):
+        ids = ordered
+        if slow:
+            ids = [id_ for id_ in ordered if slow.get(id_, limit) > layer]
         # The layers are shifted, so that an entry's slots are at different
         # upstreams whatever the numbers of both.
         first = (rank - layer * (len(ordered) + 1)) % count
-        for id_ in ordered[first::count]:
+        for id_ in ids[first::count]:
             homes[id_] = homes.get(id_, 0) + 1
     return homes
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -436,11 +436,28 @@
         They are its share, by rate, of what all upstreams may have in flight.
         """
         candidates = self.runner.upstreams.accepting(service, now)
-        total = len(candidates) * self.in_flight_limit(service, candidates)
+        limit = self.in_flight_limit(service, candidates)
+        slow = self._slow_slots(service, candidates, limit, now)
+        total = placing.total_slots(len(candidates), limit, slow)
         if self._has_engine(service):
             total *= self._load_share(now)
         return max(1.0, total)
 
+    def _slow_slots(
+        self,
+        service_name: str,
+        candidates: list[fleet.Upstream],
+        limit: float,
+        now: float,
+    ) -> dict[str, float]:
+        """Return what the slow upstreams of a service may run, by id."""
+        factors = self.runner.upstreams.slow_factors(now)
+        if not factors or self.holder.table is None:
+            return {}
+        service = self.holder.table.service(service_name)
+        engine = None if service is None else service.engine
+        return placing.slow_slots(candidates, limit, engine, factors)
+
     def _load_share(self, now: float) -> float:
         if now - self._share_at >= SHARE_PERIOD_S:
             own = max(1.0, self.runner.requests_per_s)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -54,6 +54,8 @@
 PUSH_MISSED_S = 0.5
 # A pull or push to a host is repeated at this interval, as it may be lost.
 PULL_INTERVAL_S = 0.5
+# Rows of a report that are named in a log line if they are ignored.
+MAX_LOGGED_ROWS = 3
 
 
 @attrs.define(eq=False)
@@ -365,6 +367,7 @@
             self._log_upstream_change(upstream, sender.host)
         self._apply_limits(message.limits, sender.host)
         self._apply_colds(message.colds, sender.host)
+        self._apply_slows(message.slows, sender.host)
 
     def on_table_pull(
         self, sender: links.Sender, message: fleet.TablePull
@@ -377,6 +380,7 @@
                 self.upstreams.all(),
                 self.upstreams.limits(),
                 self.upstreams.colds(time.monotonic()),
+                self.upstreams.slows(time.monotonic()),
             ),
         )
 
@@ -390,6 +394,28 @@
             self._log_upstream_change(upstream, sender.host)
         self._apply_limits(message.limits, sender.host)
         self._apply_colds(message.colds, sender.host)
+        self._apply_slows(message.slows, sender.host)
+
+    def on_slowdowns(
+        self, sender: links.Sender, message: fleet.RankSlowdowns
+    ) -> None:
+        """Record the slow ranks of a group; inform the other entries."""
+        now = time.monotonic()
+        before = self.upstreams.slow_factors(now)
+        records, ignored = self.upstreams.record_slowdowns(message, now)
+        if ignored:
+            logs.warning(
+                'slowdowns_ignored',
+                host=message.host,
+                service=message.service,
+                rows=','.join(ignored[:MAX_LOGGED_ROWS]),
+                count=len(ignored),
+            )
+        for record in records:
+            if record.factor != before.get(record.id, 1.0):
+                self._log_slow(record, message.host)
+        if records:
+            self.broadcast(fleet.UpstreamNews((), slows=tuple(records)))
 
     def on_document_pull(
         self, sender: links.Sender, message: fleet.DocumentPull
@@ -418,6 +444,7 @@
             fleet.UpstreamNews: self.on_upstream_news,
             fleet.TablePull: self.on_table_pull,
             fleet.TableDump: self.on_table_dump,
+            fleet.RankSlowdowns: self.on_slowdowns,
             fleet.DocumentPull: self.on_document_pull,
             fleet.DocumentPush: self.on_document_push,
         }
@@ -519,6 +546,22 @@
         for record in self.upstreams.apply_colds(records, time.monotonic()):
             self.log_cold(record, source)
 
+    def _apply_slows(
+        self, records: Iterable[fleet.SlowRecord], source: str
+    ) -> None:
+        for record in self.upstreams.apply_slows(records, time.monotonic()):
+            self._log_slow(record, source)
+
+    def _log_slow(self, record: fleet.SlowRecord, source: str) -> None:
+        logs.info(
+            'upstream_slow',
+            upstream=record.id,
+            slowdown=record.factor,
+            for_s=record.remaining_s,
+            revision=record.revision,
+            heard_from=source,
+        )
+
     def log_cold(self, record: fleet.ColdRecord, source: str) -> None:
         """Log a new belief about the coldness of an upstream."""
         logs.info(
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -267,10 +267,13 @@
         snapshot = self.snapshot(call, now, candidates)
         chosen = None
         if preferred in candidates:
-            # Its slot was this entry's, so no home slots are needed.
+            # Its slot was this entry's, so no home slots are needed. A slow
+            # one is not preferred to others.
             only = self.runner.upstreams.with_conditions([preferred])
             chosen = placing.decide(
-                attrs.evolve(snapshot, candidates=only, homes=None)
+                attrs.evolve(
+                    snapshot, candidates=only, homes=None, may_use_slow=False
+                )
             ).chosen
         if chosen is None:
             chosen = placing.decide(snapshot).chosen
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -427,6 +427,7 @@
             upstreams=len(self.runner.upstreams.all()),
             limited_upstreams=self.runner.upstreams.limited_count(),
             cold_upstreams=self.runner.upstreams.cold_count(time.monotonic()),
+            slow_upstreams=self.runner.upstreams.slow_count(time.monotonic()),
             in_flight=self.ingress.in_flight,
             busy_entries=self.work.busy_count(),
             silent_entries=self.work.silent_count(),
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
@@ -1,6 +1,7 @@
 """Exchanges the work in flight of this entry with the other busy ones."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import math
 import time
@@ -10,6 +11,7 @@
 
 from cassiashift_core import fleet
 from cassiashift_core import placing
+from cassiashift_core import routes
 from cassiashift_core import workload
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon import logs
@@ -88,13 +90,17 @@
                 candidates
             )
         ]
-        capacity = limit * len(candidates)
+        engine = self._engine(service)
+        factors = self.runner.upstreams.slow_factors(now)
+        slow = placing.slow_slots(candidates, limit, engine, factors)
         others = sum(item.others_in_flight for item in conditions)
         return {
-            'homes': self._homes(service, candidates, limit),
-            'ignores_others': not workload.is_credible(capacity, others),
+            'homes': self._homes(service, candidates, limit, slow),
+            'ignores_others': not workload.is_credible(
+                limit * len(candidates), others
+            ),
             'may_visit': workload.may_visit(
-                capacity,
+                placing.total_slots(len(candidates), limit, slow),
                 sum(item.in_flight for item in conditions),
                 others,
                 busy=len(self._busy),
@@ -141,15 +147,19 @@
         )
 
     def _homes(
-        self, service: str, candidates: Sequence[fleet.Upstream], limit: float
+        self,
+        service: str,
+        candidates: Sequence[fleet.Upstream],
+        limit: float,
+        slow: Mapping[str, float],
     ) -> list[tuple[placing.Candidate, int]]:
         """Return the home slots, divided again after a change only."""
         ids = [upstream.id for upstream in candidates]
-        key = (self._busy, ids, limit)
+        key = (self._busy, ids, limit, slow)
         held = self._held_homes.get(service)
         if held is None or held[0] != key:
             homes = workload.home_slots(
-                self.runner.cfg.host, self._busy, ids, limit
+                self.runner.cfg.host, self._busy, ids, limit, slow
             )
             held = self._held_homes[service] = key, homes
         upstreams = self.runner.upstreams
@@ -205,6 +215,9 @@
         )
 
     def _has_engine(self, name: str) -> bool:
+        return self._engine(name) is not None
+
+    def _engine(self, name: str) -> routes.Engine | None:
         table = self.runner.holder.table
         service = None if table is None else table.service(name)
-        return service is not None and service.engine is not None
+        return None if service is None else service.engine
--- /dev/null
+++ b/tests/core/placing/test_slow_ranks.py
@@ -0,0 +1,101 @@
+"""Tests of placing where ranks of a group are slow."""
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import placing
+from cassiashift_core import workload
+from tests.core.placing import test_decisions
+
+ENGINE = test_decisions.ENGINE
+IDS = ['u0', 'u1', 'u2']
+
+
+def _snapshot(slowdown, **fields):
+    return test_decisions._snapshot(slowdowns={'u0': slowdown}, **fields)
+
+
+def _place_all(snapshot):
+    """Send requests until none is accepted; return the chosen ones."""
+    conditions = {item.id: state for item, state in snapshot.candidates}
+    sent = []
+    while (chosen := placing.decide(snapshot).chosen) is not None:
+        conditions[chosen.id].record_send(0.0)
+        sent.append(chosen.id)
+    return sent
+
+
+# Its own part of a pass takes 10 ms at normal speed with all 5 slots in use.
+@pytest.mark.parametrize(
+    ('slowdown', 'slots'), [(1.25, 3), (1.43, 1), (1.7, 0), (40.0, 0)]
+)
+def test_a_slow_rank_runs_what_does_not_delay_the_pass(slowdown, slots):
+    sent = _place_all(_snapshot(slowdown, may_use_slow=False))
+    assert_that(sent.count('u0'), matchers.Equals(slots))
+    assert_that(len(sent), matchers.Equals(10 + slots))
+    total = placing.slow_slots(
+        [item for item, _ in _snapshot(1).candidates],
+        5,
+        ENGINE,
+        {'u0': slowdown, 'other': 4.0},
+    )
+    assert_that(placing.total_slots(3, 5, total), matchers.Equals(10 + slots))
+
+
+@pytest.mark.parametrize('homes', [None, []])
+def test_a_slow_rank_is_used_if_no_other_accepts(homes):
+    """A wrong report must not leave requests without an upstream."""
+    sent = _place_all(_snapshot(4.0, homes=homes))
+    assert_that(len(sent), matchers.Equals(15))
+    assert_that(set(sent[10:]), matchers.Equals({'u0'}))
+
+
+def test_slots_of_other_entries_are_no_reason_to_use_a_slow_rank():
+    snapshot = _snapshot(4.0, homes=[], may_visit=False)
+    decision = placing.decide(snapshot)
+    assert_that(decision.chosen, matchers.Is(None))
+    reasons = {row.upstream.id: row.exclusion for row in decision.weighed}
+    assert_that(reasons['u0'], matchers.Equals(placing.Exclusion.SLOW))
+    assert_that(reasons['u1'], matchers.Equals(placing.Exclusion.NOT_HOME))
+
+
+def test_a_slow_upstream_without_timings_gets_fewer():
+    """Without timings nothing is excluded, but costs rise."""
+    plain = attrs.evolve(_snapshot(4.0), engine=None)
+    sent = _place_all(plain)
+    assert_that(len(sent), matchers.Equals(15))
+    assert_that('u0' in sent[:6], matchers.Is(False))
+
+
+def test_only_slow_ranks_are_used_like_others():
+    factors = dict.fromkeys(IDS, 4.0)
+    upstreams = [item for item, _ in _snapshot(4.0).candidates]
+    slow = placing.slow_slots(upstreams, 5, ENGINE, factors)
+    assert_that(slow, matchers.Equals({}))
+
+
+@pytest.mark.parametrize('count', [2, 12, 35])
+def test_no_home_slot_is_at_an_excluded_rank(count):
+    """Entries keep to their home slots when capacity is short."""
+    hosts = [f'10.0.1.{number:03}' for number in range(count)]
+    ids = [f'u{number}' for number in range(16)]
+    homes = [
+        workload.home_slots(host, hosts, ids, 5, {'u3': 0, 'u4': 2})
+        for host in hosts
+    ]
+    totals = [sum(item.get(id_, 0) for item in homes) for id_ in ids]
+    assert_that(totals, matchers.Equals([5, 5, 5, 0, 2, *[5] * 11]))
+
+
+def test_an_explanation_states_the_slowdown_and_its_age():
+    snapshot = _snapshot(4.0)
+    snapshot.candidates[0][1].slowdown.record_report(4.0, 0.75)
+    refusal = placing.Admittance(placing.Outcome.QUEUED)
+    explained = placing.explain(placing.decide(snapshot), refusal, {})
+    row = next(row for row in explained.rows if row.upstream == 'u0')
+    assert_that(
+        (row.exclusion, row.slowdown, row.slowdown_age_s),
+        matchers.Equals(('slow', 4.0, 0.25)),
+    )
