--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -26,8 +26,10 @@
 from cassiashift_core.fleet.messages import LONGEST_PATIENCE_S
 from cassiashift_core.fleet.messages import Permit
 from cassiashift_core.fleet.messages import PermitRequest
+from cassiashift_core.fleet.messages import RankSlowdowns
 from cassiashift_core.fleet.messages import SharedSecret
 from cassiashift_core.fleet.messages import Sighting
+from cassiashift_core.fleet.messages import SlowRecord
 from cassiashift_core.fleet.messages import TableDump
 from cassiashift_core.fleet.messages import TablePull
 from cassiashift_core.fleet.messages import Upstream
@@ -68,8 +70,10 @@
     'PERMIT_VALID_S',
     'Permit',
     'PermitRequest',
+    'RankSlowdowns',
     'SharedSecret',
     'Sighting',
+    'SlowRecord',
     'Standing',
     'Steering',
     'Supply',
