Model slow ranks that entries know of in the overload experiment

The entries of own_slot now learn the slowdown with the delay that it has: up to 0.5 s for the engine's report and up to 0.3 s until all entries know.

--- a/packages/cassiashift-core/cassiashift_core/experiment/overload.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/overload.py
@@ -17,6 +17,10 @@
 from cassiashift_core import retries
 
 SLOWDOWN = 4.0
+# Age of the engine's report when its agent reads it, and the time until all
+# entries know of a change then.
+REPORT_S = 0.5
+SPREAD_S = 0.3
 
 
 @attrs.define(eq=False)
@@ -26,6 +30,7 @@
     shape: overload_model.OverloadShape = overload_model.SHAPES[0]
     size: overload_model.OverloadConfig = overload_model.OverloadConfig()
     board: overload_entry.Board = attrs.field(factory=overload_entry.Board)
+    rng_name: str = ''
     _is_stepping: bool = False
 
     @classmethod
@@ -42,9 +47,17 @@
             for number in range(cfg.ranks)
         }
         base = model.ExperimentConfig(duration_s=cfg.duration_s)
-        rng = random.Random(f'{seed} {shape.name} {policy}')
+        name = f'{seed} {shape.name} {policy}'
+        rng = random.Random(name)
         sim = cls(
-            base, model.SCENARIOS[0], ranks, [], rng, shape=shape, size=cfg
+            base,
+            model.SCENARIOS[0],
+            ranks,
+            [],
+            rng,
+            shape=shape,
+            size=cfg,
+            rng_name=name,
         )
         count = 1 if policy == overload_entry.IDEAL else cfg.entries
         for number in range(count):
@@ -98,6 +111,24 @@
         cfg = overload_model.GROUP
         limit = (target_s - cfg.step_s) / cfg.decode_s
         self.board.ideal_limit = min(cfg.batch, max(1.0, limit))
+        self._report_speed(now)
+
+    def _report_speed(self, now: float) -> None:
+        """Let the entries learn of the slow ranks after some delay."""
+        slowdowns = {
+            rank.id: rank.slowdown
+            for rank in self.engines.values()
+            if rank.slowdown > 1
+        }
+        # A source of its own leaves the draws of the other policies as is.
+        rng = random.Random(f'{now} {self.rng_name}')
+        reported_at = now + REPORT_S * rng.random()
+        for entry in self.entries:
+            if entry.policy_name == overload_entry.OWN_SLOT:
+                self._schedule(
+                    reported_at + SPREAD_S * rng.random(),
+                    functools.partial(entry.learn_slowdowns, slowdowns),
+                )
 
     def _lose_ranks(self, now: float) -> None:
         lost = list(self.engines)[: self.shape.lost]
--- a/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
@@ -12,7 +12,9 @@
 from cassiashift_core.experiment import entry as entries
 from cassiashift_core.experiment import overload_model
 from cassiashift_core.experiment import overload_rivals
+from cassiashift_core import placing
 from cassiashift_core import retries
+from cassiashift_core import routes
 
 # Today's placing knows the entry's own calls only; the next two know those of
 # all entries. All three have the queue by priority and arrival.
@@ -21,11 +23,12 @@
 TWO_CHOICES = 'two_choices'
 # The limit from the pauses and the queue of core/admission.
 ADMISSION = 'admission'
-# The same; a slot that a call of the entry leaves is taken by its next one.
+# The same; a slot that a call of the entry leaves is taken by its next one, and
+# slow ranks get what they may run.
 OWN_SLOT = 'own_slot'
 # One entry with this queue, without lag, that knows the speed of the ranks.
 IDEAL = 'ideal'
-# OWN_SLOT with another limit.
+# OWN_SLOT with another limit, without knowledge of slow ranks.
 GRADIENT = 'gradient'
 AIMD = 'aimd'
 # LEAST_IN_FLIGHT that refuses by a threshold of urgency and caller.
@@ -57,6 +60,11 @@
 SHORTEST_RETRY_AFTER_S = 0.1
 LONGEST_RETRY_AFTER_S = 2.0
 RETRY_AFTER_SPREAD = 0.5
+ENGINE = routes.Engine(
+    slots=overload_model.GROUP.batch,
+    step_s=overload_model.GROUP.step_s,
+    step_per_request_s=overload_model.GROUP.decode_s,
+)
 
 
 @attrs.define(eq=False)
@@ -80,6 +88,7 @@
     Attributes:
         send: called with the entry, an attempt to deliver and the time.
         schedule: called with a time and an action to run then.
+        slowdowns: those of the slow ranks that the entry knows of.
     """
 
     id: str
@@ -94,6 +103,7 @@
     dagor: overload_rivals.Dagor = attrs.field(factory=overload_rivals.Dagor)
     records: list[overload_model.CallState] = attrs.field(factory=list)
     in_flight: collections.Counter = attrs.field(factory=collections.Counter)
+    slowdowns: dict[str, float] = attrs.field(factory=dict)
     _paused_until: dict[str, float] = attrs.field(factory=dict)
     _waiting: dict[admission.QueuedRequest, overload_model.CallState] = (
         attrs.field(factory=dict)
@@ -132,6 +142,10 @@
         self.records.append(state)
         self._offer(state, now)
 
+    def learn_slowdowns(self, slowdowns: dict[str, float], now: float) -> None:
+        """Record which ranks are slow."""
+        self.slowdowns = slowdowns
+
     def tick(self, now: float) -> None:
         """Refuse hopeless calls, start others, update limit and digest."""
         self.limiter.update(now, self.gate.load.hold.mean)
@@ -318,7 +332,8 @@
         return float(overload_model.GROUP.batch)
 
     def _slots(self) -> float:
-        total = len(self.board.alive) * self._limit()
+        slow = self._slow_slots()
+        total = placing.total_slots(len(self.board.alive), self._limit(), slow)
         if not self.gate.is_predictive or self.policy_name == IDEAL:
             return total
         own = max(1.0, self.board.rates.get(self.id, 1.0))
@@ -326,6 +341,12 @@
         share = min(1.0, own / max(sum(rates), own))
         return max(1.0, total * share)
 
+    def _slow_slots(self) -> dict[str, float]:
+        """Return the calls that slow ranks may run."""
+        return placing.slow_slots(
+            self.board.alive, self._limit(), ENGINE, self.slowdowns
+        )
+
     def _work(self, rank: str) -> int:
         """Return the calls in flight at a rank, as far as the policy knows."""
         if self.policy_name == OWN_LEAST:
@@ -347,7 +368,10 @@
             ranks = self.rng.sample(ranks, min(2, len(ranks)))
         work = {rank: self._work(rank) for rank in ranks}
         limit = self._limit()
-        free = [rank for rank in ranks if work[rank] < limit]
+        open_ranks = [rank for rank in ranks if work[rank] < limit]
+        slow = self._slow_slots()
+        free = [r for r in open_ranks if work[r] < slow.get(r, limit)]
+        free = free or open_ranks
         if not free:
             return None
         freed, self._freed = self._freed, None
--- a/packages/cassiashift-core/cassiashift_core/placing/slow_ranks.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/slow_ranks.py
@@ -10,7 +10,6 @@
 import math
 
 from cassiashift_core.costs import timing
-from cassiashift_core import fleet
 from cassiashift_core import routes
 
 # Products of timings may be smaller than a whole number by rounding.
@@ -31,7 +30,7 @@
 
 
 def slow_slots(
-    upstreams: Iterable[fleet.Upstream],
+    upstreams: Iterable[str],
     limit: float,
     engine: routes.Engine | None,
     slowdowns: Mapping[str, float],
@@ -42,6 +41,7 @@
     are used like others if there are no others.
 
     Args:
+        upstreams: their ids.
         limit: requests in flight that one upstream may have.
         slowdowns: those of the slow upstreams by id.
     """
@@ -49,11 +49,11 @@
         return {}
     slots = {}
     count = 0
-    for upstream in upstreams:
+    for id_ in upstreams:
         count += 1
-        slowdown = slowdowns.get(upstream.id, 1.0)
+        slowdown = slowdowns.get(id_, 1.0)
         if slowdown > 1.0:
-            slots[upstream.id] = min(limit, may_run(engine, slowdown))
+            slots[id_] = min(limit, may_run(engine, slowdown))
     is_left = len(slots) < count or any(slots.values())
     return slots if is_left else {}
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -456,7 +456,8 @@
             return {}
         service = self.holder.table.service(service_name)
         engine = None if service is None else service.engine
-        return placing.slow_slots(candidates, limit, engine, factors)
+        ids = [upstream.id for upstream in candidates]
+        return placing.slow_slots(ids, limit, engine, factors)
 
     def _load_share(self, now: float) -> float:
         if now - self._share_at >= SHARE_PERIOD_S:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
@@ -92,10 +92,11 @@
         ]
         engine = self._engine(service)
         factors = self.runner.upstreams.slow_factors(now)
-        slow = placing.slow_slots(candidates, limit, engine, factors)
+        ids = [upstream.id for upstream in candidates]
+        slow = placing.slow_slots(ids, limit, engine, factors)
         others = sum(item.others_in_flight for item in conditions)
         return {
-            'homes': self._homes(service, candidates, limit, slow),
+            'homes': self._homes(service, ids, limit, slow),
             'ignores_others': not workload.is_credible(
                 limit * len(candidates), others
             ),
@@ -149,12 +150,11 @@
     def _homes(
         self,
         service: str,
-        candidates: Sequence[fleet.Upstream],
+        ids: Sequence[str],
         limit: float,
         slow: Mapping[str, float],
     ) -> list[tuple[placing.Candidate, int]]:
         """Return the home slots, divided again after a change only."""
-        ids = [upstream.id for upstream in candidates]
         key = (self._busy, ids, limit, slow)
         held = self._held_homes.get(service)
         if held is None or held[0] != key:
--- a/tests/core/experiment/test_overload.py
+++ b/tests/core/experiment/test_overload.py
@@ -60,7 +60,7 @@
     [
         'steady',
         known_red('class-burst'),
-        known_red('slow-fifth'),
+        'slow-fifth',
         'drift',
         'long-tail',
         'third-lost',
--- a/tests/core/placing/test_slow_ranks.py
+++ b/tests/core/placing/test_slow_ranks.py
@@ -36,7 +36,7 @@
     assert_that(sent.count('u0'), matchers.Equals(slots))
     assert_that(len(sent), matchers.Equals(10 + slots))
     total = placing.slow_slots(
-        [item for item, _ in _snapshot(1).candidates],
+        IDS,
         5,
         ENGINE,
         {'u0': slowdown, 'other': 4.0},
@@ -71,8 +71,7 @@
 
 def test_only_slow_ranks_are_used_like_others():
     factors = dict.fromkeys(IDS, 4.0)
-    upstreams = [item for item, _ in _snapshot(4.0).candidates]
-    slow = placing.slow_slots(upstreams, 5, ENGINE, factors)
+    slow = placing.slow_slots(IDS, 5, ENGINE, factors)
     assert_that(slow, matchers.Equals({}))
 
 
