--- a/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
@@ -23,8 +23,8 @@
 TWO_CHOICES = 'two_choices'
 # The limit from the pauses and the queue of core/admission.
 ADMISSION = 'admission'
-# The same; a slot that a call of the entry leaves is taken by its next one, and
-# slow ranks get what they may run.
+# The same; a slot that a call of the entry leaves is taken by its next one.
+# Slow ranks get what they may run.
 OWN_SLOT = 'own_slot'
 # One entry with this queue, without lag, that knows the speed of the ranks.
 IDEAL = 'ideal'
