--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -15,6 +15,7 @@
 from cassiashift_core.fleet.entries import EntryTable
 from cassiashift_core.fleet.entries import KnownEntry
 from cassiashift_core.fleet.gossip import is_relay
+from cassiashift_core.fleet.gossip import renewal_targets
 from cassiashift_core.fleet.gossip import sends_frequent_hellos
 from cassiashift_core.fleet.limits import parse_limit
 from cassiashift_core.fleet.messages import ColdRecord
@@ -94,6 +95,7 @@
     'parse_cold_s',
     'parse_limit',
     'rate_to_issue',
+    'renewal_targets',
     'sends_frequent_hellos',
     'short_id',
 ]
--- a/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/upstreams.py
@@ -326,24 +326,36 @@
 
     def apply_slows(
         self, records: Iterable[messages.SlowRecord], now: float
-    ) -> list[messages.SlowRecord]:
-        """Apply other entries' beliefs; return those that changed a speed."""
-        changed = []
+    ) -> tuple[list[messages.SlowRecord], list[messages.SlowRecord]]:
+        """Apply other entries' beliefs.
+
+        Returns:
+            those that changed a speed, and those that renewed a belief that
+            was about to expire.
+        """
+        changed, renewed = [], []
         for record in records:
             condition = self._held_condition(record.id, record.born_ms)
             if condition is None or not slowdowns.is_valid(record.factor):
                 continue
             slowdown = condition.slowdown
             before = slowdown.revision, slowdown.factor
+            remaining_s = slowdown.remaining_s(now)
             if slowdown.apply(
                 record.factor, record.remaining_s, record.revision, now
             ):
                 changed.append(record)
+            elif (
+                remaining_s
+                < slowdowns.RENEW_BELOW_S
+                <= slowdown.remaining_s(now)
+            ):
+                renewed.append(record)
             self._slow.add(record.id)
             # A renewal, unlike a change, leaves the digest as it is.
             if before != (slowdown.revision, slowdown.factor):
                 self._digest = None
-        return changed
+        return changed, renewed
 
     def slows(self, now: float) -> tuple[messages.SlowRecord, ...]:
         """Return the beliefs about slowdowns that were ever reported."""
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -411,11 +411,17 @@
                 rows=','.join(ignored[:MAX_LOGGED_ROWS]),
                 count=len(ignored),
             )
-        for record in records:
-            if record.factor != before.get(record.id, 1.0):
-                self._log_slow(record, message.host)
-        if records:
+        changed = [
+            record
+            for record in records
+            if record.factor != before.get(record.id, 1.0)
+        ]
+        for record in changed:
+            self._log_slow(record, message.host)
+        if changed:
             self.broadcast(fleet.UpstreamNews((), slows=tuple(records)))
+        elif records:
+            self._renew_slows(records, now, is_first=True)
 
     def on_document_pull(
         self, sender: links.Sender, message: fleet.DocumentPull
@@ -549,8 +555,24 @@
     def _apply_slows(
         self, records: Iterable[fleet.SlowRecord], source: str
     ) -> None:
-        for record in self.upstreams.apply_slows(records, time.monotonic()):
+        now = time.monotonic()
+        changed, renewed = self.upstreams.apply_slows(records, now)
+        for record in changed:
             self._log_slow(record, source)
+        if renewed:
+            self._renew_slows(renewed, now, is_first=False)
+
+    def _renew_slows(
+        self, records: list[fleet.SlowRecord], now: float, is_first: bool
+    ) -> None:
+        """Send slowdowns that do not change, before they expire elsewhere."""
+        hosts = {*self.cfg.seeds, *self.entries.contacts()}
+        hosts.discard(self.cfg.host)
+        news = fleet.UpstreamNews((), slows=tuple(records))
+        for host in fleet.renewal_targets(
+            self.cfg.host, hosts, f'{now:.1f}', is_first
+        ):
+            self.send(host, news)
 
     def _log_slow(self, record: fleet.SlowRecord, source: str) -> None:
         logs.info(
--- a/tests/core/fleet/test_slowdowns.py
+++ b/tests/core/fleet/test_slowdowns.py
@@ -79,7 +79,7 @@
     assert_that(news, matchers.Equals([]))
     assert_that(ignored, matchers.HasLength(2))
     bad = fleet.SlowRecord('u1', 5, factor, 3.0, 7)
-    assert_that(table.apply_slows([bad], 1.0), matchers.Equals([]))
+    assert_that(table.apply_slows([bad], 1.0), matchers.Equals(([], [])))
     assert_that(_slow(table, 1.0), matchers.Equals({}))
 
 
@@ -95,3 +95,34 @@
         table.apply_slows(rng.sample(news, len(news)), 4.0)
     digests = {table.digest() for table in tables}
     assert_that(digests, matchers.HasLength(1))
+
+
+def test_renewals_reach_all_entries_of_a_large_fleet():
+    """One sender for 1,000 entries would exceed the bytes for control."""
+    hosts = [f'10.{n // 250}.0.{n % 250}' for n in range(1000)]
+    missed = 0
+    for wave in range(10):
+        reached, queue = set(), [(host, True) for host in hosts[:2]]
+        while queue:
+            host, is_first = queue.pop(0)
+            if host in reached:
+                continue
+            reached.add(host)
+            others = [other for other in hosts if other != host]
+            targets = fleet.renewal_targets(host, others, str(wave), is_first)
+            assert_that(len(targets), matchers.LessThan(9))
+            queue += [(target, False) for target in targets]
+        missed += len(hosts) - len(reached)
+    assert_that(missed, matchers.LessThan(10))
+
+
+def test_only_renewals_that_are_needed_are_relayed():
+    """Relays of outdated or repeated beliefs would never end."""
+    table = _table()
+    old = fleet.SlowRecord('u1', 5, 4.0, 3.5, 1)
+    assert_that(table.apply_slows([old], 1.0), matchers.Equals(([old], [])))
+    assert_that(table.apply_slows([old], 2.0), matchers.Equals(([], [])))
+    # Adopting it a second ago has made it last until 5.5 s.
+    assert_that(table.apply_slows([old], 4.0), matchers.Equals(([], [old])))
+    table.apply_slows([attrs.evolve(old, factor=1.0, revision=2)], 4.1)
+    assert_that(table.apply_slows([old], 4.2), matchers.Equals(([], [])))
