Add the message that states the slow ranks of a group

Entries do not know the speed of ranks, so a slow rank of a lock-step group gets as many requests as the others and delays every pass.

RankSlowdowns carries the host of each slow rank and its slowdown from an agent to entries. Nothing sends or handles it yet.

--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -26,6 +26,7 @@
 from cassiashift_core.fleet.messages import LONGEST_PATIENCE_S
 from cassiashift_core.fleet.messages import Permit
 from cassiashift_core.fleet.messages import PermitRequest
+from cassiashift_core.fleet.messages import RankSlowdowns
 from cassiashift_core.fleet.messages import SharedSecret
 from cassiashift_core.fleet.messages import Sighting
 from cassiashift_core.fleet.messages import TableDump
@@ -68,6 +69,7 @@
     'PERMIT_VALID_S',
     'Permit',
     'PermitRequest',
+    'RankSlowdowns',
     'SharedSecret',
     'Sighting',
     'Standing',
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -167,6 +167,22 @@
     revision: int
 
 
+@attrs.frozen
+class RankSlowdowns:
+    """The slow ranks of a lock-step group, sent by the agent of one of them.
+
+    Attributes:
+        host: the agent that sends it.
+        service: service of the group.
+        rows: host of each slow rank, and its time of the same work as a
+            multiple of the group's median; none if no rank is slow any more.
+    """
+
+    host: str
+    service: str
+    rows: tuple[tuple[str, float], ...]
+
+
 @attrs.frozen
 class UpstreamNews:
     """Announcements, limits and coldness that changed the sender's table."""
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -343,6 +343,7 @@
     'documented': fleet.DocumentPush,
     'permit': fleet.PermitRequest,
     'permitted': fleet.Permit,
+    'slowdowns': fleet.RankSlowdowns,
     'work': workload.WorkDigest,
 }
 
