Move experts away from slow ranks of a group

A rank that is several times slower than the others kept its experts, so each pass waited for it in every set of layers.

Decode the engine's pace into RankReport.slowdown. The planner weights the load of a rank by the ratio of its slowdown to the median of the group; a slow rank may also drop an expert that has other holders, or hand it to a rank without a free place.

A group that is formed anew with the same name and size keeps its demand, which does not decay during the interruption. With another size the shape follows; before, the planner would have used the old number of ranks.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/__init__.py
@@ -24,6 +24,8 @@
 from cassiashift_core.rankmaps.planning import Plan
 from cassiashift_core.rankmaps.planning import plan
 from cassiashift_core.rankmaps.recovery import Recovery
+from cassiashift_core.rankmaps.slowdowns import parse_slowdown
+from cassiashift_core.rankmaps.slowdowns import SlowRanks
 from cassiashift_core.rankmaps.switch import Phase
 from cassiashift_core.rankmaps.switch import Switch
 
@@ -45,8 +47,10 @@
     'RankReport',
     'RankStatus',
     'Recovery',
+    'SlowRanks',
     'Switch',
     'first_map',
+    'parse_slowdown',
     'plan',
     'version_after',
 ]
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
@@ -13,6 +13,7 @@
 from cassiashift_core.rankmaps import planning
 from cassiashift_core.rankmaps import pressure
 from cassiashift_core.rankmaps import recovery
+from cassiashift_core.rankmaps import slowdowns
 from cassiashift_core.rankmaps import switch
 
 BEACON_INTERVAL_S = 0.25
@@ -46,6 +47,7 @@
         hosts: host of the agent of each rank.
         plan: the newest plan that led to a switch.
         switches: switches started here.
+        slow_ranks: slowdowns of the ranks whose statuses arrive here.
     """
 
     own_report: model.RankReport
@@ -54,6 +56,7 @@
     hosts: dict[int, str] = attrs.field(factory=dict)
     plan: planning.Plan | None = None
     switches: int = 0
+    slow_ranks: slowdowns.SlowRanks = attrs.field(factory=slowdowns.SlowRanks)
     _statuses: dict[int, tuple[float, messages.RankStatus]] = attrs.field(
         factory=dict
     )
@@ -78,7 +81,7 @@
             self.own_report.group,
             self.own_report.epoch,
         ):
-            self._forget_group()
+            self._forget_group(report)
         self.own_report = report
         self.hosts[report.rank] = self.host
         if self._beacon_received_at is None:
@@ -137,6 +140,7 @@
                 message = attrs.evolve(message, lists=old.lists)
         self.hosts[report.rank] = message.host
         self._statuses[report.rank] = (now, message)
+        self.slow_ranks.record(message.host, report.slowdown, now)
         if message.choices is not None and self.shape is not None:
             if self._demand is None:
                 self._demand = demand.Demand(
@@ -187,6 +191,14 @@
         status = self._statuses.get(rank)
         return None if status is None else status[1].report
 
+    def slow_ranks_to_announce(self, now: float) -> slowdowns.Rows | None:
+        """Return the slow ranks if entries are to be told now, or None."""
+        if not self.coordinates(now):
+            self.slow_ranks.stop_announcing()
+            return None
+        self.slow_ranks.update(self.own_report.size, now)
+        return self.slow_ranks.rows_to_announce(now)
+
     def _start_next(self, now: float) -> None:
         """Start a due recovery or switch if this agent coordinates."""
         is_stalled = self._is_stalled(now)
@@ -309,12 +321,19 @@
             return
         if not all(map(_can_switch, reports.values())):
             return
+        if not self._demand.fits(self.shape.sets, self.shape.experts):
+            self._demand = None
+            return
         pairs = self.shape.sets * self.shape.experts
         if self._demand.total < MIN_CHOICES_PER_EXPERT * pairs:
             return
         loads = self._demand.loads
         utilisation = self._utilisation(reports)
-        new_plan = planning.plan(lists, loads, self.shape, utilisation)
+        self.slow_ranks.update(self.own_report.size, now)
+        ratios = [
+            self.slow_ranks.ratio(self.hosts[rank]) for rank in sorted(reports)
+        ]
+        new_plan = planning.plan(lists, loads, self.shape, utilisation, ratios)
         load_pressure = pressure.pressure(
             self.shape, utilisation, new_plan.before
         )
@@ -377,13 +396,25 @@
         self._active = None
         self._planned_at = now
 
-    def _forget_group(self) -> None:
+    def _forget_group(self, report: model.RankReport) -> None:
+        """Reset the state for a new formation of the group.
+
+        Callers ask for the same experts after it as before: the demand is
+        kept if the group has the same name and size, so that the first plan
+        need not wait for new choices.
+        """
         self._statuses.clear()
         self.hosts.clear()
         self._released_steps.clear()
         self._known_maps.clear()
         self._active = None
-        self._demand = None
+        old = self.own_report
+        if (report.group, report.size) != (old.group, old.size):
+            self._demand = None
+            if self.shape is not None:
+                self.shape = attrs.evolve(self.shape, ranks=report.size)
+        elif self._demand is not None:
+            self._demand.skip_time()
         self._stalled_since = None
         self._last_version = 0
 
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/demand.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/demand.py
@@ -41,6 +41,17 @@
         """Return the decayed choices of all sets and experts."""
         return sum(map(sum, self.loads))
 
+    def fits(self, sets: int, experts: int) -> bool:
+        """Return whether the loads are those of a group of this shape."""
+        return (self.sets, self.experts) == (sets, experts)
+
+    def skip_time(self) -> None:
+        """Do not decay for the time between the last and the next choices.
+
+        While a group does not run, its demand does not change.
+        """
+        self._updated_at = None
+
     def _decay(self, now: float) -> None:
         if self._updated_at is not None and now > self._updated_at:
             factor = 0.5 ** ((now - self._updated_at) / HALF_LIFE_S)
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
@@ -1,13 +1,16 @@
 """Finds a map that balances the ranks with few copied experts.
 
 In each set a pass waits for the most loaded rank, so the aim is to lower the
-load of that rank. The objective is a power mean instead of the maximum, since
-it also falls when one of several hot ranks is relieved. The local search
-makes the best of a few moves until no move is worth the experts it copies.
+load of that rank. The load of a rank counts multiplied by its slowdown, which
+is the time that the rank takes. The objective is a power mean instead of the
+maximum, since it also falls when one of several hot ranks is relieved. The
+local search makes the best of a few moves until no move is worth the experts
+it copies.
 """
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 
 import attrs
 
@@ -75,16 +78,20 @@
     loads: list[list[float]],
     shape: model.GroupShape,
     utilisation: float = 1.0,
+    slowdowns: Sequence[float] = (),
 ) -> Plan:
     """Return a map for the given loads, close to the current one.
 
     Args:
         loads: choices for each set and expert.
         utilisation: share of the group's slots in use, 0 to 1.
+        slowdowns: slowdown of each rank relative to the median of the group;
+            empty if all ranks are equally fast.
     """
+    factors = tuple(slowdowns) or (1.0,) * shape.ranks
     copy_cost = MIN_GAIN_PER_COPY / max(utilisation, MIN_UTILISATION)
     searches = [
-        _SetSearch.from_lists(lists, weights, shape, copy_cost)
+        _SetSearch.from_lists(lists, weights, shape, copy_cost, factors)
         for lists, weights in zip(current, loads, strict=True)
     ]
     before = sum(search.skew() for search in searches)
@@ -127,7 +134,9 @@
         weights: load of each expert, relative to the mean load of a rank.
         held: experts of each rank.
         holders: ranks of each expert.
-        loads: load of each rank, relative to the mean.
+        slowdowns: slowdown of each rank relative to the median.
+        loads: product of load and slowdown of each rank, relative to the mean
+            load.
         copies: experts that each rank has to copy.
         copies_so_far: experts that each rank has to copy for the sets searched
             before.
@@ -138,6 +147,7 @@
     weights: list[float]
     shape: model.GroupShape
     copy_cost: float
+    slowdowns: tuple[float, ...]
     held: list[set[int]]
     holders: list[set[int]]
     loads: list[float]
@@ -151,6 +161,7 @@
         weights: list[float],
         shape: model.GroupShape,
         copy_cost: float,
+        slowdowns: tuple[float, ...],
     ) -> '_SetSearch':
         """Return a search that starts from the map in use."""
         mean = sum(weights) / shape.ranks or 1.0
@@ -159,6 +170,7 @@
             weights=[weight / mean for weight in weights],
             shape=shape,
             copy_cost=copy_cost,
+            slowdowns=slowdowns,
             held=[set(row) for row in lists],
             holders=[set() for _ in weights],
             loads=[0.0] * shape.ranks,
@@ -191,20 +203,25 @@
             self._apply(best)
 
     def _load_of(self, rank: int) -> float:
-        return sum(
+        return self.slowdowns[rank] * sum(
             self.weights[expert] / len(self.holders[expert])
             for expert in self.held[rank]
         )
 
     def _moves(self) -> Iterator[_Move]:
-        """Yield moves of the heaviest experts of hot ranks to cool ranks."""
-        order = sorted(range(self.shape.ranks), key=self.loads.__getitem__)
-        cool = order[:COOL_RANKS]
-        for hot in order[-HOT_RANKS:]:
+        """Yield moves of the heaviest experts of hot ranks to cool ranks.
+
+        A slow rank may also drop an expert that has other holders.
+        """
+        ranks = range(self.shape.ranks)
+        cool = sorted(ranks, key=self._load_as_target)[:COOL_RANKS]
+        for hot in sorted(ranks, key=self.loads.__getitem__)[-HOT_RANKS:]:
             ranked = sorted(
                 self.held[hot], key=self._load_per_holder, reverse=True
             )
             for expert in ranked[:EXPERTS_TRIED]:
+                if self._is_slow(hot) and len(self.holders[expert]) > 1:
+                    yield _Move((), ((hot, expert),))
                 for target in cool:
                     if target != hot and expert not in self.held[target]:
                         yield from self._moves_to(hot, expert, target)
@@ -214,6 +231,7 @@
 
         Into a free place the expert is copied or transferred. Otherwise it
         replaces an expert with other holders, or is swapped for one without.
+        A slow rank may lose the expert in both cases.
         """
         add = (target, expert)
         if len(self.held[target]) < self.shape.placements:
@@ -223,10 +241,23 @@
         for other in self.held[target]:
             if len(self.holders[other]) > 1:
                 yield _Move((add,), ((target, other),))
+                if self._is_slow(hot):
+                    yield _Move((add,), ((target, other), (hot, expert)))
             elif other not in self.held[hot]:
                 swap = ((hot, expert), (target, other))
                 yield _Move((add, (hot, other)), swap)
 
+    def _is_slow(self, rank: int) -> bool:
+        return self.slowdowns[rank] > 1
+
+    def _load_as_target(self, rank: int) -> float:
+        """Return the load by which the ranks that get experts are chosen.
+
+        A slow rank without experts has no load, but would get much of it with
+        the first expert.
+        """
+        return self.loads[rank] + (self.slowdowns[rank] - 1)
+
     def _load_per_holder(self, expert: int) -> float:
         return self.weights[expert] / len(self.holders[expert])
 
@@ -263,7 +294,9 @@
                 change = (weight / len(new) if rank in new else 0.0) - (
                     weight / len(old) if rank in old else 0.0
                 )
-                changes[rank] = changes.get(rank, 0.0) + change
+                changes[rank] = (
+                    changes.get(rank, 0.0) + change * self.slowdowns[rank]
+                )
         return changes
 
     def _power_mean(self, changes: Iterable[tuple[int, float]]) -> float:
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/pressure.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/pressure.py
@@ -19,7 +19,7 @@
 
     Args:
         utilisation: share of the group's slots in use, 0 to 1.
-        skew: load of the hottest rank against the mean.
+        skew: load of the hottest rank against the mean, times its slowdown.
     """
     step_s = (
         shape.step_s + utilisation * shape.slots * shape.step_per_request_s
@@ -35,7 +35,8 @@
 
     Args:
         utilisation: share of the group's slots in use, 0 to 1.
-        skew: load of the hottest rank against the mean, on the map in use.
+        skew: load of the hottest rank against the mean, times its slowdown,
+            on the map in use.
     """
     if not utilisation or not shape.longest_pause_s:
         return utilisation
--- a/tests/core/rankmaps/group.py
+++ b/tests/core/rankmaps/group.py
@@ -49,6 +49,7 @@
     ranks: list[Rank] = attrs.field(init=False)
     begun: list[tuple[int, int]] = attrs.field(factory=list)
     stalled_s: float = 0.0
+    slowdowns: dict[int, float] = attrs.field(factory=dict)
     _events: list = attrs.field(factory=list)
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
@@ -89,6 +90,7 @@
             rank.armed,
             rank.held,
             running=3,
+            slowdown=self.slowdowns.get(number, 1.0),
         )
 
     def send_order(self, order, on_answered):
--- a/tests/core/rankmaps/test_coordination.py
+++ b/tests/core/rankmaps/test_coordination.py
@@ -225,3 +225,30 @@
         own.record_own_report(report, 4.0 + 0.1 * second)
         own.orders(4.0 + 0.1 * second)
     assert_that(isinstance(own.active, rankmaps.Recovery), matchers.Is(False))
+
+
+def test_a_group_formed_anew_keeps_its_demand(fleet):
+    # Otherwise it runs on the even map until it has seen enough choices.
+    group, agents = fleet(1)
+    group.run(4.0)
+    own = agents[0].coordinator
+    total = own._demand.total
+    report = attrs.evolve(group.report(0), epoch=2)
+    own.record_own_report(report, 14.0)
+    choices = rankmaps.Choices.from_counts([1] * 16)
+    own.handle_status(rankmaps.RankStatus('h0', report, (), choices), 14.5)
+    assert_that(own._demand.total, matchers.Equals(total + 16))
+    own.record_own_report(attrs.evolve(report, epoch=3, size=9), 15.0)
+    assert_that((own._demand, own.shape.ranks), matchers.Equals((None, 9)))
+
+
+def test_a_slow_rank_loses_experts_until_it_is_fast_again(fleet):
+    group, agents = fleet(1)
+    group.slowdowns[5] = 4.0
+    group.run(6.0)
+    held = [len(experts) for experts in group.ranks[0].lists[0]]
+    assert_that(held[5], matchers.LessThan(min(held[:5] + held[6:])))
+    group.slowdowns.clear()
+    group.run(20.0)
+    again = group.ranks[0].lists[0][5]
+    assert_that(len(again) > held[5], matchers.Is(True))
--- a/tests/core/rankmaps/test_planning.py
+++ b/tests/core/rankmaps/test_planning.py
@@ -11,6 +11,7 @@
 
 SMALL = rankmaps.GroupShape(8, 6, 64, 11, 4, 6, 0.85)
 LARGE = rankmaps.GroupShape(32, 12, 128, 5, 4, 5, 0.85)
+WIDE = rankmaps.GroupShape(63, 8, 252, 5, 2, 5, 0.85)
 
 
 def _loads(shape, seed):
@@ -21,22 +22,25 @@
     ]
 
 
-def _skew(shape, lists, loads):
+def _skew(shape, lists, loads, slowdown=1.0):
     total = 0.0
     for rows, weights in zip(lists, loads, strict=True):
         holders = [sum(e in row for row in rows) for e in range(len(weights))]
         ranks = [sum(weights[e] / holders[e] for e in row) for row in rows]
-        total += max(ranks) / (sum(ranks) / shape.ranks)
+        ranks[0] *= slowdown
+        total += max(ranks) / (sum(weights) / shape.ranks)
     return total / shape.sets
 
 
-@pytest.mark.parametrize('shape', [SMALL, LARGE])
+@pytest.mark.parametrize('slowdowns', [(1, 1, 1), (4, 4), (1, 1, 1, 4, 4)])
+@pytest.mark.parametrize('shape', [SMALL, LARGE, WIDE])
 @pytest.mark.parametrize('seed', range(5))
-def test_a_plan_keeps_the_limits_of_the_engine(shape, seed):
+def test_a_plan_keeps_the_limits_of_the_engine(shape, seed, slowdowns):
     loads = _loads(shape, seed)
     current = rankmaps.first_map(shape)
-    for _ in range(3):
-        plan = rankmaps.plan(current, loads, shape)
+    for slowdown in slowdowns:
+        ratios = [slowdown] + [1.0] * (shape.ranks - 1)
+        plan = rankmaps.plan(current, loads, shape, 1.0, ratios)
         copies = 0
         for before, after in zip(current, plan.lists, strict=True):
             held = {expert for row in after for expert in row}
@@ -47,12 +51,13 @@
                 assert_that(len(new) <= shape.placements, matchers.Is(True))
                 assert_that(len(fresh) <= shape.spare, matchers.Is(True))
         assert_that(plan.copies, matchers.Equals(copies))
-        assert_that(
-            abs(plan.after - _skew(shape, plan.lists, loads)) < 1e-6,
-            matchers.Is(True),
-        )
+        skew = _skew(shape, plan.lists, loads, slowdown)
+        assert_that(abs(plan.after - skew) < 1e-6, matchers.Is(True))
         assert_that(plan.after <= plan.before + 1e-9, matchers.Is(True))
         current = plan.lists
+    # After two plans, the passes no longer wait for the slow rank.
+    load = _skew(shape, current, loads, 1000) / 1000
+    assert_that(slowdowns[-1] == 1 or load < 0.5, matchers.Is(True))
 
 
 @pytest.mark.parametrize('seed', range(5))
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -20,6 +20,7 @@
     'held': 44,
     'running': 2,
     'kvUsed': 41000,
+    'pace': 4.5,
 }
 
 
@@ -54,6 +55,7 @@
         armed=rankmaps.Armed(16, 44),
         held=44,
         running=2,
+        slowdown=4.5,
     )
     assert_that(await client.report(), matchers.Equals(expected))
 
@@ -66,3 +68,13 @@
 async def test_a_malformed_report_is_an_error(client):
     with pytest.raises(engine.EngineError):
         await client.report()
+
+
+USELESS = ('4', None, [], True, 0, -2, float('nan'), float('inf'))
+
+
+@pytest.mark.parametrize(
+    'client', [{**REPORT, 'pace': pace} for pace in USELESS], indirect=True
+)
+async def test_a_useless_pace_counts_as_1(client):
+    assert_that((await client.report()).slowdown, matchers.Equals(1.0))
