--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -15,6 +15,7 @@
 from cassiashift_core.fleet.entries import EntryTable
 from cassiashift_core.fleet.entries import KnownEntry
 from cassiashift_core.fleet.gossip import is_relay
+from cassiashift_core.fleet.gossip import renewal_targets
 from cassiashift_core.fleet.gossip import sends_frequent_hellos
 from cassiashift_core.fleet.limits import parse_limit
 from cassiashift_core.fleet.messages import ColdRecord
@@ -26,8 +27,10 @@
 from cassiashift_core.fleet.messages import LONGEST_PATIENCE_S
 from cassiashift_core.fleet.messages import Permit
 from cassiashift_core.fleet.messages import PermitRequest
+from cassiashift_core.fleet.messages import RankSlowdowns
 from cassiashift_core.fleet.messages import SharedSecret
 from cassiashift_core.fleet.messages import Sighting
+from cassiashift_core.fleet.messages import SlowRecord
 from cassiashift_core.fleet.messages import TableDump
 from cassiashift_core.fleet.messages import TablePull
 from cassiashift_core.fleet.messages import Upstream
@@ -68,8 +71,10 @@
     'PERMIT_VALID_S',
     'Permit',
     'PermitRequest',
+    'RankSlowdowns',
     'SharedSecret',
     'Sighting',
+    'SlowRecord',
     'Standing',
     'Steering',
     'Supply',
@@ -90,6 +95,7 @@
     'parse_cold_s',
     'parse_limit',
     'rate_to_issue',
+    'renewal_targets',
     'sends_frequent_hellos',
     'short_id',
 ]
--- a/packages/cassiashift-core/cassiashift_core/placing/decision.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/decision.py
@@ -12,17 +12,20 @@
 import bisect
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
 import functools
 import itertools
 import math
+import types
 
 import attrs
 
 from cassiashift_core import costs
 from cassiashift_core.costs import timing
 from cassiashift_core import fleet
+from cassiashift_core.placing import slow_ranks
 from cassiashift_core import routes
 
 # Cost of a failure share of 1, in requests in flight.
@@ -49,6 +52,7 @@
 
     TRIED = 'tried'
     FULL = 'full'
+    SLOW = 'slow'
     NO_MEMORY = 'no_memory'
     NEEDS_PERMIT = 'needs_permit'
     PAUSED = 'paused'
@@ -71,6 +75,10 @@
             None if all slots are its own. See ``workload.home_slots``.
         may_visit: it may use other slots than these too.
         ignores_others: what the other entries reported does not count.
+        slowdowns: those of the slow upstreams, by id.
+        may_use_slow: a slow upstream may be used up to the limit if no other
+            one accepts the request.
+        ignores_slow: no upstream is excluded because it is slow.
     """
 
     candidates: Sequence[Candidate]
@@ -85,6 +93,9 @@
     homes: Sequence[tuple[Candidate, int]] | None = None
     may_visit: bool = True
     ignores_others: bool = False
+    slowdowns: Mapping[str, float] = types.MappingProxyType({})
+    may_use_slow: bool = True
+    ignores_slow: bool = False
 
     @property
     def has_timings(self) -> bool:
@@ -105,7 +116,7 @@
             processed.
         failures: for the share of requests that failed.
         distance: for another data centre.
-        extra: for other reasons; see ``Condition.cold_cost``.
+        extra: for coldness, see ``Condition.cold_cost``, and for a slowdown.
     """
 
     own: float = 0.0
@@ -211,7 +222,9 @@
     It is the cheapest upstream that accepts. Where slots are divided among
     entries, the cheapest one with a free home slot is preferred; otherwise
     one is drawn by the number of its free slots, as the cheapest one by old
-    figures would be that of many entries.
+    figures would be that of many entries. Slow upstreams that have what they
+    may run are used only if no upstream accepts, at whichever entry its free
+    slots are.
     """
     candidates = snapshot.candidates
     if snapshot.homes is None:
@@ -220,6 +233,10 @@
         chosen = _choose(snapshot, snapshot.homes, _cheapest_home)
         if chosen is None and snapshot.may_visit:
             chosen = _choose(snapshot, candidates, _drawn)
+    if chosen is None and snapshot.may_use_slow and _are_slow_left(snapshot):
+        snapshot = attrs.evolve(snapshot, ignores_slow=True, may_visit=True)
+        choice = _cheapest if snapshot.homes is None else _drawn
+        chosen = _choose(snapshot, candidates, choice)
     return Decision(snapshot, chosen)
 
 
@@ -231,6 +248,20 @@
     return prompt.sigma > 0 or prompt.median < engine.capacity_tokens
 
 
+def _are_slow_left(snapshot: Snapshot) -> bool:
+    """Return whether only slow upstreams can take the request.
+
+    While others are full it waits for them: at a slow rank it would delay all
+    requests of the group.
+    """
+    if not snapshot.slowdowns:
+        return False
+    exclusion = _exclusion_function(snapshot)
+    reasons = {exclusion(*item) for item in snapshot.candidates}
+    is_waited_for = reasons & {None, Exclusion.FULL}
+    return Exclusion.SLOW in reasons and not is_waited_for
+
+
 def _choose(
     snapshot: Snapshot,
     candidates: Sequence,
@@ -297,13 +328,16 @@
     if not accepted:
         return None
     # An upstream whose others are ignored may look more than full.
+    limit, slowdowns = snapshot.limit, snapshot.slowdowns
     weights = [
         max(
             1.0,
-            snapshot.limit - condition.in_flight - condition.others_in_flight,
+            (_slots_at(snapshot, upstream) if slowdowns else limit)
+            - condition.in_flight
+            - condition.others_in_flight,
         )
         / (condition.slowness + FAILURE_PENALTY * condition.failure_share)
-        for _, condition in accepted
+        for upstream, condition in accepted
     ]
     sums = list(itertools.accumulate(weights))
     index = bisect.bisect(sums, snapshot.draw * sums[-1])
@@ -330,6 +364,15 @@
     ]
 
 
+def _slots_at(snapshot: Snapshot, upstream: fleet.Upstream) -> float:
+    """Return the requests of all entries that an upstream may run."""
+    slowdown = snapshot.slowdowns.get(upstream.id, 1.0)
+    if slowdown == 1.0 or snapshot.ignores_slow:
+        return snapshot.limit
+    slots = slow_ranks.may_run(snapshot.engine, slowdown)
+    return min(snapshot.limit, slots)
+
+
 def _exclusion_function(
     snapshot: Snapshot,
 ) -> Callable[[fleet.Upstream, fleet.Condition], Exclusion | None]:
@@ -337,11 +380,13 @@
     limit, now, tried = snapshot.limit, snapshot.now, snapshot.excluded
     room = _token_room(snapshot)
     weight = 0 if snapshot.ignores_others else 1
+    slowdowns = snapshot.slowdowns
 
     def exclusion(
         upstream: fleet.Upstream, condition: fleet.Condition
     ) -> Exclusion | None:
-        if condition.in_flight + weight * condition.others_in_flight >= limit:
+        count = condition.in_flight + weight * condition.others_in_flight
+        if count >= limit:
             return Exclusion.FULL
         if upstream.id in tried:
             return Exclusion.TRIED
@@ -354,6 +399,9 @@
         held = condition.tokens + weight * condition.others_tokens
         if held > room and held > 0:
             return Exclusion.NO_MEMORY
+        # Last, so that nothing else excludes an upstream that is only slow.
+        if slowdowns and count >= _slots_at(snapshot, upstream):
+            return Exclusion.SLOW
         return None
 
     return exclusion
@@ -384,8 +432,16 @@
 
 def _terms_function(snapshot: Snapshot) -> TermsFunction:
     """Return the function of the terms of an upstream's cost."""
-    if snapshot.has_timings:
-        return _timed_terms_function(snapshot)
+    has_timings = snapshot.has_timings
+    make = _timed_terms_function if has_timings else _plain_terms_function
+    terms_of = make(snapshot)
+    if not snapshot.slowdowns:
+        return terms_of
+    unit = _unit_s(snapshot) if has_timings else 1.0
+    return _slow_terms_function(snapshot, terms_of, unit)
+
+
+def _plain_terms_function(snapshot: Snapshot) -> TermsFunction:
     data_centre, now = snapshot.data_centre, snapshot.now
     weight = 0 if snapshot.ignores_others else 1
 
@@ -405,6 +461,44 @@
     return terms
 
 
+def _slow_terms_function(
+    snapshot: Snapshot, terms_of: TermsFunction, unit: float
+) -> TermsFunction:
+    """Return the function of the terms where some upstreams are slow.
+
+    Args:
+        terms_of: function of the terms without slowdowns.
+        unit: cost of one more request in flight.
+    """
+    weight = 0 if snapshot.ignores_others else 1
+
+    def terms(
+        upstream: fleet.Upstream, condition: fleet.Condition
+    ) -> tuple[float, ...]:
+        *values, extra = terms_of(upstream, condition)
+        cost = _slow_cost(snapshot, weight, upstream, condition)
+        return *values, extra + unit * cost
+
+    return terms
+
+
+def _slow_cost(
+    snapshot: Snapshot,
+    weight: int,
+    upstream: fleet.Upstream,
+    condition: fleet.Condition,
+) -> float:
+    """Return the extra cost of a slow upstream, in requests in flight.
+
+    Each request there, this one included, counts as many as the slowdown.
+    """
+    slowdown = snapshot.slowdowns.get(upstream.id, 1.0)
+    if slowdown == 1.0:
+        return 0.0
+    count = condition.in_flight + weight * condition.others_in_flight + 1
+    return (slowdown - 1.0) * count
+
+
 @attrs.frozen
 class _Times:
     """The times that the terms of all upstreams are made from, in seconds.
@@ -412,14 +506,14 @@
     Attributes:
         own_s: mean time of the request.
         unit_s: delay by one more request in flight.
-        slowdown: part of a step that one other request takes.
+        step_share: part of a step that one other request takes.
         context_s: delay by one token of context.
         pause_s: delay of each other request by its prompt.
     """
 
     own_s: float
     unit_s: float
-    slowdown: float
+    step_share: float
     context_s: float
     pause_s: float
 
@@ -435,7 +529,7 @@
         return cls(
             own_s=cost.time_s.mean,
             unit_s=_unit_s(snapshot),
-            slowdown=engine.step_per_request_s / step_s,
+            step_share=engine.step_per_request_s / step_s,
             context_s=per_token_s * cost.output_tokens.mean,
             pause_s=0.0 if is_lock_step else cost.prompt_s,
         )
@@ -458,7 +552,7 @@
         if known_s:
             overlap_s = min(known_s, overlap_s)
         held = condition.tokens + condition.others_tokens
-        shared_s = times.slowdown * overlap_s
+        shared_s = times.step_share * overlap_s
         slowness = condition.slowness
         return (
             slowness * times.own_s,
@@ -481,17 +575,17 @@
     These loops call nothing, which takes half of the time that the functions
     of the terms take for all candidates.
     """
+    weight = 0 if snapshot.ignores_others else 1
     if snapshot.has_timings:
-        totals = _timed_totals(snapshot, candidates)
+        totals, unit = _timed_totals(snapshot, candidates), _unit_s(snapshot)
     else:
-        weight = 0 if snapshot.ignores_others else 1
+        unit = 1.0
         totals = [
             condition.in_flight
             + weight * condition.others_in_flight
             + FAILURE_PENALTY * condition.failure_share
             for _, condition in candidates
         ]
-    unit = _unit_s(snapshot) if snapshot.has_timings else 1.0
     may_be_cold = _may_be_cold(snapshot)
     far = unit * DISTANCE_PENALTY
     data_centre, now = snapshot.data_centre, snapshot.now
@@ -500,6 +594,9 @@
             totals[number] += far
         if may_be_cold:
             totals[number] += unit * condition.cold_cost(now)
+    if snapshot.slowdowns:
+        for number, candidate in enumerate(candidates):
+            totals[number] += unit * _slow_cost(snapshot, weight, *candidate)
     return totals
 
 
@@ -508,8 +605,8 @@
 ) -> list[float]:
     """Return the sums of the terms that depend on the engine's timings."""
     times = _Times.from_snapshot(snapshot)
-    own_s, slowdown, pause_s = times.own_s, times.slowdown, times.pause_s
-    context_s = times.context_s
+    own_s, pause_s = times.own_s, times.pause_s
+    context_s, step_share = times.context_s, times.step_share
     failure_s = times.unit_s * FAILURE_PENALTY
     totals = []
     for _, condition in candidates:
@@ -518,7 +615,7 @@
         shared_s = count * own_s
         if 0 < known_s < shared_s:
             shared_s = known_s
-        shared_s *= slowdown
+        shared_s *= step_share
         held = condition.tokens + condition.others_tokens
         totals.append(
             condition.slowness * (own_s + shared_s + context_s * held)
--- a/tests/daemon/direct/test_load_meter.py
+++ b/tests/daemon/direct/test_load_meter.py
@@ -1,8 +1,9 @@
 """Tests of the measures from which an entry learns its capacity."""
 
 import asyncio
-import time
+import contextlib
 
+import attrs
 import pytest
 from testtools.assertions import assert_that
 from testtools import matchers
@@ -27,22 +28,39 @@
     assert_that(meter.estimator.capacity_per_s, matchers.Equals(0.0))
 
 
-@pytest.fixture
-async def meter():
-    """Return a meter that measures the delays of the running loop."""
-    meter = _meter(LIMITS)
-    task = asyncio.ensure_future(meter.measure_lag_forever())
-    yield meter
-    task.cancel()
+@attrs.define
+class _LateLoop:
+    """A loop that runs what is due late, in time that does not pass."""
+
+    late_s: float
+    turns: int
+    now: float = 0.0
+
+    def get_running_loop(self):
+        return self
 
+    def time(self):
+        return self.now
 
-async def test_a_blocked_loop_marks_the_entry_as_slow(meter):
+    async def sleep(self, delay_s):
+        self.turns -= 1
+        if self.turns < 0:
+            raise asyncio.CancelledError
+        self.now += delay_s + self.late_s
+
+
+@pytest.mark.parametrize(('late_s', 'is_slow'), [(0.1, True), (0.001, False)])
+async def test_a_late_loop_marks_the_entry_as_slow(
+    monkeypatch, late_s, is_slow
+):
+    """Guards against callers that are directed to an entry that lags."""
+    meter = _meter(LIMITS)
     for _ in range(2):
-        await asyncio.sleep(0)
-        for _ in range(3):
-            await asyncio.sleep(0.051)
-            time.sleep(0.1)  # noqa: ASYNC251
+        loop = _LateLoop(late_s, turns=10)
+        monkeypatch.setattr(load_meter, 'asyncio', loop)
+        with contextlib.suppress(asyncio.CancelledError):
+            await meter.measure_lag_forever()
         meter.record(10)
-    assert_that(meter.estimator.is_slow, matchers.Is(True))
+    assert_that(meter.estimator.is_slow, matchers.Is(is_slow))
     assert_that(meter.estimator.supply.cpu_cores, matchers.Equals(1.0))
     assert_that(meter.estimator.capacity_per_s, matchers.GreaterThan(0.0))
