--- a/tests/process/test_crashing_calls.py
+++ b/tests/process/test_crashing_calls.py
@@ -84,7 +84,6 @@
         return 0
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize(
     ('method', 'path', 'body'),
     [
