Read the deadline of a request before its body

Cause: the body of a request whose deadline is not a number was counted as held for ever, as the request was refused after the body was read and before anything released it. Such requests would fill the limit of an entry's memory on paper, and it would then refuse all work. Change: the deadline is read first; nothing fails between the body and its release.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -192,11 +192,13 @@
                 ErrorCode.NOT_FOUND, 'no route for this host and path'
             )
         workspace = self._authenticate(request, table, route)
-        body = await self._read_body(request, table.limits.max_body_bytes)
         names = self.dialect.headers
         wait_s = _parse_deadline_s(request.headers.get(names.deadline_ms))
         if wait_s is None:
             wait_s = route.timeout_s
+        # From here on nothing may fail: the caller of this method releases
+        # the body, which is counted as held.
+        body = await self._read_body(request, table.limits.max_body_bytes)
         return calls.Call(
             id=request.headers.get(names.request_id, ''),
             method=request.method,
--- a/tests/daemon/direct/test_slow_callers.py
+++ b/tests/daemon/direct/test_slow_callers.py
@@ -128,3 +128,22 @@
     async with site.request('book') as response:
         assert_that(response.status, matchers.Equals(503))
         assert_that(response.headers, matchers.Contains('Retry-After'))
+
+
+async def test_a_refused_body_stays_counted(site, counts):
+    """Guards against bodies that are held for ever after a bad request.
+
+    An entry would refuse all work for want of memory that it has.
+    """
+    async with site.session.post(
+        f'{site.url}/book/x',
+        headers={
+            'Host': harness.HOST,
+            'X-Id': 'r1',
+            'X-Deadline': 'soon',
+            'Authorization': 'Token secret',
+        },
+        data=BODY,
+    ) as response:
+        assert_that(response.status, matchers.Equals(400))
+    assert_that(counts.held_bytes, matchers.Equals(0))
