Answer requests for permits that name no rate

Cause: the coldness of an upstream may end between its choice and the request for a permit, which then names the rate 0. The issuer divided by it; an entry that issues its own permits failed the caller's request with that. Change: no permit is issued then, and none has to be waited for. A request that names a cold upstream without a rate is denied.

--- a/packages/cassiashift-core/cassiashift_core/fleet/permits.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/permits.py
@@ -174,13 +174,19 @@
         """Return a permit, or the time after which to ask again.
 
         Args:
-            per_s: the upstream's limit, in requests a second.
+            per_s: the upstream's limit, in requests a second; 0 if it has
+                none.
             share: part of the limit that this entry may issue, 0 to 1.
             cold: part of the rate for a cold upstream; None for a warm one.
         """
         if cold is not None:
             share = min(share, cold.part)
-        if share <= 0:
+        elif per_s <= 0:
+            # Its coldness ended, or its limit was lifted, since it was chosen
+            # for the request: none is needed, and one that was held would be
+            # valid if it turned cold again.
+            return _denial(request, 0.0)
+        if share <= 0 or per_s <= 0:
             return _denial(request, NO_SHARE_WAIT_S)
         interval_s = 1 / (per_s * ISSUED_SHARE * share)
         if cold is None:
@@ -339,7 +345,8 @@
     """
     if not is_cold:
         return limit_per_s or request.per_s
-    return min(per_s for per_s in (own_per_s, request.per_s) if per_s > 0)
+    stated = [per_s for per_s in (own_per_s, request.per_s) if per_s > 0]
+    return min(stated, default=0.0)
 
 
 def choose_issuer(
--- a/tests/core/fleet/test_cold_beliefs.py
+++ b/tests/core/fleet/test_cold_beliefs.py
@@ -126,3 +126,22 @@
         ]
         parts[sides[n]] = issuer.cold_share(own, known, known).part
     assert_that(sum(parts.values()), matchers.LessThan(1.2 + 1e-9))
+
+
+@pytest.mark.parametrize('is_cold', [False, True])
+def test_a_permit_without_a_rate_fails(is_cold):
+    """Guards the request for which the permit was wanted.
+
+    Coldness may end between the choice of an upstream and the request for a
+    permit, which then names no rate.
+    """
+    own = fleet.EntryRecord('e0', '', 'east', 'r', 1, has_disk=True)
+    issuer = fleet.Issuer(0.0)
+    issuer.count_entries(own, [])
+    request = fleet.PermitRequest('e0', 'u1', 1, 0.0, 1, 1.0, is_cold)
+    rate = fleet.rate_to_issue(0.0, 0.0, is_cold, request)
+    cold = issuer.cold_share(own, [], []) if is_cold else None
+    answer = issuer.issue(request, rate, 1.0, 10.0, cold)
+    assert_that(answer.is_granted, matchers.Is(False))
+    # A warm upstream needs no permit, so nothing has to be waited for.
+    assert_that(answer.after_s > 0, matchers.Is(is_cold))
