Let callers of failed streams leave an entry that stops

Cause: the answer of a stream that an upstream refused was returned without "Connection: close" during a planned stop, unlike all other answers. Change: it is marked as well. Result: tests/daemon/direct/test_ingress.py found no such header before, and finds it now.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -217,10 +217,12 @@
             raise exchange.SendFailedError(
                 f'status_{answer.status}', Verdict.RAN
             )
-        return web.Response(
-            status=answer.status,
-            headers=answer.headers_for_caller(),
-            body=body,
+        return self.owner.close_if_leaving(
+            web.Response(
+                status=answer.status,
+                headers=answer.headers_for_caller(),
+                body=body,
+            )
         )
 
     async def _write(
--- a/tests/daemon/direct/test_ingress.py
+++ b/tests/daemon/direct/test_ingress.py
@@ -254,6 +254,17 @@
         )
 
 
+async def test_a_leaving_entry_keeps_connections_of_failed_streams(site):
+    """Guards against callers that send their next request to it again."""
+    await site.upstream('talk', harness.answering('404 Not Found'))
+    site.ingress.is_leaving = True
+    async with site.request('talk') as response:
+        assert_that(response.status, matchers.Equals(404))
+        assert_that(
+            response.headers.get('Connection'), matchers.Equals('close')
+        )
+
+
 async def test_a_body_without_a_length_needs_an_orderly_close(site):
     def unframed(is_reset):
         async def script(head, writer):
