Count the body of a failed answer while a retry runs

Cause: an error of an upstream is kept until a retry has a better answer, but its body of up to 16 MB was not counted as held, so the memory of an entry had no bound while retries waited. Change: it is counted from the retry to its end.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -312,27 +312,35 @@
         """Return a complete answer, with retries where they are allowed.
 
         An error status of an upstream is returned only when no retry gets a
-        better answer.
+        better answer. Its body is counted as held until then.
         """
         failed_answer = None
-        while True:
-            try:
-                answer = await self._fetch_once(call)
-            except exchange.SendFailedError as exc:
-                if call.log.may_retry():
-                    continue
-                if failed_answer is not None:
-                    return failed_answer
-                raise self.error_of_send(exc, call) from exc
-            except CassiashiftError:
-                if failed_answer is not None:
+        ledger = self.exchange.ledger
+        held = 0
+        try:
+            while True:
+                try:
+                    answer = await self._fetch_once(call)
+                except exchange.SendFailedError as exc:
+                    if call.log.may_retry():
+                        continue
+                    if failed_answer is not None:
+                        return failed_answer
+                    raise self.error_of_send(exc, call) from exc
+                except CassiashiftError:
+                    if failed_answer is not None:
+                        return failed_answer
+                    raise
+                if answer.status < exchange.STATUS_SERVER_ERROR:
+                    return answer
+                failed_answer = answer
+                if not call.log.may_retry():
                     return failed_answer
-                raise
-            if answer.status < exchange.STATUS_SERVER_ERROR:
-                return answer
-            failed_answer = answer
-            if not call.log.may_retry():
-                return failed_answer
+                ledger.release(held)
+                held = len(answer.body)
+                ledger.hold(held)
+        finally:
+            ledger.release(held)
 
     async def _fetch_once(self, call: calls.Call) -> exchange.Answer:
         upstream = await self.placement.place(call)
--- a/tests/daemon/direct/test_slow_callers.py
+++ b/tests/daemon/direct/test_slow_callers.py
@@ -147,3 +147,21 @@
     ) as response:
         assert_that(response.status, matchers.Equals(400))
     assert_that(counts.held_bytes, matchers.Equals(0))
+
+
+async def test_a_failed_answer_is_held_uncounted_during_a_retry(site, counts):
+    """Guards memory against large errors of upstreams while others work."""
+    held = []
+
+    async def script(head, writer):
+        held.append(counts.held_bytes)
+        first = harness.answering('500 Failed', BODY)
+        await (first if len(held) == 1 else harness.whole)(head, writer)
+
+    for _ in range(2):
+        await site.upstream('read', script)
+    async with site.request('read') as response:
+        assert_that(response.status, matchers.Equals(200))
+    body, both = held
+    assert_that(both - body, matchers.Equals(len(BODY)))
+    assert_that(counts.held_bytes, matchers.Equals(0))
