Run processes on asyncio and uvloop alone

Cause: a restart of all hosts is out of service for seconds, mostly while the processes load. aiomisc was used for its entry point only and loads rich and colorlog; absl.logging loads absl.flags; aiohttp reads the certificates of the system twice when it is imported, though no process of the platform uses TLS.

Change: lifecycle.run starts, waits for and stops a process on uvloop with a pool of threads; both commands use it.

--- a/packages/cassiashift-daemon/cassiashift_daemon/main.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/main.py
@@ -5,9 +5,7 @@
 import sys
 from typing import Any
 
-import aiomisc
 import cyclopts
-import uvloop
 
 from cassiashift_daemon import lifecycle
 from cassiashift_daemon import logs
@@ -100,16 +98,11 @@
 
 def _run_process(process: lifecycle.Process, cfg: settings.Settings) -> int:
     logs.configure(cfg.log_level)
-    with aiomisc.entrypoint(
-        process, log_config=False, pool_size=1, catch_signals=()
-    ) as loop:
-        loop.run_until_complete(process.wait_stopped())
-    return process.exit_status
+    return lifecycle.run(process, workers=1)
 
 
 def run() -> None:
     """Run the command and end with its status."""
-    uvloop.install()
     sys.exit(app() or 0)
 
 
