Load the messages of links with their first use

Cause: each process loaded the modules of all messages: those of membership, the spread and map switches of the daemon, which the platform's processes neither send nor get.

Change: codec.Codec.register_later names the module of a tag or a prefix of tags; the module is loaded when the tag is first received, and its classes are registered when one of them is first sent. cassiashift_net.wire holds the table; proposals have a module of their own, and so has the prefix of the administration API. Tags and bytes are the same.

--- a/packages/cassiashift-core/cassiashift_core/codec.py
+++ b/packages/cassiashift-core/cassiashift_core/codec.py
@@ -1,5 +1,10 @@
 """Encodes typed values as tagged MessagePack."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
+import importlib
+import sys
+import types
 from typing import Any
 from typing import TypeVar
 
@@ -13,11 +18,25 @@
     """The bytes do not encode a value of a registered class."""
 
 
+@attrs.frozen
+class _Deferred:
+    """A module whose classes are registered with their first use."""
+
+    module: str
+    classes_of: Callable[[types.ModuleType], Mapping[str, type]]
+
+
 @attrs.define
 class Codec:
-    """Encodes and decodes attrs classes, each registered under a tag."""
+    """Encodes and decodes attrs classes, each registered under a tag.
+
+    The classes of a module may be registered with their first use, so that
+    a process which never gets them doesn't load the module.
+    """
 
     _tags: dict[type, str] = attrs.field(factory=dict)
+    _classes: dict[str, type] = attrs.field(factory=dict)
+    _deferred: dict[str, _Deferred] = attrs.field(factory=dict)
     _decoders: dict[str, msgspec.msgpack.Decoder] = attrs.field(factory=dict)
     _encoder: msgspec.msgpack.Encoder = attrs.field(
         factory=msgspec.msgpack.Encoder
@@ -29,19 +48,42 @@
         Raises:
             ValueError: the tag is already registered.
         """
-        if tag in self._decoders:
+        if tag in self._classes:
             raise ValueError(f'tag {tag} is already registered')
         self._tags[cls] = tag
-        self._decoders[tag] = msgspec.msgpack.Decoder(cls)
+        self._classes[tag] = cls
         return cls
 
+    def register_later(
+        self,
+        prefix: str,
+        module: str,
+        classes_of: Callable[[types.ModuleType], Mapping[str, type]],
+    ) -> None:
+        """Register the classes of a module when one of them is first used.
+
+        Args:
+            prefix: the first part, up to a dot, of all of their tags.
+            module: name of the module or package that defines them.
+            classes_of: returns the classes by tag from the loaded module.
+
+        Raises:
+            ValueError: the prefix is already registered.
+        """
+        if prefix in self._deferred:
+            raise ValueError(f'prefix {prefix} is already registered')
+        self._deferred[prefix] = _Deferred(module, classes_of)
+
     def tags(self) -> list[str]:
-        """Return every registered tag, sorted."""
-        return sorted(self._decoders)
+        """Return every registered tag, sorted; load all modules for that."""
+        for prefix in list(self._deferred):
+            self._load(prefix)
+        return sorted(self._classes)
 
     def encode_frames(self, value: Any) -> tuple[bytes, bytes]:
         """Return the tag and the MessagePack body of a value as two frames."""
-        return self._tags[type(value)].encode(), self._encoder.encode(value)
+        tag = self._tags.get(type(value)) or self._find_tag(type(value))
+        return tag.encode(), self._encoder.encode(value)
 
     def decode_frames(self, tag: bytes, body: bytes) -> Any:
         """Return the value that ``encode_frames`` encoded as tag and body.
@@ -49,7 +91,8 @@
         Raises:
             DecodeError: the tag is unknown or the body does not fit it.
         """
-        decoder = self._decoders.get(tag.decode('ascii', 'replace'))
+        text = tag.decode('ascii', 'replace')
+        decoder = self._decoders.get(text) or self._find_decoder(text)
         if decoder is None:
             raise DecodeError(f'unknown tag {tag[:32]!r}')
         try:
@@ -73,3 +116,32 @@
             raise DecodeError('truncated value')
         end = 1 + data[0]
         return self.decode_frames(data[1:end], data[end:])
+
+    def _load(self, prefix: str) -> None:
+        """Register the deferred classes of a prefix, if there are any."""
+        deferred = self._deferred.pop(prefix, None)
+        if deferred is not None:
+            module = importlib.import_module(deferred.module)
+            for tag, cls in deferred.classes_of(module).items():
+                self.register(tag, cls)
+
+    def _find_tag(self, cls: type) -> str:
+        """Return the tag of a class whose module may not be registered yet.
+
+        Raises:
+            KeyError: the class is not registered.
+        """
+        # Where there is a value, the module of its class is loaded.
+        for prefix, deferred in list(self._deferred.items()):
+            if deferred.module in sys.modules:
+                self._load(prefix)
+        return self._tags[cls]
+
+    def _find_decoder(self, tag: str) -> msgspec.msgpack.Decoder | None:
+        """Return the decoder of a tag, created with its first use."""
+        if tag not in self._classes:
+            self._load(tag.partition('.')[0])
+        cls = self._classes.get(tag)
+        if cls is None:
+            return None
+        return self._decoders.setdefault(tag, msgspec.msgpack.Decoder(cls))
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -38,7 +38,7 @@
 from cassiashift_daemon import seeds
 from cassiashift_daemon import webserver
 from cassiashift_net import links
-from cassiashift_net import messages
+from cassiashift_net import proposal_messages
 
 # Callers keep connections idle up to the limit of the configuration; the
 # server closes none of them sooner.
@@ -280,9 +280,9 @@
                 register(cls, handler)
         for cls in consensus.MESSAGE_TYPES.values():
             register(cls, self.voting.on_message)
-        register(messages.Proposal, self.voting.on_proposal)
+        register(proposal_messages.Proposal, self.voting.on_proposal)
         register(
-            messages.ProposalAnswer,
+            proposal_messages.ProposalAnswer,
             lambda sender, message: self.proposer.receive_answer(message),
         )
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
@@ -26,7 +26,7 @@
 from cassiashift_daemon import storage
 from cassiashift_daemon import voter as voters
 from cassiashift_net import links
-from cassiashift_net import messages
+from cassiashift_net import proposal_messages
 
 ELECTION_TIMEOUT_S = 1.0
 HEARTBEAT_S = 0.2
@@ -117,12 +117,14 @@
             self.voter.received(sender, message)
 
     def on_proposal(
-        self, sender: links.Sender, message: messages.Proposal
+        self, sender: links.Sender, message: proposal_messages.Proposal
     ) -> None:
         """Handle a proposal; only the leader appends it to the log."""
         if self.voter is None:
             sender.reply(
-                messages.ProposalAnswer(message.token, b'', 'not_leader')
+                proposal_messages.ProposalAnswer(
+                    message.token, b'', 'not_leader'
+                )
             )
         else:
             self.voter.propose(sender, message)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
@@ -14,7 +14,7 @@
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon import logs
 from cassiashift_net import links
-from cassiashift_net import messages
+from cassiashift_net import wire
 
 
 @attrs.define(eq=False)
@@ -163,7 +163,7 @@
         know of this entry yet then send theirs.
         """
         is_first = now - self._sent_at >= workload.RECENTLY_BUSY_S
-        size = sum(map(len, messages.CODEC.encode_frames(digest)))
+        size = sum(map(len, wire.CODEC.encode_frames(digest)))
         busy = self._busy_hosts(now)
         plan = workload.plan(self.runner.cfg.host, busy, size)
         digest = attrs.evolve(digest, interval_ms=round(plan.interval_s * 1e3))
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -44,6 +44,7 @@
 from cassiashift_daemon import webserver
 from cassiashift_net import links
 from cassiashift_net import messages
+from cassiashift_net import proposal_messages
 from cassiashift_net import tls
 
 GATE_INTERVAL_S = 0.02
@@ -273,9 +274,9 @@
 
     def _register_handlers(self) -> None:
         register = self.dispatcher.register
-        register(messages.Proposal, self._handle_proposal)
+        register(proposal_messages.Proposal, self._handle_proposal)
         register(
-            messages.ProposalAnswer,
+            proposal_messages.ProposalAnswer,
             lambda sender, message: self.proposer.receive_answer(message),
         )
         register(messages.Survey, self._answer_survey)
@@ -350,12 +351,14 @@
         )
 
     def _handle_proposal(
-        self, sender: links.Sender, message: messages.Proposal
+        self, sender: links.Sender, message: proposal_messages.Proposal
     ) -> None:
         if self.voter is not None:
             self.voter.propose(sender, message)
             return
-        sender.reply(messages.ProposalAnswer(message.token, b'', 'not_leader'))
+        sender.reply(
+            proposal_messages.ProposalAnswer(message.token, b'', 'not_leader')
+        )
 
     def _answer_survey(
         self, sender: links.Sender, message: messages.Survey
--- a/packages/cassiashift-daemon/cassiashift_daemon/proposals.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/proposals.py
@@ -12,7 +12,7 @@
 from cassiashift_core.state import results
 from cassiashift_core import Verdict
 from cassiashift_net import links
-from cassiashift_net import messages
+from cassiashift_net import proposal_messages
 
 TRY_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.05
@@ -61,7 +61,9 @@
                 retry_after_s=1.0,
             ) from None
 
-    def receive_answer(self, message: messages.ProposalAnswer) -> None:
+    def receive_answer(
+        self, message: proposal_messages.ProposalAnswer
+    ) -> None:
         """Process a voter's answer; one that arrives too late is dropped."""
         fut = self._waiting.pop(message.token, None)
         if fut is not None and not fut.done():
@@ -76,11 +78,15 @@
             if self.leader not in self.voters:
                 await asyncio.sleep(RETRY_PAUSE_S)
 
-    async def _try(self, data: bytes) -> messages.ProposalAnswer | None:
+    async def _try(
+        self, data: bytes
+    ) -> proposal_messages.ProposalAnswer | None:
         token = f'{self.host}/{next(self._numbers)}'
         fut = asyncio.get_running_loop().create_future()
         self._waiting[token] = fut
-        self.links.send(self._choose_address(), messages.Proposal(token, data))
+        self.links.send(
+            self._choose_address(), proposal_messages.Proposal(token, data)
+        )
         try:
             async with asyncio.timeout(self.try_timeout_s):
                 return await fut
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -21,7 +21,7 @@
 from cassiashift_daemon import logs
 from cassiashift_daemon import storage
 from cassiashift_net import links
-from cassiashift_net import messages
+from cassiashift_net import proposal_messages
 
 
 def boot_time_s() -> float:
@@ -118,7 +118,7 @@
         self.handle(consensus.Received(sender.host, message))
 
     def propose(
-        self, sender: links.Sender, message: messages.Proposal
+        self, sender: links.Sender, message: proposal_messages.Proposal
     ) -> None:
         """Propose a command, and reply with its result once it is applied."""
         self._senders[message.token] = sender
@@ -271,7 +271,7 @@
         if pending.term == item.term and result is not None:
             encoded = results.CODEC.encode(result)
             pending.sender.reply(
-                messages.ProposalAnswer(pending.token, encoded)
+                proposal_messages.ProposalAnswer(pending.token, encoded)
             )
         else:
             self._refuse(pending.token, pending.sender, 'not_leader')
@@ -283,4 +283,6 @@
 
     def _refuse(self, token: str, sender: links.Sender, reason: str) -> None:
         leader = self.replica.leader or ''
-        sender.reply(messages.ProposalAnswer(token, b'', reason, leader))
+        sender.reply(
+            proposal_messages.ProposalAnswer(token, b'', reason, leader)
+        )
--- a/packages/cassiashift-net/cassiashift_net/administration.py
+++ b/packages/cassiashift-net/cassiashift_net/administration.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from cassiashift_core import timeline
+from cassiashift_net import api_paths
 
-PREFIX = '/admin/v1'
+PREFIX = api_paths.PREFIX
 MAX_REQUEST_ID_CHARACTERS = 128
 MAX_REVISION = 2**63 - 1
 
--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -23,10 +23,10 @@
 from cassiashift_core import codec
 from cassiashift_net import authenticator
 from cassiashift_net import keys
-from cassiashift_net import messages
 from cassiashift_net import outgoing
 from cassiashift_net import ports
 from cassiashift_net import probes
+from cassiashift_net import wire
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 RECONNECT_MS = 50
@@ -205,7 +205,7 @@
         if link is None:
             return False
         try:
-            link.send(list(messages.CODEC.encode_frames(message)))
+            link.send(list(wire.CODEC.encode_frames(message)))
         except zmq.ZMQError:
             self.dropped += 1
             return False
@@ -287,7 +287,7 @@
             self._count_dropped('frames', sender.host)
             return
         try:
-            message = messages.CODEC.decode_frames(frames[0], frames[1])
+            message = wire.CODEC.decode_frames(frames[0], frames[1])
         except codec.DecodeError:
             self._count_dropped('decode', sender.host)
             return
@@ -301,7 +301,7 @@
             )
 
     def _reply(self, identity: bytes, message: Any) -> bool:
-        frames = [identity, *messages.CODEC.encode_frames(message)]
+        frames = [identity, *wire.CODEC.encode_frames(message)]
         return self._transmit(self._router, frames)
 
     def _transmit(self, port: ports.Port, frames: list[bytes]) -> bool:
--- a/packages/cassiashift-net/cassiashift_net/messages.py
+++ b/packages/cassiashift-net/cassiashift_net/messages.py
@@ -1,25 +1,18 @@
-"""Messages between the system's own processes.
+"""Messages between the entries and agents of the daemon.
 
-``CODEC`` encodes messages on links, ``ORDERS`` the engine orders inside a
-``RankOrder``.
+``ORDERS`` encodes the engine orders inside a ``RankOrder``.
 """
 
 import attrs
 
 from cassiashift_core import codec
-from cassiashift_core import consensus
-from cassiashift_core import evacuation
-from cassiashift_core import fleet
 from cassiashift_core import mapswitch
 from cassiashift_core import membership
-from cassiashift_core import poison
-from cassiashift_core import rankmaps
-from cassiashift_core import spread
 from cassiashift_core import timeline
 from cassiashift_core import verdicts
-from cassiashift_core import workload
+from cassiashift_net import wire
 
-CODEC = codec.Codec()
+CODEC = wire.CODEC
 ORDERS = codec.Codec()
 
 
@@ -138,31 +131,6 @@
     body: bytes = b''
 
 
-@attrs.frozen
-class Proposal:
-    """Ask a voter to append a command to the log."""
-
-    token: str
-    data: bytes
-
-
-@attrs.frozen
-class ProposalAnswer:
-    """The result of a proposal, or the error that it failed with.
-
-    Attributes:
-        result: the encoded result; empty when the proposal failed.
-        error: an error code; ``outcome_unknown`` when the command may
-            still be committed.
-        leader: a host that is more likely to be the leader, or empty.
-    """
-
-    token: str
-    result: bytes
-    error: str = ''
-    leader: str = ''
-
-
 @attrs.frozen
 class Survey:
     """Ask a process for the hosts and upstreams it knows.
@@ -313,54 +281,5 @@
     tokens: tuple[tuple[int, ...], ...]
 
 
-_OWN_TYPES = {
-    'start': CallStart,
-    'head': CallHead,
-    'data': CallData,
-    'end': CallEnd,
-    'failed': CallFailed,
-    'credit': CallCredit,
-    'cancel': CallCancel,
-    'fence': Fence,
-    'fenced': Fenced,
-    'propose': Proposal,
-    'proposed': ProposalAnswer,
-    'survey': Survey,
-    'surveyed': SurveyAnswer,
-    'pool': PoolQuery,
-    'lent': PoolAnswer,
-    'events': EventsQuery,
-    'recorded': EventsAnswer,
-    'demand': DemandReport,
-    'grants': ShareGrants,
-    'order': RankOrder,
-    'counts': ExpertCounts,
-    'hello': fleet.Hello,
-    'upstreams': fleet.UpstreamNews,
-    'tables': fleet.TablePull,
-    'tabled': fleet.TableDump,
-    'document': fleet.DocumentPull,
-    'documented': fleet.DocumentPush,
-    'permit': fleet.PermitRequest,
-    'permitted': fleet.Permit,
-    'work': workload.WorkDigest,
-}
-
-for _tag, _cls in _OWN_TYPES.items():
-    CODEC.register(_tag, _cls)
-for _cls in consensus.MESSAGE_TYPES.values():
-    CODEC.register(f'log.{_cls.__name__}', _cls)
-for _cls in membership.MESSAGE_TYPES:
-    CODEC.register(f'member.{_cls.__name__}', _cls)
-for _cls in spread.MESSAGE_TYPES:
-    CODEC.register(f'spread.{_cls.__name__}', _cls)
-for _cls in mapswitch.REPORT_TYPES:
-    CODEC.register(f'switch.{_cls.__name__}', _cls)
-for _cls in rankmaps.MESSAGE_TYPES:
-    CODEC.register(f'rank.{_cls.__name__}', _cls)
-for _cls in evacuation.MESSAGE_TYPES:
-    CODEC.register(f'evacuation.{_cls.__name__}', _cls)
-for _cls in poison.MESSAGE_TYPES:
-    CODEC.register(f'poison.{_cls.__name__}', _cls)
 for _cls in mapswitch.ORDER_TYPES:
     ORDERS.register(_cls.__name__, _cls)
