--- a/packages/cassiashift-daemon/cassiashift_daemon/lifecycle.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/lifecycle.py
@@ -1,11 +1,10 @@
 """Start and stop of a process, shared by both roles."""
 
 import asyncio
-from concurrent import futures
 import contextlib
 import signal
 
-import uvloop
+import aiomisc
 
 from cassiashift_daemon import logs
 
@@ -13,32 +12,7 @@
 EXIT_FAILED = 1
 
 
-def run(process: 'Process', workers: int) -> int:
-    """Run a process until it should end; return its exit status.
-
-    A process that fails to start is not stopped.
-
-    Args:
-        process: the process, which has not been started.
-        workers: most threads for calls that block, such as those of a disk.
-    """
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        loop = runner.get_loop()
-        loop.set_default_executor(futures.ThreadPoolExecutor(workers))
-        # Runner.run would install a handler of SIGINT of its own.
-        loop.run_until_complete(_serve(process))
-    return process.exit_status
-
-
-async def _serve(process: 'Process') -> None:
-    await process.start()
-    try:
-        await process.wait_stopped()
-    finally:
-        await process.stop()
-
-
-class Process:
+class Process(aiomisc.Service):
     """A service that drains on the first SIGTERM and ends on the second.
 
     SIGINT counts as SIGTERM. A role overrides ``open``, ``drain``, ``close``
@@ -50,6 +24,7 @@
 
     def __init__(self) -> None:
         """Initialise the service without opening anything."""
+        super().__init__()
         self._stopped = asyncio.Event()
         self.exit_status = 0
         self._signals = 0
@@ -63,7 +38,7 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.open()
 
-    async def stop(self) -> None:
+    async def stop(self, exception: Exception | None = None) -> None:
         """Cancel every task, wait for their end and close the process."""
         for task in list(self._tasks):
             task.cancel()
--- a/packages/cassiashift-daemon/cassiashift_daemon/logs.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/logs.py
@@ -2,7 +2,7 @@
 
 import datetime
 import json
-import logging
+import logging as standard_logging
 import queue
 import re
 import sys
@@ -10,20 +10,22 @@
 from typing import Any
 from typing import TextIO
 
+from absl import flags
+from absl import logging
+
 # Lines per second that a process may write of each class: urgent (warnings
 # and errors) and other. A request writes about three.
 LINES_PER_S = 400
 QUEUE_LINES = 4000
 
-_LOGGER = logging.getLogger(__name__)
 _HANDLERS: list['BoundedHandler'] = []
 _PLAIN = re.compile(r'[\w.:/@+\-]+\Z', re.ASCII)
 
 
-class LineFormatter(logging.Formatter):
+class LineFormatter(standard_logging.Formatter):
     """Formats a record, also of a library, as one line of pairs."""
 
-    def format(self, record: logging.LogRecord) -> str:
+    def format(self, record: standard_logging.LogRecord) -> str:
         """Return a record's line; a traceback becomes one quoted value."""
         at = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
         text = record.getMessage()
@@ -36,7 +38,7 @@
         return f'at={at:%Y-%m-%dT%H:%M:%S.%fZ} level={level} {text}'
 
 
-class BoundedHandler(logging.Handler):
+class BoundedHandler(standard_logging.Handler):
     """Writes lines in its own thread, up to a budget per second.
 
     A slow reader of the stream blocks no caller: lines are counted and
@@ -61,9 +63,9 @@
         )
         thread.start()
 
-    def emit(self, record: logging.LogRecord) -> None:
+    def emit(self, record: standard_logging.LogRecord) -> None:
         """Queue the line of a record, or drop and count it."""
-        is_urgent = record.levelno >= logging.WARNING
+        is_urgent = record.levelno >= standard_logging.WARNING
         second = int(record.created)
         if second != self._second:
             self._second = second
@@ -94,31 +96,21 @@
     """Send all logs of this process to standard output.
 
     This replaces the handlers of the root logger.
-
-    Args:
-        verbosity: 0 for events of normal operation, -1 for warnings and
-            errors only, -2 for errors only; above 0 libraries log more.
-        lines_per_s: most lines per second of each class.
     """
-    charts = logging.getLogger('transitions')
+    flags.FLAGS.mark_as_parsed()
+    logging.set_verbosity(verbosity)
+    charts = standard_logging.getLogger('transitions')
     # A chart ignores events that its state has no transition for; the
     # library would warn of each.
-    charts.setLevel(logging.ERROR)
+    charts.setLevel(standard_logging.ERROR)
     handler = BoundedHandler(sys.stdout, lines_per_s)
     handler.setFormatter(LineFormatter())
-    root = logging.getLogger()
+    root = standard_logging.getLogger()
     root.handlers[:] = [handler]
-    root.setLevel(_level(verbosity))
+    root.setLevel(logging.converter.absl_to_standard(verbosity))
     _HANDLERS[:] = [handler]
 
 
-def _level(verbosity: int) -> int:
-    """Return the level of the standard library for a verbosity."""
-    if verbosity > 1:
-        return logging.DEBUG - (verbosity - 1)
-    return logging.INFO - (logging.INFO - logging.DEBUG) * verbosity
-
-
 def dropped() -> int:
     """Return how many lines of this process were dropped."""
     return sum(handler.dropped for handler in _HANDLERS)
@@ -140,14 +132,14 @@
 
 def info(event: str, **fields: Any) -> None:
     """Log an event of normal operation."""
-    _LOGGER.info('%s', line(event, **fields))
+    logging.info('%s', line(event, **fields))
 
 
 def warning(event: str, **fields: Any) -> None:
     """Log an event that may need an operator's attention."""
-    _LOGGER.warning('%s', line(event, **fields))
+    logging.warning('%s', line(event, **fields))
 
 
 def error(event: str, **fields: Any) -> None:
     """Log an event that needs an operator's attention."""
-    _LOGGER.error('%s', line(event, **fields))
+    logging.error('%s', line(event, **fields))
--- a/packages/cassiashift-daemon/cassiashift_daemon/main.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/main.py
@@ -5,7 +5,9 @@
 import sys
 from typing import Any
 
+import aiomisc
 import cyclopts
+import uvloop
 
 from cassiashift_daemon import lifecycle
 from cassiashift_daemon import logs
@@ -98,11 +100,16 @@
 
 def _run_process(process: lifecycle.Process, cfg: settings.Settings) -> int:
     logs.configure(cfg.log_level)
-    return lifecycle.run(process, workers=1)
+    with aiomisc.entrypoint(
+        process, log_config=False, pool_size=1, catch_signals=()
+    ) as loop:
+        loop.run_until_complete(process.wait_stopped())
+    return process.exit_status
 
 
 def run() -> None:
     """Run the command and end with its status."""
+    uvloop.install()
     sys.exit(app() or 0)
 
 
--- a/packages/cassiashift-net/cassiashift_net/authenticator.py
+++ b/packages/cassiashift-net/cassiashift_net/authenticator.py
@@ -6,10 +6,8 @@
 """
 
 import asyncio
-import logging
-import math
-import time
 
+from absl import logging
 import attrs
 import zmq
 from zmq.utils import z85
@@ -27,8 +25,6 @@
 STATUS_REFUSED = b'300'
 LOG_INTERVAL_S = 10
 
-_LOGGER = logging.getLogger(__name__)
-
 
 @attrs.define(eq=False)
 class Authenticator:
@@ -42,7 +38,6 @@
     ring: keys.KeyRing
     refused_handshakes: int = 0
     _port: ports.Port | None = None
-    _logged_at: float = -math.inf
 
     @classmethod
     def from_config(
@@ -64,23 +59,18 @@
         """Stop answering requests and close the socket."""
         self._port.close()
 
-    def _log_refused(self) -> None:
-        """Log a refused handshake, at most once in ``LOG_INTERVAL_S``."""
-        now = time.monotonic()
-        if now - self._logged_at >= LOG_INTERVAL_S:
-            self._logged_at = now
-            _LOGGER.warning(
-                'event=peer_refused reason=unknown_key count=%d',
-                self.refused_handshakes,
-            )
-
     def _receive(self) -> None:
         frames = self.sock.recv_multipart(zmq.NOBLOCK)
         host = self._find_host(frames)
         zap_request_id = frames[1] if len(frames) > 1 else b''
         if host is None:
             self.refused_handshakes += 1
-            self._log_refused()
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                'event=peer_refused reason=unknown_key count=%d',
+                LOG_INTERVAL_S,
+                self.refused_handshakes,
+            )
             reply = [
                 VERSION,
                 zap_request_id,
--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -13,10 +13,10 @@
 import asyncio
 from collections.abc import Callable
 import functools
-import logging
 import math
 from typing import Any
 
+from absl import logging
 import attrs
 import zmq
 
@@ -39,8 +39,6 @@
 # Separates the host from the number of a connection in a routing id.
 NUMBER_MARK = b'\0'
 
-_LOGGER = logging.getLogger(__name__)
-
 Handler = Callable[['Sender', Any], None]
 
 
@@ -140,7 +138,7 @@
         except zmq.ZMQError as exc:
             # For example, no file descriptor is left; other links still work.
             self.dropped += 1
-            _LOGGER.warning(
+            logging.warning(
                 'event=link_not_opened peer=%r error=%r', address, str(exc)
             )
 
@@ -294,7 +292,7 @@
         try:
             self.on_message(sender, message)
         except Exception:
-            _LOGGER.exception(
+            logging.exception(
                 'event=handler_failed peer=%s message=%s',
                 sender.host,
                 type(message).__name__,
@@ -316,7 +314,7 @@
 
     def _count_dropped(self, reason: str, peer: str) -> None:
         self.dropped += 1
-        _LOGGER.warning(
+        logging.warning(
             'event=message_dropped reason=%s peer=%r', reason, peer
         )
 
--- a/packages/cassiashift-net/cassiashift_net/outgoing.py
+++ b/packages/cassiashift-net/cassiashift_net/outgoing.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import functools
-import logging
 import math
 import time
 from typing import Any
 
+from absl import logging
 import attrs
 import zmq
 
@@ -18,8 +18,6 @@
 
 STALE_AFTER_S = 1.0
 
-_LOGGER = logging.getLogger(__name__)
-
 
 @attrs.define(eq=False)
 class OutgoingLink:
@@ -194,4 +192,4 @@
 
     def _log(self, event: str, **fields: Any) -> None:
         text = ' '.join(f'{name}={value!r}' for name, value in fields.items())
-        _LOGGER.warning('event=%s peer=%r %s', event, self.address, text)
+        logging.warning('event=%s peer=%r %s', event, self.address, text)
--- a/tools/import_costs.py
+++ b/tools/import_costs.py
@@ -8,7 +8,7 @@
     'uvloop',
     'zmq.asyncio',
     'msgspec',
-    'logging',
+    'absl.logging',
     'statsd',
     'cassiashift_core.membership',
     'cassiashift_core.spread',
@@ -27,7 +27,7 @@
     'aiohttp',
     'zmq.asyncio',
     'msgspec',
-    'logging',
+    'absl.logging',
     'statsd',
 )
 IMPORT_SETS = {
@@ -39,7 +39,7 @@
     'attrs': ('attrs',),
     'msgspec': ('msgspec',),
     'xxhash': ('xxhash',),
-    'logging': ('logging',),
+    'absl.logging': ('absl.logging',),
     'statsd': ('statsd',),
     'hdrh.histogram': ('hdrh.histogram',),
     'transitions': ('transitions',),
