Scale the expected costs of requests to their service

The fair order of workspaces counts every request as one, so a workspace with large requests gets more of the service than the others.

RelativeCost divides the expected cost of a request by the mean of its service. It is not used yet.

--- a/packages/cassiashift-core/cassiashift_core/costs/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/costs/__init__.py
@@ -6,6 +6,7 @@
 from cassiashift_core.costs.estimator import CostEstimator
 from cassiashift_core.costs.estimator import Request
 from cassiashift_core.costs.moments import LogMoments
+from cassiashift_core.costs.relative import RelativeCost
 from cassiashift_core.costs.timing import has_timings
 from cassiashift_core.costs.timing import prompt_s
 from cassiashift_core.costs.timing import remaining_s
@@ -17,6 +18,7 @@
     'Estimate',
     'LogMoments',
     'Request',
+    'RelativeCost',
     'StatedSize',
     'has_timings',
     'prompt_s',
