Share the promises of Retry-After with the other busy entries

A refused caller returns at the stated time, but mostly to another entry, which does not know of the promise and refuses it again.

An entry sends the promises it gives with its work digests: 10 bytes each, in the bytes that the rows leave over, or a tenth of theirs. At each entry a returning caller goes before new requests of its class. Where the plan of returns has capacity at that time, it counts as load in the expected waits, and the caller is late rather than refused if the estimate was wrong. The costs of requests relative to their service are used in the fair order and the estimates. Reserved slots hold for requests that are popped from the queue as well: one that was not started for the reserve was queued and placed at once.

In the overload experiment callers return to another entry, and entries share promises at the interval of digests; policy 'unshared' is the state before. A return long before its time is a new request, so the test of the metric waits for the stated time.

--- a/packages/cassiashift-cli/cassiashift_cli/experiment_routing.py
+++ b/packages/cassiashift-cli/cassiashift_cli/experiment_routing.py
@@ -40,6 +40,8 @@
     'wait ms by priority',
     'refused',
     'returns placed',
+    'with capacity',
+    'of these placed',
 )
 
 
@@ -110,6 +112,8 @@
         _join(cell.wait_ms, '.0f'),
         f'{cell.refused:.3f}',
         f'{cell.returns_placed:.3f}',
+        f'{cell.promised:.3f}',
+        f'{cell.promises_kept:.3f}',
     ]
 
 
--- a/packages/cassiashift-core/cassiashift_core/admission/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/__init__.py
@@ -8,6 +8,13 @@
 from cassiashift_core.admission.model import Queued
 from cassiashift_core.admission.model import Refused
 from cassiashift_core.admission.model import WorkspaceLimits
+from cassiashift_core.admission.promises import pack_promises
+from cassiashift_core.admission.promises import Promise
+from cassiashift_core.admission.promises import PromiseTable
+from cassiashift_core.admission.promises import ROW_BYTES as PROMISE_BYTES
+from cassiashift_core.admission.promises import short_request_id
+from cassiashift_core.admission.promises import short_service_id
+from cassiashift_core.admission.promises import unpack_promises
 from cassiashift_core.admission.service_gate import ServiceGate
 from cassiashift_core.admission.shares import DemandSummary
 from cassiashift_core.admission.shares import LEASE_S
@@ -25,6 +32,9 @@
     'LEASE_S',
     'DemandMeter',
     'DemandSummary',
+    'PROMISE_BYTES',
+    'Promise',
+    'PromiseTable',
     'Queued',
     'QueuedRequest',
     'Refused',
@@ -34,4 +44,8 @@
     'ShareLease',
     'SlotTable',
     'WorkspaceLimits',
+    'pack_promises',
+    'short_request_id',
+    'short_service_id',
+    'unpack_promises',
 ]
--- a/packages/cassiashift-core/cassiashift_core/admission/returns.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/returns.py
@@ -9,6 +9,18 @@
 MIN_RETURN_SHARE = 0.1
 
 
+@attrs.frozen
+class ReturnTime:
+    """When a refused caller should return.
+
+    Attributes:
+        has_capacity: capacity is expected then, and kept for the caller.
+    """
+
+    at: float
+    has_capacity: bool
+
+
 @attrs.define
 class ReturnPlan:
     """Schedules returns at the rate at which there is capacity for them.
@@ -21,7 +33,7 @@
     rng: random.Random
     _promised_until: dict[int, float] = attrs.field(factory=dict)
 
-    def promise(
+    def schedule(
         self,
         priority: int,
         cost: float,
@@ -29,7 +41,7 @@
         latest_at: float,
         spare_rate: float,
         service_rate: float,
-    ) -> float:
+    ) -> ReturnTime:
         """Return the time at which a refused caller should return.
 
         Args:
@@ -47,9 +59,9 @@
             # the later half of the time, where the load may have fallen.
             earliest_at = min(earliest_at, latest_at)
             middle = (earliest_at + latest_at) / 2
-            return self.rng.uniform(middle, latest_at)
+            return ReturnTime(self.rng.uniform(middle, latest_at), False)
         for other in {priority, *self._promised_until}:
             if other >= priority:
                 held = self._promised_until.get(other, starts_at)
                 self._promised_until[other] = max(held, starts_at) + lasts_s
-        return starts_at + lasts_s * self.rng.random()
+        return ReturnTime(starts_at + lasts_s * self.rng.random(), True)
--- a/packages/cassiashift-core/cassiashift_core/admission/service_gate.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/service_gate.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 import math
 import random
@@ -26,10 +27,17 @@
 # the upstreams. Without that sign an entry is not bound to its share: the
 # announced rates that it follows from may be some seconds old.
 FIRST_EVENT_SHARE = 0.4
+# The expected wait and the returns promised within it depend on each other.
+# Each step adds the returns within the last one; bursts of them are short.
+WAIT_STEPS = 3
 REASON_TOO_LONG = 'the queue is too long'
 REASON_WAITED = 'waited too long'
 
 
+def _nothing_promised(priority: int, now: float, until: float) -> float:
+    return 0.0
+
+
 @attrs.define
 class ServiceGate:
     """The queue of one service at one entry, and its load.
@@ -41,6 +49,9 @@
         objective_s: shortest objective of the routes to the service;
             infinite if none is configured.
         own_share: part of its slots that it uses under overload.
+        promised: returns the cost that this entry can expect from callers
+            of a class and more urgent ones that were told to return between
+            two times.
     """
 
     plan: returns.ReturnPlan
@@ -52,6 +63,7 @@
     is_predictive: bool = True
     objective_s: float = math.inf
     own_share: float = OWN_SHARE
+    promised: Callable[[int, float, float], float] = _nothing_promised
 
     @classmethod
     def from_rng(cls, rng: random.Random) -> 'ServiceGate':
@@ -64,7 +76,7 @@
         self.objective_s = objective_s
         self.queue.floor = urgency_queue.FLOOR if is_predictive else 0.0
 
-    def record_arrival(self, priority: int, cost: int, now: float) -> None:
+    def record_arrival(self, priority: int, cost: float, now: float) -> None:
         """Record a request that arrived, before any decision on it."""
         self.load.record_arrival(priority, cost, now)
         self.queue.record_arrival(priority, cost, now)
@@ -119,7 +131,8 @@
             return 0
         if 1 / rate + self.load.first_event_s <= on_time_s:
             return 0
-        wanted = math.ceil(urgent_rate / rate)
+        promised = self.promised(priority - 1, now, now + 1 / rate)
+        wanted = math.ceil(urgent_rate / rate + promised)
         return max(0, min(wanted, math.ceil(slots) - 1))
 
     def offer(
@@ -155,9 +168,26 @@
         if held_s is not None:
             self.load.hold.record(held_s / item.cost)
 
-    def pop(self, now: float) -> urgency_queue.QueuedRequest | None:
-        """Remove and return the request that goes next, or None."""
-        return self.queue.pop(now)
+    def pop(
+        self, now: float, slots: float = math.inf
+    ) -> urgency_queue.QueuedRequest | None:
+        """Remove and return the request that goes next, or None.
+
+        A request for which slots are reserved is passed over by those that
+        would take them; classes below their floor take them all the same.
+        """
+        free = slots - self.in_flight
+        reserved: dict[int, int] = {}
+
+        def may_start(item: urgency_queue.QueuedRequest) -> bool:
+            priority = item.priority
+            if priority not in reserved:
+                reserved[priority] = self.reserve(
+                    priority, item.urgent_s, slots, now
+                )
+            return not reserved[priority] or free >= 1 + reserved[priority]
+
+        return self.queue.pop(now, may_start)
 
     def put_back(self, item: urgency_queue.QueuedRequest) -> None:
         """Queue a request again, first of its workspace."""
@@ -201,7 +231,7 @@
     ) -> float:
         """Return the time that a request has to wait from now on."""
         ahead = self.queue.ahead_of(item, now)
-        return self.load.wait_s(ahead, item.priority, slots, now)
+        return self._wait_s(item, ahead, slots, now)
 
     def return_at(
         self,
@@ -210,11 +240,11 @@
         latest_at: float,
         slots: float,
         now: float,
-    ) -> float:
-        """Return the time at which the caller of a request should return."""
+    ) -> returns.ReturnTime:
+        """Return when the caller of a request should return."""
         rate = self.load.service_rate(slots)
         spare = rate - self.load.arrival_rate(now, below=item.priority + 1)
-        return self.plan.promise(
+        return self.plan.schedule(
             item.priority, item.cost, earliest_at, latest_at, spare, rate
         )
 
@@ -238,12 +268,57 @@
             wait_s = ahead.total / self.load.service_rate(slots)
             too_long = is_new and now + wait_s > item.give_up_at
             return REASON_TOO_LONG if too_long else ''
+        if item.is_promised:
+            wait_s = self._wait_s(item, ahead, slots, now)
+            item.is_late |= now + wait_s > item.on_time_until
+            return ''
         error = self.load.error
-        wait_s = self.load.wait_s(ahead, item.priority, slots, now, error)
+        wait_s = self._wait_s(item, ahead, slots, now, error)
         if item.can_be_on_time(now):
             if now + wait_s <= min(item.on_time_until, item.give_up_at):
                 return ''
             item.is_late = True
             ahead = self.queue.ahead_of(item, now)
-            wait_s = self.load.wait_s(ahead, item.priority, slots, now, error)
+            wait_s = self._wait_s(item, ahead, slots, now, error)
         return REASON_TOO_LONG if now + wait_s > item.give_up_at else ''
+
+    def _wait_s(
+        self,
+        item: urgency_queue.QueuedRequest,
+        ahead: urgency_queue.Ahead,
+        slots: float,
+        now: float,
+        error: float = 0.0,
+    ) -> float:
+        """Return the expected wait, with returns that will go first.
+
+        Callers that were promised to return during the wait go before new
+        requests of their class.
+        """
+        wait_s = self.load.wait_s(ahead, item.priority, slots, now, error)
+        if not self.is_predictive:
+            return wait_s
+        highest = item.priority - 1 if item.is_returning else item.priority
+        if ahead.is_late:
+            highest = urgency_queue.LEAST_URGENT
+        for _ in range(WAIT_STEPS):
+            until = min(now + wait_s, item.give_up_at)
+            promised = self.promised(highest, now, until)
+            if not promised:
+                break
+            own = promised - self.promised(item.priority - 1, now, until)
+            longer_s = self.load.wait_s(
+                urgency_queue.Ahead(
+                    ahead.is_late,
+                    ahead.total + promised,
+                    ahead.own_class + max(0.0, own),
+                ),
+                item.priority,
+                slots,
+                now,
+                error,
+            )
+            if longer_s <= wait_s:
+                break
+            wait_s = longer_s
+        return wait_s
--- a/packages/cassiashift-core/cassiashift_core/admission/urgency_queue.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/urgency_queue.py
@@ -1,9 +1,10 @@
 """Queue of a service's requests: by urgency, then fair by workspace.
 
 Requests that can still be on time go before late ones. Among them the most
-urgent class goes first, and within a class the workspace that was charged
-least. A less urgent class is served at least ``FLOOR`` times as often as the
-more urgent ones together, so that it does not starve under a long overload.
+urgent class goes first, within a class callers that return after a refusal,
+and among these the workspace that was charged least. A less urgent class is
+served at least ``FLOOR`` times as often as the more urgent ones together, so
+that it does not starve under a long overload.
 """
 
 from collections.abc import Callable
@@ -23,6 +24,8 @@
 # Idle workspaces are dropped only beyond this number, as looking for them
 # takes time in proportion to it.
 MIN_WORKSPACES = 64
+# Priorities are 0 to 9.
+LEAST_URGENT = 9
 
 
 @attrs.define(eq=False)
@@ -35,6 +38,10 @@
         workspace: within a class, all workspaces get equal shares.
         priority: its class; 0 is the most urgent.
         cost: cost units that it is charged.
+        is_returning: its caller was refused and returns when it was told to.
+        is_promised: capacity was kept for it, so it is not refused again for
+            want of it.
+        urgent_s: shortest objective of the more urgent classes.
         on_time_until: a later start makes it late.
         give_up_at: a later start is of no use.
         arrived_at: the time at which it was queued.
@@ -44,9 +51,12 @@
 
     workspace: str
     priority: int
-    cost: int
+    cost: float
     on_time_until: float
     give_up_at: float
+    is_returning: bool = False
+    is_promised: bool = False
+    urgent_s: float = math.inf
     arrived_at: float = 0.0
     expected_wait_s: float = 0.0
     is_late: bool = False
@@ -101,6 +111,10 @@
         return self.value(now) / self.window_s
 
 
+def _any(item: QueuedRequest) -> bool:
+    return True
+
+
 def _window() -> DecayingSum:
     return DecayingSum(SHARE_WINDOW_S)
 
@@ -113,6 +127,7 @@
         offered: cost of the requests that arrived.
         served: cost of those that were started on time.
         newest_cost: cost of the newest arrival.
+        returning: queued requests of callers that return.
         max_workspaces: with more of them, idle ones are looked for.
     """
 
@@ -120,6 +135,7 @@
     offered: DecayingSum = attrs.field(factory=_window)
     served: DecayingSum = attrs.field(factory=_window)
     newest_cost: float = 0.0
+    returning: int = 0
     max_workspaces: int = MIN_WORKSPACES
 
 
@@ -141,7 +157,7 @@
     def __len__(self) -> int:
         return len(self._items)
 
-    def record_arrival(self, priority: int, cost: int, now: float) -> None:
+    def record_arrival(self, priority: int, cost: float, now: float) -> None:
         """Count a request that arrived, whether it is queued or not."""
         group = self._class(priority)
         group.offered.add(cost, now)
@@ -155,7 +171,9 @@
         self._ids[item] = id_
         req = model.AdmissionRequest(id_, item.workspace, '', tokens=item.cost)
         waiting = fair_queue.WaitingCall(req, item.arrived_at)
-        self._class(item.priority).fair.push(waiting, WEIGHT, front)
+        group = self._class(item.priority)
+        group.fair.push(waiting, WEIGHT, front)
+        group.returning += item.is_returning
 
     def remove(self, item: QueuedRequest) -> None:
         """Remove a request; nothing happens if it isn't queued."""
@@ -169,15 +187,27 @@
         for _ in self._class(item.priority).fair.drop(is_removed):
             self._forget(id_)
 
-    def pop(self, now: float) -> QueuedRequest | None:
-        """Remove and return the request that goes next, or None."""
+    def pop(
+        self, now: float, may_start: Callable[[QueuedRequest], bool] = _any
+    ) -> QueuedRequest | None:
+        """Remove and return the request that goes next, or None.
 
-        def on_time(waiting: fair_queue.WaitingCall) -> bool:
-            item = self._items[waiting.req.request_id]
+        Args:
+            may_start: whether a request may start that no class below its
+                floor precedes.
+        """
+
+        def on_time(item: QueuedRequest) -> bool:
             return item.can_be_on_time(now)
 
-        return self._pop_first(self._order(now), on_time) or self._pop_first(
-            sorted(self._classes), lambda waiting: True
+        def allowed(item: QueuedRequest) -> bool:
+            return item.can_be_on_time(now) and may_start(item)
+
+        ordered = sorted(self._classes)
+        return (
+            self._pop_first(self._below_floor(now), on_time)
+            or self._pop_first(ordered, allowed)
+            or self._pop_first(ordered, may_start)
         )
 
     def charge(self, item: QueuedRequest, now: float) -> None:
@@ -203,9 +233,10 @@
         The order of workspaces within a class is that of their arrivals.
         """
 
-        def rank(item: QueuedRequest) -> tuple[bool, int, float]:
+        def rank(item: QueuedRequest) -> tuple[bool, int, bool, float]:
             is_late = not item.can_be_on_time(now)
-            return is_late, item.priority, item.arrived_at
+            is_new = not item.is_returning
+            return is_late, item.priority, is_new, item.arrived_at
 
         return sorted(self._items.values(), key=rank)
 
@@ -214,12 +245,15 @@
         is_late = not item.can_be_on_time(now)
         ahead = Ahead(is_late)
         for other in self._items.values():
-            if other is not item and (is_late or other.can_be_on_time(now)):
+            if other is item or not (is_late or other.can_be_on_time(now)):
+                continue
+            is_passed = item.is_returning and not other.is_returning
+            if is_late or other.priority != item.priority or not is_passed:
                 ahead.count(other, item.priority)
         return ahead
 
-    def _order(self, now: float) -> list[int]:
-        """Return the classes, those served below their floor first.
+    def _below_floor(self, now: float) -> list[int]:
+        """Return the classes that are served below their floor.
 
         A class is below it if it lacks more than one request.
         """
@@ -236,16 +270,27 @@
                 owed.append(priority)
             offered += own_offered
             served += own_served
-        return owed + ordered
+        return owed
 
     def _pop_first(
         self,
         order: list[int],
-        is_eligible: Callable[[fair_queue.WaitingCall], bool],
+        is_eligible: Callable[[QueuedRequest], bool],
     ) -> QueuedRequest | None:
+        def returns(waiting: fair_queue.WaitingCall) -> bool:
+            item = self._items[waiting.req.request_id]
+            return item.is_returning and is_eligible(item)
+
+        def is_any(waiting: fair_queue.WaitingCall) -> bool:
+            return is_eligible(self._items[waiting.req.request_id])
+
         for priority in order:
-            fair = self._classes[priority].fair
-            waiting = fair.pop(lambda workspace: True, is_eligible)
+            group = self._classes[priority]
+            waiting = None
+            if group.returning:
+                waiting = group.fair.pop(lambda workspace: True, returns)
+            if waiting is None:
+                waiting = group.fair.pop(lambda workspace: True, is_any)
             if waiting is not None:
                 return self._forget(waiting.req.request_id)
         return None
@@ -253,6 +298,7 @@
     def _forget(self, id_: str) -> QueuedRequest:
         item = self._items.pop(id_)
         del self._ids[item]
+        self._class(item.priority).returning -= item.is_returning
         return item
 
     def _class(self, priority: int) -> _Class:
--- a/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/overload_entry.py
@@ -2,12 +2,15 @@
 
 import collections
 from collections.abc import Callable
+import math
 import random
 
 import attrs
 
 from cassiashift_core import admission
+from cassiashift_core.admission import returns
 from cassiashift_core import capacity
+from cassiashift_core import costs
 from cassiashift_core.experiment import engine as engines
 from cassiashift_core.experiment import entry as entries
 from cassiashift_core.experiment import overload_model
@@ -23,6 +26,8 @@
 ADMISSION = 'admission'
 # The same; a slot that a call of the entry leaves is taken by its next one.
 OWN_SLOT = 'own_slot'
+# OWN_SLOT whose entries don't tell each other whom they told to return.
+UNSHARED = 'unshared'
 # One entry with this queue, without lag, that knows the speed of the ranks.
 IDEAL = 'ideal'
 # OWN_SLOT with another limit.
@@ -38,10 +43,11 @@
     GRADIENT,
     AIMD,
     ADMISSION,
+    UNSHARED,
     OWN_SLOT,
     IDEAL,
 )
-_OWN_SLOT = (OWN_SLOT, GRADIENT, AIMD)
+_OWN_SLOT = (UNSHARED, OWN_SLOT, GRADIENT, AIMD)
 _MEASURED = (ADMISSION, *_OWN_SLOT)
 _LIMITERS = {
     GRADIENT: overload_rivals.GradientLimiter,
@@ -64,6 +70,7 @@
     """What the entries send each other: calls in flight, and their rates.
 
     Attributes:
+        entries: all entries; refused callers return to any of the others.
         ideal_limit: limit per rank that keeps the pauses in the objective.
     """
 
@@ -71,6 +78,7 @@
     in_flight: dict[str, collections.Counter] = attrs.field(factory=dict)
     rates: dict[str, float] = attrs.field(factory=dict)
     ideal_limit: float = 0.0
+    entries: list['OverloadEntry'] = attrs.field(factory=list)
 
 
 @attrs.define(eq=False)
@@ -91,6 +99,9 @@
     schedule: Callable
     gate: admission.ServiceGate
     limiter: capacity.ConcurrencyLimiter
+    promises: admission.PromiseTable = attrs.field(
+        factory=admission.PromiseTable
+    )
     dagor: overload_rivals.Dagor = attrs.field(factory=overload_rivals.Dagor)
     records: list[overload_model.CallState] = attrs.field(factory=list)
     in_flight: collections.Counter = attrs.field(factory=collections.Counter)
@@ -99,6 +110,8 @@
         attrs.field(factory=dict)
     )
     _attempts: dict[str, tuple] = attrs.field(factory=dict)
+    sizes: costs.RelativeCost = attrs.field(factory=costs.RelativeCost)
+    _unsent: list[admission.Promise] = attrs.field(factory=list)
     _published_at: float = -1.0
     # The rank that a request of this entry has left last.
     _freed: str | None = None
@@ -122,7 +135,13 @@
             gate.own_share = 1.0
         cls_of_limiter = _LIMITERS.get(policy, capacity.ConcurrencyLimiter)
         limiter = cls_of_limiter(overload_model.GROUP.batch, cfg.pause_s)
-        return cls(id_, cfg, policy, board, rng, send, schedule, gate, limiter)
+        entry = cls(
+            id_, cfg, policy, board, rng, send, schedule, gate, limiter
+        )
+        board.entries.append(entry)
+        if policy == OWN_SLOT:
+            gate.promised = entry._promised
+        return entry
 
     def offer_call(
         self, call: overload_model.OverloadCall, now: float
@@ -130,6 +149,7 @@
         """Serve an arriving call."""
         state = overload_model.CallState(call, now)
         self.records.append(state)
+        self.sizes.record(_expected_passes(call))
         self._offer(state, now)
 
     def tick(self, now: float) -> None:
@@ -140,6 +160,8 @@
             self._published_at = now
             self.board.in_flight[self.id] = self.in_flight.copy()
             self.board.rates[self.id] = self.gate.load.arrival_rate(now)
+            self._send_promises()
+            self.promises.expire(now)
         for item, _ in list(self.gate.hopeless(self._slots(), now)):
             self._refuse(self._waiting.pop(item), now)
         self._serve(now)
@@ -201,7 +223,8 @@
 
     def _offer(self, state: overload_model.CallState, now: float) -> None:
         call = state.call
-        self.gate.record_arrival(call.priority, 1, now)
+        cost = self._cost_of(call)
+        self.gate.record_arrival(call.priority, cost, now)
         if self.policy_name == DAGOR and not self.dagor.admits(call):
             self._refuse(state, now)
             return
@@ -233,9 +256,11 @@
         return admission.QueuedRequest(
             workspace,
             state.call.priority,
-            1,
+            self._cost_of(state.call),
             on_time_until,
             now + max_wait_s,
+            is_returning=state.is_known,
+            is_promised=state.is_known and state.is_promised,
         )
 
     def _serve(self, now: float) -> None:
@@ -296,20 +321,66 @@
         wait_s = min(wait_s, LONGEST_RETRY_AFTER_S)
         if self.gate.is_predictive:
             latest_at = now + min(longest_s, LONGEST_RETRY_AFTER_S)
-            return_at = self.gate.return_at(
+            planned = self.gate.return_at(
                 item, now + wait_s, latest_at, slots, now
             )
+            return_at = planned.at
+            state.is_promised = planned.has_capacity
+            self._promise(item, state, planned)
         else:
             wait_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
             return_at = now + min(wait_s, longest_s)
 
+        others = [one for one in self.board.entries if one is not self]
+        chosen = self.rng.choice(others or [self])
+
         def come_back(now: float) -> None:
             state.arrived_at = now
             state.sends = 0
-            self._offer(state, now)
+            request_id = admission.short_request_id(state.call.id)
+            found = chosen.promises.find(request_id, now)
+            state.is_known = found is not None
+            chosen.promises.discard(request_id)
+            chosen._offer(state, now)
 
         self.schedule(return_at, come_back)
 
+    def _cost_of(self, call: overload_model.OverloadCall) -> float:
+        if self.policy_name != OWN_SLOT:
+            return 1.0
+        return self.sizes.relative(_expected_passes(call))
+
+    def _promise(
+        self,
+        item: admission.QueuedRequest,
+        state: overload_model.CallState,
+        planned: returns.ReturnTime,
+    ) -> None:
+        """Record a promise, to be sent with the next digest."""
+        if self.policy_name != OWN_SLOT:
+            return
+        promise = admission.Promise(
+            admission.short_request_id(state.call.id),
+            0,
+            item.priority,
+            item.cost,
+            planned.at,
+            planned.has_capacity,
+        )
+        self.promises.add(promise)
+        self._unsent.append(promise)
+
+    def _send_promises(self) -> None:
+        for entry in self.board.entries:
+            for promise in self._unsent:
+                if entry is not self:
+                    entry.promises.add(promise)
+        self._unsent = []
+
+    def _promised(self, priority: int, now: float, until: float) -> float:
+        """Return this entry's share of the promised cost."""
+        return self._share() * self.promises.due(0, priority, now, until)
+
     def _limit(self) -> float:
         if self.policy_name == IDEAL:
             return self.board.ideal_limit
@@ -321,10 +392,12 @@
         total = len(self.board.alive) * self._limit()
         if not self.gate.is_predictive or self.policy_name == IDEAL:
             return total
+        return max(1.0, total * self._share())
+
+    def _share(self) -> float:
         own = max(1.0, self.board.rates.get(self.id, 1.0))
         rates = [max(1.0, rate) for rate in self.board.rates.values()]
-        share = min(1.0, own / max(sum(rates), own))
-        return max(1.0, total * share)
+        return min(1.0, own / max(sum(rates), own))
 
     def _work(self, rank: str) -> int:
         """Return the calls in flight at a rank, as far as the policy knows."""
@@ -355,3 +428,9 @@
             return freed
         least = min(work[rank] for rank in free)
         return self.rng.choice([r for r in free if work[r] == least])
+
+
+def _expected_passes(call: overload_model.OverloadCall) -> float:
+    """Return the expected passes of a call; its output is not known."""
+    chunks = math.ceil(call.prompt_tokens / overload_model.GROUP.chunk_tokens)
+    return chunks + call.expected_tokens
--- a/packages/cassiashift-core/cassiashift_core/experiment/overload_measures.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/overload_measures.py
@@ -49,7 +49,7 @@
         for name in sorted(names)
     ]
     returned = [state for state in states if state.returned]
-    placed = sum(state.started_after_return for state in returned)
+    promised = [state for state in returned if state.is_promised]
     return overload_model.OverloadCell(
         shape=shape,
         policy=policy,
@@ -68,7 +68,9 @@
         refused=round(
             statistics.fmean(state.refused > 0 for state in states), 3
         ),
-        returns_placed=round(placed / len(returned), 3) if returned else 0.0,
+        returns_placed=_share_placed(returned),
+        promised=round(len(promised) / len(returned), 3) if returned else 0.0,
+        promises_kept=_share_placed(promised),
     )
 
 
@@ -83,6 +85,13 @@
     )
 
 
+def _share_placed(returned: list[State]) -> float:
+    if not returned:
+        return 0.0
+    placed = [state.started_after_return for state in returned]
+    return round(statistics.fmean(placed), 3)
+
+
 def _value(cfg: overload_model.OverloadConfig, state: State) -> float:
     if is_on_time(cfg, state):
         return 1.0
--- a/packages/cassiashift-core/cassiashift_core/experiment/overload_model.py
+++ b/packages/cassiashift-core/cassiashift_core/experiment/overload_model.py
@@ -101,6 +101,8 @@
         queued_s: time that it waited at the entry.
         refused: number of refusals.
         returned: it came back after a refusal.
+        is_promised: capacity was kept for its return.
+        is_known: the entry that it came back to knew that it was refused.
         started_after_return: there was capacity for it then.
         ended_at: time of the last event; None without a complete answer.
     """
@@ -110,6 +112,8 @@
     queued_s: float = 0.0
     refused: int = 0
     returned: bool = False
+    is_promised: bool = False
+    is_known: bool = False
     started_after_return: bool = False
     sends: int = 0
     first_at: float | None = None
@@ -135,6 +139,8 @@
         wait_ms: mean wait at the entries of started calls, by priority.
         refused: share of calls that were refused at least once.
         returns_placed: share of the returning callers that found capacity.
+        promised: share of the returning callers for which capacity was kept.
+        promises_kept: share of these that found it.
     """
 
     shape: str
@@ -149,3 +155,5 @@
     wait_ms: tuple[float, float, float]
     refused: float
     returns_placed: float
+    promised: float
+    promises_kept: float
--- a/packages/cassiashift-core/cassiashift_core/workload/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/__init__.py
@@ -12,6 +12,7 @@
 from cassiashift_core.workload.homes import is_credible
 from cassiashift_core.workload.homes import may_visit
 from cassiashift_core.workload.schedule import BYTES_PER_S
+from cassiashift_core.workload.schedule import extra_bytes
 from cassiashift_core.workload.schedule import plan
 from cassiashift_core.workload.schedule import Plan
 from cassiashift_core.workload.schedule import TRANSPORT_BYTES
@@ -28,6 +29,7 @@
     'WorkDigest',
     'WorkRow',
     'WorkTable',
+    'extra_bytes',
     'home_slots',
     'is_credible',
     'may_visit',
--- a/packages/cassiashift-core/cassiashift_core/workload/digests.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/digests.py
@@ -46,6 +46,7 @@
         sent_ms: sender's monotonic clock; orders the digests of one process.
         interval_ms: time until the next digest.
         rows: see ``pack_rows``; empty once nothing is in flight any more.
+        promises: see ``admission.pack_promises``; new since the last digest.
     """
 
     host: str
@@ -53,6 +54,7 @@
     sent_ms: int
     interval_ms: int
     rows: bytes = b''
+    promises: bytes = b''
 
 
 def pack_rows(rows: Iterable[WorkRow]) -> bytes:
--- a/packages/cassiashift-core/cassiashift_core/workload/schedule.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/schedule.py
@@ -19,6 +19,9 @@
 BYTES_PER_S = 6000.0
 # Added to a message by framing, TCP and IP, and by the acknowledgement.
 TRANSPORT_BYTES = 110
+# Part of the bytes that what is sent along with the rows may take where the
+# rows use them up. The rows are then sent later by this part at most.
+EXTRA_SHARE = 0.1
 
 
 @attrs.frozen
@@ -29,6 +32,20 @@
     hosts: tuple[str, ...]
 
 
+def extra_bytes(
+    count: int, size: int, bytes_per_s: float = BYTES_PER_S
+) -> int:
+    """Return the bytes that may be added to a digest without delaying it.
+
+    Args:
+        count: entries that need the digest.
+        size: bytes of the encoded message without them.
+    """
+    cost = size + TRANSPORT_BYTES
+    unused = bytes_per_s * SHORTEST_INTERVAL_S / max(1, count) - cost
+    return int(max(unused, EXTRA_SHARE * cost))
+
+
 def plan(
     own_host: str,
     hosts: Collection[str],
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -1,7 +1,6 @@
 """Queues or refuses the requests that no upstream can take now."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 import copy
 import math
@@ -13,6 +12,7 @@
 from cassiashift_core import admission as gates
 from cassiashift_core import capacity
 from cassiashift_core import CassiashiftError
+from cassiashift_core import costs
 from cassiashift_core import ErrorCode
 from cassiashift_core import fleet
 from cassiashift_core import placing
@@ -40,8 +40,6 @@
 # don't all retry at once.
 RETRY_AFTER_SPREAD = 0.5
 SHORTEST_RETRY_AFTER_S = 0.1
-# Promised returns that are remembered, to count those that are kept.
-MAX_PROMISES = 1024
 # The share of the load that this entry handles is computed this often; the
 # other entries announce their rates once a second.
 SHARE_PERIOD_S = 0.5
@@ -51,11 +49,6 @@
 EVACUATED = 'all upstreams are in evacuated data centres'
 
 
-def cost_of(call: calls.Call) -> int:
-    """Return the cost units of a request; all requests count the same."""
-    return 1
-
-
 @attrs.define(eq=False)
 class _QueuedCall:
     """A queued request; ``fut`` gets its upstream or the refusal."""
@@ -75,6 +68,8 @@
         release_slot: releases the slot that ``choose_upstream`` occupied.
         request_permit: requests a permit for a request that can wait for a
             number of seconds.
+        promises: what refused callers were promised, by any entry.
+        share_promise: sends a promise to the other busy entries.
     """
 
     holder: tables.TableHolder
@@ -88,6 +83,8 @@
     ]
     release_slot: Callable[[calls.Call, fleet.Upstream], None]
     request_permit: Callable[[calls.Call, float, float], None]
+    promises: gates.PromiseTable = attrs.field(factory=gates.PromiseTable)
+    share_promise: Callable[[gates.Promise], None] = lambda promise: None
     limits: capacity.ServiceLimits = attrs.field(
         factory=capacity.ServiceLimits
     )
@@ -96,10 +93,8 @@
         factory=dict
     )
     _started: dict[calls.Call, gates.QueuedRequest] = attrs.field(factory=dict)
-    _promises: collections.OrderedDict[str, float] = attrs.field(
-        factory=collections.OrderedDict
-    )
-    _returned: set[calls.Call] = attrs.field(factory=set)
+    _sizes: dict[str, costs.RelativeCost] = attrs.field(factory=dict)
+    _returned: dict[calls.Call, gates.Promise] = attrs.field(factory=dict)
     _group_failed_at: dict[str, float] = attrs.field(factory=dict)
     _table: routes.RouteTable | None = None
     _share: float = 1.0
@@ -108,7 +103,9 @@
     def try_start(self, call: calls.Call, now: float) -> fleet.Upstream | None:
         """Return an upstream that can take an arrived request now, or None."""
         gate = self._gate(call.service)
-        gate.record_arrival(call.priority, cost_of(call), now)
+        if self._has_known_cost(call):
+            self._sizes_of(call.service).record(call.cost.time_s.mean)
+        gate.record_arrival(call.priority, self._cost_of(call), now)
         self._note_return(call, now)
         slots = self._slots(call.service, now)
         urgent_s = self._urgent_objective_s(call)
@@ -154,7 +151,7 @@
         finally:
             gate.queue.remove(item)
             self._waiting.pop(item, None)
-            self._returned.discard(call)
+            self._returned.pop(call, None)
 
     def serve_queue(
         self, service: str, freed: fleet.Upstream | None = None
@@ -255,8 +252,12 @@
             )
         # The queue is served at once when a request joins it.
         gate = trial._gate(call.service)
-        has_room = gate.has_room(trial._slots(call.service, now), now)
-        if chosen is not None and has_room and gate.pop(now) is item:
+        slots = trial._slots(call.service, now)
+        if (
+            chosen is not None
+            and gate.has_room(slots, now)
+            and gate.pop(now, slots) is item
+        ):
             return placing.Admittance(placing.Outcome.SENT)
         return placing.Admittance(
             placing.Outcome.QUEUED, wait_s=item.expected_wait_s
@@ -319,18 +320,20 @@
             wait_s = LONGEST_RETRY_AFTER_S
         wait_s = min(wait_s, LONGEST_RETRY_AFTER_S)
         longest_s = RETRY_AFTER_SHARE * (call.deadline_at - now)
+        has_capacity = False
         if gate.is_predictive:
             latest_s = min(longest_s, LONGEST_RETRY_AFTER_S)
-            wait_s = gate.return_at(
+            planned = gate.return_at(
                 item, now + wait_s, now + latest_s, slots, now
             )
-            wait_s -= now
+            wait_s = planned.at - now
+            has_capacity = planned.has_capacity
         else:
             wait_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
         room_in_s = self._room_in_s(call, now)
         room_in_s *= 1 + RETRY_AFTER_SPREAD * self.rng.random()
         wait_s = max(SHORTEST_RETRY_AFTER_S, min(wait_s, longest_s), room_in_s)
-        self._note_promise(call, now + wait_s)
+        self._note_promise(call, now + wait_s, has_capacity)
         return wait_s
 
     def _copy(
@@ -357,6 +360,7 @@
             request_permit=lambda call, patience_s, now: None,
             limits=self.limits,
             gates=copied,
+            sizes=copy.deepcopy(self._sizes),
             group_failed_at=dict(self._group_failed_at),
             share=self._share,
             share_at=self._share_at,
@@ -382,6 +386,7 @@
         gate = self._gates.get(service)
         if gate is None:
             gate = gates.ServiceGate.from_rng(self.rng)
+            gate.promised = self._promised_to(service)
             self._configure(service, gate)
             self._gates[service] = gate
         return gate
@@ -392,6 +397,38 @@
             objective_s = self._table.shortest_objective_s(service)
         gate.configure(self._has_engine(service), objective_s)
 
+    def _promised_to(
+        self, service: str
+    ) -> Callable[[int, float, float], float]:
+        """Return a function for this entry's part of the promised cost."""
+        service_id = gates.short_service_id(service)
+
+        # A function rather than a method, so that a copy of the gate refers
+        # to the same promises.
+        def promised(priority: int, now: float, until: float) -> float:
+            cost = self.promises.due(service_id, priority, now, until)
+            return cost and cost * self._load_share(now)
+
+        return promised
+
+    def _has_known_cost(self, call: calls.Call) -> bool:
+        """Return whether the time of a request follows from its size."""
+        return call.cost is not None and self._has_timings(call.service)
+
+    def _has_timings(self, service_name: str) -> bool:
+        table = self.holder.table
+        service = None if table is None else table.service(service_name)
+        return service is not None and costs.has_timings(service.engine)
+
+    def _sizes_of(self, service: str) -> costs.RelativeCost:
+        return self._sizes.setdefault(service, costs.RelativeCost())
+
+    def _cost_of(self, call: calls.Call) -> float:
+        """Return the cost units of a request; 1 if its cost is not known."""
+        if not self._has_known_cost(call):
+            return 1.0
+        return self._sizes_of(call.service).relative(call.cost.time_s.mean)
+
     def _has_engine(self, service_name: str) -> bool:
         table = self.holder.table
         service = None if table is None else table.service(service_name)
@@ -402,7 +439,8 @@
         max_wait_s = QUEUE_WAIT_SHARE * (call.ends_at - now)
         is_stream = call.route.kind is routes.Kind.STREAM
         on_time_until, workspace = math.inf, ''
-        if self._has_engine(call.service):
+        has_engine = self._has_engine(call.service)
+        if has_engine:
             load = self._gate(call.service).load
             hold_s = max(0.0, load.hold.mean - load.hold.deviation)
             max_wait_s = max(max_wait_s, call.ends_at - now - hold_s)
@@ -415,12 +453,17 @@
                 on_time_until = objective_at - answer_s
         if is_stream:
             max_wait_s = min(max_wait_s, STREAM_QUEUE_WAIT_S)
+        # Services without an engine are served by arrival only.
+        promise = self._returned.get(call) if has_engine else None
         return gates.QueuedRequest(
             workspace,
             call.priority,
-            cost_of(call),
+            self._cost_of(call),
             on_time_until,
             now + max_wait_s,
+            is_returning=promise is not None,
+            is_promised=promise is not None and promise.has_capacity,
+            urgent_s=self._urgent_objective_s(call),
         )
 
     def _urgent_objective_s(self, call: calls.Call) -> float:
@@ -456,8 +499,7 @@
     ) -> None:
         self._gate(call.service).start(item, now)
         self._started[call] = item
-        if call in self._returned:
-            self._returned.discard(call)
+        if self._returned.pop(call, None) is not None:
             self.metrics.record_return('placed')
 
     def _start_queued(
@@ -469,28 +511,40 @@
         self._start(queued.call, item, now)
         queued.fut.set_result(upstream)
 
-    def _note_promise(self, call: calls.Call, at: float) -> None:
+    def _note_promise(
+        self, call: calls.Call, at: float, has_capacity: bool
+    ) -> None:
         self.metrics.record_return('promised')
-        self._promises[call.identity] = at
-        self._promises.move_to_end(call.identity)
-        if len(self._promises) > MAX_PROMISES:
-            self._promises.popitem(last=False)
+        promise = gates.Promise(
+            gates.short_request_id(call.identity),
+            gates.short_service_id(call.service),
+            call.priority,
+            self._cost_of(call),
+            at,
+            has_capacity,
+        )
+        self.promises.add(promise)
+        if self._has_engine(call.service):
+            self.share_promise(promise)
 
     def _note_return(self, call: calls.Call, now: float) -> None:
         """Record that a caller has returned, if one was asked to."""
         if call.log.attempts:
             return
-        promised_at = self._promises.pop(call.identity, None)
-        if promised_at is None:
+        request_id = gates.short_request_id(call.identity)
+        promise = self.promises.find(request_id, now)
+        if promise is None:
             return
-        self._returned.add(call)
+        self.promises.discard(request_id)
+        self._returned[call] = promise
         self.metrics.record_return('returned')
         logs.info(
             'caller_returned',
             request=call.id,
             service=call.service,
             priority=call.priority,
-            after_promise_s=now - promised_at,
+            after_promise_s=now - promise.return_at,
+            has_capacity=promise.has_capacity,
         )
 
     def _update_limits(self, now: float) -> None:
@@ -526,7 +580,7 @@
             freed = None
         skipped = []
         while gate.has_room(slots, now):
-            item = gate.pop(now)
+            item = gate.pop(now, slots)
             if item is None:
                 break
             queued = self._waiting[item]
@@ -574,8 +628,7 @@
         code = ErrorCode.OVERLOADED if has_any else ErrorCode.NO_UPSTREAM
         retry_after_s = self.retry_after_s(call)
         self.metrics.record_refusal(reason, call.priority)
-        if call in self._returned:
-            self._returned.discard(call)
+        if self._returned.pop(call, None) is not None:
             self.metrics.record_return('refused')
         gate = self._gate(call.service)
         logs.info(
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -71,6 +71,8 @@
             choose_upstream=self._choose_upstream,
             release_slot=self._release_slot,
             request_permit=self._request_permit,
+            promises=self.work.promises,
+            share_promise=self.work.share_promise,
         )
         self.permits.on_answer = self.admission.use_permit
         self.work.refresh = self.running.refresh
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
@@ -1,5 +1,6 @@
 """Exchanges the work in flight of this entry with the other busy ones."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 import math
@@ -8,6 +9,7 @@
 
 import attrs
 
+from cassiashift_core import admission
 from cassiashift_core import fleet
 from cassiashift_core import placing
 from cassiashift_core import workload
@@ -17,6 +19,11 @@
 from cassiashift_net import messages
 
 
+# Promises that wait for a digest. Under a flood of refusals the oldest are
+# dropped; their callers are new requests at other entries.
+MAX_UNSENT = 256
+
+
 @attrs.define(eq=False)
 class WorkloadRunner:
     """Sends work digests while this entry is busy, and applies the others'.
@@ -26,11 +33,18 @@
 
     Attributes:
         refresh: updates the remaining work of the requests in flight.
+        promises: what refused callers were promised, by any entry.
     """
 
     runner: fleet_runner.FleetRunner
     table: workload.WorkTable
     refresh: Callable[[float], None] = lambda now: None
+    promises: admission.PromiseTable = attrs.field(
+        factory=admission.PromiseTable
+    )
+    _unsent: collections.deque[admission.Promise] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_UNSENT)
+    )
     _due: float = -math.inf
     _busy_due: float = -math.inf
     _sent_at: float = -math.inf
@@ -50,6 +64,7 @@
             logs.info(
                 'work_digest_expired', host=expiry.host, age_s=expiry.age_s
             )
+        self.promises.expire(now)
         if now >= self._busy_due:
             self._busy_due = now + fleet_runner.TICK_S
             busy = {*self._busy_hosts(now), self.runner.cfg.host}
@@ -73,6 +88,10 @@
         for host in self._busy_hosts(now):
             self.runner.send(host, digest)
 
+    def share_promise(self, promise: admission.Promise) -> None:
+        """Send a promise to the other busy entries with the next digest."""
+        self._unsent.append(promise)
+
     def share_fields(
         self, service: str, candidates: Sequence[fleet.Upstream], limit: float
     ) -> dict[str, Any]:
@@ -119,13 +138,17 @@
         self, sender: links.Sender, message: workload.WorkDigest
     ) -> None:
         """Apply the digest of another entry, unless its process has ended."""
+        now = time.monotonic()
         known = self.runner.entries.by_host.get(message.host)
         if message.host == self.runner.cfg.host or (
             known is not None and message.started_ns in known.ended_starts
         ):
             return
         try:
-            self.table.apply(message, time.monotonic())
+            promises = admission.unpack_promises(message.promises, now)
+            if self.table.apply(message, now):
+                for promise in promises:
+                    self.promises.add(promise)
         except ValueError as exc:
             logs.warning(
                 'work_digest_ignored', host=message.host, reason=str(exc)
@@ -163,8 +186,11 @@
         know of this entry yet then send theirs.
         """
         is_first = now - self._sent_at >= workload.RECENTLY_BUSY_S
-        size = sum(map(len, messages.CODEC.encode_frames(digest)))
         busy = self._busy_hosts(now)
+        size = sum(map(len, messages.CODEC.encode_frames(digest)))
+        room = workload.extra_bytes(len(busy), size)
+        digest = attrs.evolve(digest, promises=self._pop_promises(room, now))
+        size += len(digest.promises)
         plan = workload.plan(self.runner.cfg.host, busy, size)
         digest = attrs.evolve(digest, interval_ms=round(plan.interval_s * 1e3))
         hosts = set(plan.hosts)
@@ -176,6 +202,15 @@
         self._sent_at = now
         self._due = now + plan.interval_s
 
+    def _pop_promises(self, room: int, now: float) -> bytes:
+        """Return the oldest promises that fit, unless they have passed."""
+        while self._unsent and self._unsent[0].return_at <= now:
+            self._unsent.popleft()
+        count = min(room // admission.PROMISE_BYTES, len(self._unsent))
+        return admission.pack_promises(
+            [self._unsent.popleft() for _ in range(count)], now
+        )
+
     def _busy_hosts(self, now: float) -> list[str]:
         """Return the entries that need the digest: those with callers."""
         live = self.runner.live_records()
--- a/tests/core/admission/test_service_gate.py
+++ b/tests/core/admission/test_service_gate.py
@@ -11,6 +11,7 @@
 from testtools import matchers
 
 from cassiashift_core import admission
+from cassiashift_core.admission import promises
 from cassiashift_core.admission import returns
 from cassiashift_core.admission import urgency_queue
 
@@ -251,6 +252,64 @@
     )
 
 
+def test_reserved_slots_stay_free_while_nothing_else_waits():
+    """A refused start is queued; it took the reserved slot from there."""
+    gate = admission.ServiceGate.from_rng(random.Random(1))
+    for tick in range(40):
+        gate.record_arrival(0, 1, tick * 0.25)
+        gate.record_arrival(2, 1, tick * 0.25)
+    now, gate.in_flight = 9.75, 1
+    lesser = attrs.evolve(item(2, give_up_at=99.0), urgent_s=0.1)
+    gate.queue.record_arrival(2, 1, now)
+    assert_that(gate.offer(lesser, 2, now), matchers.Equals(''))
+    assert_that(gate.pop(now, 2), matchers.Is(None))
+    urgent = item(0)
+    gate.queue.add(urgent)
+    assert_that(gate.pop(now, 2), matchers.Is(urgent))
+    # No measured arrivals need the slot any more.
+    assert_that(gate.pop(now + 5, 2), matchers.Is(lesser))
+
+
+def test_a_returning_caller_goes_first_in_its_class_only():
+    back = attrs.evolve(item(1, 'b'), is_returning=True)
+    rows = [item(1, 'a'), item(1, 'b'), back, item(0)]
+    gate = admission.ServiceGate.from_rng(random.Random(1))
+    gate.queue = queue_of(*rows)
+    ahead = gate.queue.ahead_of(back, 4.0)
+    assert_that((ahead.total, ahead.own_class), matchers.Equals((1, 0)))
+    assert_that(pop_all(gate.queue, 4.0)[:2], matchers.Equals([rows[3], back]))
+
+
+def test_only_promised_capacity_keeps_a_returning_caller_from_refusal():
+    """A caller that was refused twice has waited for nothing."""
+    gate = admission.ServiceGate.from_rng(random.Random(1))
+    for tick in range(400):
+        gate.record_arrival(0, 1, tick * 0.01)
+    now = 4.0
+    for is_promised in (False, True):
+        back = attrs.evolve(
+            item(2, on_time_until=now + 0.1, give_up_at=now + 0.3),
+            is_returning=True,
+            is_promised=is_promised,
+        )
+        reason = gate.offer(back, SLOTS, now)
+        assert_that(bool(reason), matchers.Not(matchers.Is(is_promised)))
+    assert_that(back.is_late, matchers.Is(True))
+    assert_that(list(gate.hopeless(SLOTS, now + 0.2)), matchers.HasLength(0))
+    assert_that(list(gate.hopeless(SLOTS, now + 0.4)), matchers.HasLength(1))
+
+
+def test_promised_returns_count_as_load_of_their_class_and_lesser_ones():
+    """Requests admitted before them would take the promised capacity."""
+    gate = admission.ServiceGate.from_rng(random.Random(1))
+    table = promises.PromiseTable()
+    for number in range(10):
+        table.add(promises.Promise(number, 7, 1, 1.0, 0.01))
+    gate.promised = lambda *window: table.due(7, *window)
+    waits = [gate.expected_wait_s(item(one), SLOTS, 0.0) for one in range(3)]
+    assert_that(waits, matchers.Equals([0.025, 0.525, 0.525]))
+
+
 def test_an_entry_is_bound_to_its_share_only_while_requests_wait_there():
     """Announced rates are seconds old after callers moved to an entry."""
     gate = admission.ServiceGate.from_rng(random.Random(1))
@@ -269,8 +328,8 @@
 def test_returns_are_spread_at_the_rate_of_the_capacity():
     """Two sets of callers that are given the same time are refused again."""
     plan = returns.ReturnPlan(random.Random(1))
-    first = [plan.promise(1, 1, 0.2, 2.0, 20.0, 50.0) for _ in range(10)]
-    second = [plan.promise(1, 1, 0.2, 2.0, 20.0, 50.0) for _ in range(10)]
+    first = [plan.schedule(1, 1, 0.2, 2.0, 20.0, 50.0).at for _ in range(10)]
+    second = [plan.schedule(1, 1, 0.2, 2.0, 20.0, 50.0).at for _ in range(10)]
     assert_that(max(first) <= min(second), matchers.Equals(True))
     for start in (0.2, 0.4, 0.6, 0.8):
         count = sum(start <= at < start + 0.2 for at in first + second)
@@ -279,9 +338,9 @@
 
 def test_urgent_callers_return_first():
     plan = returns.ReturnPlan(random.Random(1))
-    lesser = [plan.promise(2, 1, 0.0, 2.0, 20.0, 50.0) for _ in range(10)]
-    urgent = [plan.promise(0, 1, 0.0, 2.0, 20.0, 50.0) for _ in range(10)]
-    later = plan.promise(2, 1, 0.0, 2.0, 20.0, 50.0)
+    lesser = [plan.schedule(2, 1, 0.0, 2.0, 20.0, 50.0).at for _ in range(10)]
+    urgent = [plan.schedule(0, 1, 0.0, 2.0, 20.0, 50.0).at for _ in range(10)]
+    later = plan.schedule(2, 1, 0.0, 2.0, 20.0, 50.0).at
     assert_that(max(urgent) <= 0.5, matchers.Equals(True))
     assert_that(later >= max(urgent), matchers.Equals(True))
     assert_that(later >= max(lesser), matchers.Equals(True))
@@ -289,10 +348,10 @@
 
 def test_no_return_is_after_the_time_that_callers_wait():
     plan = returns.ReturnPlan(random.Random(1))
-    times = [plan.promise(1, 1, 0.5, 2.0, -9.0, 50.0) for _ in range(200)]
+    times = [plan.schedule(1, 1, 0.5, 2.0, -9.0, 50.0).at for _ in range(200)]
     assert_that(max(times) <= 2.0, matchers.Equals(True))
     assert_that(min(times) >= 0.5, matchers.Equals(True))
     assert_that(
-        plan.promise(1, 1, 3.0, 2.0, 5.0, 50.0) <= 2.0,
+        plan.schedule(1, 1, 3.0, 2.0, 5.0, 50.0).at <= 2.0,
         matchers.Equals(True),
     )
--- a/tests/core/workload/test_work_table.py
+++ b/tests/core/workload/test_work_table.py
@@ -151,3 +151,18 @@
     sent = len(plan.hosts) * (size + workload.TRANSPORT_BYTES)
     assert_that(sent / plan.interval_s, matchers.LessThan(CONTROL_BYTES_PER_S))
     assert_that(plan.interval_s, matchers.LessThan(1.01))
+
+
+@pytest.mark.parametrize('entries', [1, 2, 8, 35, 1000])
+@pytest.mark.parametrize('rows', [1, 63, 512])
+def test_promises_hardly_delay_the_rows_of_work(entries, rows):
+    hosts = [str(number) for number in range(entries)]
+    alone = workload.plan('0', hosts, 100 + 9 * rows)
+    extra = workload.extra_bytes(entries, 100 + 9 * rows)
+    with_extra = workload.plan('0', hosts, 100 + 9 * rows + extra)
+    assert_that(extra >= 20, matchers.Equals(True))
+    ratio = with_extra.interval_s / alone.interval_s
+    assert_that(ratio <= 1.1, matchers.Equals(True))
+    cost = 100 + 9 * rows + extra + workload.TRANSPORT_BYTES
+    rate = len(with_extra.hosts) * cost / with_extra.interval_s
+    assert_that(rate <= workload.BYTES_PER_S * 1.001, matchers.Equals(True))
--- a/tests/daemon/direct/test_admission.py
+++ b/tests/daemon/direct/test_admission.py
@@ -124,10 +124,11 @@
 async def test_promised_returns_are_counted(site, full):
     load = admission_of(site)._gate('model').load
     load.hold.mean = 9.0
-    await call(site, 'chat')
+    _, headers, _ = await call(site, 'chat')
     load.hold.mean = 0.1
     full.release.set()
     await full.first
+    await asyncio.sleep(float(headers['Retry-After']))
     status, _, _ = await call(site, 'chat')
     assert_that(status, matchers.Equals(200))
     for outcome in ('promised', 'returned', 'placed'):
--- a/tests/daemon/direct/test_workload.py
+++ b/tests/daemon/direct/test_workload.py
@@ -7,6 +7,7 @@
 from testtools.assertions import assert_that
 from testtools import matchers
 
+from cassiashift_core import admission
 from cassiashift_core import costs
 from cassiashift_core import fleet
 from cassiashift_core import routes
@@ -150,9 +151,45 @@
     work.on_digest(
         conftest.SENDER, workload.WorkDigest(PEER, 1, 1, 100, b'12345')
     )
+    work.on_digest(
+        conftest.SENDER,
+        workload.WorkDigest(PEER, 1, 2, 100, promises=b'12345'),
+    )
     assert_that(work.table.heard_count(0.0), matchers.Equals(0))
 
 
+async def test_a_refused_caller_is_known_at_the_other_busy_entries(
+    engine_site, sent
+):
+    """It returns to another entry, which would refuse it again."""
+    await engine_site.upstream('read')
+    work = engine_site.ingress.placement.work
+    gate = engine_site.ingress.placement.admission._gate('read')
+    gate.load.hold.mean = 99.0
+    _hello(engine_site, 1)
+    engine_site.condition('read-1').record_send(0.0)
+    async with engine_site.request('read') as answer:
+        assert_that(answer.status, matchers.Equals(503))
+        return_s = float(answer.headers['Retry-After'])
+    work.tick()
+    digest = sent[-1][1]
+    # The same entry stands for another one that knows the digest only.
+    work.promises = engine_site.ingress.placement.admission.promises = (
+        admission.PromiseTable()
+    )
+    heard = attrs.evolve(digest, host=PEER, rows=b'')
+    work.on_digest(conftest.SENDER, heard)
+    engine_site.condition('read-1').record_end()
+    gate.load.hold.mean = 0.1
+    await asyncio.sleep(return_s)
+    async with engine_site.request('read') as answer:
+        assert_that(answer.status, matchers.Equals(200))
+    text = engine_site.ingress.metrics.text().decode()
+    for outcome in ('returned', 'placed'):
+        line = f'promised_returns_total{{outcome="{outcome}"}} 1.0'
+        assert_that(text, matchers.Contains(line))
+
+
 async def test_a_prompt_that_fits_nowhere_is_refused_at_once(engine_site):
     upstream = await engine_site.upstream('read')
     headers = {'X_Prompt_Tokens': '10000'}
