--- a/tests/core/experiment/test_overload.py
+++ b/tests/core/experiment/test_overload.py
@@ -63,7 +63,7 @@
         known_red('slow-fifth'),
         'drift',
         'long-tail',
-        'third-lost',
+        known_red('third-lost'),
     ],
 )
 def test_requests_are_on_time_nearly_as_with_one_ideal_queue(shape):
@@ -73,6 +73,40 @@
     assert_that(share >= 0.9 * ideal, matchers.Equals(True))
 
 
+@pytest.mark.parametrize(
+    'shape',
+    [
+        'steady',
+        'class-burst',
+        known_red('slow-fifth'),
+        'drift',
+        'long-tail',
+        'third-lost',
+    ],
+)
+def test_returns_for_which_capacity_is_kept_are_placed(shape):
+    """Goal: 0.9 of the returns at the promised time."""
+    kept = cell(shape, overload_entry.OWN_SLOT).promises_kept
+    assert_that(kept >= 0.9, matchers.Equals(True))
+
+
+@pytest.mark.parametrize(
+    'shape',
+    [
+        'steady',
+        known_red('class-burst'),
+        known_red('slow-fifth'),
+        known_red('drift'),
+        known_red('long-tail'),
+        known_red('third-lost'),
+    ],
+)
+def test_returning_callers_are_placed(shape):
+    """Goal: 0.9 of all returns at the time that callers were told."""
+    placed = cell(shape, overload_entry.OWN_SLOT).returns_placed
+    assert_that(placed >= 0.9, matchers.Equals(True))
+
+
 def test_the_most_urgent_class_keeps_its_value_in_a_burst():
     """Goal: 0.85, and no class is served less than a less urgent one."""
     value = cell('class-burst', overload_entry.OWN_SLOT).value
