Send maps as changes of the map in use; report a switch at once

Orders to hold a pass behind that missed their 60 ms up to six times in a row, and 153 links were doubted. The next plan then waited up to 0.9 s for reports that no rank is armed any more. An agent whose rank is armed reports as soon as the map is in use.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from cassiashift_core.rankmaps import deltas
 from cassiashift_core.rankmaps import demand
 from cassiashift_core.rankmaps import messages
 from cassiashift_core.rankmaps import model
@@ -122,6 +123,32 @@
             while len(self._known_maps) > MAX_KEPT_MAPS:
                 del self._known_maps[min(self._known_maps)]
 
+    def as_change(self, order: model.Order) -> deltas.MapChange | None:
+        """Return an order to prepare a map as a change of the one in use.
+
+        Returns None for other orders, and if the map in use is not known.
+        """
+        if order.kind is not model.OrderKind.PREPARE:
+            return None
+        base = self.own_report.map_version
+        base_lists = self._known_maps.get(base)
+        if base_lists is None and base == 0 and self.shape is not None:
+            base_lists = model.first_map(self.shape)
+        if base_lists is None:
+            return None
+        return deltas.change(self.host, order, base, base_lists)
+
+    def complete(self, message: deltas.MapChange) -> model.Order | None:
+        """Return the order with the whole map; None if it can't be restored.
+
+        Versions are counted anew in each epoch, so that a base of another
+        epoch may be another map.
+        """
+        if message.order.epoch != self.own_report.epoch:
+            return None
+        base_lists = self._known_maps.get(message.base)
+        return deltas.complete(message, base_lists)
+
     def handle_status(self, message: messages.RankStatus, now: float) -> None:
         """Record the status of a rank.
 
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/messages.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from cassiashift_core.rankmaps import deltas
 from cassiashift_core.rankmaps import model
 
 _MAX_UNITS = 255
@@ -64,4 +65,10 @@
     order: model.Order
 
 
-MESSAGE_TYPES = (GroupBeacon, RankStatus, EngineOrder)
+MESSAGE_TYPES = (
+    GroupBeacon,
+    RankStatus,
+    EngineOrder,
+    deltas.MapChange,
+    deltas.MapRequest,
+)
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
@@ -33,6 +33,9 @@
 # Copying takes 50 ms per expert; the state is polled until it is complete.
 PREPARE_POLL_S = 0.05
 PREPARE_POLLS = 14
+# A pass takes up to some 0.2 s; after that, the periodic reports suffice.
+SWITCH_POLL_S = 0.1
+SWITCH_POLLS = 6
 # Preparing a version is idempotent, so an order without an answer is retried
 # at once.
 PREPARE_ATTEMPTS = 3
@@ -72,6 +75,8 @@
         self._fleet_at = 0.0
         self._logged_switch = (0, '')
         self._logged_slow_hosts: list[str] = []
+        # The last order that was sent to each host as a change of a map.
+        self._sent_maps: dict[str, rankmaps.Order] = {}
 
     @property
     def stop_timeout_s(self) -> float:
@@ -91,6 +96,8 @@
         register(rankmaps.GroupBeacon, self._on_beacon)
         register(rankmaps.RankStatus, self._on_status)
         register(rankmaps.EngineOrder, self._on_order)
+        register(rankmaps.MapChange, self._on_map_change)
+        register(rankmaps.MapRequest, self._on_map_request)
         register(fleet.TableDump, self._on_table)
         register(fleet.DocumentPush, self._on_document)
         self.spawn(self._report_forever())
@@ -243,7 +250,7 @@
             elif self._is_sent_directly(order):
                 self.spawn(self._send_to_remote_engine(order, host))
             elif host is not None:
-                self._send(host, rankmaps.EngineOrder(self.cfg.host, order))
+                self._send_order(host, order)
         for rank in coordinator.ranks_to_poll(now):
             if (
                 now
@@ -253,6 +260,15 @@
                 self.spawn(self._read_remote_engine(rank))
         self._log_switch()
 
+    def _send_order(self, host: str, order: rankmaps.Order) -> None:
+        """Send an order to another agent, a map as a change if possible."""
+        message = self.coordinator.as_change(order)
+        if message is None:
+            message = rankmaps.EngineOrder(self.cfg.host, order)
+        else:
+            self._sent_maps[host] = order
+        self._send(host, message)
+
     def _is_sent_directly(self, order: rankmaps.Order) -> bool:
         """Return whether an order bypasses the agent of another host.
 
@@ -322,6 +338,33 @@
         except engines.EngineError as exc:
             logs.warning('engine_unreadable', reason=str(exc))
             return
+        self._report_to(requester, report)
+        if order.kind is rankmaps.OrderKind.ARM and report.armed is not None:
+            await self._report_switched_map(requester)
+
+    async def _report_switched_map(self, requester: str) -> None:
+        """Report as soon as the armed map is in use.
+
+        The coordinator plans the next map only when no rank is armed, and
+        would learn that up to half a second later otherwise.
+        """
+        for _ in range(SWITCH_POLLS):
+            await asyncio.sleep(SWITCH_POLL_S)
+            try:
+                report = await self._read_report()
+            except engines.EngineError as exc:
+                logs.warning('engine_unreadable', reason=str(exc))
+                return
+            if report.armed is None:
+                self._report_to(requester, report)
+                return
+
+    def _report_to(self, requester: str, report: rankmaps.RankReport) -> None:
+        """Send a report to the coordinator.
+
+        Args:
+            requester: host of the coordinator; empty for this one.
+        """
         status = rankmaps.RankStatus(self.cfg.host, report)
         if requester:
             self._send(requester, status)
@@ -391,6 +434,33 @@
     ) -> None:
         self.spawn(self._execute(message.order, message.host))
 
+    def _on_map_change(
+        self, sender: links.Sender, message: rankmaps.MapChange
+    ) -> None:
+        order = None
+        if self.coordinator is not None:
+            order = self.coordinator.complete(message)
+        if order is not None:
+            self.spawn(self._execute(order, message.host))
+            return
+        logs.info(
+            'map_requested',
+            version=message.order.version,
+            base=message.base,
+            epoch=message.order.epoch,
+        )
+        request = rankmaps.MapRequest(self.cfg.host, message.order.version)
+        self._send(message.host, request)
+
+    def _on_map_request(
+        self, sender: links.Sender, message: rankmaps.MapRequest
+    ) -> None:
+        order = self._sent_maps.pop(message.host, None)
+        if order is not None and order.version == message.version:
+            self._send(
+                message.host, rankmaps.EngineOrder(self.cfg.host, order)
+            )
+
     def _on_table(
         self, sender: links.Sender, message: fleet.TableDump
     ) -> None:
--- a/tests/daemon/ranks/test_agents.py
+++ b/tests/daemon/ranks/test_agents.py
@@ -199,6 +199,36 @@
     assert_that(maps, matchers.HasLength(1))
 
 
+async def test_an_agent_without_the_base_of_a_change_gets_the_whole_map(
+    running,
+):
+    """Guards switches after a restart of one agent of the group."""
+    group = running.group
+    await running.wait_until(
+        lambda: any(version > 0 for _, version in group.begun)
+    )
+    lists = group.ranks[0].lists
+    await running.wait_until(
+        lambda: {rank.lists for rank in group.ranks} == {lists}
+    )
+    first, other = running.agents[:2]
+    other.coordinator._known_maps.clear()
+    version = rankmaps.version_after(
+        map(group.report, range(SIZE)), 0, SIZE, floor=1000
+    )
+    order = rankmaps.Order(
+        rankmaps.OrderKind.PREPARE, 1, group.epoch, version, lists=lists
+    )
+    await running.wait_until(
+        lambda: (
+            first.coordinator.own_report.map_version
+            == group.report(0).map_version
+        )
+    )
+    first._send_order(other.cfg.host, order)
+    await running.wait_until(lambda: group.report(1).prepared == version)
+
+
 async def test_the_next_agent_coordinates_after_the_first_stops(running):
     await running.wait_until(lambda: running.agents[1].coordinator_host != '')
     await running.agents[0].stop()
