--- a/packages/cassiashift-core/cassiashift_core/rankmaps/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/__init__.py
@@ -7,9 +7,9 @@
 
 from cassiashift_core.rankmaps.coordination import BEACON_INTERVAL_S
 from cassiashift_core.rankmaps.coordination import Coordinator
-from cassiashift_core.rankmaps.demand import Demand
 from cassiashift_core.rankmaps.deltas import MapChange
 from cassiashift_core.rankmaps.deltas import MapRequest
+from cassiashift_core.rankmaps.demand import Demand
 from cassiashift_core.rankmaps.messages import Choices
 from cassiashift_core.rankmaps.messages import EngineOrder
 from cassiashift_core.rankmaps.messages import GroupBeacon
