--- a/packages/cassiashift-core/cassiashift_core/placing/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/__init__.py
@@ -4,13 +4,9 @@
 from cassiashift_core.placing.attempts import AttemptLog
 from cassiashift_core.placing.budget import WindowBudget
 from cassiashift_core.placing.chooser import Chooser
-from cassiashift_core.placing.decision import Candidate
 from cassiashift_core.placing.decision import decide
 from cassiashift_core.placing.decision import Decision
-from cassiashift_core.placing.decision import Exclusion
 from cassiashift_core.placing.decision import fits
-from cassiashift_core.placing.decision import Snapshot
-from cassiashift_core.placing.decision import Terms
 from cassiashift_core.placing.decision import Weighed
 from cassiashift_core.placing.explanation import Admittance
 from cassiashift_core.placing.explanation import explain
@@ -20,6 +16,10 @@
 from cassiashift_core.placing.slow_ranks import may_run
 from cassiashift_core.placing.slow_ranks import slow_slots
 from cassiashift_core.placing.slow_ranks import total_slots
+from cassiashift_core.placing.snapshot import Candidate
+from cassiashift_core.placing.snapshot import Exclusion
+from cassiashift_core.placing.snapshot import Snapshot
+from cassiashift_core.placing.terms import Terms
 
 __all__ = [
     'Admittance',
--- a/packages/cassiashift-core/cassiashift_core/placing/chooser.py
+++ b/packages/cassiashift-core/cassiashift_core/placing/chooser.py
@@ -8,7 +8,8 @@
 import attrs
 
 from cassiashift_core import fleet
-from cassiashift_core.placing import decision
+from cassiashift_core.placing import snapshot as snapshots
+from cassiashift_core.placing import terms
 
 
 @attrs.define
@@ -30,7 +31,7 @@
         excluded: Collection[str],
         now: float,
         **fields: Any,
-    ) -> decision.Snapshot:
+    ) -> snapshots.Snapshot:
         """Return the snapshot to decide from.
 
         Args:
@@ -40,7 +41,7 @@
         """
         if 'draw' not in fields:
             fields['draw'] = self.rng.random()
-        return decision.Snapshot(
+        return snapshots.Snapshot(
             self.upstreams.with_conditions(candidates),
             limit,
             now,
@@ -103,9 +104,9 @@
     ) -> tuple[float, float]:
         cost = (
             condition.all_in_flight
-            + decision.FAILURE_PENALTY * condition.failure_share
+            + terms.FAILURE_PENALTY * condition.failure_share
         )
         cost += condition.cold_cost(now)
         if upstream.data_centre != self.data_centre:
-            cost += decision.DISTANCE_PENALTY
+            cost += terms.DISTANCE_PENALTY
         return cost, self.rng.random()
