--- a/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/planning.py
@@ -153,6 +153,9 @@
     loads: list[float]
     copies: list[int]
     copies_so_far: list[int]
+    # Sum of the powers of the loads, which all moves of one round are
+    # compared with: to sum them up for each move took most of a plan's time.
+    _sum: float = 0.0
 
     @classmethod
     def from_lists(
@@ -191,6 +194,7 @@
     def run(self) -> None:
         """Make the best move until none is worth its copies."""
         for _ in range(MAX_MOVES):
+            self._sum = sum(load**POWER for load in self.loads)
             best, best_gain = None, 0.0
             for move in self._moves():
                 gain = self._gain(move) - self.copy_cost * self._copy_count(
@@ -300,7 +304,7 @@
         return changes
 
     def _power_mean(self, changes: Iterable[tuple[int, float]]) -> float:
-        total = sum(load**POWER for load in self.loads)
+        total = self._sum
         for rank, change in changes:
             load = self.loads[rank]
             total += max(0.0, load + change) ** POWER - load**POWER
