Log when an entry stops and resumes the use of others' slots

Cause: no line told what an entry takes for the work of the others, by which it keeps to its home slots; the hypotheses in docs/incidents/idle-slots.md could not be told apart. Result: tests/daemon/direct/test_workload.py passes.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
@@ -24,6 +24,8 @@
 # Promises that wait for a digest. Under a flood of refusals the oldest are
 # dropped; their callers are new requests at other entries.
 MAX_UNSENT = 256
+# Near the bound, visits are allowed and stopped many times a second.
+VISITS_LOG_INTERVAL_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -54,6 +56,7 @@
     _is_idle: bool = True
     _busy: list[str] = attrs.field(factory=list)
     _held_homes: dict[str, tuple] = attrs.field(factory=dict)
+    _logged_visits: dict[str, tuple[bool, float]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Listen to starts of entries."""
@@ -114,19 +117,23 @@
         ids = [upstream.id for upstream in candidates]
         slow = placing.slow_slots(ids, limit, engine, factors)
         others = sum(item.others_in_flight for item in conditions)
+        homes = self._homes(service, ids, limit, slow)
+        inputs = {
+            'capacity': placing.total_slots(len(candidates), limit, slow),
+            'own': sum(item.in_flight for item in conditions),
+            'others': others,
+            'busy': len(self._busy),
+            'heard': self.table.heard_count(now),
+            'silent': self.table.silent_count(now),
+        }
+        may_visit = workload.may_visit(**inputs)
+        self._log_visits(service, may_visit, homes, inputs, now)
         return {
-            'homes': self._homes(service, ids, limit, slow),
+            'homes': homes,
             'ignores_others': not workload.is_credible(
                 limit * len(candidates), others
             ),
-            'may_visit': workload.may_visit(
-                placing.total_slots(len(candidates), limit, slow),
-                sum(item.in_flight for item in conditions),
-                others,
-                busy=len(self._busy),
-                heard=self.table.heard_count(now),
-                silent=self.table.silent_count(now),
-            ),
+            'may_visit': may_visit,
         }
 
     def busy_count(self) -> int:
@@ -189,6 +196,28 @@
         homes = upstreams.with_conditions(map(upstreams.find, held[1]))
         return list(zip(homes, held[1].values(), strict=True))
 
+    def _log_visits(
+        self,
+        service: str,
+        may_visit: bool,
+        homes: Sequence[tuple[placing.Candidate, int]],
+        inputs: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Log whether the entry may use more than its home slots, if new."""
+        was_allowed, logged_at = self._logged_visits.get(
+            service, (True, -math.inf)
+        )
+        if may_visit == was_allowed or now - logged_at < VISITS_LOG_INTERVAL_S:
+            return
+        self._logged_visits[service] = may_visit, now
+        logs.info(
+            'visits_allowed' if may_visit else 'visits_stopped',
+            service=service,
+            home_slots=sum(count for _, count in homes),
+            **inputs,
+        )
+
     def _send(self, digest: workload.WorkDigest, now: float) -> None:
         """Send a digest to the busy entries.
 
