Show that slots are kept for entries without work at engines

Evidence: the new test sends 6 requests to an entry with 8 idle upstreams, beside 12 entries that announce 0.3 other requests a second and have not been heard with work for 20 s.

--- a/packages/cassiashift-core/cassiashift_core/workload/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/__init__.py
@@ -17,12 +17,14 @@
 from cassiashift_core.workload.schedule import Plan
 from cassiashift_core.workload.schedule import TRANSPORT_BYTES
 from cassiashift_core.workload.table import Expiry
+from cassiashift_core.workload.table import IDLE_KEPT_S
 from cassiashift_core.workload.table import RECENTLY_BUSY_S
 from cassiashift_core.workload.table import WorkTable
 
 __all__ = [
     'BYTES_PER_S',
     'Expiry',
+    'IDLE_KEPT_S',
     'Plan',
     'RECENTLY_BUSY_S',
     'TRANSPORT_BYTES',
--- a/tests/daemon/direct/test_workload.py
+++ b/tests/daemon/direct/test_workload.py
@@ -1,7 +1,10 @@
 """Tests of placing by the work of all entries."""
 
 import asyncio
+import contextlib
+import time
 
+import aiohttp
 import attrs
 import pytest
 from testtools.assertions import assert_that
@@ -71,8 +74,8 @@
     site.ingress.placement.work.on_digest(conftest.SENDER, digest)
 
 
-def _hello(site, started_ns):
-    record = fleet.EntryRecord(PEER, '', 'east', 'r', started_ns)
+def _hello(site, started_ns, host=PEER, **fields):
+    record = fleet.EntryRecord(host, '', 'east', 'r', started_ns, **fields)
     site.runner.on_hello(conftest.SENDER, fleet.Hello(record))
 
 
@@ -146,6 +149,33 @@
     assert_that(condition.all_in_flight, matchers.Equals(0))
 
 
+@pytest.mark.known_red
+async def test_no_slots_are_kept_for_entries_without_work_at_engines(
+    engine_site,
+):
+    held = conftest.streaming(1, 5, pause_s=0.1)
+    upstreams = [
+        await engine_site.upstream('draft', *6 * [held]) for _ in range(8)
+    ]
+    for number in range(2, 14):
+        _hello(engine_site, 1, host=f'127.0.0.{number}', requests_per_s=0.3)
+    work = engine_site.ingress.placement.work
+    work.table.expire(time.monotonic() + workload.IDLE_KEPT_S)
+    work.tick()
+
+    async def request():
+        with contextlib.suppress(aiohttp.ClientError):
+            async with engine_site.request('draft') as answer:
+                await answer.read()
+
+    async with asyncio.TaskGroup() as group:
+        for _ in range(6):
+            group.create_task(request())
+        await asyncio.sleep(0.2)
+        sent = sum(len(upstream.heads) for upstream in upstreams)
+    assert_that(sent, matchers.Equals(6))
+
+
 async def test_malformed_rows_are_ignored(engine_site):
     work = engine_site.ingress.placement.work
     work.on_digest(
