Refuse announcements with numbers or ports that can't be passed on

What others saw: machines that read a list with one odd entry ended, or stopped following it. Here an entry that was sent such a heartbeat sent no hellos any more, and an agent stopped reporting its rank. Cause: numbers beyond 64 bits were decoded, but no message between processes can carry them; a port above 65535 made each send to it an internal error; deep nesting raised RecursionError in a leave call and in what agents read from their engines, which ended the task that reports. Class: a value is accepted that a later step can't represent. Change: integers and addresses are checked where they are decoded; the version of a configuration as well.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -139,6 +139,7 @@
         b'[]',
         b'{"version": "7", "routes": [], "services": []}',
         b'{"version": 0, "routes": [], "services": []}',
+        b'{"version": 1' + b'0' * 30 + b', "routes": [], "services": []}',
         json.dumps(
             _changed(lambda d: d['routes'][0].update(kind='odd'))
         ).encode(),
@@ -167,6 +168,14 @@
         {'sequence': '4'},
         {'born': 'x'},
         {'slots': [1]},
+        {'sequence': 10**30},
+        {'slots': 10**30},
+        {'born': -(10**30)},
+        {'address': '10.0.0.9:65536'},
+        {'address': '10.0.0.9:0'},
+        {'address': '10.0.0.9:8080\u00b2'},
+        {'address': '10.0.0.9 x:80'},
+        {'address': '10.0.0.9:' + 9 * '9' * 500},
     ],
 )
 def test_a_malformed_heartbeat_is_an_error(change):
@@ -193,6 +202,14 @@
         upstreams.decode_heartbeat('i-1', content)
 
 
+@pytest.mark.parametrize(
+    'content', [b'{"x": ' + b'[' * 100_000, b'{"born": 1' + b'0' * 30 + b'}']
+)
+def test_an_odd_leave_is_refused_without_ending_its_handler(content):
+    with pytest.raises(ValueError):
+        upstreams.decode_leave(content)
+
+
 def test_a_leave_may_state_the_start_of_the_upstream():
     assert_that(upstreams.decode_leave(b''), matchers.Equals(0))
     assert_that(upstreams.decode_leave(b'{"born": 7}'), matchers.Equals(7))
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -1,5 +1,7 @@
 """Tests of the client of model runners."""
 
+import json
+
 from aiohttp import test_utils
 from aiohttp import web
 import pytest
@@ -30,10 +32,12 @@
     body = getattr(request, 'param', REPORT)
 
     async def report(_):
-        return web.json_response(body)
+        text = body if isinstance(body, str) else json.dumps(body)
+        return web.Response(text=text, content_type='application/json')
 
     app = web.Application()
     app.router.add_get('/cassiashift/report', report)
+    app.router.add_get('/cassiashift/picked', report)
     server = test_utils.TestServer(app)
     await server.start_server()
     runner_client = engines.RunnerClient(f'{server.host}:{server.port}')
@@ -42,6 +46,20 @@
     await server.close()
 
 
+def _nested(depth):
+    return '{"group": ' + '[' * depth + ']' * depth + '}'
+
+
+@pytest.mark.parametrize(
+    'client', [{**REPORT, 'step': 10**30}, _nested(100_000)], indirect=True
+)
+async def test_an_odd_report_does_not_end_the_reports_of_an_agent(client):
+    # Anything but this error ends the task that reports the rank's state.
+    for read in (client.report, client.choice_counts, client.held_experts):
+        with pytest.raises(engine.EngineError):
+            await read()
+
+
 async def test_a_report_is_decoded(client):
     expected = rankmaps.RankReport(
         group='g0',
