Accept a refusal only if it names the request that it refuses

What others saw: a faulty runner wrote an earlier refusal once more, and clients were told 'not run' of requests that had run or were running. Cause: a 421, or an answer with the mark that the request was not run, was believed before its request id was compared. Change: the id is compared first, whatever the answer says; an answer of another request leaves it open whether this one has run. Evidence: four cases of test_the_refusal_of_another_request_proves_nothing fail without the change: 503 to the caller instead of 502, and a second send. A refusal that is written twice on one connection answers one request with and without it, as each send has a connection of its own. Also shown, without a change: an error of the next upstream, of six kinds, is never part of a stream that had begun, and the stream does not end as if it were complete (test_an_error_of_the_next_upstream_is_no_part_of_a_stream).

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -289,6 +289,10 @@
     ) -> Answer:
         headers = response.headers
         names = self.names
+        # A refusal of another request, which the upstream repeats or sends
+        # late, doesn't state that this one has not run.
+        if headers.get(names.request_id, '') != call.id:
+            raise SendFailedError('foreign_answer', Verdict.MAY_HAVE_RUN)
         if response.status == STATUS_MISDIRECTED:
             raise SendFailedError(
                 'misdirected',
@@ -303,8 +307,6 @@
                 is_refusal=True,
                 at_fault=headers.get(names.at_fault, ''),
             )
-        if headers.get(names.request_id) != call.id:
-            raise SendFailedError('foreign_answer', Verdict.MAY_HAVE_RUN)
         if response.ok and names.stamp not in headers:
             raise SendFailedError('unsigned_answer', Verdict.MAY_HAVE_RUN)
         if 'Content-Encoding' in headers:
--- a/tests/daemon/direct/test_ingress.py
+++ b/tests/daemon/direct/test_ingress.py
@@ -114,6 +114,46 @@
     await writer.drain()
 
 
+def refusal_of_another(status, **headers):
+    """Return a script that repeats the refusal of another request."""
+
+    async def script(head, writer):
+        writer.write(harness.reply('X-Id: other', status, **headers))
+        await writer.drain()
+
+    return script
+
+
+@pytest.mark.parametrize(
+    'script',
+    [
+        refusal_of_another('503 Full', **NOT_RUN),
+        refusal_of_another('429 Full', **NOT_RUN),
+        refusal_of_another('421 Misdirected'),
+        refusal_of_another('421 Misdirected', X_At='other'),
+    ],
+)
+async def test_the_refusal_of_another_request_proves_nothing(site, script):
+    first = await site.upstream('book', script)
+    second = await site.upstream('book', script)
+    async with site.request('book') as response:
+        assert_that(response.status, matchers.Equals(502))
+    assert_that(first.heads + second.heads, matchers.HasLength(1))
+
+
+async def test_a_refusal_that_is_written_twice_answers_one_request(
+    site, ticking
+):
+    async def script(head, writer):
+        writer.write(2 * harness.reply(head, '503 Full', **NOT_RUN))
+        await writer.drain()
+
+    await site.upstream('book', script)
+    for _ in range(2):
+        async with site.request('book') as response:
+            assert_that(response.status, matchers.Equals(200))
+
+
 @pytest.mark.parametrize('script', [harness.reset, foreign, unsigned, half])
 async def test_an_unsafe_request_that_may_have_run_is_not_retried(
     site, script
@@ -181,6 +221,19 @@
     assert_that(harness.header(head, 'Last-Event-Id'), matchers.Equals('2'))
 
 
+async def _receive(site, service):
+    """Return the bytes of an answer to the end of its connection."""
+    url = site.url.removeprefix('http://').split(':')
+    reader, writer = await asyncio.open_connection(*url)
+    writer.write(
+        f'POST /{service}/x HTTP/1.1\r\nHost: {harness.HOST}\r\nX-Id: r1\r\n'
+        'Authorization: Token secret\r\nContent-Length: 0\r\n\r\n'.encode()
+    )
+    received = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return received
+
+
 @pytest.mark.parametrize(
     ('service', 'script'),
     [
@@ -192,19 +245,34 @@
     site, service, script
 ):
     await site.upstream(service, script)
-    url = site.url.removeprefix('http://').split(':')
-    reader, writer = await asyncio.open_connection(*url)
-    writer.write(
-        f'POST /{service}/x HTTP/1.1\r\nHost: {harness.HOST}\r\nX-Id: r1\r\n'
-        'Authorization: Token secret\r\nContent-Length: 0\r\n\r\n'.encode()
-    )
-    received = await asyncio.wait_for(reader.read(), 5)
-    writer.close()
+    received = await _receive(site, service)
     assert_that(received.count(b'HTTP/1.1'), matchers.Equals(1))
     assert_that(received, matchers.Contains(b'id: 1'))
     assert_that(received, matchers.Not(matchers.EndsWith(b'0\r\n\r\n')))
 
 
+@pytest.mark.parametrize(
+    'status',
+    ['500 No', '404 No', '400 No', '503 Full', '421 Misdirected', '204 None'],
+)
+@pytest.mark.parametrize('is_refused', [False, True])
+async def test_an_error_of_the_next_upstream_is_no_part_of_a_stream(
+    site, status, is_refused
+):
+    broken = harness.streaming(1, 2, is_whole=False)
+    headers = NOT_RUN if is_refused else {}
+    error = harness.answering(status, b'id: 3\ndata: why\n\n', **headers)
+    await site.upstream('draft', broken)
+    await site.upstream('draft', *4 * [error])
+    site.condition('draft-2').record_send(0.0)
+    received = await _receive(site, 'draft')
+    assert_that(received.count(b'HTTP/1.1'), matchers.Equals(1))
+    assert_that(received, matchers.Contains(b'id: 2'))
+    assert_that(received, matchers.Not(matchers.Contains(b'why')))
+    assert_that(received, matchers.Not(matchers.Contains(b'verdict')))
+    assert_that(received, matchers.Not(matchers.EndsWith(b'0\r\n\r\n')))
+
+
 async def test_a_stream_is_cancelled_when_its_caller_disconnects(site):
     upstream = await site.upstream(
         'talk', harness.streaming(1, 500, pause_s=0.02)
