Divide the slots of a group among the entries that have work there

Cause: an entry counted as busy if it announced any request, and did so for ever after one, as its average was rounded at each step. Without work at the group such an entry sends no digests, so it was not heard after 20 s and counted like the mean of those that are. Each entry took the group for full and kept to its home slots, 9 of 315. Change: entries announce their rate at engines; it and the digests tell who is busy. An entry that is not heard counts by that rate. Averages are rounded for the announcement only. may_visit takes what is known of the others as one value (BusyPeers); two tests of it are written with it, with the same numbers. Why it works: an entry that serves other requests only gets no home slots and counts as nothing, whether it is heard or not.

--- a/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/__init__.py
@@ -43,6 +43,7 @@
 from cassiashift_core.fleet.permits import Issuer
 from cassiashift_core.fleet.permits import PERMIT_VALID_S
 from cassiashift_core.fleet.permits import rate_to_issue
+from cassiashift_core.fleet.rates import RequestRate
 from cassiashift_core.fleet.steering import choose_entries
 from cassiashift_core.fleet.steering import Steering
 from cassiashift_core.fleet.upstreams import short_id
@@ -72,6 +73,7 @@
     'Permit',
     'PermitRequest',
     'RankSlowdowns',
+    'RequestRate',
     'SharedSecret',
     'Sighting',
     'SlowRecord',
--- a/packages/cassiashift-core/cassiashift_core/fleet/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/fleet/messages.py
@@ -74,6 +74,7 @@
             is started.
         document_version: version of the configuration that it uses.
         requests_per_s: recent rate of requests from callers.
+        engine_requests_per_s: the part of it to services with an engine.
         capacity_per_s: rate that it can carry; 0 if not stated.
         is_slow: its events are delayed; callers should go elsewhere.
         disks_heard: entries with a disk, itself included, that it has heard
@@ -95,6 +96,7 @@
     capacity_per_s: float = 0.0
     is_slow: bool = False
     disks_heard: int = -1
+    engine_requests_per_s: float = 0.0
 
 
 @attrs.frozen(order=True)
--- a/packages/cassiashift-core/cassiashift_core/workload/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/__init__.py
@@ -11,6 +11,7 @@
 from cassiashift_core.workload.homes import home_slots
 from cassiashift_core.workload.homes import is_credible
 from cassiashift_core.workload.homes import may_visit
+from cassiashift_core.workload.peers import BusyPeers
 from cassiashift_core.workload.schedule import BYTES_PER_S
 from cassiashift_core.workload.schedule import extra_bytes
 from cassiashift_core.workload.schedule import plan
@@ -23,6 +24,7 @@
 
 __all__ = [
     'BYTES_PER_S',
+    'BusyPeers',
     'Expiry',
     'IDLE_KEPT_S',
     'Plan',
--- a/packages/cassiashift-core/cassiashift_core/workload/homes.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/homes.py
@@ -12,6 +12,8 @@
 from collections.abc import Sequence
 import math
 
+from cassiashift_core.workload import peers as busy_peers
+
 # Capacity in use from which entries keep to their home slots. With less, the
 # digests are too old to show which of the last slots are free; with more, the
 # entries whose home slots are free leave them idle.
@@ -56,36 +58,26 @@
 
 
 def may_visit(
-    capacity: float,
-    own: int,
-    others: int,
-    *,
-    busy: int,
-    heard: int,
-    silent: int,
+    capacity: float, own: int, others: int, peers: busy_peers.BusyPeers
 ) -> bool:
     """Return whether an entry may use more than its home slots.
 
-    An entry that is not heard counts like the mean of those that are. One
-    that was busy and fell silent counts with all of its home slots, and so do
-    all entries while none is heard: an entry that hears nothing keeps to its
-    share.
+    An entry that is not heard counts by its rate, relative to those that are.
+    One that was busy and fell silent counts with all of its home slots, and
+    so do all busy entries while none is heard: an entry that hears nothing
+    keeps to its share.
 
     Args:
         capacity: requests in flight that all upstreams together may have.
         own: requests in flight of this entry.
         others: requests in flight of the entries that are heard.
-        busy: number of the busy entries, this one included.
-        heard: number of the others that are heard.
-        silent: number of the others that have fallen silent.
     """
     if not own:
         # There may be fewer slots than entries.
         return True
-    if not heard:
-        silent = busy - 1
-    scale = max(1.0, (busy - 1 - silent) / heard) if heard else 1.0
-    used = own + scale * others + silent * capacity / busy
+    at_home = peers.silent if peers.heard else peers.count
+    used = own + (1 + peers.unheard_load) * others
+    used += at_home * capacity / (1 + peers.count)
     return used < VISIT_BELOW * capacity
 
 
--- a/packages/cassiashift-core/cassiashift_core/workload/table.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/table.py
@@ -4,12 +4,14 @@
 digest for each busy entry, to replace or to expire its part of the sums.
 """
 
+from collections.abc import Mapping
 import math
 
 import attrs
 
 from cassiashift_core import fleet
 from cassiashift_core.workload import digests
+from cassiashift_core.workload import peers
 from cassiashift_core.workload import schedule
 
 # A digest expires after this number of its intervals: two may be lost.
@@ -47,6 +49,7 @@
             the sender, transit included.
         expires_at: time at which its work no longer counts.
         is_idle: its last digest said that it has no work.
+        worked_at: time of the last digest that stated any.
         added: the conditions that its rows were added to.
     """
 
@@ -56,10 +59,15 @@
     received_at: float = -math.inf
     expires_at: float = -math.inf
     is_idle: bool = False
+    worked_at: float = -math.inf
     added: list[tuple[fleet.Condition, digests.WorkRow]] = attrs.field(
         factory=list
     )
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether its digests stopped while it had work."""
+        return not self.is_idle and now >= self.expires_at
+
     def withdraw(self) -> None:
         """Take its work out of the conditions."""
         for condition, row in self.added:
@@ -100,6 +108,8 @@
         peer.withdraw()
         peer.sent_ms, peer.received_at = digest.sent_ms, now
         peer.is_idle = not rows
+        if rows:
+            peer.worked_at = now
         lateness_s = offset_s - peer.offset_s
         peer.expires_at = now - lateness_s + _expiry_s(digest)
         if now < peer.expires_at:
@@ -147,22 +157,35 @@
             if now - peer.received_at < RECENTLY_BUSY_S
         ]
 
-    def silent_count(self, now: float) -> int:
-        """Return how many entries are known to be busy, but not with what.
+    def working(self, now: float) -> list[str]:
+        """Return the entries that have work at engines, or had it lately."""
+        return [
+            host
+            for host, peer in self._peers.items()
+            if not peer.is_idle or now - peer.worked_at < RECENTLY_BUSY_S
+        ]
+
+    def busy_peers(
+        self, rates: Mapping[str, float], now: float
+    ) -> peers.BusyPeers:
+        """Return what is known of the work of some other entries.
 
-        Their digests stopped without saying that nothing is in flight.
+        Args:
+            rates: announced requests per second at engines, by host.
         """
-        return sum(
-            not peer.is_idle and now >= peer.expires_at
-            for peer in self._peers.values()
-        )
+        known = {
+            host: self._peers[host] for host in rates if host in self._peers
+        }
+        silent = {host for host, peer in known.items() if peer.is_silent(now)}
+        return peers.BusyPeers.from_rates(rates, known.keys() - silent, silent)
+
+    def silent_count(self, now: float) -> int:
+        """Return how many entries are known to be busy, but not with what."""
+        return sum(peer.is_silent(now) for peer in self._peers.values())
 
     def heard_count(self, now: float) -> int:
         """Return the number of entries whose digests count, idle ones too."""
-        return sum(
-            peer.is_idle or now < peer.expires_at
-            for peer in self._peers.values()
-        )
+        return len(self._peers) - self.silent_count(now)
 
     def _add(
         self, peer: _Peer, rows: list[digests.WorkRow], sent_at: float
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/fleet_runner.py
@@ -93,6 +93,7 @@
     is_ready: bool = False
     is_leaving: bool = False
     requests_per_s: float = 0.0
+    engine_requests_per_s: float = 0.0
     capacity_per_s: float = 0.0
     is_slow: bool = False
     store_id: str = ''
@@ -135,6 +136,7 @@
             founded=self.log_voters,
             document_version=self.holder.version,
             requests_per_s=self.requests_per_s,
+            engine_requests_per_s=self.engine_requests_per_s,
             capacity_per_s=self.capacity_per_s,
             is_slow=self.is_slow,
         )
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -54,6 +54,7 @@
         in_flight: requests that are not answered yet.
         handled: requests since the last update of the request rate, which
             resets this count.
+        handled_by_engines: those of them to services with an engine.
         started_at: monotonic time at which this entry began to serve.
     """
 
@@ -67,6 +68,7 @@
     is_leaving: bool = False
     in_flight: int = 0
     handled: int = 0
+    handled_by_engines: int = 0
     started_at: float = attrs.field(factory=time.monotonic)
     stall_judge: stalls.StallJudge = attrs.field(factory=stalls.StallJudge)
     _relays: set[streams.StreamRelay] = attrs.field(factory=set)
@@ -142,6 +144,7 @@
     async def _answer(
         self, request: web.BaseRequest, call: calls.Call
     ) -> web.StreamResponse:
+        self.handled_by_engines += self.placement.has_engine(call.service)
         if call.route.kind is routes.Kind.STREAM:
             relay = streams.StreamRelay(self, request, call)
             return await self._relay_stream(call, relay)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -294,6 +294,10 @@
         self.running.end(call)
         self._condition(upstream).record_end()
 
+    def has_engine(self, service_name: str) -> bool:
+        """Return whether the upstreams of a service are engines."""
+        return self._engine(service_name) is not None
+
     def _engine(self, service_name: str) -> routes.Engine | None:
         table = self.holder.table
         service = None if table is None else table.service(service_name)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -52,8 +52,6 @@
 TTL_FACTOR = 3
 STOP_MARGIN_S = 0.4
 LOAD_INTERVAL_S = 1.0
-# Weight of the newest second in the moving average of requests per second.
-LOAD_WEIGHT = 0.3
 # The settings are also read periodically, as they may change without a
 # signal.
 RELOAD_INTERVAL_S = 2.0
@@ -90,6 +88,8 @@
         # Seeded by the operating system: hosts may start at the same time.
         self.rng = random.Random()
         self.metrics = metrics.Metrics()
+        self._rate = fleet.RequestRate()
+        self._engine_rate = fleet.RequestRate()
         self.holder = tables.TableHolder(adapter)
         self.confirmation = fleet.LogConfirmation()
         self.listeners: list[webserver.Listener] = []
@@ -411,9 +411,13 @@
 
     def _update_load(self) -> None:
         handled, self.ingress.handled = self.ingress.handled, 0
-        rate = self.runner.requests_per_s
-        rate += LOAD_WEIGHT * (handled / LOAD_INTERVAL_S - rate)
-        self.runner.requests_per_s = round(rate, 1)
+        self._rate.record(handled, LOAD_INTERVAL_S)
+        self.runner.requests_per_s = self._rate.announced
+        self._engine_rate.record(
+            self.ingress.handled_by_engines, LOAD_INTERVAL_S
+        )
+        self.ingress.handled_by_engines = 0
+        self.runner.engine_requests_per_s = self._engine_rate.announced
         self.meter.record(handled)
         self.runner.capacity_per_s = self.meter.estimator.capacity_per_s
         self.runner.is_slow = self.meter.estimator.is_slow
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
@@ -55,6 +55,7 @@
     _sent_ms: int = 0
     _is_idle: bool = True
     _busy: list[str] = attrs.field(factory=list)
+    _busy_rates: dict[str, float] = attrs.field(factory=dict)
     _held_homes: dict[str, tuple] = attrs.field(factory=dict)
     _logged_visits: dict[str, tuple[bool, float]] = attrs.field(factory=dict)
 
@@ -72,8 +73,8 @@
         self.promises.expire(now)
         if now >= self._busy_due:
             self._busy_due = now + fleet_runner.TICK_S
-            busy = {*self._busy_hosts(now), self.runner.cfg.host}
-            self._busy = sorted(busy)
+            self._busy_rates = self._rates_of_busy(now)
+            self._busy = sorted((*self._busy_rates, self.runner.cfg.host))
         if now < self._due:
             return
         self.refresh(now)
@@ -90,7 +91,7 @@
         self._is_idle = True
         now = time.monotonic()
         digest = attrs.evolve(self._own_digest(now), rows=b'', interval_ms=0)
-        for host in self._busy_hosts(now):
+        for host in self._recipients(now):
             self.runner.send(host, digest)
 
     def share_promise(self, promise: admission.Promise) -> None:
@@ -122,9 +123,7 @@
             'capacity': placing.total_slots(len(candidates), limit, slow),
             'own': sum(item.in_flight for item in conditions),
             'others': others,
-            'busy': len(self._busy),
-            'heard': self.table.heard_count(now),
-            'silent': self.table.silent_count(now),
+            'peers': self.table.busy_peers(self._busy_rates, now),
         }
         may_visit = workload.may_visit(**inputs)
         self._log_visits(service, may_visit, homes, inputs, now)
@@ -201,7 +200,7 @@
         service: str,
         may_visit: bool,
         homes: Sequence[tuple[placing.Candidate, int]],
-        inputs: Mapping[str, float],
+        inputs: Mapping[str, Any],
         now: float,
     ) -> None:
         """Log whether the entry may use more than its home slots, if new."""
@@ -215,7 +214,8 @@
             'visits_allowed' if may_visit else 'visits_stopped',
             service=service,
             home_slots=sum(count for _, count in homes),
-            **inputs,
+            **attrs.asdict(inputs['peers']),
+            **{key: inputs[key] for key in ('capacity', 'own', 'others')},
         )
 
     def _send(self, digest: workload.WorkDigest, now: float) -> None:
@@ -225,7 +225,7 @@
         know of this entry yet then send theirs.
         """
         is_first = now - self._sent_at >= workload.RECENTLY_BUSY_S
-        busy = self._busy_hosts(now)
+        busy = self._recipients(now)
         size = sum(map(len, wire.CODEC.encode_frames(digest)))
         room = workload.extra_bytes(len(busy), size)
         digest = attrs.evolve(digest, promises=self._pop_promises(room, now))
@@ -250,12 +250,19 @@
             [self._unsent.popleft() for _ in range(count)], now
         )
 
-    def _busy_hosts(self, now: float) -> list[str]:
-        """Return the entries that need the digest: those with callers."""
-        live = self.runner.live_records()
-        hosts = {record.host for record in live if record.requests_per_s > 0}
-        hosts.update(self.table.recently_busy(now))
-        return sorted(hosts)
+    def _rates_of_busy(self, now: float) -> dict[str, float]:
+        """Return the rates of the other entries with work at engines."""
+        rates = dict.fromkeys(self.table.working(now), 0.0)
+        for record in self.runner.live_records():
+            if record.engine_requests_per_s > 0:
+                rates[record.host] = record.engine_requests_per_s
+        return rates
+
+    def _recipients(self, now: float) -> list[str]:
+        """Return the entries that need the digest of this one."""
+        return sorted(
+            {*self._rates_of_busy(now), *self.table.recently_busy(now)}
+        )
 
     def _own_digest(self, now: float) -> workload.WorkDigest:
         rows = [
--- a/tests/core/workload/test_homes.py
+++ b/tests/core/workload/test_homes.py
@@ -33,7 +33,7 @@
         while own < 100 and (
             own < 100 / 5
             or workload.may_visit(
-                100, own, 0, busy=5, heard=4 - silent, silent=silent
+                100, own, 0, workload.BusyPeers(4 - silent, silent)
             )
         ):
             own += 1
@@ -44,17 +44,31 @@
 
 
 def test_entries_that_are_not_heard_count_like_the_others():
-    values = {'busy': 11, 'silent': 0}
+    rates = {f'e{number}': 2.0 for number in range(10)}
+    all_heard = workload.BusyPeers.from_rates(rates, rates, ())
+    half_heard = workload.BusyPeers.from_rates(rates, list(rates)[:5], ())
+    assert_that(workload.may_visit(100, 10, 79, all_heard), matchers.Is(True))
     assert_that(
-        workload.may_visit(100, 10, 79, heard=10, **values), matchers.Is(True)
-    )
-    assert_that(
-        workload.may_visit(100, 10, 40, heard=5, **values), matchers.Is(False)
+        workload.may_visit(100, 10, 40, half_heard), matchers.Is(False)
     )
     # There may be more entries than slots.
-    assert_that(
-        workload.may_visit(100, 0, 100, heard=10, **values), matchers.Is(True)
-    )
+    assert_that(workload.may_visit(100, 0, 100, all_heard), matchers.Is(True))
+
+
+def test_unheard_entries_with_hardly_any_load_keep_no_slots_free():
+    rates = dict.fromkeys('abcde', 20.0) | {
+        f'idle-{number}': 0.1 for number in range(30)
+    }
+    peers = workload.BusyPeers.from_rates(rates, 'abcde', ())
+    assert_that(peers.count, matchers.Equals(35))
+    assert_that(workload.may_visit(315, 40, 200, peers), matchers.Is(True))
+    assert_that(workload.may_visit(315, 40, 250, peers), matchers.Is(False))
+
+
+def test_unheard_entries_count_like_the_others_without_their_rates():
+    rates = dict.fromkeys('abcd', 0.0)
+    peers = workload.BusyPeers.from_rates(rates, 'ab', 'c')
+    assert_that(peers, matchers.Equals(workload.BusyPeers(2, 1, 1, 0.5)))
 
 
 def _run(method, entries, load, **fields):
--- a/tests/daemon/direct/test_workload.py
+++ b/tests/daemon/direct/test_workload.py
@@ -149,7 +149,6 @@
     assert_that(condition.all_in_flight, matchers.Equals(0))
 
 
-@pytest.mark.known_red
 async def test_no_slots_are_kept_for_entries_without_work_at_engines(
     engine_site,
 ):
--- a/tools/simulate_placing.py
+++ b/tools/simulate_placing.py
@@ -187,12 +187,15 @@
                 capacity,
                 sum(item.in_flight for item in conditions),
                 others,
-                busy=len(self.entries),
-                heard=entry.work.heard_count(self.now),
-                silent=entry.work.silent_count(self.now),
+                entry.work.busy_peers(
+                    dict.fromkeys(self._others(entry), 1.0), self.now
+                ),
             ),
         }
 
+    def _others(self, entry: Entry) -> list[str]:
+        return [item.name for item in self.entries if item is not entry]
+
     def _begin(self, request: Request, number: int, index: int) -> None:
         upstream = self.upstreams[index]
         self.sent += 1
@@ -227,7 +230,7 @@
             for upstream, item in entry.table.in_use()
         ]
         size = HEADER_BYTES + ROW_BYTES * len(rows)
-        others = [item.name for item in self.entries if item is not entry]
+        others = self._others(entry)
         plan = workload.plan(entry.name, others, size, self.bytes_per_s)
         entry.due = self.now + plan.interval_s
         digest = workload.WorkDigest(
