Share the slots of a group by the rates of requests at engines

What callers saw: under load they were refused while a fifth to a quarter of a group's slots was idle. Cause: an entry expects the part of the slots that its rate is of all rates. These included requests to other services and the tests of the configuration, which most entries serve without any slot. Change: the rates are those of requests at engines. Result: test_requests_to_other_services_take_no_share_of_the_slots failed before (2 of 4 slots); tests/daemon/direct/test_workload.py passes.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -40,8 +40,8 @@
 # don't all retry at once.
 RETRY_AFTER_SPREAD = 0.5
 SHORTEST_RETRY_AFTER_S = 0.1
-# The share of the load that this entry handles is computed this often; the
-# other entries announce their rates once a second.
+# This entry's share of the load at engines is computed this often; the other
+# entries announce their rates once a second.
 SHARE_PERIOD_S = 0.5
 NO_UPSTREAM = 'no upstream is known'
 NO_ROOM = 'all upstreams back off or have reached their limits'
@@ -504,9 +504,10 @@
 
     def _load_share(self, now: float) -> float:
         if now - self._share_at >= SHARE_PERIOD_S:
-            own = max(1.0, self.runner.requests_per_s)
+            own = max(1.0, self.runner.engine_requests_per_s)
             others = sum(
-                record.requests_per_s for record in self.runner.live_records()
+                record.engine_requests_per_s
+                for record in self.runner.live_records()
             )
             self._share = own / (own + others)
             self._share_at = now
--- a/tests/daemon/direct/test_workload.py
+++ b/tests/daemon/direct/test_workload.py
@@ -175,6 +175,19 @@
     assert_that(sent, matchers.Equals(6))
 
 
+async def test_requests_to_other_services_take_no_share_of_the_slots(
+    engine_site,
+):
+    for _ in range(4):
+        await engine_site.upstream('read')
+    engine_site.runner.requests_per_s = 20.0
+    engine_site.runner.engine_requests_per_s = 20.0
+    _hello(engine_site, 1, requests_per_s=20.0)
+    admitted = engine_site.ingress.placement.admission
+    slots = admitted._slots('read', time.monotonic())
+    assert_that(slots, matchers.Equals(4.0))
+
+
 async def test_malformed_rows_are_ignored(engine_site):
     work = engine_site.ingress.placement.work
     work.on_digest(
@@ -184,7 +197,8 @@
         conftest.SENDER,
         workload.WorkDigest(PEER, 1, 2, 100, promises=b'12345'),
     )
-    assert_that(work.table.heard_count(0.0), matchers.Equals(0))
+    heard = work.table.busy_peers({PEER: 1.0}, 0.0).heard
+    assert_that(heard, matchers.Equals(0))
 
 
 async def test_a_refused_caller_is_known_at_the_other_busy_entries(
