Remove a count of the work table that only tests used

Cause: busy_peers has taken its place in what entries decide. Result: tests/core/workload and tests/daemon/direct/test_workload.py pass.

--- a/packages/cassiashift-core/cassiashift_core/workload/table.py
+++ b/packages/cassiashift-core/cassiashift_core/workload/table.py
@@ -183,10 +183,6 @@
         """Return how many entries are known to be busy, but not with what."""
         return sum(peer.is_silent(now) for peer in self._peers.values())
 
-    def heard_count(self, now: float) -> int:
-        """Return the number of entries whose digests count, idle ones too."""
-        return len(self._peers) - self.silent_count(now)
-
     def _add(
         self, peer: _Peer, rows: list[digests.WorkRow], sent_at: float
     ) -> None:
--- a/tests/core/workload/test_work_table.py
+++ b/tests/core/workload/test_work_table.py
@@ -80,8 +80,10 @@
     assert_that(table.expire(1.4), matchers.Equals([]))
     table.expire(1.6)
     assert_that(_counts(table), matchers.Equals([0, 0, 0]))
+    silent = workload.BusyPeers(silent=1)
     assert_that(table.silent_count(1.6), matchers.Equals(1))
-    assert_that(table.heard_count(1.6), matchers.Equals(0))
+    assert_that(table.busy_peers({'b': 1.0}, 1.6), matchers.Equals(silent))
+    assert_that(table.working(1.6), matchers.Equals(['b']))
     table.expire(1.0 + 8.0)
     assert_that(table.silent_count(9.0), matchers.Equals(0))
 
@@ -100,7 +102,8 @@
     assert_that(_counts(table), matchers.Equals([0, 0, 0]))
     assert_that(table.silent_count(5.0), matchers.Equals(0))
     # An entry known to be idle must not count like the mean of the busy.
-    assert_that(table.heard_count(5.0), matchers.Equals(1))
+    heard = workload.BusyPeers(heard=1)
+    assert_that(table.busy_peers({'b': 1.0}, 5.0), matchers.Equals(heard))
     table.apply(_digest(1.2, [2, 2, 2]), 1.2)
     table.record_start('b', 2, 1.3)
     assert_that(_counts(table), matchers.Equals([0, 0, 0]))
