Look up the engine of a service in one place

Cause: placement, admission and the work digests each found it by themselves, and the count of requests at engines would have been a fourth. Change: TableHolder.engine; no behaviour changes.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -291,10 +291,9 @@
         limit = self.limits.limit(service_name)
         if limit is not None:
             return limit
-        table = self.holder.table
-        service = None if table is None else table.service(service_name)
-        if service is not None and service.engine is not None:
-            return service.engine.slots
+        engine = self.holder.engine(service_name)
+        if engine is not None:
+            return engine.slots
         slots = [upstream.slots for upstream in candidates if upstream.slots]
         return max(slots, default=DEFAULT_SLOTS)
 
@@ -413,12 +412,8 @@
 
     def _has_known_cost(self, call: calls.Call) -> bool:
         """Return whether the time of a request follows from its size."""
-        return call.cost is not None and self._has_timings(call.service)
-
-    def _has_timings(self, service_name: str) -> bool:
-        table = self.holder.table
-        service = None if table is None else table.service(service_name)
-        return service is not None and costs.has_timings(service.engine)
+        engine = self.holder.engine(call.service)
+        return call.cost is not None and costs.has_timings(engine)
 
     def _sizes_of(self, service: str) -> costs.RelativeCost:
         return self._sizes.setdefault(service, costs.RelativeCost())
@@ -430,9 +425,7 @@
         return self._sizes_of(call.service).relative(call.cost.time_s.mean)
 
     def _has_engine(self, service_name: str) -> bool:
-        table = self.holder.table
-        service = None if table is None else table.service(service_name)
-        return service is not None and service.engine is not None
+        return self.holder.engine(service_name) is not None
 
     def _describe(self, call: calls.Call, now: float) -> gates.QueuedRequest:
         """Return what the gate of its service has to know of a request."""
@@ -495,10 +488,9 @@
     ) -> dict[str, float]:
         """Return what the slow upstreams of a service may run, by id."""
         factors = self.runner.upstreams.slow_factors(now)
-        if not factors or self.holder.table is None:
+        if not factors:
             return {}
-        service = self.holder.table.service(service_name)
-        engine = None if service is None else service.engine
+        engine = self.holder.engine(service_name)
         ids = [upstream.id for upstream in candidates]
         return placing.slow_slots(ids, limit, engine, factors)
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -144,7 +144,8 @@
     async def _answer(
         self, request: web.BaseRequest, call: calls.Call
     ) -> web.StreamResponse:
-        self.handled_by_engines += self.placement.has_engine(call.service)
+        if self.holder.engine(call.service) is not None:
+            self.handled_by_engines += 1
         if call.route.kind is routes.Kind.STREAM:
             relay = streams.StreamRelay(self, request, call)
             return await self._relay_stream(call, relay)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -253,7 +253,7 @@
             call.log.excluded,
             now,
             cost=call.cost,
-            engine=self._engine(call.service),
+            engine=self.holder.engine(call.service),
             time_left_s=call.ends_at - now,
             **self.work.share_fields(call.service, candidates, limit),
             **fields,
@@ -283,7 +283,7 @@
             condition = self._condition(chosen)
             condition.record_send(now)
             self.running.begin(
-                call, self._engine(call.service), condition, now
+                call, self.holder.engine(call.service), condition, now
             )
             self._request_next_permit(call, now)
         return chosen
@@ -294,15 +294,6 @@
         self.running.end(call)
         self._condition(upstream).record_end()
 
-    def has_engine(self, service_name: str) -> bool:
-        """Return whether the upstreams of a service are engines."""
-        return self._engine(service_name) is not None
-
-    def _engine(self, service_name: str) -> routes.Engine | None:
-        table = self.holder.table
-        service = None if table is None else table.service(service_name)
-        return None if service is None else service.engine
-
     def _check_size(self, call: calls.Call, now: float) -> None:
         """Estimate the cost of a request that is placed for the first time.
 
@@ -316,7 +307,7 @@
 
     def estimate(self, call: calls.Call) -> bool:
         """Set the expected cost of a request; return whether it fits."""
-        engine = self._engine(call.service)
+        engine = self.holder.engine(call.service)
         call.cost = self.estimator.estimate(_cost_request(call, engine))
         return placing.fits(call.cost, engine)
 
@@ -324,7 +315,7 @@
         self, call: calls.Call, upstream: fleet.Upstream, took_s: float
     ) -> dict[str, float]:
         """Learn from an answered request; return its cost for the log."""
-        engine = self._engine(call.service)
+        engine = self.holder.engine(call.service)
         output = self.running.output_tokens(call)
         expected_s = self.running.expected_s(call, output)
         req = _cost_request(call, engine)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/tables.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/tables.py
@@ -42,6 +42,11 @@
         """Return the version in force; 0 for none."""
         return self.document.version
 
+    def engine(self, service_name: str) -> routes.Engine | None:
+        """Return the engine of a service; None if it has none."""
+        service = self.table and self.table.service(service_name)
+        return service.engine if service else None
+
     def apply_if_newer(self, document: fleet.Document, source: str) -> bool:
         """Apply a committed configuration if it is newer.
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/workload_runner.py
@@ -13,7 +13,6 @@
 from cassiashift_core import admission
 from cassiashift_core import fleet
 from cassiashift_core import placing
-from cassiashift_core import routes
 from cassiashift_core import workload
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon import logs
@@ -102,7 +101,8 @@
         self, service: str, candidates: Sequence[fleet.Upstream], limit: float
     ) -> dict[str, Any]:
         """Return the fields of a snapshot that state the entry's share."""
-        if not self._has_engine(service):
+        engine = self.runner.holder.engine(service)
+        if engine is None:
             return {'ignores_others': True}
         if len(self._busy) <= 1:
             return {}
@@ -113,7 +113,6 @@
                 candidates
             )
         ]
-        engine = self._engine(service)
         factors = self.runner.upstreams.slow_factors(now)
         ids = [upstream.id for upstream in candidates]
         slow = placing.slow_slots(ids, limit, engine, factors)
@@ -273,7 +272,7 @@
                 condition.tokens,
             )
             for upstream, condition in self.runner.upstreams.in_use()
-            if self._has_engine(upstream.service)
+            if self.runner.holder.engine(upstream.service) is not None
         ]
         # Digests of one millisecond would have no order.
         self._sent_ms = max(int(now * 1000), self._sent_ms + 1)
@@ -284,11 +283,3 @@
             interval_ms=0,
             rows=workload.pack_rows(rows),
         )
-
-    def _has_engine(self, name: str) -> bool:
-        return self._engine(name) is not None
-
-    def _engine(self, name: str) -> routes.Engine | None:
-        table = self.runner.holder.table
-        service = None if table is None else table.service(name)
-        return None if service is None else service.engine
