--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -1,5 +1,7 @@
 """Tests of the client of model runners."""
 
+import asyncio
+import contextlib
 import json
 
 from aiohttp import test_utils
@@ -78,6 +80,34 @@
     assert_that(await client.report(), matchers.Equals(expected))
 
 
+async def test_an_answer_that_is_repeated_does_not_confirm_an_order():
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                is_order = head.startswith(b'POST')
+                status = b'409 Conflict' if is_order else b'200 OK'
+                body = json.dumps(REPORT).encode()
+                length = b'Content-Length: %d' % len(body)
+                answer = b'\r\n'.join(
+                    (b'HTTP/1.1 ' + status, length, b'', body)
+                )
+                writer.write(answer)
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                writer.write(answer)
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    runner_client = engines.RunnerClient(f'{host}:{port}')
+    order = rankmaps.Order(rankmaps.OrderKind.HOLD, 0, 2, step=44)
+    await runner_client.report()
+    await asyncio.sleep(0.1)
+    assert_that(await runner_client.send_order(order), matchers.Is(False))
+    await runner_client.close()
+    server.close()
+
+
 @pytest.mark.parametrize(
     'client',
     [{}, {**REPORT, 'group': None}],
