Release only the holds that belong to a switch or recovery

Callers: a pass of a group began with one rank on another expert map than the other seven, so the tokens of its requests were wrong.

Cause: after a switch its coordinator released every hold whose step it had released before, at any rank. A step does not tell whose hold it is: a coordinator that had been frozen also released the guard of the recovery that another agent was running. A recovery likewise released every hold that it was shown, also one that a live switch had just placed, and a recovery that had been frozen could disarm a switch that began after it.

Change: a switch releases its pass at its own hold rank only, and a coordinator without one sends no releases. A recovery releases the holds of its pass that were reported when it began: a switch places its hold after all ranks have prepared its version, so these belong to versions below the recovery's, which are dead by then. It disarms only what is armed for its pass or was armed when it began, and places its guard again if the guard is gone while versions are made dead. A confirmed release changes the known report only if that step was held.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
@@ -69,7 +69,6 @@
     _last_version: int = 0
     _stalled_since: float | None = None
     _stalled_step: int = -1
-    _released_steps: set[int] = attrs.field(factory=set)
 
     @property
     def active(self) -> switch.Switch | recovery.Recovery | None:
@@ -183,21 +182,7 @@
             self._finish_active(now)
         if self._active is None:
             self._start_next(now)
-        if self._active is not None:
-            return self._active.orders(now)
-        # An order to hold may take effect after the pass was released.
-        return [
-            model.Order(
-                model.OrderKind.GO,
-                rank,
-                self.own_report.epoch,
-                step=report.held,
-            )
-            for rank, report in self._recent_reports(
-                now, STATUS_TIMEOUT_S
-            ).items()
-            if report.held in self._released_steps
-        ]
+        return [] if self._active is None else self._active.orders(now)
 
     def ranks_to_poll(self, now: float) -> list[int]:
         """Return the ranks whose engines are to be read without their agents.
@@ -415,7 +400,6 @@
         return self._last_version
 
     def _finish_active(self, now: float) -> None:
-        self._released_steps.add(self._active.step)
         if isinstance(self._active, switch.Switch):
             self._last_version = max(
                 self._last_version, self._active.highest_version
@@ -432,7 +416,6 @@
         """
         self._statuses.clear()
         self.hosts.clear()
-        self._released_steps.clear()
         self._known_maps.clear()
         self._active = None
         old = self.own_report
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
@@ -122,7 +122,8 @@
         """Return the report that follows from an order that was confirmed.
 
         A rank is only ever armed with the version that it has prepared. An
-        engine also confirms an order to disarm a version that is not armed.
+        engine also confirms an order to disarm a version that is not armed,
+        or to release a pass that is not held.
         """
         armed = report.armed
         is_same = armed is not None and armed.version == self.version
@@ -141,7 +142,9 @@
             case OrderKind.DISARM:
                 return attrs.evolve(report, armed=None if is_same else armed)
             case OrderKind.GO:
-                return attrs.evolve(report, held=None)
+                is_held = report.held == self.step
+                held = None if is_held else report.held
+                return attrs.evolve(report, held=held)
         raise TypeError(f'unknown order kind: {self.kind}')
 
 
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
@@ -7,6 +7,11 @@
 with or has prepared dead at all ranks (see ``switch``), and releases the
 holds, the guard's last.
 
+A switch places its hold once all ranks have prepared its version. So a hold
+that is reported when the recovery begins belongs to a version below that of
+the recovery: once that one is dead at all ranks, its hold may be released. A
+hold that is placed later may belong to a live switch and is left alone.
+
 The rank of the lost coordinator may be unreachable. It is left out if some
 other rank was never seen armed: a coordinator arms its own rank last, and
 makes the version dead at its own rank first.
@@ -36,13 +41,17 @@
     It is used like a ``Switch``: reports go in, due orders come out.
 
     Attributes:
-        guard_rank: a rank that held nothing when the recovery began.
+        guard_rank: the rank at which the recovery holds the pass; it held
+            nothing when the recovery began, unless all ranks did.
         version: a version above all that the ranks have reported.
         lists: the map in use, prepared under that version.
         step: the pass that the group waits at.
         unreachable_rank: rank of the lost coordinator if it can't be reached.
         reports: the newest report of each rank. It may be old, since an
             engine refuses an order that does not fit its state.
+        found_holds: ranks that held the pass when the recovery began; no
+            other hold but the guard's is released.
+        found_armed: the switches that ranks were set to make at that time.
     """
 
     epoch: int
@@ -53,13 +62,22 @@
     step: int
     _reports: dict[int, model.RankReport]
     unreachable_rank: int | None = None
+    found_holds: frozenset[int] = attrs.field(init=False)
+    found_armed: frozenset[model.Armed] = attrs.field(init=False)
     _phase: _Phase = _Phase.HOLD
     _retries: retries.OrderRetries = attrs.field(factory=retries.OrderRetries)
     _seen_armed: set[int] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
-        """Record which ranks are armed at the start."""
-        for report in self._reports.values():
+        """Record which ranks hold the pass and are armed at the start."""
+        reports = self._reports.values()
+        self.found_holds = frozenset(
+            report.rank for report in reports if self._holds_pass(report)
+        )
+        self.found_armed = frozenset(
+            report.armed for report in reports if report.armed is not None
+        )
+        for report in reports:
             self._record_armed(report)
 
     @property
@@ -96,8 +114,8 @@
                 return self._order(model.OrderKind.HOLD, rank, self.step)
             case _Phase.KILL if not self._is_clear(report):
                 return self._kill_order(rank, report)
-            case _Phase.RELEASE_OTHERS if not is_guard and report.held:
-                return self._order(model.OrderKind.GO, rank, report.held)
+            case _Phase.RELEASE_OTHERS if self._is_to_release(report):
+                return self._order(model.OrderKind.GO, rank, self.step)
             case _Phase.RELEASE_GUARD if is_guard:
                 return self._order(model.OrderKind.GO, rank, self.step)
         return None
@@ -137,18 +155,28 @@
     def _next_phase(self) -> _Phase | None:
         """Return the next phase if the reports permit it, or None."""
         guard = self._reports[self.guard_rank]
-        others = [r for r in self._reports.values() if r is not guard]
+        if self._phase is _Phase.HOLD:
+            return self._phase_after_hold(guard)
+        if self._phase is not _Phase.DONE and not self._holds_pass(guard):
+            return self._phase_without_guard(guard)
         match self._phase:
-            case _Phase.HOLD:
-                return self._phase_after_hold(guard)
             case _Phase.KILL if self._all_clear():
                 return _Phase.RELEASE_OTHERS
-            case _Phase.RELEASE_OTHERS if not any(r.held for r in others):
-                return _Phase.RELEASE_GUARD
-            case _Phase.RELEASE_GUARD if guard.held != self.step:
-                return _Phase.DONE
+            case _Phase.RELEASE_OTHERS:
+                if not any(map(self._is_to_release, self._reports.values())):
+                    return _Phase.RELEASE_GUARD
         return None
 
+    def _phase_without_guard(self, guard: model.RankReport) -> _Phase:
+        """Return the next phase if the guard does not hold the pass.
+
+        While versions are made dead, the guard is needed; another recovery
+        may have released it.
+        """
+        if self._phase is _Phase.KILL and guard.step < self.step:
+            return _Phase.HOLD
+        return _Phase.DONE
+
     def _phase_after_hold(self, guard: model.RankReport) -> _Phase | None:
         if guard.held == self.step:
             return _Phase.KILL
@@ -157,6 +185,17 @@
             return _Phase.DONE
         return None
 
+    def _holds_pass(self, report: model.RankReport) -> bool:
+        return report.held == self.step
+
+    def _is_to_release(self, report: model.RankReport) -> bool:
+        """Return whether a rank still has a hold found at the start."""
+        return (
+            report.rank != self.guard_rank
+            and report.rank in self.found_holds
+            and self._holds_pass(report)
+        )
+
     def _is_clear(self, report: model.RankReport) -> bool:
         """Return whether every earlier version is dead at a rank.
 
@@ -169,4 +208,14 @@
         )
 
     def _has_earlier_armed(self, report: model.RankReport) -> bool:
-        return report.armed is not None and report.armed.version < self.version
+        """Return whether a rank is armed with a version to be made dead.
+
+        A switch for another pass that was not found at the start is live: the
+        recovery was stopped for a while, and another one released the pass.
+        """
+        armed = report.armed
+        return (
+            armed is not None
+            and armed.version < self.version
+            and (armed.step == self.step or armed in self.found_armed)
+        )
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
@@ -23,8 +23,11 @@
   are armed or the version is dead at all of them. Both conditions last until
   S has begun: a rank is only disarmed by an abort, and a committed switch is
   never aborted.
-- A coordinator that takes over first places a hold of its own (see
-  ``recovery``), so that S begins only after both have released it.
+- A coordinator that takes over first places a hold of its own at another
+  rank (see ``recovery``), so that S begins only after both are released. A
+  switch only releases S at the rank that it held S at, and no other order of
+  its coordinator releases a pass. A hold that takes effect after its switch
+  is over is therefore left to a recovery.
 """
 
 import enum
--- a/tests/core/rankmaps/group.py
+++ b/tests/core/rankmaps/group.py
@@ -1,7 +1,10 @@
 """Simulation of agents and of engines that may execute orders late."""
 
+import collections
+from collections.abc import Callable
 import heapq
 import itertools
+import math
 import random
 
 import attrs
@@ -12,6 +15,8 @@
 HOP_S = 0.002
 # Range of the delay, in seconds, after which unanswered orders take effect.
 LATE_DELAY_S = (0.2, 4.0)
+# Longest age of the state in a report.
+MAX_LAG_S = 0.5
 
 
 class TwoMapsError(AssertionError):
@@ -38,6 +43,12 @@
         late_share: share of orders that get no answer and take effect late.
         begun: number and map version of each pass that began.
         stalled_s: time that passes were held.
+        has_requests: callers send requests; without any no pass begins.
+        idle_ranks: ranks that get no requests.
+        patience_s: time without a pass after which callers leave. Requests
+            that follow are queued until a pass begins.
+        lateness_of: called with each order; returns the delay after which
+            it takes effect without an answer, or None.
     """
 
     size: int
@@ -50,6 +61,12 @@
     begun: list[tuple[int, int]] = attrs.field(factory=list)
     stalled_s: float = 0.0
     slowdowns: dict[int, float] = attrs.field(factory=dict)
+    has_requests: bool = True
+    idle_ranks: frozenset = frozenset()
+    patience_s: float = math.inf
+    lateness_of: Callable = lambda order: None
+    _passed_at: float = 0.0
+    _history: dict = attrs.field(factory=lambda: collections.defaultdict(list))
     _events: list = attrs.field(factory=list)
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
@@ -75,9 +92,23 @@
         self.epoch += 1
         self.ranks = [Rank() for _ in range(self.size)]
 
-    def report(self, number):
-        """Return the current report of a rank."""
+    def report(self, number, lag_s=0.0):
+        """Return the report of a rank.
+
+        Args:
+            lag_s: age of the state in the report.
+        """
+        if lag_s:
+            for at, report in reversed(self._history[number]):
+                if at <= self.now - lag_s:
+                    return report
+        return self._current_report(number)
+
+    def _current_report(self, number):
         rank = self.ranks[number]
+        is_running = self.now - self._passed_at < self.patience_s
+        has_requests = self.has_requests and number not in self.idle_ranks
+        requests = 3 if has_requests else 0
         return rankmaps.RankReport(
             'g',
             self.epoch,
@@ -89,26 +120,35 @@
             rank.prepared[0] if rank.prepared else None,
             rank.armed,
             rank.held,
-            running=3,
+            running=requests if is_running else 0,
             slowdown=self.slowdowns.get(number, 1.0),
         )
 
     def send_order(self, order, on_answered):
-        """Execute an order; at random, late and without an answer."""
-        if self.rng.random() < self.late_share:
+        """Execute an order; at random, late and without an answer.
+
+        Args:
+            on_answered: called with whether the order was confirmed, or with
+                None if there was no answer.
+        """
+        delay = self.lateness_of(order)
+        if delay is None and self.rng.random() < self.late_share:
             delay = self.rng.uniform(*LATE_DELAY_S)
+        if delay is not None:
             self.call_later(delay, lambda: self.carry_out(order))
-            self.call_later(0.1, on_answered)
+            self.call_later(0.1, lambda: on_answered(None))
             return
-        self.carry_out(order)
-        self.call_later(HOP_S, on_answered)
+        is_confirmed = self.carry_out(order)
+        self.call_later(HOP_S, lambda: on_answered(is_confirmed))
 
     def carry_out(self, order):
         """Apply an order to its rank; return whether it is confirmed."""
         if order.epoch != self.epoch:
             return False
         method = getattr(self, f'_{order.kind.value}')
-        return method(self.ranks[order.rank], order)
+        is_confirmed = method(self.ranks[order.rank], order)
+        self._record(order.rank)
+        return is_confirmed
 
     def _prepare(self, rank, order):
         if rank.prepared and rank.prepared[0] == order.version:
@@ -145,13 +185,25 @@
             rank.armed = None
         return True
 
+    def _record(self, number):
+        """Keep the reports that a report with a lag may be taken from."""
+        history = self._history[number]
+        history.append((self.now, self._current_report(number)))
+        while len(history) > 1 and history[1][0] <= self.now - MAX_LAG_S:
+            history.pop(0)
+
     def _pass(self):
         self.call_later(PASS_S, self._pass)
+        for number in range(self.size):
+            self._record(number)
+        if not self.has_requests:
+            return
         next_step = self.step + 1
         if any(rank.held == next_step for rank in self.ranks):
             self.stalled_s += PASS_S
             return
         self.step = next_step
+        self._passed_at = self.now
         for rank in self.ranks:
             if rank.armed and rank.armed.step <= next_step:
                 rank.map_version, rank.lists = rank.prepared
@@ -193,7 +245,7 @@
     def _send(self, machine, order, is_alive):
         rng = self.group.rng
 
-        def on_answered():
+        def on_answered(is_confirmed):
             if rng.random() < self.loss_rate:
                 return
             report = self.group.report(order.rank)
--- a/tests/core/rankmaps/test_coordination.py
+++ b/tests/core/rankmaps/test_coordination.py
@@ -8,138 +8,17 @@
 from testtools import matchers
 
 from cassiashift_core import rankmaps
+from tests.core.rankmaps import agents as simulated
 from tests.core.rankmaps import group as simulation
 
-SHAPE = rankmaps.GroupShape(8, 1, 16, 4, 2, 6)
-STATUS_S = 0.5
-DRIVE_S = 0.05
-HOP_S = 0.002
-
-
-@attrs.define(eq=False)
-class Agent:
-    """The agent of one rank; calls its coordinator as the process does.
-
-    Attributes:
-        frozen_until: time until which the process is stopped.
-        remote_orders: calls to the engines of other agents.
-    """
-
-    group: simulation.Group
-    rank: int
-    agents: dict
-    frozen_until: float = 0.0
-    coordinator: rankmaps.Coordinator = None
-    remote_orders: int = 0
-
-    def start(self):
-        """Create the coordinator and schedule the agent's loops."""
-        self.coordinator = rankmaps.Coordinator(
-            self.group.report(self.rank), f'h{self.rank}', SHAPE
-        )
-        offset = 0.01 * self.rank
-        self.group.call_later(offset, self.poll_engine)
-        self.group.call_later(offset, self.drive)
-        self.group.call_later(offset, self.beacon)
-
-    @property
-    def is_frozen(self):
-        """Whether the process is stopped."""
-        return self.group.now < self.frozen_until
-
-    def poll_engine(self):
-        """Read the engine and send its status to every agent."""
-        self.group.call_later(STATUS_S, self.poll_engine)
-        if self.is_frozen:
-            return
-        now = self.group.now
-        report = self.group.report(self.rank)
-        own = self.coordinator
-        own.record_own_report(report, now)
-        used = self.group.ranks[self.rank].lists or rankmaps.first_map(SHAPE)
-        lists = tuple(rows[self.rank] for rows in used)
-        # The popular experts change every two seconds.
-        hot = int(now / 2) % 8
-        counts = [100 if e % 8 == hot else 5 for e in range(16)]
-        status = rankmaps.RankStatus(
-            own.host, report, lists, rankmaps.Choices.from_counts(counts)
-        )
-        for agent in self.agents.values():
-            if agent is self:
-                own.handle_status(status, now)
-            elif not agent.is_frozen:
-                agent.coordinator.handle_status(status, now)
-
-    def beacon(self):
-        """Send a beacon to the group while this agent coordinates."""
-        self.group.call_later(rankmaps.BEACON_INTERVAL_S, self.beacon)
-        now = self.group.now
-        own = self.coordinator
-        if not self.is_frozen and own.coordinates(now):
-            report = own.own_report
-            beacon = rankmaps.GroupBeacon(
-                own.host, report.group, report.epoch, self.rank
-            )
-            for agent in self.agents.values():
-                if agent is not self and not agent.is_frozen:
-                    agent.coordinator.handle_beacon(beacon, now)
-
-    def drive(self):
-        """Send the due orders at a fixed interval."""
-        self.group.call_later(DRIVE_S, self.drive)
-        self.send_due_orders()
-
-    def send_due_orders(self):
-        """Send the orders that are due now."""
-        if self.is_frozen:
-            return
-        own = self.coordinator
-        now = self.group.now
-        for order in own.orders(now):
-            agent = self.agents[order.rank]
-            if own.active is not None and own.active.is_unanswered(order.rank):
-                self.remote_orders += 1
-                if self.group.carry_out(order):
-                    known = own.last_report(order.rank)
-                    self._record_report(order.applied_to(known))
-                else:
-                    self._record_report(self.group.report(order.rank))
-            elif not agent.is_frozen:
-                agent.coordinator.keep_prepared_map(order)
-                self.group.send_order(
-                    order, lambda rank=order.rank: self._answered(rank)
-                )
-        for rank in own.ranks_to_poll(now):
-            if not self.agents[rank].is_frozen:
-                self.remote_orders += 1
-                self._record_report(self.group.report(rank))
-
-    def _answered(self, rank):
-        if not self.is_frozen and not self.agents[rank].is_frozen:
-            self._record_report(self.group.report(rank))
-
-    def _record_report(self, report):
-        own = self.coordinator
-        if report.rank == self.rank:
-            own.record_own_report(report, self.group.now)
-        own.handle_status(
-            rankmaps.RankStatus(f'h{report.rank}', report), self.group.now
-        )
-        self.group.call_later(HOP_S, self.send_due_orders)
-
 
 @pytest.fixture
 def fleet():
     """Return a group with an agent beside each rank."""
 
-    def make(seed, late=0.0):
-        group = simulation.Group(8, late, random.Random(seed))
-        agents = {}
-        for rank in range(8):
-            agents[rank] = Agent(group, rank, agents)
-        for agent in agents.values():
-            agent.start()
-        return group, agents
+    def make(seed, late=0.0, size=8):
+        group = simulation.Group(size, late, random.Random(seed))
+        return group, simulated.start_all(group)
 
     return make
 
@@ -160,7 +39,7 @@
     def freeze():
         active = agents[0].coordinator.active
         if getattr(active, 'phase', None) in phases:
-            agents[rank].frozen_until = group.now + frozen_s
+            agents[rank].freeze(frozen_s)
             return
         group.call_later(0.001, freeze)
 
@@ -196,10 +75,40 @@
     assert_that(group.stalled_s, matchers.LessThan(2.0))
 
 
+@pytest.mark.parametrize('seed', range(8))
+def test_a_woken_coordinator_does_not_release_the_hold_of_a_recovery(
+    fleet, seed
+):
+    # Its order to release the pass got no answer, so another agent recovers.
+    group, agents = fleet(seed)
+    frozen_ranks, disarmed = [], set()
+
+    def lateness_of(order):
+        armed = [rank.armed for rank in group.ranks]
+        if not frozen_ranks:
+            is_release = order.kind is rankmaps.OrderKind.GO
+            if is_release and armed[0] and len(set(armed)) == 1:
+                frozen_ranks.append(0)
+                agents[0].freeze(4.0)
+                return 6.0
+            return None
+        if order.kind is rankmaps.OrderKind.DISARM:
+            if order.rank == 0:
+                return 6.0
+            disarmed.add(order.rank)
+            if len(disarmed) == 7:
+                agents[0].thaw()
+        return None
+
+    group.lateness_of = lateness_of
+    group.run(16.0)
+    assert_that(disarmed, matchers.HasLength(7))
+
+
 def test_the_next_rank_takes_over(fleet):
     group, agents = fleet(1)
-    agents[0].frozen_until = 6.0
-    agents[1].frozen_until = 6.0
+    agents[0].freeze(6.0)
+    agents[1].freeze(6.0)
     group.run(5.0)
     coordinating = [
         rank
