Recover from every hold that no switch claims

Callers: after all processes, or all agents, were killed while a group waited at a held pass, no request to the group was served any more.

Cause: a recovery began only while requests ran at the coordinator's own rank. A held group begins no pass, and a request runs from its first token on: new requests stay queued, and those that ran end as callers leave after 2 s. Agents that start later than that saw an idle group and left the hold, which does not expire. The same held for a coordinator whose own rank got no requests, for an order to hold that took effect after its switch, and for a hold in an idle group. A group of two never recovered, nor one whose ranks all held the pass: no rank was left to place the guard at.

Change: requests that are queued, at any rank that reports, count as waiting for a pass; a group is recovered if it waits at the held pass for 0.6 s, or if a pass stays held for 3 s, longer than a switch takes, with or without requests. The ranks of silent agents are polled then, too. The guard goes to a free rank, from the highest on and a different first one for each agent; to the coordinator's or to one that holds the pass only if no other is left. A group that is slow but not at a held pass is not recovered.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
@@ -28,9 +28,11 @@
 PLAN_INTERVAL_S = 0.25
 # Choices per set and expert needed for a meaningful plan.
 MIN_CHOICES_PER_EXPERT = 4.0
-# Without a new pass for this long, while requests run, the group counts as
-# stalled.
+# Without a new pass for this long, while requests run or wait, the group
+# counts as stalled.
 STALL_TIMEOUT_S = 0.6
+# No switch takes as long to release the pass that it holds.
+MAX_HOLD_S = 3.0
 # Covers the map in use, the prepared one and those of aborted switches.
 MAX_KEPT_MAPS = 8
 
@@ -69,6 +71,7 @@
     _last_version: int = 0
     _stalled_since: float | None = None
     _stalled_step: int = -1
+    _held_since: dict[tuple[int, int], float] = attrs.field(factory=dict)
 
     @property
     def active(self) -> switch.Switch | recovery.Recovery | None:
@@ -187,13 +190,10 @@
     def ranks_to_poll(self, now: float) -> list[int]:
         """Return the ranks whose engines are to be read without their agents.
 
-        While the passes are stalled, these are the ranks without a recent
-        status: one of them may hold the pass.
+        While the passes are stalled or one is held for too long, these are
+        the ranks without a recent status: one of them may hold the pass.
         """
-        if (
-            self._stalled_since is None
-            or now - self._stalled_since <= STALL_TIMEOUT_S
-        ):
+        if not self._is_stalled(now) and not self._has_old_hold(now):
             return []
         reports = self._recent_reports(now, STATUS_TIMEOUT_S)
         return [rank for rank in self.hosts if rank not in reports]
@@ -213,14 +213,16 @@
 
     def _start_next(self, now: float) -> None:
         """Start a due recovery or switch if this agent coordinates."""
-        is_stalled = self._is_stalled(now)
+        reports = self._recent_reports(now, STATUS_TIMEOUT_S)
+        self._record_step(reports, now)
+        self._record_holds(reports, now)
         if not self.coordinates(now):
             return
-        if is_stalled:
-            self._start_recovery(now)
+        step = self._step_to_recover(reports, now)
+        if step is not None:
+            self._start_recovery(step, reports, now)
             return
-        reports = self._recent_reports(now, STATUS_TIMEOUT_S)
-        if len(reports) != self.own_report.size:
+        if len(reports) != self.own_report.size or self._is_stalled(now):
             return
         if now - self._planned_at >= PLAN_INTERVAL_S:
             self._planned_at = now
@@ -237,65 +239,132 @@
             and message.report.epoch == self.own_report.epoch
         }
 
-    def _is_stalled(self, now: float) -> bool:
-        """Return whether the group waits at a pass that is not released.
+    def _record_step(
+        self, reports: dict[int, model.RankReport], now: float
+    ) -> None:
+        """Record since when requests wait without a new pass.
 
-        The agent of the rank that holds it may be silent, so a stall is
-        detected by the passes: requests are running but the step number
-        does not change.
+        While a pass is held, requests that arrive stay queued, and those
+        that run end as their callers leave.
         """
-        report = self.own_report
-        is_waiting = report.is_open and report.running > 0
-        if not is_waiting or report.step != self._stalled_step:
-            self._stalled_step = report.step
-            self._stalled_since = now
-            return False
-        if self._stalled_since is None:
+        known = [self.own_report, *reports.values()]
+        step = max(report.step for report in known)
+        has_requests = any(report.running or report.queued for report in known)
+        is_waiting = self.own_report.is_open and has_requests
+        has_begun = step != self._stalled_step
+        if not is_waiting or has_begun or self._stalled_since is None:
             self._stalled_since = now
-        return now - self._stalled_since > STALL_TIMEOUT_S
+        self._stalled_step = step
+
+    def _record_holds(
+        self, reports: dict[int, model.RankReport], now: float
+    ) -> None:
+        """Record since when each hold is reported."""
+        self._held_since = {
+            hold: self._held_since.get(hold, now)
+            for hold in (
+                (report.rank, report.held)
+                for report in reports.values()
+                if report.held is not None
+            )
+        }
+
+    def _is_stalled(self, now: float) -> bool:
+        """Return whether requests have waited too long for a pass."""
+        return (
+            self._stalled_since is not None
+            and now - self._stalled_since > STALL_TIMEOUT_S
+        )
+
+    def _has_old_hold(self, now: float) -> bool:
+        """Return whether a pass is held for longer than a switch takes."""
+        return any(
+            now - since > MAX_HOLD_S for since in self._held_since.values()
+        )
 
-    def _start_recovery(self, now: float) -> None:
-        """Start a recovery if a rank holds a pass.
+    def _step_to_recover(
+        self, reports: dict[int, model.RankReport], now: float
+    ) -> int | None:
+        """Return the first held pass if it is to be released, or None.
+
+        It is if requests wait at it, or if it is held for longer than any
+        switch takes: its coordinator is lost or was started again. A group
+        without requests has to be released as well, since it would stop at
+        the pass once a request arrives.
+        """
+        newest = max(self.own_report.step, self._stalled_step)
+        held = [
+            report.held
+            for report in reports.values()
+            if report.held is not None and report.held > newest
+        ]
+        if not held:
+            return None
+        is_waiting_there = min(held) == newest + 1 and self._is_stalled(now)
+        if is_waiting_there or self._has_old_hold(now):
+            return min(held)
+        return None
+
+    def _start_recovery(
+        self, step: int, reports: dict[int, model.RankReport], now: float
+    ) -> None:
+        """Start a recovery of a held pass.
 
         Every rank must have a recent status, except that of a lost
         coordinator.
         """
-        reports = self._recent_reports(now, STATUS_TIMEOUT_S)
         lists = self._current_lists(
             self._recent_reports(now, MAX_STATUS_AGE_S)
         )
-        held = [
-            rank for rank, item in reports.items() if item.held is not None
-        ]
-        lost_rank = self._lost_coordinator(reports, held)
+        lost_rank = self._lost_coordinator(reports)
         is_state_known = (
             len(reports) == self.own_report.size or lost_rank is not None
         )
-        if lists is None or not held or not is_state_known:
-            return
-        guards = [
-            rank
-            for rank in sorted(
-                reports, key=lambda r: r != self.own_report.rank
-            )
-            if rank not in held and rank != self._coordinator_rank(reports)
-        ]
-        if not guards:
+        if lists is None or not is_state_known:
             return
         self._stalled_since = None
         self._active = recovery.Recovery(
             epoch=self.own_report.epoch,
             size=self.own_report.size,
-            guard_rank=guards[0],
+            guard_rank=self._guard_rank(step, reports),
             version=self._next_version(reports),
             lists=lists,
-            step=self.own_report.step + 1,
+            step=step,
             reports=reports,
             unreachable_rank=lost_rank,
         )
 
+    def _guard_rank(
+        self, step: int, reports: dict[int, model.RankReport]
+    ) -> int:
+        """Return the rank at which a recovery is to hold a pass.
+
+        A late order to release an earlier hold would release the guard as
+        well, so a rank is preferred that has no hold and is unlikely to have
+        had one. Switches hold passes at low ranks, next to the coordinator's;
+        each agent begins with another one of the high ranks.
+        """
+        size = self.own_report.size
+        coordinator = self._coordinator_rank(reports)
+
+        def preference(rank: int) -> tuple[bool, bool, int]:
+            return (
+                reports[rank].held is not None,
+                rank == coordinator,
+                (size - 1 - self.own_report.rank - rank) % size,
+            )
+
+        return min(
+            (
+                rank
+                for rank, report in reports.items()
+                if report.held in (None, step)
+            ),
+            key=preference,
+        )
+
     def _lost_coordinator(
-        self, reports: dict[int, model.RankReport], held: list[int]
+        self, reports: dict[int, model.RankReport]
     ) -> int | None:
         """Return the unreachable rank if it coordinated the stalled switch.
 
@@ -303,6 +372,9 @@
         another recovery, which may have disarmed ranks.
         """
         missing = set(range(self.own_report.size)) - reports.keys()
+        held = [
+            rank for rank, item in reports.items() if item.held is not None
+        ]
         if len(missing) != 1 or len(held) != 1:
             return None
         (rank,) = missing
@@ -405,6 +477,7 @@
                 self._last_version, self._active.highest_version
             )
         self._active = None
+        self._held_since.clear()
         self._planned_at = now
 
     def _forget_group(self, report: model.RankReport) -> None:
@@ -426,6 +499,8 @@
         elif self._demand is not None:
             self._demand.skip_time()
         self._stalled_since = None
+        self._stalled_step = -1
+        self._held_since.clear()
         self._last_version = 0
 
 
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
@@ -68,6 +68,7 @@
         held: pass that the group does not begin until it is released, or
             None.
         running: requests running at this rank.
+        queued: requests waiting at this rank; they begin to run in a pass.
         slowdown: factor by which the rank is slower than usual; 1 if it is
             not slow or the engine does not state it.
     """
@@ -83,6 +84,7 @@
     armed: Armed | None = None
     held: int | None = None
     running: int = 0
+    queued: int = 0
     slowdown: float = 1.0
 
     @property
--- a/tests/core/rankmaps/agents.py
+++ b/tests/core/rankmaps/agents.py
@@ -54,7 +54,9 @@
         self._incarnation += 1
         self.is_down = False
         self.coordinator = rankmaps.Coordinator(
-            self.group.report(self.rank), f'h{self.rank}', self._shape
+            self.group.report(self.rank),
+            f'h{self.rank}',
+            self._shape,
         )
         self._coordinator_rank = None
         offset = 0.01 * self.rank
--- a/tests/core/rankmaps/group.py
+++ b/tests/core/rankmaps/group.py
@@ -121,6 +121,7 @@
             rank.armed,
             rank.held,
             running=requests if is_running else 0,
+            queued=0 if is_running else requests,
             slowdown=self.slowdowns.get(number, 1.0),
         )
 
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -23,6 +23,7 @@
     'armed': {'version': 16, 'step': 44},
     'held': 44,
     'running': 2,
+    'queued': 5,
     'kvUsed': 41000,
     'pace': 4.5,
 }
@@ -75,6 +76,7 @@
         armed=rankmaps.Armed(16, 44),
         held=44,
         running=2,
+        queued=5,
         slowdown=4.5,
     )
     assert_that(await client.report(), matchers.Equals(expected))
