Never use a map version of an earlier start again

Callers: a pass could begin with ranks on different maps under one version. Ranks do not compare maps, so the tokens of its requests would be wrong.

Cause: the coordinator numbers its maps from the versions that ranks report. If its agent is killed while orders to prepare are under way that take effect late, no rank reports their version; after the restart it gives the same version to another map. A rank that carries out the earlier order confirms the later one without its content.

Change: the first version of each start is a random number of versions (up to 2**20) above those in reports.

Result: the test passes.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
@@ -48,6 +48,9 @@
         host: this agent's host.
         shape: sizes of the group; None until the configuration arrives.
         hosts: host of the agent of each rank.
+        version_skip: versions, as multiples of the size of the group, that
+            the first one is above those in reports. To be drawn at random at
+            each start: an order of an earlier start may still take effect.
         plan: the newest plan that led to a switch.
         switches: switches started here.
         slow_ranks: slowdowns of the ranks whose statuses arrive here.
@@ -57,6 +60,7 @@
     host: str
     shape: model.GroupShape | None = None
     hosts: dict[int, str] = attrs.field(factory=dict)
+    version_skip: int = 0
     plan: planning.Plan | None = None
     switches: int = 0
     slow_ranks: slowdowns.SlowRanks = attrs.field(factory=slowdowns.SlowRanks)
@@ -463,11 +467,13 @@
         return None
 
     def _next_version(self, reports: dict[int, model.RankReport]) -> int:
+        size = self.own_report.size
+        floor = self._last_version
+        if not floor:
+            newest = max(item.newest_version for item in reports.values())
+            floor = newest + self.version_skip * size
         self._last_version = model.version_after(
-            reports.values(),
-            self.own_report.rank,
-            self.own_report.size,
-            self._last_version,
+            reports.values(), self.own_report.rank, size, floor
         )
         return self._last_version
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
@@ -7,10 +7,10 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 import time
 import zlib
 
-
 from cassiashift_core import fleet
 from cassiashift_core import rankmaps
 from cassiashift_core import routes
@@ -44,6 +44,8 @@
 PREPARE_ATTEMPTS = 3
 # Reports from other hosts have a cost and are a few hundred milliseconds old.
 REMOTE_READ_INTERVAL_S = 0.5
+# Versions have 64 bits.
+MAX_VERSION_SKIP = 1 << 20
 
 
 class RankAgent(lifecycle.Process):
@@ -161,7 +163,11 @@
         report = await self.engine.report()
         now = time.monotonic()
         if self.coordinator is None:
-            self.coordinator = rankmaps.Coordinator(report, self.cfg.host)
+            self.coordinator = rankmaps.Coordinator(
+                report,
+                self.cfg.host,
+                version_skip=random.randrange(MAX_VERSION_SKIP),
+            )
             logs.info(
                 'group_joined',
                 group=report.group,
--- a/tests/core/rankmaps/test_coordination.py
+++ b/tests/core/rankmaps/test_coordination.py
@@ -1,5 +1,6 @@
 """Tests of the selection of a coordinator, and of silent agents."""
 
+import collections
 import random
 
 import attrs
@@ -105,6 +106,38 @@
     assert_that(disarmed, matchers.HasLength(7))
 
 
+def test_a_restarted_coordinator_uses_no_version_again(fleet):
+    # Ranks do not compare maps, and one may still prepare the former map
+    # under a version that no report shows.
+    group, agents = fleet(1)
+    sent = []
+
+    def lateness_of(order):
+        if order.kind is rankmaps.OrderKind.PREPARE:
+            sent.append((order.version, order.lists))
+            if agents[0].coordinator is first:
+                return 6.0
+        return None
+
+    first = agents[0].coordinator
+    group.lateness_of = lateness_of
+    while not sent:
+        group.run(group.now + 0.01)
+        assert_that(group.now, matchers.LessThan(10.0))
+    # The other agents are down as well, so that none coordinates meanwhile.
+    for agent in agents.values():
+        agent.kill(3.0)
+    group.run(group.now + 10.0)
+    maps = collections.defaultdict(set)
+    for version, lists in sent:
+        maps[version].add(lists)
+    assert_that(len(maps), matchers.GreaterThan(1))
+    assert_that(
+        [len(used) for used in maps.values()],
+        matchers.Equals([1] * len(maps)),
+    )
+
+
 def test_the_next_rank_takes_over(fleet):
     group, agents = fleet(1)
     agents[0].freeze(6.0)
