Bound what is read from upstreams that send bytes without end

Callers: a runner that answers an agent's read without end could make the agent run out of memory; its machine's other work, and the maps of its group, end with it. Requests to a runner that sends interim answers, blank lines, chunk sizes or chunk extensions without end ended only with their deadline. An endless answer to an unsafe request grew at the agent and at the entry until the deadline, whatever the caller did.

Cause: the client of runners read a reply of any size within its time-out, and inflated encoded ones. Bounds of answers count bodies only, so bytes that belong to no body were not counted. An attempt that is not idempotent neither waits for credit nor ends with its caller.

The answer of an unsafe attempt ends at 8 MiB.

Health requests read no body and were bounded by their time-out already.

--- a/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
@@ -23,10 +23,13 @@
 from cassiashift_daemon import outcomes
 from cassiashift_daemon import probing
 from cassiashift_net import body_ends
+from cassiashift_net import bounded_reads
 from cassiashift_net import messages
 from cassiashift_net import single_sends
 
 WINDOW_BYTES = 256 * 1024
+# The answer of a non-idempotent attempt does not wait for its reader.
+MAX_UNPACED_BYTES = 8 * 1024 * 1024
 READ_BYTES = 64 * 1024
 REQUEST_ID_HEADER = 'X-Request-Id'
 # Headers that belong to one connection (RFC 9110, section 7.6.1).
@@ -70,7 +73,7 @@
     an answer, such as a second copy of it, reach no other call.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=bounded_reads.BoundedConnector(limit=0, force_close=True),
         trace_configs=[single_sends.trace_config()],
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_s
@@ -310,9 +313,12 @@
         self, attempt: _Attempt, resp: aiohttp.ClientResponse
     ) -> None:
         end = body_ends.BodyEnd.from_response(resp)
+        unpaced_bytes = 0
         while data := await resp.content.readany():
             if not attempt.start.idempotent:
                 attempt.answer.add(data)
+                unpaced_bytes += len(data)
+                _check_size(attempt, unpaced_bytes)
             while attempt.credit <= 0 and attempt.start.idempotent:
                 attempt.credit_added.clear()
                 await attempt.credit_added.wait()
@@ -381,6 +387,18 @@
         )
 
 
+def _check_size(attempt: _Attempt, size: int) -> None:
+    if size > MAX_UNPACED_BYTES:
+        logs.warning(
+            'answer_too_large',
+            attempt=attempt.start.attempt,
+            upstream=attempt.start.upstream,
+        )
+        raise AttemptError(
+            'stream_broken', 'the answer is too large', Verdict.MAY_HAVE_RUN
+        )
+
+
 def _to_attempt_error(exc: Exception) -> AttemptError:
     if isinstance(exc, AttemptError):
         return exc
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -22,6 +22,7 @@
 from cassiashift_daemon.direct import dialect
 from cassiashift_daemon.direct import payloads
 from cassiashift_net import body_ends
+from cassiashift_net import bounded_reads
 from cassiashift_net import single_sends
 
 # Upstreams accept within milliseconds; the kernel retransmits a lost SYN only
@@ -136,7 +137,7 @@
     def from_config(cls, names: dialect.HeaderNames) -> 'Exchange':
         """Return an exchange with an HTTP session on the running loop."""
         session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=bounded_reads.BoundedConnector(
                 limit=0,
                 force_close=True,
                 use_dns_cache=False,
--- a/tests/daemon/direct/test_endless_answers.py
+++ b/tests/daemon/direct/test_endless_answers.py
@@ -32,6 +32,27 @@
     return script
 
 
+def _endless_framing(data):
+    """Write a head of an answer in chunks, and then data without end."""
+
+    async def script(head, writer):
+        id_ = harness.header(head, 'X-Id')
+        writer.write(
+            f'HTTP/1.1 200 OK\r\nX-Id: {id_}\r\nX-Stamp: s\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n'.encode()
+        )
+        await _write_forever(writer, data)
+
+    return script
+
+
+def _endless_before_head(data):
+    async def script(head, writer):
+        await _write_forever(writer, data)
+
+    return script
+
+
 def _endless_body(framing):
     async def script(head, writer):
         id_ = harness.header(head, 'X-Id')
@@ -57,6 +78,11 @@
         _endless_head(b'X-More: x\r\n' * 4096),
         _endless_body('Connection: close\r\n'),
         _endless_body(f'Content-Length: {2**40}\r\n'),
+        _endless_before_head(b'HTTP/1.1 100 Continue\r\n\r\n' * 2048),
+        _endless_before_head(b'\r\n' * 32768),
+        _endless_framing(b'0' * 65536),
+        _endless_framing(b'5;' + b'x' * 65536),
+        _endless_framing(b'0\r\n' + b'X-More: x\r\n' * 4096),
     ],
 )
 async def test_bytes_without_end_fail_the_request_soon(site, service, script):
--- a/tests/daemon/test_attempts.py
+++ b/tests/daemon/test_attempts.py
@@ -1,6 +1,7 @@
 """Tests of attempts that an agent makes at its upstreams."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -32,7 +33,7 @@
     )
 
 
-async def attempt_once(agent, number, add_reply):
+async def attempt_once(agent, number, add_reply, is_idempotent=True):
     """Make an attempt and wait for its end."""
 
     def reply(message):
@@ -40,10 +41,10 @@
         return True
 
     attempt = str(retries.AttemptId('entry-1', 1, number, EPOCH))
-    agent.start(
-        messages.CallStart('r1', attempt, EPOCH, 'u1', 'GET', '/', (), b'', 5),
-        reply,
+    start = messages.CallStart(
+        'r1', attempt, EPOCH, 'u1', 'GET', '/', (), b'', 5, is_idempotent
     )
+    agent.start(start, reply)
     await agent.wait_idle()
 
 
@@ -105,6 +106,37 @@
     assert_that(last, matchers.IsInstance(messages.CallEnd))
 
 
+async def test_an_endless_answer_of_an_unsafe_attempt_is_ended():
+    # No credit of the entry holds it up, and its cancellation is ignored.
+    ended = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(HEAD + b'\r\n')
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(b'x' * 65536)
+                await writer.drain()
+        ended.set()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    session = attempts.create_session(1.0)
+    agent = create_agent(f'http://{host}:{port}', session)
+    replies = []
+    await attempt_once(agent, 1, replies.append, is_idempotent=False)
+    assert_that(replies[-1].code, matchers.Equals('stream_broken'))
+    sent = sum(
+        len(message.data)
+        for message in replies
+        if isinstance(message, messages.CallData)
+    )
+    assert_that(sent, matchers.LessThan(16 * 1024 * 1024))
+    await ended.wait()
+    await session.close()
+    server.close()
+
+
 async def crash_repeatedly(times):
     """Return the last message of each attempt at an upstream that crashes.
 
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import gzip
 import json
+import tracemalloc
 
 from aiohttp import test_utils
 from aiohttp import web
@@ -110,6 +112,94 @@
     server.close()
 
 
+def _serve(*chunks, is_endless):
+    """Return a handler of connections that answers with bytes."""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b'\r\n\r\n')
+            for chunk in chunks:
+                writer.write(chunk)
+            while is_endless:
+                await writer.drain()
+                writer.write(chunks[-1])
+            await writer.drain()
+
+    return serve
+
+
+# Memory of the machine of an agent.
+MACHINE_BYTES = 128 * 1024 * 1024
+HEAD = b'HTTP/1.1 200 OK\r\n'
+INFLATING = gzip.compress(b' ' * (64 * 1024 * 1024))
+ENDLESS = {
+    'noise': (b'\x00noise' * 1000,),
+    'interim': (b'HTTP/1.1 100 Continue\r\n\r\n' * 2048,),
+    'head': (HEAD, b'X-More: x\r\n' * 4096),
+    'body': (HEAD + b'\r\n', b'x' * 65536),
+    'sized body': (
+        HEAD + b'Content-Length: %d\r\n\r\n' % 2**40,
+        b'x' * 65536,
+    ),
+    'chunks': (
+        HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'10000\r\n' + b'x' * 65536 + b'\r\n',
+    ),
+    'inflating': (
+        HEAD
+        + b'Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n'
+        % len(INFLATING)
+        + INFLATING,
+    ),
+}
+
+
+@pytest.mark.parametrize('kind', ENDLESS)
+async def test_replies_without_end_take_little_memory(kind):
+    is_endless = kind != 'inflating'
+    serve = _serve(*ENDLESS[kind], is_endless=is_endless)
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    runner_client = engines.RunnerClient(f'{host}:{port}')
+    order = rankmaps.Order(rankmaps.OrderKind.HOLD, 0, 2, step=44)
+    tracemalloc.start()
+    for read in (
+        runner_client.report,
+        runner_client.choice_counts,
+        runner_client.held_experts,
+        lambda: runner_client.send_order(order),
+    ):
+        with pytest.raises(engine.EngineError):
+            await read()
+    _, most_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert_that(most_bytes, matchers.LessThan(MACHINE_BYTES / 8))
+    await runner_client.close()
+    server.close()
+
+
+async def test_many_replies_on_one_connection_are_within_the_bounds():
+    connections = []
+    body = json.dumps(REPORT | {'more': 'x' * 100_000}).encode()
+    reply = HEAD + b'Content-Length: %d\r\n\r\n' % len(body) + body
+
+    async def serve(reader, writer):
+        connections.append(writer)
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(reply)
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    runner_client = engines.RunnerClient(f'{host}:{port}')
+    for _ in range(50):
+        await runner_client.report()
+    assert_that(connections, matchers.HasLength(1))
+    await runner_client.close()
+    server.close()
+
+
 @pytest.mark.parametrize(
     'client',
     [{}, {**REPORT, 'group': None}],
