Show that answers cut off at any byte never look whole

A report of another operator: an upstream stops in the middle of its answer's head and closes, and callers get a 200 with an empty or short body, framed as whole. It can't happen here.

test_an_answer_that_is_cut_off_never_looks_whole cuts an answer at each of its bytes, for safe and unsafe requests, streams and streams that may be resumed, with a length, in chunks and with neither, by a close and by a reset, and reads what the caller receives: never a success that is framed as whole unless the body has ended, and never a status that promises that the request has not run. test_an_answer_that_ends_in_its_head_is_not_complete does so for the attempts of agents.

--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -223,6 +223,18 @@
         )
         return upstream
 
+    def remove_upstreams(self):
+        """Stop all upstreams and state that they are gone."""
+        for server in self.servers:
+            server.close()
+        for upstream in self.runner.upstreams.all():
+            gone = attrs.evolve(
+                upstream,
+                state=fleet.UpstreamState.GONE,
+                sequence=upstream.sequence + 1,
+            )
+            self.runner.upstreams.apply(gone, 0.0)
+
     def request(self, service, method='POST', **headers):
         """Send a request of the workspace acme to a service."""
         all_headers = {
--- /dev/null
+++ b/tests/daemon/direct/test_cut_answers.py
@@ -0,0 +1,107 @@
+"""Tests of answers that end early, at each byte of their head and body."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_daemon import probing
+from tests.daemon.direct import conftest as harness
+
+EVENTS = b'id: 1\ndata: x\n\nid: 2\ndata: y\n\n'
+# Statuses that promise that a request has not run.
+NOT_RUN = (b'408', b'421', b'429', b'503')
+# Closing such a socket resets its connection.
+RESETS = struct.pack('ii', 1, 0)
+FRAMINGS = {
+    'length': (b'Content-Length: %d\r\n' % len(EVENTS), EVENTS),
+    'chunks': (
+        b'Transfer-Encoding: chunked\r\n',
+        b'%x\r\n%s\r\n0\r\n\r\n' % (len(EVENTS), EVENTS),
+    ),
+    'none': (b'Connection: close\r\n', EVENTS),
+}
+
+
+def _answer(framing):
+    """Return the head and the body of a whole answer."""
+    header, body = FRAMINGS[framing]
+    head = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Stamp: s\r\n' + header
+    return head + b'\r\n', body
+
+
+def _cut(data, is_reset):
+    """Return a script that sends these bytes and ends the connection."""
+
+    async def script(head, writer):
+        writer.write(data)
+        await writer.drain()
+        if is_reset:
+            # Otherwise the reset may overtake the bytes.
+            await asyncio.sleep(0.002)
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESETS
+            )
+
+    return script
+
+
+async def _exchange(site, service):
+    """Return the bytes that a caller receives up to the end."""
+    host, port = site.url.removeprefix('http://').split(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        f'POST /{service}/x HTTP/1.1\r\nHost: {harness.HOST}\r\nX-Id: r1\r\n'
+        'Authorization: Token secret\r\nContent-Length: 4\r\n'
+        'Connection: close\r\n\r\nbody'.encode()
+    )
+    received = await reader.read(-1)
+    writer.close()
+    return received
+
+
+def _is_whole(received):
+    """Return whether an answer looks complete to its caller."""
+    head, end, body = received.partition(b'\r\n\r\n')
+    if not end:
+        return False
+    fields = dict(
+        line.lower().split(b': ', 1) for line in head.split(b'\r\n')[1:]
+    )
+    if b'content-length' in fields:
+        return len(body) == int(fields[b'content-length'])
+    if b'transfer-encoding' in fields:
+        return body.endswith(b'0\r\n\r\n')
+    return True
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('service', ['read', 'book', 'talk', 'draft'])
+async def test_an_answer_that_is_cut_off_never_looks_whole(
+    site, ticking, monkeypatch, service, framing, is_reset
+):
+    # Each send would wait for the end of the upstream's process.
+    monkeypatch.setattr(probing, 'PROBE_DELAYS_S', (0.0,))
+    head, body = _answer(framing)
+    whole = head + body
+    for length in range(len(whole) + 1):
+        cut = _cut(whole[:length], is_reset)
+        upstreams = [await site.upstream(service, cut, cut) for _ in range(2)]
+        received = await _exchange(site, service)
+        status = received.split(b' ', 2)[1] if received else b''
+        is_sent = any(upstream.heads for upstream in upstreams)
+        point = (length - len(head), received)
+        assert_that(is_sent, matchers.Equals(True), str(point))
+        # Only the end of the connection ends a body without a length.
+        is_body_over = length == len(whole) or (
+            framing == 'none' and not is_reset and length >= len(head)
+        )
+        if not is_body_over:
+            is_success = status == b'200' and _is_whole(received)
+            assert_that(is_success, matchers.Equals(False), str(point))
+        assert_that(NOT_RUN, matchers.Not(matchers.Contains(status)))
+        site.remove_upstreams()
--- a/tests/daemon/test_attempts.py
+++ b/tests/daemon/test_attempts.py
@@ -93,6 +93,20 @@
     assert_that(last.verdict, matchers.Equals(Verdict.MAY_HAVE_RUN))
 
 
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('framing', [b'Content-Length: 0\r\n', b''])
+async def test_an_answer_that_ends_in_its_head_is_not_complete(
+    framing, is_reset
+):
+    head = HEAD + framing + b'\r\n'
+    ends = await asyncio.gather(
+        *(make_attempt(head[:size], is_reset) for size in range(len(head)))
+    )
+    for last in ends:
+        assert_that(last, matchers.IsInstance(messages.CallFailed))
+        assert_that(last.verdict, matchers.Equals(Verdict.MAY_HAVE_RUN))
+
+
 @pytest.mark.parametrize(
     ('framing', 'body'),
     [
