Take no request that can't be answered before a planned stop

Callers: requests that reached a leaving entry late, on connections that were kept open, were passed on and cut at the end of the grace period without an answer, among them requests that may not be repeated.

Cause: during a planned stop an entry took every request, whatever time was left, and ended with its connections whatever was in progress.

Evidence: test_a_request_late_in_a_planned_stop_is_answered_or_not_run stops an entry whose route takes 1 s; one long request keeps the process. Unsafe requests on kept connections from 5 s on got ServerDisconnectedError before the change, as did the long request.

Change: from the signal on, a request is refused as not run, with Retry-After 0 since others can take it at once, unless its route usually ends (two standard deviations above the median, at the present pace) or its own time is over before the last answer. That holds for requests that arrive, for queued ones, for first sends of streams and for sends again. 0.3 s before the end of the stop what has no answer yet gets its final one: 503 if it was not sent, 504 if it may have run. Streams that have begun go on until the process ends.

Result: the test passes, each late request with 200 or 503, the long one with 504; 12 new tests of queues, streams, deadlines and dispersion pass.

--- a/packages/cassiashift-core/cassiashift_core/admission/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission control: which calls start, wait or are refused."""
 
+from cassiashift_core.admission.closing import Closing
 from cassiashift_core.admission.demand import DemandMeter
 from cassiashift_core.admission.gate import AdmissionGate
 from cassiashift_core.admission.model import AdmissionConfig
@@ -29,6 +30,7 @@
     'AdmissionConfig',
     'AdmissionRequest',
     'Admitted',
+    'Closing',
     'LEASE_S',
     'DemandMeter',
     'DemandSummary',
--- a/packages/cassiashift-core/cassiashift_core/costs/estimates.py
+++ b/packages/cassiashift-core/cassiashift_core/costs/estimates.py
@@ -44,8 +44,12 @@
     @property
     def high(self) -> float:
         """Return the value that five of six observations stay below."""
+        return self.upper(1.0)
+
+    def upper(self, deviations: float) -> float:
+        """Return the value some standard deviations above the median."""
         sigma = min(self.sigma, LARGEST_SIGMA)
-        return min(self.largest, self.median * math.exp(sigma))
+        return min(self.largest, self.median * math.exp(deviations * sigma))
 
     def remaining(self, received: float) -> float:
         """Return the expected rest, given that some was received already.
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/calls.py
@@ -54,6 +54,7 @@
         cost: what it is expected to cost; None before it is placed.
         is_being_sent: a send has begun whose outcome is not known.
         send_events: events received in answer to the newest send.
+        scope: ends the request at ``ends_at``, while that is awaited.
         log: the sends that have ended.
     """
 
@@ -74,6 +75,7 @@
     cost: costs.Cost | None = None
     is_being_sent: bool = False
     send_events: int = 0
+    scope: asyncio.Timeout | None = None
     log: placing.AttemptLog = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -105,6 +107,11 @@
         self.is_being_sent = False
         self.log.record(upstream.id, verdict)
 
+    def expire(self) -> None:
+        """Let the request end now as if its time were over."""
+        if self.scope is not None:
+            self.scope.reschedule(asyncio.get_running_loop().time())
+
     def remaining_s(self) -> float:
         """Return the seconds until ``ends_at``; negative after it."""
         return self.ends_at - time.monotonic()
@@ -179,7 +186,8 @@
         CassiashiftError: DEADLINE_EXCEEDED; the coroutine was cancelled.
     """
     try:
-        async with asyncio.timeout(max(0.0, call.remaining_s())):
+        async with asyncio.timeout(max(0.0, call.remaining_s())) as scope:
+            call.scope = scope
             return await coroutine
     except TimeoutError:
         raise CassiashiftError(
@@ -187,3 +195,5 @@
             'no answer within the time allowed',
             call.verdict,
         ) from None
+    finally:
+        call.scope = None
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -72,6 +72,7 @@
     started_at: float = attrs.field(factory=time.monotonic)
     stall_judge: stalls.StallJudge = attrs.field(factory=stalls.StallJudge)
     _relays: set[streams.StreamRelay] = attrs.field(factory=set)
+    _fetching: set[calls.Call] = attrs.field(factory=set)
     writer: callers.CallerWriter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -85,6 +86,21 @@
             relay.check_stall(now)
         self.writer.tick()
 
+    def end_unanswered(self) -> None:
+        """Give each request without an answer its final one now.
+
+        It would otherwise end with its connection. A stream that has begun
+        goes on while the process does.
+        """
+        unanswered = [*self._fetching]
+        unanswered += [
+            relay.call for relay in self._relays if relay.response is None
+        ]
+        for call in unanswered:
+            call.expire()
+        if unanswered:
+            logs.warning('requests_ended_by_stop', requests=len(unanswered))
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and log and count its outcome."""
         self.in_flight += 1
@@ -149,9 +165,13 @@
         if call.route.kind is routes.Kind.STREAM:
             relay = streams.StreamRelay(self, request, call)
             return await self._relay_stream(call, relay)
-        answer = await calls.within_deadline(
-            call, self._fetch_with_retries(call)
-        )
+        self._fetching.add(call)
+        try:
+            answer = await calls.within_deadline(
+                call, self._fetch_with_retries(call)
+            )
+        finally:
+            self._fetching.discard(call)
         headers = answer.headers_for_caller()
         response = web.Response(
             status=answer.status, headers=headers, body=answer.body
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from cassiashift_core import admission
 from cassiashift_core import buffers
 from cassiashift_core import CassiashiftError
 from cassiashift_core import consensus
@@ -51,6 +52,9 @@
 # Some callers cache an answer of the directory for three times its TTL.
 TTL_FACTOR = 3
 STOP_MARGIN_S = 0.4
+# Requests without an answer get a final one this long before the end of a
+# planned stop.
+FINAL_ANSWERS_S = 0.3
 LOAD_INTERVAL_S = 1.0
 # The settings are also read periodically, as they may change without a
 # signal.
@@ -144,6 +148,13 @@
         self.runner.is_leaving = True
         self.runner.is_ready = False
         self.runner.send_hellos()
+        answers_s = max(0.0, self.stop_timeout_s - FINAL_ANSWERS_S)
+        self.placement.admission.begin_closing(
+            admission.Closing(time.monotonic() + answers_s)
+        )
+        asyncio.get_running_loop().call_later(
+            answers_s, self.ingress.end_unanswered
+        )
         self.voting.transfer_leadership()
         ttl_s = min(api.DIRECTORY_TTL_S, self.cfg.bounds.longest_ttl_s)
         await asyncio.sleep(TTL_FACTOR * ttl_s)
--- /dev/null
+++ b/tests/daemon/direct/test_closing.py
@@ -0,0 +1,101 @@
+"""Tests of the requests that an entry takes and ends in a planned stop."""
+
+import asyncio
+import time
+
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import admission
+from cassiashift_core import costs
+from tests.daemon.direct import conftest as harness
+
+
+def _close_in(site, seconds):
+    closing = admission.Closing(time.monotonic() + seconds)
+    site.ingress.placement.admission.begin_closing(closing)
+
+
+async def _status(site, service, **headers):
+    async with site.request(service, **headers) as response:
+        await response.read()
+        return response.status
+
+
+@pytest.mark.parametrize('service', ['read', 'book', 'talk', 'draft'])
+async def test_a_request_that_can_not_end_before_the_stop_is_not_sent(
+    site, service
+):
+    upstream = await site.upstream(service)
+    # Nothing is known of the route yet.
+    _close_in(site, 1.0)
+    started = time.monotonic()
+    async with site.request(service) as response:
+        assert_that(response.status, matchers.Equals(503))
+        assert_that(response.headers['Retry-After'], matchers.Equals('0.00'))
+    assert_that(time.monotonic() - started, matchers.LessThan(0.5))
+    assert_that(upstream.heads, matchers.Equals([]))
+
+
+async def test_a_request_that_usually_ends_before_the_stop_is_sent(site):
+    await site.upstream('book')
+    for _ in range(20):
+        await _status(site, 'book')
+    _close_in(site, 0.3)
+    assert_that(await _status(site, 'book'), matchers.Equals(200))
+
+
+async def test_a_request_with_a_deadline_before_the_stop_is_sent(site):
+    await site.upstream('book')
+    _close_in(site, 0.5)
+    status = await _status(site, 'book', X_Deadline='300')
+    assert_that(status, matchers.Equals(200))
+
+
+async def test_a_queued_request_is_refused_as_a_planned_stop_begins(
+    site, ticking
+):
+    upstream = await site.upstream('book', harness.silent, harness.silent)
+    sent = [asyncio.ensure_future(_status(site, 'book')) for _ in range(2)]
+    await asyncio.sleep(0.05)
+    queued = asyncio.ensure_future(_status(site, 'book'))
+    await asyncio.sleep(0.05)
+    assert_that(queued.done(), matchers.Equals(False))
+    _close_in(site, 1.0)
+    async with asyncio.timeout(0.2):
+        assert_that(await queued, matchers.Equals(503))
+    assert_that(len(upstream.heads), matchers.Equals(2))
+    # Those that were sent get an answer as well.
+    site.ingress.end_unanswered()
+    async with asyncio.timeout(0.2):
+        assert_that(await asyncio.gather(*sent), matchers.Equals([504, 504]))
+
+
+async def test_a_stream_that_has_begun_goes_on_to_its_end(site):
+    # The end of one upstream doesn't end it: another one resumes it.
+    await site.upstream('draft', harness.streaming(1, 2, is_whole=False))
+    await site.upstream('draft', harness.streaming(3, 6, pause_s=0.05))
+
+    async def read():
+        async with site.request('draft') as response:
+            return await response.read()
+
+    reading = asyncio.ensure_future(read())
+    while not any(
+        relay.response is not None for relay in site.ingress._relays
+    ):
+        await asyncio.sleep(0.001)
+    _close_in(site, 0.5)
+    site.ingress.end_unanswered()
+    assert_that(await reading, matchers.Contains(b'id: 6\n'))
+
+
+@pytest.mark.parametrize(
+    ('median', 'sigma', 'expected'),
+    [(1.0, 0.0, True), (1.0, 0.3, True), (1.0, 0.4, False), (3.0, 0.0, False)],
+)
+def test_the_dispersion_of_a_route_counts(median, sigma, expected):
+    closing = admission.Closing(12.0)
+    may_start = closing.may_start(costs.Estimate(median, sigma), 99.0, 10.0)
+    assert_that(may_start, matchers.Equals(expected))
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -1,10 +1,12 @@
 """Tests of entries of the users' platform as processes, with faults."""
 
 import asyncio
+import contextlib
 import itertools
 import signal
 import subprocess
 import sys
+import time
 
 import aiohttp
 import pytest
@@ -205,6 +207,61 @@
     assert_that(cut_off, matchers.Equals([]))
 
 
+async def test_a_request_late_in_a_planned_stop_is_answered_or_not_run(site):
+    """Guards against requests that are cut off at the end of the grace."""
+    entry = site.entries[4]
+    slow = platform_site.document(2)
+    for route in slow['routes']:
+        route['timeoutMs'] = 20_000
+    await site.put_until_acknowledged(entry, slow)
+    await _until_served(site, entry, 'read', 'w')
+    await asyncio.sleep(2.0)
+    site.upstream.work_s = 1.0
+    headers = {'Host': platform_site.HOST, 'Authorization': 'Token secret'}
+
+    async def call(session, id_):
+        async with session.post(
+            entry.url('front', '/book/x'),
+            headers=headers | {'Cassiashift-Request-Id': id_},
+        ) as response:
+            return response.status, await response.read()
+
+    async with contextlib.AsyncExitStack() as stack:
+        sessions = [
+            await stack.enter_async_context(aiohttp.ClientSession())
+            for _ in range(7)
+        ]
+        # The entry learns how long requests take; connections are kept.
+        for number in range(3):
+            kept = [
+                call(session, f'k{number}-{index}')
+                for index, session in enumerate(sessions[1:])
+            ]
+            await asyncio.gather(*kept)
+        site.upstream.work_s = 15.0
+        long = asyncio.ensure_future(call(sessions[0], 'long'))
+        await asyncio.sleep(0.2)
+        site.upstream.work_s = 1.0
+        entry.signal(signal.SIGTERM)
+        stopped_at = time.monotonic()
+        late = []
+        for index, session in enumerate(sessions[1:]):
+            delay_s = stopped_at + 5.0 + 0.4 * index - time.monotonic()
+            await asyncio.sleep(delay_s)
+            late.append(asyncio.ensure_future(call(session, f'late-{index}')))
+        await asyncio.sleep(stopped_at + 8.0 - time.monotonic())
+        entry.kill()
+        answers = await asyncio.gather(long, *late, return_exceptions=True)
+    assert_that(answers[0][0], matchers.Equals(504))
+    for index, answer in enumerate(answers[1:]):
+        assert_that(answer, matchers.IsInstance(tuple))
+        ran = site.upstream.ran.get(f'late-{index}', 0)
+        expected = {1: 200, 0: 503}[ran]
+        assert_that(answer[0], matchers.Equals(expected))
+    assert_that(answers[1][0], matchers.Equals(200))
+    assert_that(answers[-1][0], matchers.Equals(503))
+
+
 async def test_an_unsafe_request_runs_once_when_its_entry_is_killed(site):
     entry = site.entries[4]
     await _until_served(site, entry, 'book', 'w')
