Forward the encoded bodies of requests unchanged

Callers: an upstream got another body than the caller had sent, under the same `Content-Encoding: gzip`, which it could not decode; a body that was not encoded as stated ended with status 500.

Cause: the HTTP server of callers decodes the bodies of requests by default.

Change: that server leaves bodies as they are; the limit of bodies counts the bytes that are sent. The tests use the same server. The other entry forwards a decoded body without that header, so it is right as it is.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -458,6 +458,23 @@
         return response
 
 
+def create_server(handler: Ingress, **options) -> web.Server:
+    """Return the HTTP server of callers.
+
+    Bodies are forwarded as they were sent, under the same headers.
+
+    Args:
+        options: further options of ``web.Server``.
+    """
+    return web.Server(
+        handler.handle,
+        handler_cancellation=True,
+        access_log=None,
+        auto_decompress=False,
+        **options,
+    )
+
+
 def _parse_deadline_s(milliseconds: str | None) -> float | None:
     if milliseconds is None:
         return None
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -301,10 +301,8 @@
         listeners = self.cfg.listeners
         if listeners.front:
             server = web.ServerRunner(
-                web.Server(
-                    self.ingress.handle,
-                    handler_cancellation=True,
-                    access_log=None,
+                ingress.create_server(
+                    self.ingress,
                     keepalive_timeout=KEEPALIVE_TIMEOUT_S,
                     max_line_size=MAX_HEADER_BYTES,
                     max_field_size=MAX_HEADER_BYTES,
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -97,19 +97,23 @@
 
     Attributes:
         heads: request lines and headers of all requests so far.
+        bodies: bodies of all requests so far.
         ended: set when a connection has ended.
     """
 
     address: str = ''
     scripts: list = attrs.field(factory=list)
     heads: list[str] = attrs.field(factory=list)
+    bodies: list[bytes] = attrs.field(factory=list)
     ended: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def serve(self, reader, writer):
-        """Read the head of one request and run the next script."""
+        """Read one request and run the next script."""
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             head = (await reader.readuntil(b'\r\n\r\n')).decode()
             self.heads.append(head)
+            length = int(header(head, 'Content-Length') or 0)
+            self.bodies.append(await reader.readexactly(length))
             script = self.scripts.pop(0) if self.scripts else whole
             await script(head, writer)
         with contextlib.suppress(ConnectionError):
@@ -235,7 +239,7 @@
             )
             self.runner.upstreams.apply(gone, 0.0)
 
-    def request(self, service, method='POST', **headers):
+    def request(self, service, method='POST', *, body=b'body', **headers):
         """Send a request of the workspace acme to a service."""
         all_headers = {
             'Host': HOST,
@@ -246,7 +250,7 @@
             method,
             f'{self.url}/{service}/x?q=1',
             headers=all_headers,
-            data=b'body',
+            data=body,
         )
 
 
@@ -329,9 +333,7 @@
         metrics=handler.metrics,
         on_changed=handler.placement.admission.apply_evacuations,
     )
-    server = web.ServerRunner(
-        web.Server(handler.handle, handler_cancellation=True, access_log=None)
-    )
+    server = web.ServerRunner(ingress.create_server(handler))
     await server.setup()
     listener = web.TCPSite(server, '127.0.0.1', 0, shutdown_timeout=0.1)
     await listener.start()
--- a/tests/daemon/direct/test_ingress.py
+++ b/tests/daemon/direct/test_ingress.py
@@ -1,6 +1,7 @@
 """Tests of how a direct entry forwards requests, retries and refuses them."""
 
 import asyncio
+import gzip
 import time
 
 import aiohttp
@@ -37,6 +38,24 @@
     )
 
 
+@pytest.mark.parametrize(
+    'body',
+    [gzip.compress(b'{}' * 99, mtime=0), b'not gzip'],
+    ids=['encoded', 'invalid'],
+)
+@pytest.mark.parametrize('service', ['read', 'book', 'talk', 'draft'])
+async def test_an_encoded_body_is_forwarded_unchanged(site, service, body):
+    # Otherwise an upstream can't decode what still has the header.
+    upstream = await site.upstream(service, harness.streaming(1, 2))
+    async with site.request(
+        service, body=body, Content_Encoding='gzip'
+    ) as response:
+        await response.read()
+    assert_that(upstream.bodies, matchers.Equals([body]))
+    encoding = harness.header(upstream.heads[0], 'Content-Encoding')
+    assert_that(encoding, matchers.Equals('gzip'))
+
+
 async def test_a_caller_can_not_set_its_workspace(site):
     upstream = await site.upstream('open')
     async with site.request('open', X_Workspace='other') as response:
