Raise a version that an engine refuses to prepare

Callers: a held pass could stay held, so that no request of the group was served, after a switch was aborted while a rank copied its map.

Cause: a switch or recovery that makes a version dead prepares a later one, above those that ranks report. An engine refuses a version that is not above all that it has had, but it reports none that it did not finish to copy, as when it is armed meanwhile. Then the order was refused and repeated for good, and the pass stayed held.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/__init__.py
@@ -28,6 +28,7 @@
 from cassiashift_core.rankmaps.recovery import Recovery
 from cassiashift_core.rankmaps.slowdowns import parse_slowdown
 from cassiashift_core.rankmaps.slowdowns import SlowRanks
+from cassiashift_core.rankmaps.superseding import MAX_VERSION_SKIP
 from cassiashift_core.rankmaps.switch import Phase
 from cassiashift_core.rankmaps.switch import Switch
 
@@ -41,6 +42,7 @@
     'ExpertLists',
     'GroupBeacon',
     'GroupShape',
+    'MAX_VERSION_SKIP',
     'MESSAGE_TYPES',
     'MapChange',
     'MapRequest',
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
@@ -478,10 +478,9 @@
         return self._last_version
 
     def _finish_active(self, now: float) -> None:
-        if isinstance(self._active, switch.Switch):
-            self._last_version = max(
-                self._last_version, self._active.highest_version
-            )
+        self._last_version = max(
+            self._last_version, self._active.highest_version
+        )
         self._active = None
         self._held_since.clear()
         self._planned_at = now
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
@@ -23,6 +23,7 @@
 
 from cassiashift_core.rankmaps import model
 from cassiashift_core.rankmaps import retries
+from cassiashift_core.rankmaps import superseding
 from cassiashift_core.rankmaps import switch
 
 
@@ -67,9 +68,14 @@
     _phase: _Phase = _Phase.HOLD
     _retries: retries.OrderRetries = attrs.field(factory=retries.OrderRetries)
     _seen_armed: set[int] = attrs.field(factory=set)
+    _superseding: superseding.SupersedingVersions = attrs.field(init=False)
+    _now: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         """Record which ranks hold the pass and are armed at the start."""
+        self._superseding = superseding.SupersedingVersions(
+            self.size, self.version
+        )
         reports = self._reports.values()
         self.found_holds = frozenset(
             report.rank for report in reports if self._holds_pass(report)
@@ -85,6 +91,11 @@
         """Whether the group was released."""
         return self._phase is _Phase.DONE
 
+    @property
+    def highest_version(self) -> int:
+        """Return the highest version used; a later one has to be above it."""
+        return self._superseding.highest
+
     def record_report(self, report: model.RankReport, now: float) -> None:
         """Record a new report of a rank; a new epoch ends the recovery."""
         if report.epoch > self.epoch:
@@ -98,6 +109,7 @@
 
     def orders(self, now: float) -> list[model.Order]:
         """Return the orders that are due, at most one for each rank."""
+        self._now = now
         return self._retries.due_orders(
             self._reports, now, switch.RETRY_S, self._order_for
         )
@@ -125,7 +137,8 @@
             order = self._order(model.OrderKind.DISARM, rank)
             return attrs.evolve(order, version=report.armed.version)
         order = self._order(model.OrderKind.PREPARE, rank)
-        return attrs.evolve(order, lists=self.lists)
+        version = self._superseding.version_for(rank, self.version, self._now)
+        return attrs.evolve(order, version=version, lists=self.lists)
 
     def _order(
         self, kind: model.OrderKind, rank: int, step: int = 0
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
@@ -36,6 +36,7 @@
 
 from cassiashift_core.rankmaps import model
 from cassiashift_core.rankmaps import retries
+from cassiashift_core.rankmaps import superseding
 
 # Passes between the last one reported and the one at which maps change, as
 # passes may begin while the order is on its way.
@@ -82,8 +83,6 @@
         step: the held pass, at which the maps change.
         is_committed: every rank was armed.
         reason: why the switch was aborted; empty if it was not.
-        highest_version: highest version used. A later switch uses a higher
-            one, so that no version ever stands for two maps.
     """
 
     epoch: int
@@ -97,15 +96,27 @@
     step: int = 0
     is_committed: bool = False
     reason: str = ''
-    highest_version: int = 0
     _reports: dict[int, model.RankReport] = attrs.field(factory=dict)
     _retries: retries.OrderRetries = attrs.field(factory=retries.OrderRetries)
+    _superseding: superseding.SupersedingVersions = attrs.field(init=False)
     _phase_began_at: float = attrs.field(init=False)
+    _now: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         """Enter the phase ``PREPARE``."""
         self._phase_began_at = self.started_at
-        self.highest_version = self.version
+        self._superseding = superseding.SupersedingVersions(
+            self.size, self.version
+        )
+
+    @property
+    def highest_version(self) -> int:
+        """Return the highest version used.
+
+        A later switch uses a higher one, so that no version ever stands for
+        two maps.
+        """
+        return self._superseding.highest
 
     @property
     def is_over(self) -> bool:
@@ -131,6 +142,7 @@
 
     def orders(self, now: float) -> list[model.Order]:
         """Return the orders that are due, at most one for each rank."""
+        self._now = now
         self._check_timeouts(now)
         is_slow = self.phase is Phase.PREPARE
         retry_s = PREPARE_RETRY_S if is_slow else RETRY_S
@@ -184,11 +196,11 @@
         if report is None or self._is_armed(report):
             return self._order(model.OrderKind.DISARM, rank)
         order = self._order(model.OrderKind.PREPARE, rank)
-        later = model.version_after(
+        floor = model.version_after(
             self._reports.values(), self.own_rank, self.size, self.version
         )
-        self.highest_version = max(self.highest_version, later)
-        return attrs.evolve(order, version=later, lists=self.previous_lists)
+        version = self._superseding.version_for(rank, floor, self._now)
+        return attrs.evolve(order, version=version, lists=self.previous_lists)
 
     def _order(self, kind: model.OrderKind, rank: int) -> model.Order:
         return model.Order(
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
@@ -44,8 +44,6 @@
 PREPARE_ATTEMPTS = 3
 # Reports from other hosts have a cost and are a few hundred milliseconds old.
 REMOTE_READ_INTERVAL_S = 0.5
-# Versions have 64 bits.
-MAX_VERSION_SKIP = 1 << 20
 
 
 class RankAgent(lifecycle.Process):
@@ -166,7 +164,7 @@
             self.coordinator = rankmaps.Coordinator(
                 report,
                 self.cfg.host,
-                version_skip=random.randrange(MAX_VERSION_SKIP),
+                version_skip=random.randrange(rankmaps.MAX_VERSION_SKIP),
             )
             logs.info(
                 'group_joined',
--- a/tests/core/rankmaps/agents.py
+++ b/tests/core/rankmaps/agents.py
@@ -57,7 +57,7 @@
             self.group.report(self.rank),
             f'h{self.rank}',
             self._shape,
-            version_skip=self.group.rng.randrange(1 << 20),
+            version_skip=self.group.rng.randrange(rankmaps.MAX_VERSION_SKIP),
         )
         self._coordinator_rank = None
         offset = 0.01 * self.rank
--- a/tests/core/rankmaps/test_holds.py
+++ b/tests/core/rankmaps/test_holds.py
@@ -44,6 +44,13 @@
     return [rank.held for rank in group.ranks if rank.held is not None]
 
 
+def _restart_all(group, agents):
+    """Kill all agents, start them 1 s later and let them recover."""
+    for agent in agents.values():
+        agent.kill(1.0)
+    group.run(group.now + RECOVERY_S)
+
+
 def _assert_goes_on(group):
     step = group.step
     group.run(group.now + 2.0)
@@ -52,27 +59,21 @@
 
 def test_a_held_pass_is_released_after_all_agents_were_killed(waiting):
     group, agents = waiting
-    for agent in agents.values():
-        agent.kill(1.0)
-    group.run(group.now + RECOVERY_S)
+    _restart_all(group, agents)
     _assert_goes_on(group)
 
 
 def test_a_held_pass_is_released_if_the_coordinators_rank_is_idle(waiting):
     group, agents = waiting
     group.idle_ranks = frozenset({0})
-    for agent in agents.values():
-        agent.kill(1.0)
-    group.run(group.now + RECOVERY_S)
+    _restart_all(group, agents)
     _assert_goes_on(group)
 
 
 def test_a_pass_of_an_idle_group_is_released_before_requests_arrive(waiting):
     group, agents = waiting
     group.has_requests = False
-    for agent in agents.values():
-        agent.kill(1.0)
-    group.run(group.now + RECOVERY_S)
+    _restart_all(group, agents)
     assert_that(_holds(group), matchers.Equals([]))
 
 
@@ -88,12 +89,10 @@
 
 def test_a_group_is_released_whose_ranks_all_hold_the_pass(waiting):
     group, agents = waiting
-    for agent in agents.values():
-        agent.kill(1.0)
     hold = rankmaps.OrderKind.HOLD
     for rank in range(group.size):
         group.carry_out(rankmaps.Order(hold, rank, 1, step=group.step + 1))
-    group.run(group.now + RECOVERY_S)
+    _restart_all(group, agents)
     _assert_goes_on(group)
 
 
