End a recovery that takes too long, and leave its guard

Callers: a group could stay at a held pass if a switch, begun on old reports, armed a rank for a later pass during a recovery and its coordinator was lost.

Cause: a recovery disarms only what is armed for its pass or was armed when it began, as it may have been stopped for a while and what it sees may belong to a live switch. Such a rank refuses to prepare a version, so the recovery waited for it for good. Found by reading; test_a_recovery_that_can_not_end_leaves_the_pass_held failed before: it was not over after 12 s.

Change: a recovery ends 5 s after its start, in whatever phase. Its guard stays and is one of the holds that the next recovery finds. One whose process was frozen for longer than that sends nothing any more.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
@@ -335,6 +335,7 @@
             lists=lists,
             step=step,
             reports=reports,
+            started_at=now,
             unreachable_rank=lost_rank,
         )
 
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
@@ -12,6 +12,9 @@
 the recovery: once that one is dead at all ranks, its hold may be released. A
 hold that is placed later may belong to a live switch and is left alone.
 
+A recovery that takes too long, or whose process was stopped meanwhile, ends as
+it is: its guard stays, and the next recovery begins on new reports.
+
 The rank of the lost coordinator may be unreachable. It is left out if some
 other rank was never seen armed: a coordinator arms its own rank last, and
 makes the version dead at its own rank first.
@@ -26,6 +29,9 @@
 from cassiashift_core.rankmaps import superseding
 from cassiashift_core.rankmaps import switch
 
+# Covers several repetitions of each order.
+MAX_RECOVERY_S = 5.0
+
 
 class _Phase(enum.Enum):
     HOLD = 'hold'
@@ -62,6 +68,7 @@
     lists: model.ExpertLists
     step: int
     _reports: dict[int, model.RankReport]
+    started_at: float
     unreachable_rank: int | None = None
     found_holds: frozenset[int] = attrs.field(init=False)
     found_armed: frozenset[model.Armed] = attrs.field(init=False)
@@ -88,7 +95,7 @@
 
     @property
     def is_over(self) -> bool:
-        """Whether the group was released."""
+        """Whether the recovery has ended, with the group released or not."""
         return self._phase is _Phase.DONE
 
     @property
@@ -110,6 +117,8 @@
     def orders(self, now: float) -> list[model.Order]:
         """Return the orders that are due, at most one for each rank."""
         self._now = now
+        if now - self.started_at > MAX_RECOVERY_S:
+            self._phase = _Phase.DONE
         return self._retries.due_orders(
             self._reports, now, switch.RETRY_S, self._order_for
         )
--- a/tests/core/rankmaps/group.py
+++ b/tests/core/rankmaps/group.py
@@ -307,4 +307,5 @@
         lists=lists(0, group.size),
         step=min(held),
         reports={rank: group.report(rank) for rank in range(group.size)},
+        started_at=group.now,
     )
--- a/tests/core/rankmaps/test_switch.py
+++ b/tests/core/rankmaps/test_switch.py
@@ -98,6 +98,25 @@
     agents.drive(recovery, group.now + 10.0)
 
 
+def test_a_recovery_that_can_not_end_leaves_the_pass_held():
+    # A rank was armed for a later pass by a switch that has ended since.
+    group = _group(1)
+    group.carry_out(rankmaps.Order(rankmaps.OrderKind.HOLD, 1, 1, step=9))
+    recovery = simulation.recovery(group, 17, 7)
+    lists = simulation.lists(1, SIZE)
+    for kind in (rankmaps.OrderKind.PREPARE, rankmaps.OrderKind.ARM):
+        group.carry_out(rankmaps.Order(kind, 3, 1, 11, 30, lists))
+    simulation.Agents(group).drive(recovery, 12.0)
+    assert_that(recovery.is_over, matchers.Is(True))
+    held = [rank.held for rank in group.ranks]
+    assert_that((held[1], held[7]), matchers.Equals((9, 9)))
+    # The next one begins on new reports.
+    recovery = simulation.recovery(group, 25, 6)
+    simulation.Agents(group).drive(recovery, 24.0)
+    assert_that(recovery.is_over, matchers.Is(True))
+    assert_that(group.step, matchers.GreaterThan(9))
+
+
 def _tick(agents, machine):
     group = agents.group
     if machine.is_over:
