Split what a coordinator knows of a waiting group from its choices

Since when requests wait, since when a pass is held, and whether it is to be recovered is a matter of its own, and is in waiting.py now. After a switch or recovery both times begin anew.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
@@ -16,6 +16,7 @@
 from cassiashift_core.rankmaps import recovery
 from cassiashift_core.rankmaps import slowdowns
 from cassiashift_core.rankmaps import switch
+from cassiashift_core.rankmaps import waiting
 
 BEACON_INTERVAL_S = 0.25
 # Two beacons may be lost before the next rank takes over.
@@ -28,11 +29,6 @@
 PLAN_INTERVAL_S = 0.25
 # Choices per set and expert needed for a meaningful plan.
 MIN_CHOICES_PER_EXPERT = 4.0
-# Without a new pass for this long, while requests run or wait, the group
-# counts as stalled.
-STALL_TIMEOUT_S = 0.6
-# No switch takes as long to release the pass that it holds.
-MAX_HOLD_S = 3.0
 # Covers the map in use, the prepared one and those of aborted switches.
 MAX_KEPT_MAPS = 8
 
@@ -73,9 +69,7 @@
     _known_maps: dict[int, model.ExpertLists] = attrs.field(factory=dict)
     _planned_at: float = 0.0
     _last_version: int = 0
-    _stalled_since: float | None = None
-    _stalled_step: int = -1
-    _held_since: dict[tuple[int, int], float] = attrs.field(factory=dict)
+    _waiting: waiting.WaitingGroup = attrs.field(factory=waiting.WaitingGroup)
 
     @property
     def active(self) -> switch.Switch | recovery.Recovery | None:
@@ -197,7 +191,8 @@
         While the passes are stalled or one is held for too long, these are
         the ranks without a recent status: one of them may hold the pass.
         """
-        if not self._is_stalled(now) and not self._has_old_hold(now):
+        group = self._waiting
+        if not group.is_stalled(now) and not group.has_old_hold(now):
             return []
         reports = self._recent_reports(now, STATUS_TIMEOUT_S)
         return [rank for rank in self.hosts if rank not in reports]
@@ -218,15 +213,17 @@
     def _start_next(self, now: float) -> None:
         """Start a due recovery or switch if this agent coordinates."""
         reports = self._recent_reports(now, STATUS_TIMEOUT_S)
-        self._record_step(reports, now)
-        self._record_holds(reports, now)
+        own = self.own_report
+        known = {own.rank: own} | reports
+        self._waiting.record_reports(known.values(), own.is_open, now)
         if not self.coordinates(now):
             return
-        step = self._step_to_recover(reports, now)
+        step = self._waiting.step_to_recover(now)
         if step is not None:
             self._start_recovery(step, reports, now)
             return
-        if len(reports) != self.own_report.size or self._is_stalled(now):
+        is_stalled = self._waiting.is_stalled(now)
+        if len(reports) != self.own_report.size or is_stalled:
             return
         if now - self._planned_at >= PLAN_INTERVAL_S:
             self._planned_at = now
@@ -243,72 +240,6 @@
             and message.report.epoch == self.own_report.epoch
         }
 
-    def _record_step(
-        self, reports: dict[int, model.RankReport], now: float
-    ) -> None:
-        """Record since when requests wait without a new pass.
-
-        While a pass is held, requests that arrive stay queued, and those
-        that run end as their callers leave.
-        """
-        known = [self.own_report, *reports.values()]
-        step = max(report.step for report in known)
-        has_requests = any(report.running or report.queued for report in known)
-        is_waiting = self.own_report.is_open and has_requests
-        has_begun = step != self._stalled_step
-        if not is_waiting or has_begun or self._stalled_since is None:
-            self._stalled_since = now
-        self._stalled_step = step
-
-    def _record_holds(
-        self, reports: dict[int, model.RankReport], now: float
-    ) -> None:
-        """Record since when each hold is reported."""
-        self._held_since = {
-            hold: self._held_since.get(hold, now)
-            for hold in (
-                (report.rank, report.held)
-                for report in reports.values()
-                if report.held is not None
-            )
-        }
-
-    def _is_stalled(self, now: float) -> bool:
-        """Return whether requests have waited too long for a pass."""
-        return (
-            self._stalled_since is not None
-            and now - self._stalled_since > STALL_TIMEOUT_S
-        )
-
-    def _has_old_hold(self, now: float) -> bool:
-        """Return whether a pass is held for longer than a switch takes."""
-        return any(
-            now - since > MAX_HOLD_S for since in self._held_since.values()
-        )
-
-    def _step_to_recover(
-        self, reports: dict[int, model.RankReport], now: float
-    ) -> int | None:
-        """Return the first held pass if it is to be released, or None.
-
-        It is if requests wait at it, or if it is held for longer than any
-        switch takes: its coordinator is lost or was started again. A group
-        without requests has to be released as well, since it would stop at
-        the pass once a request arrives.
-        """
-        newest = max(self.own_report.step, self._stalled_step)
-        held = [
-            report.held
-            for report in reports.values()
-            if report.held is not None and report.held > newest
-        ]
-        if not held:
-            return None
-        is_waiting_there = min(held) == newest + 1 and self._is_stalled(now)
-        if is_waiting_there or self._has_old_hold(now):
-            return min(held)
-        return None
-
     def _start_recovery(
         self, step: int, reports: dict[int, model.RankReport], now: float
     ) -> None:
@@ -326,7 +257,7 @@
         )
         if lists is None or not is_state_known:
             return
-        self._stalled_since = None
+        self._waiting.restart()
         self._active = recovery.Recovery(
             epoch=self.own_report.epoch,
             size=self.own_report.size,
@@ -483,7 +414,7 @@
             self._last_version, self._active.highest_version
         )
         self._active = None
-        self._held_since.clear()
+        self._waiting.restart()
         self._planned_at = now
 
     def _forget_group(self, report: model.RankReport) -> None:
@@ -504,9 +435,7 @@
                 self.shape = attrs.evolve(self.shape, ranks=report.size)
         elif self._demand is not None:
             self._demand.skip_time()
-        self._stalled_since = None
-        self._stalled_step = -1
-        self._held_since.clear()
+        self._waiting = waiting.WaitingGroup()
         self._last_version = 0
 
 
