--- a/tests/core/rankmaps/test_holds.py
+++ b/tests/core/rankmaps/test_holds.py
@@ -58,12 +58,14 @@
 
 
 def test_a_held_pass_is_released_after_all_agents_were_killed(waiting):
+    # Otherwise nobody knows of the hold, and no request is served any more.
     group, agents = waiting
     _restart_all(group, agents)
     _assert_goes_on(group)
 
 
 def test_a_held_pass_is_released_if_the_coordinators_rank_is_idle(waiting):
+    # Otherwise the requests that wait at other ranks are not seen.
     group, agents = waiting
     group.idle_ranks = frozenset({0})
     _restart_all(group, agents)
--- a/tests/daemon/direct/test_closing.py
+++ b/tests/daemon/direct/test_closing.py
@@ -27,8 +27,8 @@
 async def test_a_request_that_can_not_end_before_the_stop_is_not_sent(
     site, service
 ):
+    # Otherwise it is cut at the end of the stop. The route is not known yet.
     upstream = await site.upstream(service)
-    # Nothing is known of the route yet.
     _close_in(site, 1.0)
     started = time.monotonic()
     async with site.request(service) as response:
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -156,6 +156,7 @@
 
 @pytest.mark.parametrize('kind', ENDLESS)
 async def test_replies_without_end_take_little_memory(kind):
+    # Otherwise the agent ends, and with it what else runs on its machine.
     is_endless = kind != 'inflating'
     serve = _serve(*ENDLESS[kind], is_endless=is_endless)
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
