--- a/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
@@ -200,7 +200,7 @@
         return _Phase.DONE
 
     def _phase_after_hold(self, guard: model.RankReport) -> _Phase | None:
-        if guard.held == self.step:
+        if self._holds_pass(guard):
             return _Phase.KILL
         if guard.step >= self.step:
             # Another coordinator released the group.
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/waiting.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/waiting.py
@@ -1,4 +1,4 @@
-"""Tells when a group waits at a pass that nobody is going to release."""
+"""Detects a group that waits at a pass whose coordinator is lost."""
 
 from collections.abc import Iterable
 
@@ -31,7 +31,7 @@
     def record_reports(
         self, reports: Iterable[model.RankReport], is_open: bool, now: float
     ) -> None:
-        """Record the newest reports of the ranks that are heard.
+        """Record the newest reports of the ranks that report.
 
         While a pass is held, requests that arrive stay queued, and those
         that run end as their callers leave.
