Give each test run its own loopback network

Cause: tests of processes chose their network by the number of the test worker, so two checkouts that ran them at the same time used the same addresses and ports. test_cold_upstreams counted 35 arrivals of 27.5 allowed once in that way.

Change: one fixture, loopback_network, takes the network that the process id selects, as the tests of cassiashiftd do.

--- a/tests/daemon/ranks/test_agents.py
+++ b/tests/daemon/ranks/test_agents.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import os
 import random
 
 import attrs
@@ -18,13 +17,13 @@
 from cassiashift_daemon.ranks import process
 from cassiashift_net import links
 from tests.core.rankmaps import group as simulation
+from tools.cluster import addresses
 
 SIZE = 4
 SHAPE = rankmaps.GroupShape(SIZE, 1, 8, 4, 2, 6)
 PORT = 17420
 # Each worker of pytest uses its own loopback network.
-WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
-BASE = f'127.{50 + WORKER}.0'
+BASE = addresses.Addresses.for_this_process().prefix
 TIMEOUT_S = 20.0
 
 
--- a/tests/process/test_cold_upstreams.py
+++ b/tests/process/test_cold_upstreams.py
@@ -19,16 +19,14 @@
 
 
 @pytest.fixture
-async def site(tmp_path, request):
-    worker = getattr(request.config, 'workerinput', {}).get('workerid', 'gw0')
-    base = f'127.{150 + int(worker[2:])}.0'
+async def site(tmp_path, loopback_network):
     service = {
         'name': 'desk',
         'healthPath': '/healthz',
         'coldPerS': 15,
         'coldStartS': 3,
     }
-    async with platform_site.site(tmp_path, base) as running:
+    async with platform_site.site(tmp_path, loopback_network) as running:
         await running.put_until_acknowledged(
             running.entries[-1], platform_site.document(1, services=[service])
         )
--- a/tests/process/test_crashing_prompts.py
+++ b/tests/process/test_crashing_prompts.py
@@ -21,9 +21,8 @@
 
 
 @pytest.fixture
-async def site(tmp_path, worker_number):
-    base = f'127.{50 + worker_number}.0'
-    async with platform_site.site(tmp_path, base) as running:
+async def site(tmp_path, loopback_network):
+    async with platform_site.site(tmp_path, loopback_network) as running:
         config = crashing_upstreams.route_of_drafts(platform_site.document(1))
         await running.put_until_acknowledged(running.entries[-1], config)
         for entry in running.entries:
@@ -31,19 +30,12 @@
         yield running
 
 
-@pytest.fixture
-def worker_number(request):
-    """Return the number of the test worker."""
-    worker = getattr(request.config, 'workerinput', {}).get('workerid', 'gw0')
-    return int(worker[2:])
-
-
 @pytest.mark.parametrize('seed', [1, 2])
 async def test_a_part_that_crashes_upstreams_stops_reaching_them(
-    site, worker_number, seed
+    site, loopback_network, seed
 ):
     day = crashing_upstreams.CrashingDay(site, random.Random(seed))
-    await day.start(f'127.{50 + worker_number}.0')
+    await day.start(loopback_network)
     try:
         await day.run(CALM_S, crashing_per_s=0)
         began_at = asyncio.get_running_loop().time()
--- a/tests/process/test_crashing_requests.py
+++ b/tests/process/test_crashing_requests.py
@@ -25,15 +25,8 @@
 
 
 @pytest.fixture
-def base(request):
-    """Return a loopback network that no other worker uses."""
-    worker = getattr(request.config, 'workerinput', {}).get('workerid', 'gw0')
-    return f'127.{110 + int(worker[2:])}.0'
-
-
-@pytest.fixture
-async def site(tmp_path, base):
-    async with platform_site.site(tmp_path, base) as running:
+async def site(tmp_path, loopback_network):
+    async with platform_site.site(tmp_path, loopback_network) as running:
         config = crashing_requests.with_routes(platform_site.document(1))
         await running.put_until_acknowledged(running.entries[-1], config)
         for entry in running.entries:
@@ -45,10 +38,10 @@
     ('route', 'seed'), [('quote', 1), ('order', 2), ('draft', 3)]
 )
 async def test_a_request_that_crashes_upstreams_goes_on_reaching_them(
-    site, base, route, seed
+    site, loopback_network, route, seed
 ):
     day = crashing_requests.CrashingDay(site, random.Random(seed), route=route)
-    await day.start(base, KINDS[route])
+    await day.start(loopback_network, KINDS[route])
     try:
         await day.run(CALM_S, crashing_per_s=0)
         began_at = asyncio.get_running_loop().time()
--- a/tests/process/test_limited_upstreams.py
+++ b/tests/process/test_limited_upstreams.py
@@ -19,10 +19,8 @@
 
 
 @pytest.fixture
-async def site(tmp_path, request):
-    worker = getattr(request.config, 'workerinput', {}).get('workerid', 'gw0')
-    base = f'127.{90 + int(worker[2:])}.0'
-    async with platform_site.site(tmp_path, base) as running:
+async def site(tmp_path, loopback_network):
+    async with platform_site.site(tmp_path, loopback_network) as running:
         await running.put_until_acknowledged(
             running.entries[-1], platform_site.document(1)
         )
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -20,8 +20,8 @@
 
 
 @pytest.fixture
-async def site(tmp_path, worker_base):
-    async with platform_site.site(tmp_path, worker_base) as running:
+async def site(tmp_path, loopback_network):
+    async with platform_site.site(tmp_path, loopback_network) as running:
         await running.put_until_acknowledged(
             running.entries[-1], platform_site.document(1)
         )
@@ -30,13 +30,6 @@
         yield running
 
 
-@pytest.fixture
-def worker_base(request):
-    """Return a loopback network that no other worker uses."""
-    worker = getattr(request.config, 'workerinput', {}).get('workerid', 'gw0')
-    return f'127.{30 + int(worker[2:])}.0'
-
-
 async def _until_served(site, entry, route, prefix):
     numbers = iter(range(10_000))
 
@@ -287,8 +280,10 @@
 
 
 @pytest.mark.parametrize('seed', [1, 2])
-async def test_a_seeded_soak_finds_no_problem(tmp_path, worker_base, seed):
-    finished = await soak.run_seed(tmp_path, worker_base, seed, 8.0)
+async def test_a_seeded_soak_finds_no_problem(
+    tmp_path, loopback_network, seed
+):
+    finished = await soak.run_seed(tmp_path, loopback_network, seed, 8.0)
     assert_that(finished.problems, matchers.Equals([]))
 
 
--- a/tests/process/test_slow_readers.py
+++ b/tests/process/test_slow_readers.py
@@ -80,12 +80,10 @@
 
 
 @pytest.fixture
-async def site(tmp_path, request):
-    worker = getattr(request.config, 'workerinput', {}).get('workerid', 'gw0')
-    base = f'127.{150 + int(worker[2:])}.0'
+async def site(tmp_path, loopback_network):
     async with platform_site.site(
         tmp_path,
-        base,
+        loopback_network,
         without=1,
         settings={
             'limits': {
