--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -155,6 +155,7 @@
         limit_per_s: requests a second that its answers name as its limit;
             None while they name none.
         arrived_at: times of all requests.
+        arrived_ids: ids of these requests.
         is_leaving: its answers say that it leaves; its heartbeats don't.
         cold_until: time until which its heartbeats and answers state that it
             is cold; None if they state nothing.
@@ -170,6 +171,7 @@
     refused_at: list[float] = attrs.field(factory=list)
     limit_per_s: float | None = None
     arrived_at: list[float] = attrs.field(factory=list)
+    arrived_ids: list[str] = attrs.field(factory=list)
     is_leaving: bool = False
     cold_until: float | None = None
     cold_arrived_at: list[float] = attrs.field(factory=list)
@@ -192,6 +194,7 @@
         id_ = request.headers['Cassiashift-Request-Id']
         now = time.monotonic()
         self.arrived_at.append(now)
+        self.arrived_ids.append(id_)
         headers = {'Cassiashift-Request-Id': id_}
         if self.cold_ms is not None:
             headers['Cassiashift-Cold-Ms'] = f'{self.cold_ms:.0f}'
