Show that a disk full at the first start prevents a log for ever

Evidence: test_a_disk_full_at_the_first_start_does_not_prevent_a_log fails one write at each position after the start in turn. On the positions 11 to 13 of 16 fail (the write and the sync of the vote, the write of the first entry); the others pass.

--- a/tests/daemon/direct/test_voting.py
+++ b/tests/daemon/direct/test_voting.py
@@ -2,15 +2,24 @@
 
 import asyncio
 import contextlib
+import random
 
 import attrs
+import pytest
 from testtools.assertions import assert_that
 from testtools import matchers
 
+from cassiashift_core import fleet
+from cassiashift_daemon.direct import config
+from cassiashift_daemon.direct import fleet_runner
+from cassiashift_daemon.direct import tables
 from cassiashift_daemon.direct import voting
+from tests.daemon.storage import faulty_files
 
+OWN = '10.1.0.1'
 REOPEN_S = 0.01
 RUN_S = 0.5
+FOUNDED_S = 4.0
 
 
 @attrs.define
@@ -47,3 +56,74 @@
         async with asyncio.timeout(RUN_S):
             await supervisor.run_forever()
     assert_that(store.closed, matchers.GreaterThan(2))
+
+
+class NoLinks:
+    """Links that lose every message."""
+
+    def send(self, address, message):
+        """Drop a message."""
+
+
+@pytest.fixture
+def founder(monkeypatch):
+    """Return the supervisor and the files of the only host of a new system."""
+    monkeypatch.setattr(voting, 'REOPEN_AFTER_S', REOPEN_S)
+    files = faulty_files.FaultyFiles()
+    monkeypatch.setattr(
+        voting.VoterSupervisor,
+        '_open_store',
+        lambda self: faulty_files.open_storage(files),
+    )
+    cfg = config.DirectConfig(
+        host=OWN,
+        data_centre='east',
+        region='r',
+        link_port=7,
+        listeners=config.Listeners(),
+        seeds=(OWN,),
+        data_dir='data',
+        is_first_start=True,
+    )
+    runner = fleet_runner.FleetRunner(
+        cfg=cfg,
+        links=NoLinks(),
+        entries=fleet.EntryTable(OWN),
+        upstreams=fleet.UpstreamTable(5.0, 30.0),
+        holder=tables.TableHolder(None),
+        started_ns=1,
+    )
+    supervisor = voting.VoterSupervisor(
+        cfg=cfg,
+        deployment='dep',
+        links=runner.links,
+        runner=runner,
+        rng=random.Random(1),
+        on_document=lambda document: None,
+    )
+    return supervisor, files
+
+
+@pytest.mark.parametrize(
+    'failing_step',
+    [
+        *range(1, 11),
+        *(
+            pytest.param(step, marks=pytest.mark.known_red)
+            for step in range(11, 14)
+        ),
+        *range(14, 17),
+    ],
+)
+async def test_a_disk_full_at_the_first_start_does_not_prevent_a_log(
+    founder, failing_step
+):
+    supervisor, files = founder
+    files.fail_at = failing_step
+    running = asyncio.ensure_future(supervisor.run_forever())
+    try:
+        async with asyncio.timeout(FOUNDED_S):
+            while not supervisor.is_leader or files.steps < failing_step:
+                await asyncio.sleep(REOPEN_S)
+    finally:
+        running.cancel()
