Show that a file that fails to close ends a voter for good

Callers: nothing while one voter is gone; once a majority is, every change is refused until the processes are restarted, though all of them run.

Evidence: test_a_voter_is_reopened_if_its_files_fail_to_close fails on: a disk that refuses a write and the close after it, as file systems that delay allocation do when they are full, has room again, and the voter isn't opened any more.

--- a/tests/daemon/direct/test_voting.py
+++ b/tests/daemon/direct/test_voting.py
@@ -136,3 +136,23 @@
     finally:
         running.cancel()
     assert_that(supervisor.voter.replica.voters.hosts, matchers.Equals(()))
+
+
+@pytest.mark.known_red
+async def test_a_voter_is_reopened_if_its_files_fail_to_close(founder):
+    supervisor, files = founder
+    running = asyncio.ensure_future(supervisor.run_forever())
+    try:
+        async with asyncio.timeout(FOUNDED_S):
+            while not supervisor.is_leader:
+                await asyncio.sleep(REOPEN_S)
+            files.refused = frozenset({'write', 'close'})
+            while supervisor.voter is not None:
+                supervisor.voter.propose_unanswered(b'')
+                await asyncio.sleep(REOPEN_S)
+            await asyncio.sleep(5 * REOPEN_S)
+            files.refused = frozenset()
+            while not supervisor.is_leader:
+                await asyncio.sleep(REOPEN_S)
+    finally:
+        running.cancel()
--- a/tests/daemon/storage/faulty_files.py
+++ b/tests/daemon/storage/faulty_files.py
@@ -59,8 +59,13 @@
             self.inode.synced = bytes(self.inode.data)
 
     def close(self):
-        """Release the lock on the file, if there is one."""
+        """Release the lock on the file, if there is one.
+
+        A file system that delays allocation may report a full disk here.
+        """
         self.files.locks.discard(id(self.inode))
+        if 'close' in self.files.refused:
+            raise OSError(self.files.error, 'close has failed')
 
 
 class FaultyFiles(storage.FileSystem):
@@ -73,6 +78,7 @@
         crash_at: the step from which on every step raises ``Crash``.
         fail_at: the step that raises an OSError.
         error: the errno of that OSError.
+        refused: names of the steps that fail, as on a full disk.
     """
 
     def __init__(self, seed=0):
@@ -85,13 +91,14 @@
         self.crash_at = None
         self.fail_at = None
         self.error = errno.ENOSPC
+        self.refused = frozenset()
 
     def step(self, name):
         """Count a step; raise if a crash or a failure is set for it."""
         self.steps += 1
         if self.crash_at is not None and self.steps >= self.crash_at:
             raise Crash(name)
-        if self.steps == self.fail_at:
+        if self.steps == self.fail_at or name in self.refused:
             raise OSError(self.error, f'{name} has failed')
 
     def reboot(self):
