Write the last lines of a process before it ends

Callers: nothing; operators miss lines of the end of a process. Cause: lines are written by a daemon thread, which the end of the process stops whatever is queued, and lines of the end count against the same 400 lines a second as all others. Change: logs.flush waits up to 0.1 s until the queue is written and is called last by both commands, also after a failure. final_info and final_warning log with a budget of 300 lines for the life of the process, which also have room of their own in the queue.

--- a/packages/cassiashift-daemon/cassiashift_daemon/logs.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/logs.py
@@ -17,8 +17,12 @@
 # and errors) and other. A request writes about three.
 LINES_PER_S = 400
 QUEUE_LINES = 4000
+# Lines about the end of the process, beside the others.
+FINAL_LINES = 300
+FLUSH_S = 0.1
 
 _HANDLERS: list['BoundedHandler'] = []
+_FINAL = {'is_final': True}
 _PLAIN = re.compile(r'[\w.:/@+\-]+\Z', re.ASCII)
 
 
@@ -43,7 +47,8 @@
 
     A slow reader of the stream blocks no caller: lines are counted and
     dropped if the queue is full or the budget is used up. Warnings and
-    errors have their own budget, so that other lines can't displace them.
+    errors have their own budget, so that other lines can't displace them;
+    lines about the end of the process have one for its whole life.
 
     Attributes:
         dropped: number of lines that were not written.
@@ -57,7 +62,8 @@
         self._lines_per_s = lines_per_s
         self._second = 0
         self._written = {False: 0, True: 0}
-        self._lines: queue.Queue[str] = queue.Queue(QUEUE_LINES)
+        self._final_left = FINAL_LINES
+        self._lines: queue.Queue[str] = queue.Queue(QUEUE_LINES + FINAL_LINES)
         thread = threading.Thread(
             target=self._write_forever, name='log-writer', daemon=True
         )
@@ -65,19 +71,35 @@
 
     def emit(self, record: standard_logging.LogRecord) -> None:
         """Queue the line of a record, or drop and count it."""
+        if not self._is_within_budget(record):
+            self.dropped += 1
+            return
+        try:
+            self._lines.put_nowait(self.format(record))
+        except queue.Full:
+            self.dropped += 1
+
+    def wait_written(self, timeout_s: float) -> bool:
+        """Wait until all queued lines are written; return whether they are."""
+        lines = self._lines
+        with lines.all_tasks_done:
+            return lines.all_tasks_done.wait_for(
+                lambda: not lines.unfinished_tasks, timeout_s
+            )
+
+    def _is_within_budget(self, record: standard_logging.LogRecord) -> bool:
+        if getattr(record, 'is_final', False) and self._final_left:
+            self._final_left -= 1
+            return True
         is_urgent = record.levelno >= standard_logging.WARNING
         second = int(record.created)
         if second != self._second:
             self._second = second
             self._written = {False: 0, True: 0}
         if self._written[is_urgent] >= self._lines_per_s:
-            self.dropped += 1
-            return
+            return False
         self._written[is_urgent] += 1
-        try:
-            self._lines.put_nowait(self.format(record))
-        except queue.Full:
-            self.dropped += 1
+        return self._lines.qsize() < QUEUE_LINES
 
     def _write_forever(self) -> None:
         while True:
@@ -90,6 +112,8 @@
             except (OSError, ValueError):
                 # The reader has closed the stream, so this can't be logged.
                 self.dropped += len(lines)
+            for _ in lines:
+                self._lines.task_done()
 
 
 def configure(verbosity: int, lines_per_s: int = LINES_PER_S) -> None:
@@ -116,6 +140,12 @@
     return sum(handler.dropped for handler in _HANDLERS)
 
 
+def flush(timeout_s: float = FLUSH_S) -> None:
+    """Wait until what was logged is written, for a limited time."""
+    for handler in _HANDLERS:
+        handler.wait_written(timeout_s)
+
+
 def line(event: str, **fields: Any) -> str:
     """Return the pairs of an event; quotes and escapes values if needed."""
     pairs = [('event', event), *fields.items()]
@@ -143,3 +173,13 @@
 def error(event: str, **fields: Any) -> None:
     """Log an event that needs an operator's attention."""
     logging.error('%s', line(event, **fields))
+
+
+def final_info(event: str, **fields: Any) -> None:
+    """Log an event of the end of the process; see ``BoundedHandler``."""
+    logging.info('%s', line(event, **fields), extra=_FINAL)
+
+
+def final_warning(event: str, **fields: Any) -> None:
+    """Log what an operator may need to know of the end of the process."""
+    logging.warning('%s', line(event, **fields), extra=_FINAL)
--- a/packages/cassiashift-daemon/cassiashift_daemon/main.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/main.py
@@ -100,10 +100,13 @@
 
 def _run_process(process: lifecycle.Process, cfg: settings.Settings) -> int:
     logs.configure(cfg.log_level)
-    with aiomisc.entrypoint(
-        process, log_config=False, pool_size=1, catch_signals=()
-    ) as loop:
-        loop.run_until_complete(process.wait_stopped())
+    try:
+        with aiomisc.entrypoint(
+            process, log_config=False, pool_size=1, catch_signals=()
+        ) as loop:
+            loop.run_until_complete(process.wait_stopped())
+    finally:
+        logs.flush()
     return process.exit_status
 
 
