Name the requests in progress as a process ends

Callers: streams end without their last event around a planned stop. Cause: not known. A stream that is in progress when its process ends leaves no line, so the logs can't tell why it was cut. Evidence: tests/process/test_end_of_process.py stops an entry with a stream in progress past the grace and kills it. On the only line that names the stream is request_placed, and the test fails: [] != ['cut-0']. Change: the ingress keeps a table of the requests in progress, from the head of each to the handover of its answer; rows refer to what serves a request, and events cost nothing. As the process ends, request_unfinished names each of them, up to 200 chosen by draining.report_end, and requests_unfinished counts the others. stop_asked tells the signal, drain_ended the reason, stopped the open connections and the unsent bytes. sent_after_stop_s > 0 with ends_in_s > 0: taken after the signal although it could not be bounded by the stop (an estimate that did not hold). drain_ended reason=signal or failed, or took_s under the time limit, with request_unfinished lines: another end than that of the drain. stopped unsent_bytes > 0 with in_flight=0: answers that were complete but not sent. large sent_after_stop_s, request_after_end: requests that reach a process which has left the directory, on connections kept open. A request that the server cancels has the outcome cut_by_end, and is no longer logged as caller_left. No decision changes.

--- a/packages/cassiashift-core/cassiashift_core/draining/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/draining/__init__.py
@@ -12,6 +12,11 @@
 from cassiashift_core.draining.model import Resume
 from cassiashift_core.draining.model import StopRequested
 from cassiashift_core.draining.model import Tick
+from cassiashift_core.draining.unfinished import count_phases
+from cassiashift_core.draining.unfinished import EndReport
+from cassiashift_core.draining.unfinished import Phase
+from cassiashift_core.draining.unfinished import report_end
+from cassiashift_core.draining.unfinished import Unfinished
 from cassiashift_core.draining.upstream import UpstreamDrain
 
 __all__ = [
@@ -20,12 +25,17 @@
     'DrainEffect',
     'DrainEvent',
     'End',
+    'EndReport',
     'EntryDrain',
     'InFlightChanged',
     'LeaveDirectory',
+    'Phase',
     'RefuseNewCalls',
     'Resume',
     'StopRequested',
     'Tick',
+    'Unfinished',
     'UpstreamDrain',
+    'count_phases',
+    'report_end',
 ]
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/calls.py
@@ -53,6 +53,7 @@
         size: the size that its headers state.
         cost: what it is expected to cost; None before it is placed.
         is_being_sent: a send has begun whose outcome is not known.
+        upstream_id: id of the upstream of the newest send; empty before one.
         send_events: events received in answer to the newest send.
         scope: ends the request at ``ends_at``, while that is awaited.
         log: the sends that have ended.
@@ -74,6 +75,7 @@
     size: costs.StatedSize = costs.StatedSize()
     cost: costs.Cost | None = None
     is_being_sent: bool = False
+    upstream_id: str = ''
     send_events: int = 0
     scope: asyncio.Timeout | None = None
     log: placing.AttemptLog = attrs.field(init=False)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -244,6 +244,7 @@
         last_event: int | None,
     ) -> aiohttp.ClientResponse:
         call.is_being_sent = True
+        call.upstream_id = upstream.id
         call.send_events = 0
         try:
             return await self.session.request(
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -17,6 +17,7 @@
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import dialect
 from cassiashift_daemon.direct import exchange
+from cassiashift_daemon.direct import in_progress
 from cassiashift_daemon.direct import metrics
 from cassiashift_daemon.direct import placement
 from cassiashift_daemon.direct import poison_guard
@@ -51,7 +52,8 @@
     Attributes:
         is_leaving: a planned stop has begun; answers tell callers to close
             their connections.
-        in_flight: requests that are not answered yet.
+        requests: the requests in progress.
+        server: the HTTP server that calls ``handle``.
         handled: requests since the last update of the request rate, which
             resets this count.
         handled_by_engines: those of them to services with an engine.
@@ -66,7 +68,10 @@
     rng: random.Random
     metrics: metrics.Metrics
     is_leaving: bool = False
-    in_flight: int = 0
+    requests: in_progress.RequestTable = attrs.field(
+        factory=in_progress.RequestTable
+    )
+    server: web.Server | None = None
     handled: int = 0
     handled_by_engines: int = 0
     started_at: float = attrs.field(factory=time.monotonic)
@@ -79,6 +84,27 @@
         """Create the writer of answers, which counts in the same ledger."""
         self.writer = callers.CallerWriter(self.exchange.ledger, self.metrics)
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that are not answered yet."""
+        return len(self.requests)
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of callers' open connections."""
+        return 0 if self.server is None else len(self.server.connections)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers that wait for callers to read."""
+        if self.server is None:
+            return 0
+        return sum(
+            conn.transport.get_write_buffer_size()
+            for conn in self.server.connections
+            if conn.transport is not None
+        )
+
     def tick(self) -> None:
         """Move streams whose upstream has stalled to others."""
         now = time.monotonic()
@@ -103,15 +129,17 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and log and count its outcome."""
-        self.in_flight += 1
+        request_id = request.headers.get(self.dialect.headers.request_id, '')
+        conn = request.protocol
+        row = self.requests.begin(request_id, conn)
+        if self.requests.is_final:
+            logs.warning('request_after_end', request=request_id)
         self.handled += 1
         self.exchange.ledger.begin_request()
         self.writer.limit(request)
-        started = time.monotonic()
-        request_id = request.headers.get(self.dialect.headers.request_id, '')
         outcome = 'cancelled'
         try:
-            response = await self._serve(request)
+            response = await self._serve(request, row)
             outcome = str(response.status)
             return response
         except CassiashiftError as exc:
@@ -122,7 +150,7 @@
                 code=exc.code.value,
                 verdict=exc.verdict.value,
                 reason=exc.message,
-                after_s=time.monotonic() - started,
+                after_s=time.monotonic() - row.arrived_at,
                 configuration=self.holder.version,
             )
             return self.close_if_leaving(refusals.error_response(exc))
@@ -132,39 +160,46 @@
                 'answer_broken_off',
                 request=request_id,
                 reason=str(exc),
-                after_s=time.monotonic() - started,
+                after_s=time.monotonic() - row.arrived_at,
             )
             # Closed without the final chunk, so that the caller sees that
             # the stream is incomplete.
             self.writer.break_off(request)
             raise asyncio.CancelledError from exc
+        except asyncio.CancelledError:
+            if not row.has_caller_left:
+                outcome = 'cut_by_end'
+            raise
         finally:
-            self.in_flight -= 1
+            self.requests.end(conn)
             self.exchange.ledger.end_request()
-            spent_s = time.monotonic() - started
+            spent_s = time.monotonic() - row.arrived_at
             self.metrics.record_request(outcome, spent_s)
             if outcome == 'cancelled':
                 logs.info('caller_left', request=request_id, after_s=spent_s)
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        call = await self._read_call(request)
+    async def _serve(
+        self, request: web.BaseRequest, row: in_progress.Row
+    ) -> web.StreamResponse:
+        call = row.call = await self._read_call(request, row)
         try:
-            response = await self._answer(request, call)
+            response = await self._answer(request, row, call)
         finally:
             self.exchange.ledger.release(len(call.body))
+        row.is_delivered = True
         try:
             return await self.writer.deliver(request, response)
         except CassiashiftError as exc:
             raise StreamBrokenOffError(str(exc)) from exc
 
     async def _answer(
-        self, request: web.BaseRequest, call: calls.Call
+        self, request: web.BaseRequest, row: in_progress.Row, call: calls.Call
     ) -> web.StreamResponse:
         if self.holder.engine(call.service) is not None:
             self.handled_by_engines += 1
         if call.route.kind is routes.Kind.STREAM:
-            relay = streams.StreamRelay(self, request, call)
-            return await self._relay_stream(call, relay)
+            row.relay = streams.StreamRelay(self, request, call)
+            return await self._relay_stream(call, row.relay)
         self._fetching.add(call)
         try:
             answer = await calls.within_deadline(
@@ -199,7 +234,9 @@
         finally:
             self._relays.discard(relay)
 
-    async def _read_call(self, request: web.BaseRequest) -> calls.Call:
+    async def _read_call(
+        self, request: web.BaseRequest, row: in_progress.Row
+    ) -> calls.Call:
         arrived_at = time.monotonic()
         table = self.holder.table
         if table is None:
@@ -215,6 +252,7 @@
             raise CassiashiftError(
                 ErrorCode.NOT_FOUND, 'no route for this host and path'
             )
+        row.route = route
         workspace = self._authenticate(request, table, route)
         names = self.dialect.headers
         wait_s = _parse_deadline_s(request.headers.get(names.deadline_ms))
@@ -458,6 +496,28 @@
         return response
 
 
+class CallerServer(web.Server):
+    """The HTTP server of callers."""
+
+    def __init__(self, handler: Ingress, **options) -> None:
+        """Serve requests with an ingress.
+
+        Args:
+            options: further options of ``web.Server``.
+        """
+        super().__init__(handler.handle, **options)
+        self._requests = handler.requests
+
+    def connection_lost(
+        self,
+        handler: web.RequestHandler,
+        exc: BaseException | None = None,
+    ) -> None:
+        """Note that a caller has left; its request is cancelled next."""
+        self._requests.record_lost(handler)
+        super().connection_lost(handler, exc)
+
+
 def create_server(handler: Ingress, **options) -> web.Server:
     """Return the HTTP server of callers.
 
@@ -466,13 +526,14 @@
     Args:
         options: further options of ``web.Server``.
     """
-    return web.Server(
-        handler.handle,
+    handler.server = CallerServer(
+        handler,
         handler_cancellation=True,
         access_log=None,
         auto_decompress=False,
         **options,
     )
+    return handler.server
 
 
 def _parse_deadline_s(milliseconds: str | None) -> float | None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -12,6 +12,7 @@
 from cassiashift_core import buffers
 from cassiashift_core import CassiashiftError
 from cassiashift_core import consensus
+from cassiashift_core import draining
 from cassiashift_core import evacuation
 from cassiashift_core import fleet
 from cassiashift_core import poison
@@ -23,6 +24,7 @@
 from cassiashift_daemon.direct import exchange
 from cassiashift_daemon.direct import explaining
 from cassiashift_daemon.direct import fleet_runner
+from cassiashift_daemon.direct import in_progress
 from cassiashift_daemon.direct import ingress
 from cassiashift_daemon.direct import load_meter
 from cassiashift_daemon.direct import metrics
@@ -92,6 +94,7 @@
         # Seeded by the operating system: hosts may start at the same time.
         self.rng = random.Random()
         self.metrics = metrics.Metrics()
+        self.requests = in_progress.RequestTable()
         self._rate = fleet.RequestRate()
         self._engine_rate = fleet.RequestRate()
         self.holder = tables.TableHolder(adapter)
@@ -163,9 +166,19 @@
         while self.ingress.in_flight:
             await asyncio.sleep(fleet_runner.TICK_S)
 
+    def unfinished(self) -> list[draining.Unfinished]:
+        """Return the requests in progress."""
+        return self.requests.unfinished()
+
     async def close(self) -> None:
         """Close the listeners, the upstream connections and the links."""
-        logs.info('stopped', in_flight=self.ingress.in_flight)
+        self.requests.is_final = True
+        logs.final_info(
+            'stopped',
+            in_flight=self.ingress.in_flight,
+            connections=self.ingress.connection_count,
+            unsent_bytes=self.ingress.unsent_bytes,
+        )
         for listener in self.listeners:
             await listener.close()
         self.work.send_end()
@@ -255,6 +268,7 @@
             guard=self.guard,
             rng=self.rng,
             metrics=self.metrics,
+            requests=self.requests,
         )
 
     def _open_control(self) -> None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/lifecycle.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/lifecycle.py
@@ -3,13 +3,16 @@
 import asyncio
 import contextlib
 import signal
+import time
 
 import aiomisc
 
+from cassiashift_core import draining
 from cassiashift_daemon import logs
 
 FAST_STOP_SIGNALS = 2
 EXIT_FAILED = 1
+MAX_UNFINISHED_LINES = 200
 
 
 class Process(aiomisc.Service):
@@ -28,18 +31,23 @@
         self._stopped = asyncio.Event()
         self.exit_status = 0
         self._signals = 0
+        self._stop_asked_at: float | None = None
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Install the signal handlers and open the process."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_stop_signal)
+            loop.add_signal_handler(number, self._on_stop_signal, number)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.open()
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Cancel every task, wait for their end and close the process."""
+        """Cancel every task, wait for their end and close the process.
+
+        Logs the requests in progress first: the process may be killed soon.
+        """
+        self._log_unfinished()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -53,7 +61,11 @@
         """End the process without a drain and with ``EXIT_FAILED``."""
         logs.error('process_failed', reason=reason)
         self.exit_status = EXIT_FAILED
-        self._stopped.set()
+        self._end('failed')
+
+    def unfinished(self) -> list[draining.Unfinished]:
+        """Return the requests in progress; a role may override it."""
+        return []
 
     def spawn(self, coroutine) -> asyncio.Task:
         """Run a coroutine as a task; log its failure, cancel it on stop."""
@@ -87,19 +99,72 @@
         """Close links, servers and files."""
         raise NotImplementedError
 
-    def _on_stop_signal(self) -> None:
+    def _on_stop_signal(self, number: signal.Signals) -> None:
         self._signals += 1
-        logs.info('stop_asked', count=self._signals)
+        requests = self.unfinished()
+        logs.final_info(
+            'stop_asked',
+            signal=signal.Signals(number).name,
+            count=self._signals,
+            in_progress=len(requests),
+            **_phase_fields(draining.count_phases(requests)),
+        )
         if self._signals >= FAST_STOP_SIGNALS:
-            self._stopped.set()
+            self._end('signal')
             return
+        self._stop_asked_at = time.monotonic()
         self.spawn(self._drain_and_end())
 
     async def _drain_and_end(self) -> None:
+        reason = 'time_limit'
         with contextlib.suppress(asyncio.TimeoutError):
             await asyncio.wait_for(self.drain(), self.stop_timeout_s)
+            reason = 'idle'
+        self._end(reason)
+
+    def _end(self, reason: str) -> None:
+        """Let the process end, and its drain if that goes on.
+
+        Args:
+            reason: idle, time_limit, signal or failed.
+        """
+        if self._stop_asked_at is not None and not self._stopped.is_set():
+            logs.final_info(
+                'drain_ended',
+                reason=reason,
+                took_s=time.monotonic() - self._stop_asked_at,
+            )
         self._stopped.set()
 
+    def _log_unfinished(self) -> None:
+        now = time.monotonic()
+        report = draining.report_end(
+            self.unfinished(), self._stop_asked_at, MAX_UNFINISHED_LINES
+        )
+        for request in report.listed:
+            logs.final_warning(
+                'request_unfinished',
+                request=request.id,
+                route=request.route,
+                kind=request.kind,
+                phase=request.phase.value,
+                upstream=request.upstream,
+                sends=request.sends,
+                events=request.events,
+                after_s=now - request.arrived_at,
+                sent_after_stop_s=_difference(
+                    request.arrived_at, self._stop_asked_at
+                ),
+                ends_in_s=_difference(request.ends_at, now),
+            )
+        if report.listed:
+            logs.final_warning(
+                'requests_unfinished',
+                requests=len(report.listed) + report.left_out,
+                without_line=report.left_out,
+                **_phase_fields(report.phases),
+            )
+
     @property
     def stop_timeout_s(self) -> float:
         """Return the seconds after which a drain is cut short."""
@@ -109,3 +174,14 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logs.error('task_failed', error=repr(task.exception()))
+
+
+def _phase_fields(counts: dict[draining.Phase, int]) -> dict[str, int]:
+    return {phase.value: count for phase, count in counts.items()}
+
+
+def _difference(time_s: float | None, since_s: float | None) -> float | str:
+    """Return the seconds between two times; empty if one is unknown."""
+    if time_s is None or since_s is None:
+        return ''
+    return time_s - since_s
