Soak planned stops under callers that keep their connections

Callers: streams around a planned stop ended without a whole answer. Cause: not changed here; the soak reproduces it.

--- /dev/null
+++ b/tests/process/stop_soak.py
@@ -0,0 +1,625 @@
+"""Planned stops of entries as real processes, under callers that stay.
+
+``tools/run python -m tests.process.stop_soak --seeds 50`` runs many seeds; a
+test runs one. Entries are stopped in series and at once, while callers go on
+using their connections until the process is gone. Further stop signals, SIGHUP
+and configurations come meanwhile; an entry that is still there at the end of
+its grace period is killed, and all are started again. What callers, upstreams
+and the operator see is checked:
+
+- a request that was read ends without a complete answer neither once it has
+  been passed on nor later than ``LOSS_SLACK_S`` after its last byte;
+- it gets the whole answer or a refusal, and a refusal at once;
+- answers are whole and belong to their request; events come in order;
+- an unsafe request runs at most once, a refused one never;
+- a process ends by itself, with status 0, unless it has requests to answer;
+- it isn't ready 4 s after the signal;
+- the newest acknowledged configuration is in force at the end.
+
+Not counted are requests whose caller left, whose deadline or timeout was
+reached, or whose upstream was still at work in the last sixth of the grace
+period, if they were sent in the first 3 s of it.
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import math
+import os
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+import attrs
+
+from tests.process import platform_site
+from tests.process import stop_callers
+from tests.process import stop_upstreams
+from tools.cluster import addresses
+
+GRACE_S = 8.0
+# Bounds of the users' platform.
+LOSS_SLACK_S = 0.2
+EXCUSED_FROM_S = GRACE_S * 5 / 6
+EXCUSED_SENT_S = 3.0
+NOT_READY_AFTER_S = 4.0
+TIMEOUT_SLACK_S = 0.5
+LATE_CALLS = 8
+IN_FORCE_AFTER_S = 3.0
+# A process without requests for this long before the end of its grace period
+# should have ended.
+IDLE_S = 1.0
+WARM_UP_S = 3.0
+VOTERS = 3
+LARGE_EVERY = 5
+REFUSED = (429, 503)
+ROUTES = {
+    'read': 'safe',
+    'book': 'unsafe',
+    'stream': 'streaming',
+    'talk': 'streaming',
+}
+RUN_ONCE = ('book', 'stream')
+
+
+@attrs.define(eq=False)
+class Stop:
+    """A planned stop of an entry.
+
+    Attributes:
+        at_s: time of the SIGTERM after the warm-up.
+        signals: time after the SIGTERM and number of further signals.
+        is_long: requests last until the grace period ends.
+        sigterm_at: monotonic time of the SIGTERM.
+        ended_at: monotonic time at which the process was gone.
+        ending: the entry has closed an idle connection.
+    """
+
+    number: int
+    at_s: float
+    signals: list[tuple[float, signal.Signals]]
+    restart_after_s: float
+    is_long: bool
+    sigterm_at: float = math.inf
+    ended_at: float = math.inf
+    ending: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+@attrs.define
+class Plan:
+    """What a seed does, drawn before it begins."""
+
+    entries: int
+    stops: list[Stop]
+    is_heavy: bool
+    slowdown: float
+    slots: int
+    timeouts_s: dict[str, float]
+    idle_callers: int
+
+    @classmethod
+    def from_seed(cls, seed, max_entries):
+        """Draw a plan; each ``LARGE_EVERY``-th has ``max_entries``."""
+        rng = random.Random(seed)
+        is_large = seed % LARGE_EVERY == 0
+        entries = max_entries if is_large else rng.randint(6, 8)
+        count = rng.randint(4, 8) if is_large else rng.randint(2, 3)
+        numbers = rng.sample(range(VOTERS + 1, entries + 1), count)
+        if rng.random() < 0.5:
+            # More would leave no majority of the voters.
+            numbers.append(rng.randint(1, VOTERS))
+        span_s = rng.choice([0.5, 3.0, 6.0])
+        stops = [
+            Stop(
+                number,
+                at_s=rng.uniform(0.0, span_s),
+                signals=cls._draw_signals(rng),
+                restart_after_s=rng.uniform(0.1, 1.0),
+                is_long=rng.random() < 0.8,
+            )
+            for number in numbers
+        ]
+        return cls(
+            entries=entries,
+            stops=stops,
+            idle_callers=20 if is_large else 60,
+            is_heavy=rng.random() < 0.5,
+            slowdown=rng.choice([1.0, 1.0, 3.0]),
+            slots=rng.choice([200, 200, 4]),
+            timeouts_s={
+                name: rng.choice([2.0, 4.0, 8.0, 8.0, 8.0]) for name in ROUTES
+            },
+        )
+
+    @staticmethod
+    def _draw_signals(rng):
+        again = [signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGHUP]
+        return sorted(
+            (rng.uniform(0.05, GRACE_S - 0.3), rng.choice(again))
+            for _ in range(rng.choice([0, 0, 0, 1, 2, 3]))
+        )
+
+
+@attrs.define(eq=False)
+class StopSoak:
+    """One run of a plan.
+
+    Attributes:
+        problems: descriptions by kind.
+        calls: all requests that were sent.
+        acknowledged: the highest version that was acknowledged.
+        lags: end and length of the delays of this process itself.
+    """
+
+    site: platform_site.Site
+    upstreams: list[stop_upstreams.Upstream]
+    plan: Plan
+    rng: random.Random
+    problems: dict[str, list[str]] = attrs.field(
+        factory=lambda: collections.defaultdict(list)
+    )
+    calls: list[stop_callers.Call] = attrs.field(factory=list)
+    acknowledged: int = 1
+    lags: list[tuple[float, float]] = attrs.field(factory=list)
+    _newest: int = 1
+    _is_over: bool = False
+    _call_count: int = 0
+    _open_calls: collections.Counter = attrs.field(factory=collections.Counter)
+    _busy_at: dict[int, float] = attrs.field(factory=dict)
+
+    async def run(self):
+        """Run the plan and check what was seen."""
+        count = 20 + len(self.site.entries)
+        tasks = [
+            asyncio.ensure_future(item)
+            for item in [
+                *(self._call_forever(n % 8 == 0) for n in range(count)),
+                self._change_forever(),
+                self._measure_lag_forever(),
+            ]
+        ]
+        idle = [
+            asyncio.ensure_future(self._call_late(stop))
+            for stop in self.plan.stops
+            for _ in range(self.plan.idle_callers)
+        ]
+        idle += [
+            asyncio.ensure_future(self._call_long(stop))
+            for stop in self.plan.stops
+            if stop.is_long
+            for _ in range(2)
+        ]
+        await asyncio.sleep(WARM_UP_S)
+        await asyncio.gather(*(self._stop(stop) for stop in self.plan.stops))
+        self._is_over = True
+        # Their last requests end by themselves.
+        await asyncio.gather(*tasks, *idle)
+        self._check_calls()
+        await self._check_configuration()
+
+    def report(self, seed):
+        """Return one line on the run."""
+        plan = self.plan
+        late = [call for call in self.calls if self._stop_of(call)]
+        refused = sum(call.status in REFUSED for call in late)
+        served = sum(call.status == 200 for call in self.calls)
+        lag_s = max(lag_s for _, lag_s in self.lags)
+        kinds = {kind: len(items) for kind, items in self.problems.items()}
+        return (
+            f'seed {seed}: {plan.entries} entries, {len(plan.stops)} stops, '
+            f'{"heavy tail" if plan.is_heavy else "log-normal"}, '
+            f'slowdown {plan.slowdown:g}, {plan.slots} slots, '
+            f'{len(self.calls)} calls, {served} served, {len(late)} around '
+            f'stops, {refused} of these refused, lag {lag_s:.2f} s, '
+            f'load {os.getloadavg()[0]:.1f}, problems {kinds}'
+        )
+
+    def _new_call(self, entry, is_slow):
+        rng = self.rng
+        if not self.plan.is_heavy:
+            work_s = min(6.0, rng.lognormvariate(math.log(0.3), 0.8))
+        elif rng.random() < 0.06:
+            work_s = rng.uniform(4.0, 7.0)
+        else:
+            work_s = rng.uniform(0.2, 0.6)
+        manners = ['PLAIN'] * 7 + ['CHUNKED', 'SLOW_BODY', 'LEAVER']
+        manner = getattr(stop_callers, rng.choice(manners))
+        if is_slow:
+            manner = stop_callers.SLOW_READER
+        route = rng.choice(list(ROUTES))
+        deadline_s = rng.uniform(2.0, 8.0)
+        self._call_count += 1
+        return stop_callers.Call(
+            id=f'c{self._call_count}',
+            route=route,
+            entry=entry.number,
+            work_s=work_s,
+            deadline_s=deadline_s,
+            limit_s=min(deadline_s, self.plan.timeouts_s[route]),
+            manner=manner,
+            size=800_000 if is_slow else 400,
+            leaves_after_s=rng.uniform(0.05, 1.0),
+        )
+
+    async def _send(self, connection, call=None):
+        if call is None:
+            call = self._new_call(connection.entry, connection.is_slow)
+        self._open_calls[call.entry] += 1
+        try:
+            await connection.send(call)
+        finally:
+            self._open_calls[call.entry] -= 1
+            self._busy_at[call.entry] = time.monotonic()
+        self.calls.append(call)
+
+    async def _call_forever(self, is_slow):
+        await asyncio.sleep(self.rng.uniform(0.0, WARM_UP_S / 2))
+        while not self._is_over:
+            # Callers that ask the directory don't learn of stopping entries.
+            running = [
+                entry
+                for entry in self.site.entries
+                if self.rng.random() < 0.1 or not self._is_stopping(entry)
+            ]
+            with contextlib.suppress(OSError):
+                entry = self.rng.choice(running)
+                async with stop_callers.Connection.open(
+                    entry, is_slow
+                ) as connection:
+                    while connection.is_usable() and not self._is_over:
+                        await self._send(connection)
+                        await asyncio.sleep(self.rng.uniform(0.0, 0.4))
+            await asyncio.sleep(self.rng.uniform(0.0, 0.2))
+
+    async def _call_late(self, stop):
+        entry = self.site.entries[stop.number - 1]
+        delay_s = self.rng.uniform(0.0, WARM_UP_S / 2)
+        await asyncio.sleep(delay_s)
+        async with stop_callers.Connection.open(entry) as connection:
+            wait_s = WARM_UP_S - delay_s + stop.at_s
+            wait_s += self.rng.uniform(0.0, GRACE_S)
+            sent_from = time.monotonic()
+            await self._send(connection)
+            wait_s -= time.monotonic() - sent_from
+            if self.rng.random() < 0.3:
+                # Sent as the process ends.
+                await stop.ending.wait()
+                wait_s = 0.0
+            await asyncio.sleep(wait_s)
+            while connection.is_usable():
+                await self._send(connection)
+                await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+
+    async def _call_long(self, stop):
+        """Keep an entry busy from about its SIGTERM to the kill."""
+        entry = self.site.entries[stop.number - 1]
+        await asyncio.sleep(WARM_UP_S + stop.at_s + self.rng.uniform(-0.5, 2))
+        timeouts_s = self.plan.timeouts_s
+        route = max(timeouts_s, key=timeouts_s.get)
+        with contextlib.suppress(OSError):
+            async with stop_callers.Connection.open(entry) as connection:
+                while connection.is_usable() and not self._is_over:
+                    call = self._new_call(entry, False)
+                    call.route = route
+                    call.manner = stop_callers.PLAIN
+                    call.work_s = call.deadline_s = GRACE_S
+                    call.limit_s = min(GRACE_S, timeouts_s[route])
+                    await self._send(connection, call)
+
+    async def _watch_ending(self, stop):
+        """Note the close of a connection that isn't used any more."""
+        entry = self.site.entries[stop.number - 1]
+        async with stop_callers.Connection.open(entry) as connection:
+            with contextlib.suppress(OSError):
+                await connection.reader.read(1)
+            stop.ending.set()
+
+    def _is_stopping(self, entry):
+        return any(
+            stop.number == entry.number
+            and stop.sigterm_at < math.inf
+            and stop.ended_at == math.inf
+            for stop in self.plan.stops
+        )
+
+    async def _stop(self, stop):
+        entry = self.site.entries[stop.number - 1]
+        await asyncio.sleep(stop.at_s)
+        watch = asyncio.ensure_future(self._watch_ending(stop))
+        await asyncio.sleep(0.1)
+        entry.signal(signal.SIGTERM)
+        stop.sigterm_at = time.monotonic()
+        for upstream in self.upstreams:
+            upstream.slowdown = self.plan.slowdown
+        signals = asyncio.ensure_future(self._send_signals(stop, entry))
+        readiness = asyncio.ensure_future(self._check_readiness(stop, entry))
+        while entry.process.poll() is None:
+            if time.monotonic() >= stop.sigterm_at + GRACE_S:
+                self._check_is_busy(stop)
+                entry.kill()
+                break
+            await asyncio.sleep(0.005)
+        else:
+            if entry.process.returncode:
+                self._note('end', f'status {entry.process.returncode}', stop)
+        stop.ended_at = time.monotonic()
+        for task in (signals, readiness):
+            task.cancel()
+        await asyncio.gather(watch, signals, readiness, return_exceptions=True)
+        stop.ending.set()
+        await asyncio.sleep(stop.restart_after_s)
+        entry.start()
+        await self.site.wait_until(self.site.is_ready, entry)
+
+    async def _send_signals(self, stop, entry):
+        for at_s, number in stop.signals:
+            await asyncio.sleep(stop.sigterm_at + at_s - time.monotonic())
+            entry.signal(number)
+
+    async def _check_readiness(self, stop, entry):
+        await asyncio.sleep(NOT_READY_AFTER_S)
+        while True:
+            if await self.site.is_ready(entry):
+                self._note('ready', 'is ready late', stop)
+            await asyncio.sleep(0.5)
+
+    def _check_is_busy(self, stop):
+        idle_s = time.monotonic() - self._busy_at.get(stop.number, 0.0)
+        if not self._open_calls[stop.number] and idle_s > IDLE_S:
+            self._note('end', f'idle for {idle_s:.1f} s, not ended', stop)
+
+    async def _change_forever(self):
+        while not self._is_over:
+            self._newest += self.rng.randint(1, 3)
+            entry = self.rng.choice(self.site.entries)
+            config = document(self.plan, self._newest, f'v{self._newest}')
+            status = await self.site.put(entry, config)
+            if status == 200:
+                self.acknowledged = max(self.acknowledged, self._newest)
+            elif status in (400, 409):
+                self._note('configuration', f'{self._newest} got {status}')
+            await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+
+    async def _measure_lag_forever(self):
+        while not self._is_over:
+            started = time.monotonic()
+            await asyncio.sleep(0.01)
+            now = time.monotonic()
+            self.lags.append((now, now - started - 0.01))
+
+    async def _check_configuration(self):
+        await asyncio.sleep(IN_FORCE_AFTER_S)
+        route = f'v{self.acknowledged}'
+        for entry in self.site.entries:
+            version = await self.site.wait_until(self.site.get, entry)
+            status, _ = await self.site.call(entry, route, f'e{entry.number}')
+            is_known = self.acknowledged == 1 or status != 404
+            if version < self.acknowledged or not is_known:
+                self._note(
+                    'configuration',
+                    f'{version} at entry {entry.number}, {route} got {status}',
+                )
+
+    def _check_calls(self):
+        for call in self.calls:
+            for kind in self._problems_of(call):
+                self._note(kind, self._describe(call))
+        self._check_limits()
+        if not any(self._stop_of(call) for call in self.calls):
+            self._note('no calls', 'none was sent to an entry that stopped')
+        if not any(call.status == 200 for call in self.calls):
+            self._note('no calls', 'none was served')
+
+    def _problems_of(self, call):
+        """Yield the kinds of problems with a call."""
+        runs = self._runs(call)
+        if call.fault or call.is_whole and call.check_answer():
+            yield 'mixed'
+        if call.route in RUN_ONCE and len(runs) > 1:
+            yield 'twice'
+        if call.status in REFUSED and runs:
+            yield 'refused but run'
+        if call.sent_at is None:
+            return
+        if (
+            not call.status
+            and not runs
+            and call.manner != stop_callers.LEAVER
+            and self._time_to_end_s(call) > LOSS_SLACK_S
+        ):
+            yield 'held'
+        if not self._is_excused(call):
+            yield from self._problems_of_end(call, runs)
+
+    def _problems_of_end(self, call, runs):
+        """Yield the kinds of problems with the end of a call."""
+        is_slow = self._time_to_end_s(call) > LOSS_SLACK_S
+        if not call.is_whole and runs:
+            yield 'lost'
+        stop = self._stop_of(call)
+        if stop is None or call.sent_from < stop.sigterm_at:
+            return
+        if call.status in REFUSED and is_slow:
+            yield 'refused late'
+        if call.is_whole and call.status not in (200, *REFUSED):
+            yield 'failed'
+
+    def _time_to_end_s(self, call):
+        """Return the time from the last byte, without own delays, in s."""
+        return (
+            call.ended_at
+            - call.sent_at
+            - sum(
+                lag_s
+                for at, lag_s in self.lags
+                if call.sent_at < at < call.ended_at + lag_s
+            )
+        )
+
+    def _check_limits(self):
+        """Check that requests get a final answer at their limit.
+
+        A caller may read its answer slowly for longer.
+        """
+        ended = [
+            call
+            for call in self.calls
+            if call.ended_at >= call.sent_from + call.limit_s
+            and call.manner != stop_callers.SLOW_READER
+        ]
+        late = [
+            call
+            for call in ended
+            if call.ended_at > call.sent_from + call.limit_s + TIMEOUT_SLACK_S
+        ]
+        if len(late) >= LATE_CALLS and len(late) > len(ended) / 4:
+            for call in late:
+                self._note('late', self._describe(call))
+
+    def _is_excused(self, call):
+        """Return whether the entry need not answer a call in full."""
+        if call.ended_at >= call.sent_from + call.limit_s:
+            return True
+        if call.has_left:
+            return True
+        stop = self._stop_of(call)
+        if stop is None or call.sent_at > stop.sigterm_at + EXCUSED_SENT_S:
+            return False
+        last_sixth_at = stop.sigterm_at + EXCUSED_FROM_S
+        return call.ended_at >= last_sixth_at and any(
+            run.ended_at is None or run.ended_at >= last_sixth_at
+            for run in self._runs(call)
+        )
+
+    def _stop_of(self, call):
+        """Return the stop around which a call was sent or ended, or None."""
+        for stop in self.plan.stops:
+            if (
+                stop.number == call.entry
+                and call.ended_at >= stop.sigterm_at
+                and call.sent_from <= stop.ended_at
+            ):
+                return stop
+        return None
+
+    def _runs(self, call):
+        return [
+            run
+            for upstream in self.upstreams
+            for run in upstream.ran.get(call.id, [])
+        ]
+
+    def _describe(self, call):
+        stop = self._stop_of(call)
+        since = call.sent_from if stop is None else stop.sigterm_at
+        runs = [
+            f'{run.started_at - since:.2f}..'
+            + ('' if run.ended_at is None else f'{run.ended_at - since:.2f}')
+            + ('' if run.is_whole else ' cut')
+            for run in self._runs(call)
+        ]
+        sent_at = math.nan if call.sent_at is None else call.sent_at - since
+        gone_at = math.nan if stop is None else stop.ended_at - since
+        events = call.body.count(b'\n\n')
+        return (
+            f'{call.id} {call.route} {call.manner} entry {call.entry} sent '
+            f'{call.sent_from - since:.2f}..{sent_at:.2f} end '
+            f'{call.ended_at - since:.2f} limit {call.limit_s:.2f} work '
+            f'{call.work_s:.2f} status {call.status} whole {call.is_whole} '
+            f'bytes {len(call.body)} events {events} runs {runs} process gone '
+            f'{gone_at:.2f} {call.fault} '
+            + (call.check_answer() if call.is_whole else '')
+        )
+
+    def _note(self, kind, text, stop=None):
+        if stop is not None:
+            text = f'entry {stop.number} signals {stop.signals}: {text}'
+        self.problems[kind].append(text)
+
+
+def document(plan, version, *names):
+    """Return a configuration with the routes of the soak and ``names``."""
+    streams = [(name, ROUTES[name]) for name in stop_upstreams.STREAMS]
+    config = platform_site.document(
+        version, *streams, *((name, 'safe') for name in names)
+    )
+    config['services'].append({'name': 'talks', 'healthPath': '/healthz'})
+    config['limits'] = {'idleTimeoutMs': 30_000}
+    for row in config['routes']:
+        row['timeoutMs'] = 1000 * plan.timeouts_s.get(row['name'], 2.0)
+        row['targetLatencyMs'] = 1000
+        if row['kind'] == 'streaming':
+            row['service'] = 'talks'
+            row['targetGapMs'] = 2000
+        if row['name'] == 'talk':
+            row |= {'resumable': True, 'attempts': 2}
+    return config
+
+
+async def run_seed(folder, base, seed, max_entries=24):
+    """Run one seed; the folder keeps the logs and the problems."""
+    plan = Plan.from_seed(seed, max_entries)
+    async with contextlib.AsyncExitStack() as stack:
+        site = await stack.enter_async_context(
+            platform_site.site(
+                folder,
+                base,
+                without=plan.entries - VOTERS,
+                upstream_class=stop_upstreams.Upstream,
+            )
+        )
+        services = {99: 'desk', 98: 'desk', 97: 'talks', 96: 'talks'}
+        others = [
+            stop_upstreams.Upstream(f'{base}.{number}:18300', service)
+            for number, service in services.items()
+            if number != 99
+        ]
+        await stack.enter_async_context(
+            stop_upstreams.serve(others, site.session, site.entries)
+        )
+        upstreams = [site.upstream, *others]
+        for upstream in upstreams:
+            upstream.slots = plan.slots
+        await site.put_until_acknowledged(site.entries[0], document(plan, 1))
+        for entry in site.entries:
+            await site.wait_until(site.is_ready, entry)
+        soak = StopSoak(site, upstreams, plan, random.Random(seed))
+        await soak.run()
+    lines = [
+        f'{kind}: {text}'
+        for kind, texts in soak.problems.items()
+        for text in texts
+    ]
+    (folder / 'problems.txt').write_text('\n'.join(lines))
+    return soak
+
+
+def main():
+    """Run the seeds; return 1 if one of them has problems."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seeds', type=int, default=50)
+    parser.add_argument('--first', type=int, default=1)
+    parser.add_argument('--max-entries', type=int, default=24)
+    args = parser.parse_args()
+    base = addresses.Addresses.for_this_process().prefix
+    failed_seeds = 0
+    for seed in range(args.first, args.first + args.seeds):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f'stop-soak-{seed}-'))
+        soak = asyncio.run(run_seed(folder, base, seed, args.max_entries))
+        failed_seeds += bool(soak.problems)
+        line = soak.report(seed)
+        if soak.problems:
+            line += f', logs in {folder}'
+        else:
+            shutil.rmtree(folder)
+        print(line, flush=True)
+    return 1 if failed_seeds else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
