--- a/tests/process/stop_soak.py
+++ b/tests/process/stop_soak.py
@@ -1,24 +1,13 @@
 """Planned stops of entries as real processes, under callers that stay.
 
 ``tools/run python -m tests.process.stop_soak --seeds 50`` runs many seeds; a
-test runs one. Entries are stopped in series and at once, while callers go on
+test runs two. Entries are stopped in series and at once, while callers go on
 using their connections until the process is gone. Further stop signals, SIGHUP
 and configurations come meanwhile; an entry that is still there at the end of
-its grace period is killed, and all are started again. What callers, upstreams
-and the operator see is checked:
-
-- a request that was read ends without a complete answer neither once it has
-  been passed on nor later than ``LOSS_SLACK_S`` after its last byte;
-- it gets the whole answer or a refusal, and a refusal at once;
-- answers are whole and belong to their request; events come in order;
-- an unsafe request runs at most once, a refused one never;
-- a process ends by itself, with status 0, unless it has requests to answer;
-- it isn't ready 4 s after the signal;
-- the newest acknowledged configuration is in force at the end.
-
-Not counted are requests whose caller left, whose deadline or timeout was
-reached, or whose upstream was still at work in the last sixth of the grace
-period, if they were sent in the first 3 s of it.
+its grace period is killed, and all are started again. Checked are, beside what
+``stop_checks`` states: a process ends by itself, with status 0, unless it has
+requests to answer; it isn't ready 4 s after the SIGTERM; and the newest
+acknowledged configuration is in force at the end.
 """
 
 import argparse
@@ -39,110 +28,17 @@
 
 from tests.process import platform_site
 from tests.process import stop_callers
+from tests.process import stop_checks
+from tests.process import stop_plans
 from tests.process import stop_upstreams
 from tools.cluster import addresses
 
-GRACE_S = 8.0
-# Bounds of the users' platform.
-LOSS_SLACK_S = 0.2
-EXCUSED_FROM_S = GRACE_S * 5 / 6
-EXCUSED_SENT_S = 3.0
 NOT_READY_AFTER_S = 4.0
-TIMEOUT_SLACK_S = 0.5
-LATE_CALLS = 8
 IN_FORCE_AFTER_S = 3.0
 # A process without requests for this long before the end of its grace period
 # should have ended.
 IDLE_S = 1.0
 WARM_UP_S = 3.0
-VOTERS = 3
-LARGE_EVERY = 5
-REFUSED = (429, 503)
-ROUTES = {
-    'read': 'safe',
-    'book': 'unsafe',
-    'stream': 'streaming',
-    'talk': 'streaming',
-}
-RUN_ONCE = ('book', 'stream')
-
-
-@attrs.define(eq=False)
-class Stop:
-    """A planned stop of an entry.
-
-    Attributes:
-        at_s: time of the SIGTERM after the warm-up.
-        signals: time after the SIGTERM and number of further signals.
-        is_long: requests last until the grace period ends.
-        sigterm_at: monotonic time of the SIGTERM.
-        ended_at: monotonic time at which the process was gone.
-        ending: the entry has closed an idle connection.
-    """
-
-    number: int
-    at_s: float
-    signals: list[tuple[float, signal.Signals]]
-    restart_after_s: float
-    is_long: bool
-    sigterm_at: float = math.inf
-    ended_at: float = math.inf
-    ending: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-
-@attrs.define
-class Plan:
-    """What a seed does, drawn before it begins."""
-
-    entries: int
-    stops: list[Stop]
-    is_heavy: bool
-    slowdown: float
-    slots: int
-    timeouts_s: dict[str, float]
-    idle_callers: int
-
-    @classmethod
-    def from_seed(cls, seed, max_entries):
-        """Draw a plan; each ``LARGE_EVERY``-th has ``max_entries``."""
-        rng = random.Random(seed)
-        is_large = seed % LARGE_EVERY == 0
-        entries = max_entries if is_large else rng.randint(6, 8)
-        count = rng.randint(4, 8) if is_large else rng.randint(2, 3)
-        numbers = rng.sample(range(VOTERS + 1, entries + 1), count)
-        if rng.random() < 0.5:
-            # More would leave no majority of the voters.
-            numbers.append(rng.randint(1, VOTERS))
-        span_s = rng.choice([0.5, 3.0, 6.0])
-        stops = [
-            Stop(
-                number,
-                at_s=rng.uniform(0.0, span_s),
-                signals=cls._draw_signals(rng),
-                restart_after_s=rng.uniform(0.1, 1.0),
-                is_long=rng.random() < 0.8,
-            )
-            for number in numbers
-        ]
-        return cls(
-            entries=entries,
-            stops=stops,
-            idle_callers=20 if is_large else 60,
-            is_heavy=rng.random() < 0.5,
-            slowdown=rng.choice([1.0, 1.0, 3.0]),
-            slots=rng.choice([200, 200, 4]),
-            timeouts_s={
-                name: rng.choice([2.0, 4.0, 8.0, 8.0, 8.0]) for name in ROUTES
-            },
-        )
-
-    @staticmethod
-    def _draw_signals(rng):
-        again = [signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGHUP]
-        return sorted(
-            (rng.uniform(0.05, GRACE_S - 0.3), rng.choice(again))
-            for _ in range(rng.choice([0, 0, 0, 1, 2, 3]))
-        )
 
 
 @attrs.define(eq=False)
@@ -152,18 +48,20 @@
     Attributes:
         problems: descriptions by kind.
         calls: all requests that were sent.
+        outcomes: these with their runs and stops, after the end.
         acknowledged: the highest version that was acknowledged.
         lags: end and length of the delays of this process itself.
     """
 
     site: platform_site.Site
     upstreams: list[stop_upstreams.Upstream]
-    plan: Plan
+    plan: stop_plans.Plan
     rng: random.Random
     problems: dict[str, list[str]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
     calls: list[stop_callers.Call] = attrs.field(factory=list)
+    outcomes: list[stop_checks.Outcome] = attrs.field(factory=list)
     acknowledged: int = 1
     lags: list[tuple[float, float]] = attrs.field(factory=list)
     _newest: int = 1
@@ -205,8 +103,8 @@
     def report(self, seed):
         """Return one line on the run."""
         plan = self.plan
-        late = [call for call in self.calls if self._stop_of(call)]
-        refused = sum(call.status in REFUSED for call in late)
+        late = [item for item in self.outcomes if item.stop is not None]
+        refused = sum(item.is_refused() for item in late)
         served = sum(call.status == 200 for call in self.calls)
         lag_s = max(lag_s for _, lag_s in self.lags)
         kinds = {kind: len(items) for kind, items in self.problems.items()}
@@ -221,24 +119,18 @@
 
     def _new_call(self, entry, is_slow):
         rng = self.rng
-        if not self.plan.is_heavy:
-            work_s = min(6.0, rng.lognormvariate(math.log(0.3), 0.8))
-        elif rng.random() < 0.06:
-            work_s = rng.uniform(4.0, 7.0)
-        else:
-            work_s = rng.uniform(0.2, 0.6)
         manners = ['PLAIN'] * 7 + ['CHUNKED', 'SLOW_BODY', 'LEAVER']
         manner = getattr(stop_callers, rng.choice(manners))
         if is_slow:
             manner = stop_callers.SLOW_READER
-        route = rng.choice(list(ROUTES))
+        route = rng.choice(list(stop_plans.ROUTES))
         deadline_s = rng.uniform(2.0, 8.0)
         self._call_count += 1
         return stop_callers.Call(
             id=f'c{self._call_count}',
             route=route,
             entry=entry.number,
-            work_s=work_s,
+            work_s=self.plan.draw_work_s(rng),
             deadline_s=deadline_s,
             limit_s=min(deadline_s, self.plan.timeouts_s[route]),
             manner=manner,
@@ -278,22 +170,21 @@
 
     async def _call_late(self, stop):
         entry = self.site.entries[stop.number - 1]
-        delay_s = self.rng.uniform(0.0, WARM_UP_S / 2)
-        await asyncio.sleep(delay_s)
-        async with stop_callers.Connection.open(entry) as connection:
-            wait_s = WARM_UP_S - delay_s + stop.at_s
-            wait_s += self.rng.uniform(0.0, GRACE_S)
-            sent_from = time.monotonic()
-            await self._send(connection)
-            wait_s -= time.monotonic() - sent_from
-            if self.rng.random() < 0.3:
-                # Sent as the process ends.
-                await stop.ending.wait()
-                wait_s = 0.0
-            await asyncio.sleep(wait_s)
-            while connection.is_usable():
+        started = time.monotonic()
+        await asyncio.sleep(self.rng.uniform(0.0, WARM_UP_S / 2))
+        with contextlib.suppress(OSError):
+            async with stop_callers.Connection.open(entry) as connection:
                 await self._send(connection)
-                await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+                wait_s = WARM_UP_S + stop.at_s - (time.monotonic() - started)
+                wait_s += self.rng.uniform(0.0, stop_plans.GRACE_S)
+                if self.rng.random() < 0.3:
+                    # Sent as the process ends.
+                    await stop.ending.wait()
+                    wait_s = 0.0
+                await asyncio.sleep(wait_s)
+                while connection.is_usable():
+                    await self._send(connection)
+                    await asyncio.sleep(self.rng.uniform(0.0, 1.0))
 
     async def _call_long(self, stop):
         """Keep an entry busy from about its SIGTERM to the kill."""
@@ -307,8 +198,8 @@
                     call = self._new_call(entry, False)
                     call.route = route
                     call.manner = stop_callers.PLAIN
-                    call.work_s = call.deadline_s = GRACE_S
-                    call.limit_s = min(GRACE_S, timeouts_s[route])
+                    call.work_s = call.deadline_s = stop_plans.GRACE_S
+                    call.limit_s = min(stop_plans.GRACE_S, timeouts_s[route])
                     await self._send(connection, call)
 
     async def _watch_ending(self, stop):
@@ -339,7 +230,7 @@
         signals = asyncio.ensure_future(self._send_signals(stop, entry))
         readiness = asyncio.ensure_future(self._check_readiness(stop, entry))
         while entry.process.poll() is None:
-            if time.monotonic() >= stop.sigterm_at + GRACE_S:
+            if time.monotonic() >= stop.sigterm_at + stop_plans.GRACE_S:
                 self._check_is_busy(stop)
                 entry.kill()
                 break
@@ -377,7 +268,7 @@
         while not self._is_over:
             self._newest += self.rng.randint(1, 3)
             entry = self.rng.choice(self.site.entries)
-            config = document(self.plan, self._newest, f'v{self._newest}')
+            config = self.plan.document(self._newest, f'v{self._newest}')
             status = await self.site.put(entry, config)
             if status == 200:
                 self.acknowledged = max(self.acknowledged, self._newest)
@@ -406,135 +297,38 @@
                 )
 
     def _check_calls(self):
-        for call in self.calls:
-            for kind in self._problems_of(call):
-                self._note(kind, self._describe(call))
-        self._check_limits()
-        if not any(self._stop_of(call) for call in self.calls):
+        self.outcomes = [self._outcome(call) for call in self.calls]
+        for item in self.outcomes:
+            for kind in item.problems():
+                self._note(kind, str(item))
+        for item in stop_checks.late_outcomes(self.outcomes):
+            self._note('late', str(item))
+        if not any(item.stop for item in self.outcomes):
             self._note('no calls', 'none was sent to an entry that stopped')
         if not any(call.status == 200 for call in self.calls):
             self._note('no calls', 'none was served')
 
-    def _problems_of(self, call):
-        """Yield the kinds of problems with a call."""
-        runs = self._runs(call)
-        if call.fault or call.is_whole and call.check_answer():
-            yield 'mixed'
-        if call.route in RUN_ONCE and len(runs) > 1:
-            yield 'twice'
-        if call.status in REFUSED and runs:
-            yield 'refused but run'
-        if call.sent_at is None:
-            return
-        if (
-            not call.status
-            and not runs
-            and call.manner != stop_callers.LEAVER
-            and self._time_to_end_s(call) > LOSS_SLACK_S
-        ):
-            yield 'held'
-        if not self._is_excused(call):
-            yield from self._problems_of_end(call, runs)
-
-    def _problems_of_end(self, call, runs):
-        """Yield the kinds of problems with the end of a call."""
-        is_slow = self._time_to_end_s(call) > LOSS_SLACK_S
-        if not call.is_whole and runs:
-            yield 'lost'
-        stop = self._stop_of(call)
-        if stop is None or call.sent_from < stop.sigterm_at:
-            return
-        if call.status in REFUSED and is_slow:
-            yield 'refused late'
-        if call.is_whole and call.status not in (200, *REFUSED):
-            yield 'failed'
-
-    def _time_to_end_s(self, call):
-        """Return the time from the last byte, without own delays, in s."""
-        return (
-            call.ended_at
-            - call.sent_at
-            - sum(
-                lag_s
-                for at, lag_s in self.lags
-                if call.sent_at < at < call.ended_at + lag_s
-            )
-        )
-
-    def _check_limits(self):
-        """Check that requests get a final answer at their limit.
-
-        A caller may read its answer slowly for longer.
-        """
-        ended = [
-            call
-            for call in self.calls
-            if call.ended_at >= call.sent_from + call.limit_s
-            and call.manner != stop_callers.SLOW_READER
-        ]
-        late = [
-            call
-            for call in ended
-            if call.ended_at > call.sent_from + call.limit_s + TIMEOUT_SLACK_S
-        ]
-        if len(late) >= LATE_CALLS and len(late) > len(ended) / 4:
-            for call in late:
-                self._note('late', self._describe(call))
-
-    def _is_excused(self, call):
-        """Return whether the entry need not answer a call in full."""
-        if call.ended_at >= call.sent_from + call.limit_s:
-            return True
-        if call.has_left:
-            return True
-        stop = self._stop_of(call)
-        if stop is None or call.sent_at > stop.sigterm_at + EXCUSED_SENT_S:
-            return False
-        last_sixth_at = stop.sigterm_at + EXCUSED_FROM_S
-        return call.ended_at >= last_sixth_at and any(
-            run.ended_at is None or run.ended_at >= last_sixth_at
-            for run in self._runs(call)
-        )
-
-    def _stop_of(self, call):
-        """Return the stop around which a call was sent or ended, or None."""
-        for stop in self.plan.stops:
-            if (
-                stop.number == call.entry
-                and call.ended_at >= stop.sigterm_at
-                and call.sent_from <= stop.ended_at
-            ):
-                return stop
-        return None
-
-    def _runs(self, call):
-        return [
+    def _outcome(self, call):
+        runs = [
             run
             for upstream in self.upstreams
             for run in upstream.ran.get(call.id, [])
         ]
-
-    def _describe(self, call):
-        stop = self._stop_of(call)
-        since = call.sent_from if stop is None else stop.sigterm_at
-        runs = [
-            f'{run.started_at - since:.2f}..'
-            + ('' if run.ended_at is None else f'{run.ended_at - since:.2f}')
-            + ('' if run.is_whole else ' cut')
-            for run in self._runs(call)
+        stops = [
+            stop
+            for stop in self.plan.stops
+            if stop.number == call.entry
+            and call.ended_at >= stop.sigterm_at
+            and call.sent_from <= stop.ended_at
         ]
-        sent_at = math.nan if call.sent_at is None else call.sent_at - since
-        gone_at = math.nan if stop is None else stop.ended_at - since
-        events = call.body.count(b'\n\n')
-        return (
-            f'{call.id} {call.route} {call.manner} entry {call.entry} sent '
-            f'{call.sent_from - since:.2f}..{sent_at:.2f} end '
-            f'{call.ended_at - since:.2f} limit {call.limit_s:.2f} work '
-            f'{call.work_s:.2f} status {call.status} whole {call.is_whole} '
-            f'bytes {len(call.body)} events {events} runs {runs} process gone '
-            f'{gone_at:.2f} {call.fault} '
-            + (call.check_answer() if call.is_whole else '')
+        sent_at = math.inf if call.sent_at is None else call.sent_at
+        own_delay_s = sum(
+            lag_s
+            for at, lag_s in self.lags
+            if sent_at < at < call.ended_at + lag_s
         )
+        stop = stops[0] if stops else None
+        return stop_checks.Outcome(call, runs, stop, own_delay_s)
 
     def _note(self, kind, text, stop=None):
         if stop is not None:
@@ -542,34 +336,15 @@
         self.problems[kind].append(text)
 
 
-def document(plan, version, *names):
-    """Return a configuration with the routes of the soak and ``names``."""
-    streams = [(name, ROUTES[name]) for name in stop_upstreams.STREAMS]
-    config = platform_site.document(
-        version, *streams, *((name, 'safe') for name in names)
-    )
-    config['services'].append({'name': 'talks', 'healthPath': '/healthz'})
-    config['limits'] = {'idleTimeoutMs': 30_000}
-    for row in config['routes']:
-        row['timeoutMs'] = 1000 * plan.timeouts_s.get(row['name'], 2.0)
-        row['targetLatencyMs'] = 1000
-        if row['kind'] == 'streaming':
-            row['service'] = 'talks'
-            row['targetGapMs'] = 2000
-        if row['name'] == 'talk':
-            row |= {'resumable': True, 'attempts': 2}
-    return config
-
-
 async def run_seed(folder, base, seed, max_entries=24):
     """Run one seed; the folder keeps the logs and the problems."""
-    plan = Plan.from_seed(seed, max_entries)
+    plan = stop_plans.Plan.from_seed(seed, max_entries)
     async with contextlib.AsyncExitStack() as stack:
         site = await stack.enter_async_context(
             platform_site.site(
                 folder,
                 base,
-                without=plan.entries - VOTERS,
+                without=plan.entries - stop_plans.VOTERS,
                 upstream_class=stop_upstreams.Upstream,
             )
         )
@@ -585,7 +360,7 @@
         upstreams = [site.upstream, *others]
         for upstream in upstreams:
             upstream.slots = plan.slots
-        await site.put_until_acknowledged(site.entries[0], document(plan, 1))
+        await site.put_until_acknowledged(site.entries[0], plan.document(1))
         for entry in site.entries:
             await site.wait_until(site.is_ready, entry)
         soak = StopSoak(site, upstreams, plan, random.Random(seed))
@@ -610,7 +385,12 @@
     failed_seeds = 0
     for seed in range(args.first, args.first + args.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'stop-soak-{seed}-'))
-        soak = asyncio.run(run_seed(folder, base, seed, args.max_entries))
+        try:
+            soak = asyncio.run(run_seed(folder, base, seed, args.max_entries))
+        except AssertionError as exc:
+            failed_seeds += 1
+            print(f'seed {seed}: {exc}, logs in {folder}', flush=True)
+            continue
         failed_seeds += bool(soak.problems)
         line = soak.report(seed)
         if soak.problems:
