Open a refused folder again after a quarter of a second

Callers: while the disks of three voters were full for some seconds each, one right after another, changes stayed unacknowledged for up to 5.25 s. The bound is 4 s.

Cause: a voter whose disk had room again was opened up to a second later, and refuses votes for an election timeout from then on, as it may have supported the lease of a leader. The next disk is often the leader's. Before the remaining voter can be elected, its own disk may be full.

Change: the pause before a folder is opened again is 0.25 s.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
@@ -35,7 +35,8 @@
 SNAPSHOT_EVERY_ENTRIES = 64
 TRAILING_ENTRIES = 32
 SEGMENT_BYTES = 1024 * 1024
-REOPEN_AFTER_S = 1.0
+# A small share of the time in which a change has to be acknowledged.
+REOPEN_AFTER_S = 0.25
 START_ID_BYTES = 8
 CHANGE_INTERVAL_S = 0.5
 
--- a/tests/daemon/storage/test_full_disks.py
+++ b/tests/daemon/storage/test_full_disks.py
@@ -34,16 +34,7 @@
         assert_that(deployment.failures, matchers.Equals(3))
 
 
-@pytest.mark.parametrize(
-    'seed',
-    [
-        *range(1, 6),
-        *(
-            pytest.param(seed, marks=pytest.mark.known_red)
-            for seed in (26, 29, 60, 70, 80, 99)
-        ),
-    ],
-)
+@pytest.mark.parametrize('seed', [*range(1, 6), 26, 29, 60, 70, 80, 99])
 def test_changes_are_acknowledged_while_disks_are_full_in_turn(seed):
     silence_s = full_disks.explore_in_turn(seed, 'abc')
     assert_that(silence_s, matchers.LessThan(full_disks.ACK_TIMEOUT_S))
