Show that disks full for a second or two delay changes for too long

Callers: while the disks of three voters are full for 1 to 2 s each, one right after another, changes stay unacknowledged for up to 5.41 s. The bound is 4 s.

--- a/tests/daemon/storage/full_disks.py
+++ b/tests/daemon/storage/full_disks.py
@@ -238,8 +238,8 @@
     return deployment, deployment.settle_within(ACK_TIMEOUT_S)
 
 
-def explore_in_turn(seed, hosts, rounds=3):
-    """Fill the disks for 1.5 to 3 s, one right after another.
+def explore_in_turn(seed, hosts, shortest_s, longest_s, rounds=3):
+    """Fill the disks for some seconds each, one right after another.
 
     Returns:
         the longest time in seconds without a commit.
@@ -251,7 +251,7 @@
     for _ in range(rounds):
         for host in rng.sample(hosts, len(hosts)):
             deployment.fill(host, rng.choice(REFUSALS))
-            deployment.run(rng.uniform(1.5, 3.0))
+            deployment.run(rng.uniform(shortest_s, longest_s))
             deployment.free(host)
     deployment.run(ACK_TIMEOUT_S)
     return deployment.longest_silence_s
