Name a successor when a leader's storage fails

Callers: while the disks of three voters were full for 1 to 2 s each, one right after another, changes stayed unacknowledged for up to 5.41 s. The bound is 4 s.

Cause: a leader whose storage failed went silent, and the others waited for 1 to 1.5 election timeouts. If the disk of one of them was full next, the wait began again. A leader whose disk stalls hands over; one whose disk refuses a write did not, although it knows at once.

Change: a leader whose storage fails sends TimeoutNow to the voter that is known to hold most of its log, if that holds all committed entries. It has no lease from then on, as after any handover. Its last entry may not be known to be at that voter; links keep the order of messages, so it arrives there first. In the simulation messages overtake each other, and an election may still have to wait.

--- a/packages/cassiashift-core/cassiashift_core/consensus/leader.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/leader.py
@@ -145,17 +145,33 @@
         during the lease, at any later time in the term, so the lease is given
         up for good. Nothing is sent if no voter has the whole log.
         """
+        self._send_timeout_now(self._replica.log.last_index)
+
+    def abdicate(self) -> None:
+        """Ask the voter with the newest log to start an election at once.
+
+        This leader can't go on. A voter that lacks committed entries can't
+        win, and is not asked.
+        """
+        self._send_timeout_now(self._replica.commit_index)
+
+    def _send_timeout_now(self, min_match: int) -> None:
         replica = self._replica
         voters = replica.log.voters.voter_hosts
         ready = [
             host
             for host, peer in self.peers.items()
-            if host in voters and peer.match == replica.log.last_index
+            if host in voters and peer.match >= min_match
         ]
         if not ready:
             return
         best = max(
-            ready, key=lambda host: (self.rounds.last_answered(host), host)
+            ready,
+            key=lambda host: (
+                self.peers[host].match,
+                self.rounds.last_answered(host),
+                host,
+            ),
         )
         self._is_lease_revoked = True
         self._is_timeout_now_sent = True
--- a/packages/cassiashift-core/cassiashift_core/consensus/roles.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/roles.py
@@ -93,8 +93,11 @@
     def enter_failed(self) -> None:
         """Stop for good after a storage failure.
 
-        Held messages are dropped; the owner must restart the replica.
+        Held messages are dropped; the owner must restart the replica. A
+        leader names a successor.
         """
+        if self.leadership is not None:
+            self.leadership.abdicate()
         self.leader = None
         self._stop_leading()
         self._proposals.fail_all()
--- a/tests/core/consensus/test_scenarios.py
+++ b/tests/core/consensus/test_scenarios.py
@@ -220,6 +220,36 @@
     assert_that(old_leader.replica.role, matchers.Is(consensus.Role.FAILED))
 
 
+@pytest.mark.parametrize('seed', range(1, 11))
+def test_leader_whose_storage_failed_is_succeeded_at_once(seed):
+    cluster = scenarios.elected_cluster(seed)
+    old_leader = cluster.leader()
+    rest = scenarios.followers(cluster)
+    old_leader.is_stalled = True
+    cluster.propose()
+    cluster.run(0.05)
+    cluster.handle(old_leader, consensus.StorageFailed())
+    cluster.crash(old_leader.host)
+    cluster.run(clusters.TIMEOUT_S / 4)
+    new_leader = cluster.leader()
+    assert_that(new_leader, matchers.Not(matchers.Is(None)))
+    cluster.settle(rest)
+
+
+def test_leader_whose_storage_failed_names_the_voter_with_its_log():
+    cluster = scenarios.elected_cluster()
+    old_leader = cluster.leader()
+    behind, newest = sorted(scenarios.followers(cluster), reverse=True)
+    cluster.cuts.add((old_leader.host, behind))
+    cluster.propose(3)
+    cluster.run(0.05)
+    cluster.heal()
+    cluster.handle(old_leader, consensus.StorageFailed())
+    cluster.crash(old_leader.host)
+    cluster.run(clusters.TIMEOUT_S / 4)
+    assert_that(cluster.leader().host, matchers.Equals(newest))
+
+
 def test_leader_with_a_stalled_disk_steps_down():
     cluster = scenarios.elected_cluster()
     old_leader = cluster.leader()
--- a/tests/daemon/storage/test_full_disks.py
+++ b/tests/daemon/storage/test_full_disks.py
@@ -40,16 +40,7 @@
     assert_that(silence_s, matchers.LessThan(full_disks.ACK_TIMEOUT_S))
 
 
-@pytest.mark.parametrize(
-    'seed',
-    [
-        *range(1, 6),
-        *(
-            pytest.param(seed, marks=pytest.mark.known_red)
-            for seed in (25, 31, 38, 43, 44, 67, 83)
-        ),
-    ],
-)
+@pytest.mark.parametrize('seed', [*range(1, 6), 25, 31, 38, 43, 44, 67, 83])
 def test_changes_are_acknowledged_while_disks_are_full_briefly(seed):
     silence_s = full_disks.explore_in_turn(seed, 'abc', 1.0, 2.0)
     assert_that(silence_s, matchers.LessThan(full_disks.ACK_TIMEOUT_S))
