End a voter whose sync loop ends

Callers: nothing was seen; found while looking for other loops that end by an error that they don't expect.

Cause: an error in an effect of a sync, such as applying an entry, ended the loop that syncs, while the voter went on without it: it acknowledges nothing, yet stays in the voter set.

Evidence: test_a_voter_that_stops_syncing_by_an_error_has_failed fails without the change.

Change: any error that ends the loop is reported by on_failed.

--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -152,8 +152,15 @@
     async def sync_forever(self) -> None:
         """Write what the replica persists to disk, in batches.
 
-        A failure ends the loop and the process.
+        Any failure ends the loop, and ``on_failed`` is called: without the
+        loop nothing becomes durable.
         """
+        try:
+            await self._sync_until_failed()
+        except Exception as exc:
+            self.on_failed(f'sync: {exc!r}')
+
+    async def _sync_until_failed(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             await self._persist_requested.wait()
--- a/tests/daemon/test_voter.py
+++ b/tests/daemon/test_voter.py
@@ -29,16 +29,21 @@
 
 @attrs.define
 class Replica:
-    """A fake replica that persists at each tick and records its events."""
+    """A fake replica that persists at each tick and records its events.
+
+    Attributes:
+        answer: the effects of every event but a tick.
+    """
 
     events: list = attrs.field(factory=list)
+    answer: list = attrs.field(factory=list)
 
     def handle(self, event, now):
         """Record an event; return a ``Persist`` for a tick."""
         self.events.append(event)
         if isinstance(event, consensus.Tick):
             return [consensus.Persist(1)]
-        return []
+        return self.answer
 
 
 @pytest.fixture
@@ -75,3 +80,16 @@
     await asyncio.gather(*busy)
     syncing.cancel()
     assert_that(replica.events[-1], matchers.Equals(consensus.Synced(1)))
+
+
+async def test_a_voter_that_stops_syncing_by_an_error_has_failed(parts):
+    own, _, replica = parts
+    reasons = []
+    own.on_failed = reasons.append
+    own.machine = None
+    replica.answer = [consensus.Apply((consensus.Entry(1, 1),))]
+    syncing = asyncio.ensure_future(own.sync_forever())
+    own.tick()
+    async with asyncio.timeout(TIMEOUT_S):
+        await syncing
+    assert_that(reasons, matchers.HasLength(1))
