Leave a silent stream where it is if no other send may start

Callers: a resumable stream that an entry had taken before its planned stop got 502, with 4 s of its time left, because its upstream was silent for 0.8 s.

Cause: a stall ends the send if another upstream has room, and during a stop the next send is refused if the request may outlast the stop. The stall was found without a look at that.

Change: a send in progress may move only if the next one may start.

Result: the tests of stalled streams, closing, admission and explanations pass.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -202,7 +202,7 @@
         Raises:
             CassiashiftError: OVERLOADED.
         """
-        if not self._may_start(call):
+        if not self.may_start(call):
             raise self._refusal(call, LEAVING)
 
     def retry_after_stop_s(self) -> float:
@@ -213,11 +213,20 @@
             self.runner.is_other_ready(), time.monotonic()
         )
 
+    def may_start(self, call: calls.Call) -> bool:
+        """Return whether a send of a request may start during a stop.
+
+        A stream that has begun goes on: no other entry can resume it.
+        """
+        if self.closing is None or call.send_events:
+            return True
+        return self.closing.may_start(call.ends_at)
+
     def begin_closing(self, closing: gates.Closing) -> None:
         """Begin a planned stop; refuse queued requests that may outlast it."""
         self.closing = closing
         for item, queued in list(self._waiting.items()):
-            if not self._may_start(queued.call):
+            if not self.may_start(queued.call):
                 self._refuse_queued(item, LEAVING)
 
     def refuse_blocked(self) -> None:
@@ -649,15 +658,6 @@
             evacuated=','.join(sorted(self.runner.upstreams.evacuated)),
         )
 
-    def _may_start(self, call: calls.Call) -> bool:
-        """Return whether a request is over before this entry stops.
-
-        A stream that has begun goes on: no other entry can resume it.
-        """
-        if self.closing is None or call.send_events:
-            return True
-        return self.closing.may_start(call.ends_at)
-
     def _no_upstream_reason(self, call: calls.Call) -> str:
         """Return why a request is refused while no upstream is left."""
         if self.runner.upstreams.is_evacuated(call.service):
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -156,6 +156,7 @@
         entries = len(self.runner.live_records()) + 1
         if (
             not call.log.may_abandon()
+            or not self.admission.may_start(call)
             or budget is None
             or not budget.has_room(entries, now)
         ):
--- a/tests/daemon/direct/test_stalled_streams.py
+++ b/tests/daemon/direct/test_stalled_streams.py
@@ -1,11 +1,13 @@
 """Tests of upstreams that fall silent in a stream, beside others."""
 
 import asyncio
+import time
 
 import pytest
 from testtools.assertions import assert_that
 from testtools import matchers
 
+from cassiashift_core import admission
 from tests.daemon.direct import conftest as harness
 
 EVENTS = 6
@@ -93,6 +95,24 @@
     assert_that(second.heads, matchers.HasLength(1))
 
 
+async def test_a_silent_stream_stays_if_a_stop_lets_no_other_send_start(
+    site, ticking
+):
+    """Guards against an answer given up although nothing can replace it."""
+
+    async def late(head, writer):
+        site.ingress.placement.admission.begin_closing(
+            admission.Closing(time.monotonic(), time.monotonic())
+        )
+        await asyncio.sleep(1.5)
+        await harness.streaming(1, 2)(head, writer)
+
+    status, text, second = await call_beside_others(site, 'draft', late)
+    assert_that(status, matchers.Equals(200))
+    assert_that(text, matchers.Equals(events(1, 2)))
+    assert_that(second.heads, matchers.HasLength(1))
+
+
 async def test_a_stream_that_can_not_be_resumed_stays(site, ticking):
     async def late(head, writer):
         await asyncio.sleep(1.5)
