Resume a begun stream in a stop also after a send without events

Callers: a stream that had begun before a planned stop was cut at any moment of it if the upstream at which it was to go on refused it or was silent.

Cause: a begun stream was told by the events of its newest send, which are counted anew at each send. After one without events it was taken for a new request and refused, as it may outlast the stop.

Change: the request knows whether its caller has been sent a part of the answer.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -218,7 +218,7 @@
 
         A stream that has begun goes on: no other entry can resume it.
         """
-        if self.closing is None or call.send_events:
+        if self.closing is None or call.has_begun:
             return True
         return self.closing.may_start(call.ends_at)
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/calls.py
@@ -55,6 +55,7 @@
         is_being_sent: a send has begun whose outcome is not known.
         upstream_id: id of the upstream of the newest send; empty before one.
         send_events: events received in answer to the newest send.
+        has_begun: the caller has been sent a part of the answer.
         scope: ends the request at ``ends_at``, while that is awaited.
         log: the sends that have ended.
     """
@@ -77,6 +78,7 @@
     is_being_sent: bool = False
     upstream_id: str = ''
     send_events: int = 0
+    has_begun: bool = False
     scope: asyncio.Timeout | None = None
     log: placing.AttemptLog = attrs.field(init=False)
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -236,6 +236,7 @@
             self.owner.guard.record_answer(self.call)
         is_first = self.response is None
         if is_first:
+            self.call.has_begun = True
             self.response = web.StreamResponse(
                 status=answer.status, headers=answer.headers_for_caller()
             )
--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -74,6 +74,7 @@
         route('book', routes.Kind.UNSAFE, attempts=1),
         route('draft', routes.Kind.STREAM, is_resumable=True),
         route('talk', routes.Kind.STREAM),
+        route('tale', routes.Kind.STREAM, is_resumable=True, attempts=3),
         route('brief', routes.Kind.STREAM, timeout_s=0.4),
         route('open', routes.Kind.SAFE, is_public=True),
     ),
@@ -81,7 +82,15 @@
         routes.Service('model', engine=routes.Engine(slots=1)),
         *(
             routes.Service(name)
-            for name in ('read', 'book', 'draft', 'talk', 'brief', 'open')
+            for name in (
+                'read',
+                'book',
+                'draft',
+                'talk',
+                'tale',
+                'brief',
+                'open',
+            )
         ),
     ),
     (routes.Workspace('acme', ('secret',), 3),),
--- a/tests/daemon/direct/test_closing.py
+++ b/tests/daemon/direct/test_closing.py
@@ -61,6 +61,32 @@
     assert_that(len(upstream.heads), matchers.Equals(20))
 
 
+async def test_a_stream_is_resumed_in_a_stop_after_a_send_without_events(
+    site, ticking
+):
+    """Guards against a resumed stream that is taken for a new one."""
+    await site.upstream('tale', harness.streaming(1, 2, is_whole=False))
+    await site.upstream('tale', harness.reset)
+    await site.upstream('tale', harness.streaming(3, 6))
+    site.condition('tale-2').in_flight = 1
+    # All slots of the third are taken for a while.
+    site.condition('tale-3').in_flight = 2
+
+    async def read():
+        async with site.request('tale') as response:
+            return await response.read()
+
+    reading = asyncio.ensure_future(read())
+    while not any(
+        relay.response is not None for relay in site.ingress._relays
+    ):
+        await asyncio.sleep(0.001)
+    _close_in(site, 0.5)
+    await asyncio.sleep(0.1)
+    site.condition('tale-3').in_flight = 0
+    assert_that(await reading, matchers.Contains(b'id: 6\n'))
+
+
 @pytest.mark.parametrize(
     'fields', [{}, {'is_ready': True, 'is_leaving': True}]
 )
