Name the calls and attempts in progress as cassiashiftd ends

Cause: as for direct entries, nothing tells which calls an entry or agent leaves unfinished; neither logs that it has stopped. Change: entries keep a table of the HTTP requests in progress, with the calls that go on for callers that left; calls note their attempts. Agents describe their attempts. Both report them as direct entries do and log stopped. The agent of a rank tells the switch or recovery that it leaves. Listeners count connections and unsent bytes, also for direct entries. No decision changes.

--- a/packages/cassiashift-core/cassiashift_core/draining/unfinished.py
+++ b/packages/cassiashift-core/cassiashift_core/draining/unfinished.py
@@ -35,7 +35,7 @@
         kind: kind of its route; empty while unknown.
         upstream: id of the upstream that it was sent to last; empty if none.
         sends: number of sends, with one in progress.
-        events: number of events that the caller was sent.
+        events: number of events, or chunks of its body, in the answer so far.
     """
 
     id: str
@@ -64,6 +64,11 @@
     phases: dict[Phase, int]
 
 
+def kind_of_call(is_idempotent: bool) -> str:
+    """Return the kind of a call that goes through agents."""
+    return 'idempotent' if is_idempotent else 'once'
+
+
 def count_phases(requests: Iterable[Unfinished]) -> dict[Phase, int]:
     """Return the number of requests in each phase, also where it is 0."""
     counts = collections.Counter(request.phase for request in requests)
--- a/packages/cassiashift-daemon/cassiashift_daemon/agent.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/agent.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from cassiashift_core import draining
 from cassiashift_core import manifest
 from cassiashift_core import membership
 from cassiashift_core import retries
@@ -34,6 +35,7 @@
         """Build the parts that need no running event loop."""
         super().__init__(cfg, 'agent', self._needs_item)
         self.holder.on_change = self._announce
+        self.attempts: attempts.AttemptServer | None = None
         self.health: dict[str, membership.UpstreamHealth] = {
             upstream: membership.UpstreamHealth()
             for upstream in cfg.upstream_urls()
@@ -83,8 +85,15 @@
         self.presence.handle(membership.Leaving())
         logs.info('agent_drained', host=self.cfg.host)
 
+    def unfinished(self) -> list[draining.Unfinished]:
+        """Return the attempts in progress."""
+        return [] if self.attempts is None else self.attempts.unfinished()
+
     async def close(self) -> None:
         """Cancel the attempts; close the HTTP clients and the links."""
+        logs.final_info(
+            'stopped', in_flight=sum(self.attempts.in_flight.values())
+        )
         await self.ranks.close()
         await self.attempts.close()
         await self.session.close()
--- a/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/attempts.py
@@ -15,6 +15,7 @@
 import attrs
 import yarl
 
+from cassiashift_core import draining
 from cassiashift_core import poison
 from cassiashift_core import retries
 from cassiashift_core import timeline
@@ -91,6 +92,7 @@
             chunk that was larger than what was left.
         chunks: number of chunks of the answer sent so far.
         answer: the answer of a non-idempotent call, to be remembered.
+        began_at: monotonic time at which it arrived.
     """
 
     start: messages.CallStart
@@ -100,6 +102,23 @@
     credit_added: asyncio.Event = attrs.field(factory=asyncio.Event)
     chunks: int = 0
     answer: outcomes.AnswerBuffer = attrs.field(factory=outcomes.AnswerBuffer)
+    began_at: float = attrs.field(factory=time.monotonic)
+
+    def describe(self) -> draining.Unfinished:
+        """Return what is known of the attempt now."""
+        has_begun = bool(self.answer.status)
+        phase = draining.Phase.ANSWERING if has_begun else draining.Phase.SENT
+        start = self.start
+        return draining.Unfinished(
+            id=start.request_id,
+            phase=phase,
+            arrived_at=self.began_at,
+            ends_at=self.began_at + start.deadline_s,
+            kind=draining.kind_of_call(start.idempotent),
+            upstream=start.upstream,
+            sends=1,
+            events=self.chunks,
+        )
 
     def send(self, data: bytes) -> None:
         """Send one chunk of the answer and charge it to the credit.
@@ -213,6 +232,10 @@
             return messages.Fenced(attempt, Verdict.MAY_HAVE_RUN)
         return messages.Fenced(attempt, self.fences.fence(attempt_id).verdict)
 
+    def unfinished(self) -> list[draining.Unfinished]:
+        """Return the attempts in progress."""
+        return [attempt.describe() for attempt in self._running.values()]
+
     async def wait_idle(self) -> None:
         """Return as soon as no attempt is in progress."""
         while self._running:
--- a/packages/cassiashift-daemon/cassiashift_daemon/callers.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/callers.py
@@ -13,12 +13,14 @@
 
 from cassiashift_core import CassiashiftError
 from cassiashift_core import directory
+from cassiashift_core import draining
 from cassiashift_core import ErrorCode
 from cassiashift_core import manifest
 from cassiashift_core import Verdict
 from cassiashift_daemon import access
 from cassiashift_daemon import at_most_once
 from cassiashift_daemon import calls
+from cassiashift_daemon import calls_in_progress
 from cassiashift_daemon import metrics
 from cassiashift_daemon import requests
 from cassiashift_daemon import settings
@@ -40,7 +42,7 @@
         record_demand: counts the tokens of a workspace's call.
         is_ready: returns whether a confirmed manifest is in force.
         is_leaving: returns whether a planned stop has begun.
-        in_flight: HTTP requests in progress.
+        table: the HTTP requests in progress.
     """
 
     cfg: settings.EntrySettings
@@ -53,8 +55,23 @@
     record_demand: Callable[[str, int], None]
     is_ready: Any
     is_leaving: Any
-    in_flight: int = 0
-    _detached: set[asyncio.Task] = attrs.field(factory=set)
+    table: calls_in_progress.CallTable = attrs.field(
+        factory=calls_in_progress.CallTable
+    )
+    # Calls that go on when their callers have left.
+    _detached: dict[asyncio.Task, calls_in_progress.Row] = attrs.field(
+        factory=dict
+    )
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of HTTP requests in progress."""
+        return len(self.table)
+
+    def unfinished(self) -> list[draining.Unfinished]:
+        """Return the calls in progress, also those of callers that left."""
+        rows = self.table.rows() | set(self._detached.values())
+        return [row.describe() for row in rows]
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes that callers use."""
@@ -84,17 +101,16 @@
         """Wrap a handler: count and time requests, answer errors as JSON."""
 
         async def handle(req: web.Request) -> web.StreamResponse:
-            request_id = _request_id(req)
-            began = time.monotonic()
-            self.in_flight += 1
+            row = self.table.begin(_request_id(req))
             try:
-                resp = await handler(req, request_id)
+                resp = await handler(req, row)
             except CassiashiftError as exc:
-                self._record_end(request_id, exc)
-                resp = problems.error_response(exc, request_id)
+                self._record_end(row.id, exc)
+                resp = problems.error_response(exc, row.id)
             finally:
-                self.in_flight -= 1
-                self.metrics.timing('requests', time.monotonic() - began)
+                self.table.end(row)
+                spent_s = time.monotonic() - row.arrived_at
+                self.metrics.timing('requests', spent_s)
             if self.is_leaving() and not resp.prepared:
                 resp.headers['Connection'] = 'close'
                 resp.force_close()
@@ -103,7 +119,7 @@
         return handle
 
     async def answer_directory(
-        self, req: web.Request, request_id: str
+        self, req: web.Request, row: calls_in_progress.Row
     ) -> web.Response:
         """Answer with the addresses of entries that a workspace should use."""
         workspace = req.query.get('workspace', '')
@@ -127,27 +143,27 @@
         )
 
     async def chat(
-        self, req: web.Request, request_id: str
+        self, req: web.Request, row: calls_in_progress.Row
     ) -> web.StreamResponse:
         """Answer a chat completion, streamed or whole."""
         workspace = self._authenticate(req)
         body = await self._read_body(req)
-        call = requests.chat_call(
-            self.cfg, workspace, request_id, req.headers, body
+        row.call = requests.chat_call(
+            self.cfg, workspace, row.id, req.headers, body
         )
-        return await self._serve(req, call)
+        return await self._serve(req, row, row.call)
 
     async def service(
-        self, req: web.Request, request_id: str
+        self, req: web.Request, row: calls_in_progress.Row
     ) -> web.StreamResponse:
         """Answer a call of a service that is not a model."""
         workspace = self._authenticate(req)
         body = await self._read_body(req)
-        call = requests.service_call(
+        row.call = requests.service_call(
             self.cfg,
             self.holder.view,
             workspace,
-            request_id,
+            row.id,
             requests.ServiceRequest(
                 req.match_info['name'],
                 req.method,
@@ -157,7 +173,7 @@
             req.headers,
             body,
         )
-        return await self._serve(req, call)
+        return await self._serve(req, row, row.call)
 
     async def wait_idle(self) -> None:
         """Return as soon as no call is in progress."""
@@ -165,7 +181,7 @@
             await asyncio.sleep(0.05)
 
     async def _serve(
-        self, req: web.Request, call: calls.Call
+        self, req: web.Request, row: calls_in_progress.Row, call: calls.Call
     ) -> web.StreamResponse:
         self.record_demand(call.workspace, call.tokens)
         self.record(
@@ -176,7 +192,7 @@
         )
         if call.idempotent and not call.idempotency_key:
             return await self._serve_idempotent(req, call)
-        answer = await self._run_detached(self._run_at_most_once(call))
+        answer = await self._run_detached(row, self._run_at_most_once(call))
         self._record_end(call.request_id, None)
         return _build_response(call, answer)
 
@@ -200,14 +216,16 @@
         finally:
             self.runner.release(call, call.tokens)
 
-    async def _run_detached(self, coroutine: Any) -> Any:
+    async def _run_detached(
+        self, row: calls_in_progress.Row, coroutine: Any
+    ) -> Any:
         """Await a task that goes on if the caller disconnects.
 
         So the outcome of a call that was begun is always recorded.
         """
         task = asyncio.ensure_future(coroutine)
-        self._detached.add(task)
-        task.add_done_callback(self._detached.discard)
+        self._detached[task] = row
+        task.add_done_callback(self._detached.pop)
         return await asyncio.shield(task)
 
     async def _stream(
@@ -216,6 +234,7 @@
         resp = web.StreamResponse(status=answer.status)
         _copy_headers(resp, call, answer, Verdict.RAN)
         try:
+            call.progress.stream = answer.stream
             await resp.prepare(req)
             async for data in answer.stream.body():
                 await resp.write(data)
--- a/packages/cassiashift-daemon/cassiashift_daemon/calls.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/calls.py
@@ -30,6 +30,43 @@
 _REFUSALS = (ErrorCode.DRAINING, ErrorCode.FENCED, ErrorCode.NO_UPSTREAM)
 
 
+@attrs.define(eq=False)
+class Progress:
+    """How far a call has come.
+
+    Attributes:
+        upstream: id of the upstream of the newest attempt; empty before one.
+        sends: number of attempts, with one in progress.
+        is_being_sent: an attempt is in progress.
+        stream: the attempt whose answer the caller is being sent.
+    """
+
+    upstream: str = ''
+    sends: int = 0
+    is_being_sent: bool = False
+    stream: remote.RemoteAttempt | None = None
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the caller is being sent a streamed answer."""
+        return self.stream is not None
+
+    @property
+    def chunks(self) -> int:
+        """Return the number of chunks of the streamed answer so far."""
+        return 0 if self.stream is None else self.stream.chunk_count
+
+    def begin_attempt(self, upstream: str) -> None:
+        """Record that an attempt begins."""
+        self.upstream = upstream
+        self.sends += 1
+        self.is_being_sent = True
+
+    def end_attempt(self) -> None:
+        """Record that an attempt has ended or streams its answer."""
+        self.is_being_sent = False
+
+
 @attrs.frozen
 class Call:
     """A caller's request, after authentication.
@@ -53,6 +90,7 @@
     priority: int = 0
     tokens: int = 1
     idempotency_key: str = ''
+    progress: Progress = attrs.field(factory=Progress, eq=False)
 
     @property
     def pool(self) -> str:
@@ -240,6 +278,7 @@
             CassiashiftError: the attempt ended without an answer.
         """
         plan.begin_attempt(target.upstream)
+        call.progress.begin_attempt(target.upstream)
         self.router.record_start(
             target.upstream,
             target.attempt,
@@ -261,6 +300,7 @@
         except TimeoutError:
             raise await self._fence_timed_out(target, running) from None
         finally:
+            call.progress.end_attempt()
             if running is not None and running.crash:
                 self.guard.record_crash(
                     call.subject, target.upstream, running.crash
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -54,7 +54,6 @@
         is_leaving: a planned stop has begun; answers tell callers to close
             their connections.
         requests: the requests in progress.
-        server: the HTTP server that calls ``handle``.
         handled: requests since the last update of the request rate, which
             resets this count.
         handled_by_engines: those of them to services with an engine.
@@ -72,7 +71,6 @@
     requests: in_progress.RequestTable = attrs.field(
         factory=in_progress.RequestTable
     )
-    server: web.Server | None = None
     handled: int = 0
     handled_by_engines: int = 0
     started_at: float = attrs.field(factory=time.monotonic)
@@ -89,22 +87,6 @@
         """Return the number of requests that are not answered yet."""
         return len(self.requests)
 
-    @property
-    def connection_count(self) -> int:
-        """Return the number of callers' open connections."""
-        return 0 if self.server is None else len(self.server.connections)
-
-    @property
-    def unsent_bytes(self) -> int:
-        """Return the bytes of answers that wait for callers to read."""
-        if self.server is None:
-            return 0
-        return sum(
-            conn.transport.get_write_buffer_size()
-            for conn in self.server.connections
-            if conn.transport is not None
-        )
-
     def tick(self) -> None:
         """Move streams whose upstream has stalled to others."""
         now = time.monotonic()
@@ -550,14 +532,13 @@
     Args:
         options: further options of ``web.Server``.
     """
-    handler.server = CallerServer(
+    return CallerServer(
         handler,
         handler_cancellation=True,
         access_log=None,
         auto_decompress=False,
         **options,
     )
-    return handler.server
 
 
 def _parse_deadline_s(milliseconds: str | None) -> float | None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -179,8 +179,8 @@
         logs.final_info(
             'stopped',
             in_flight=self.ingress.in_flight,
-            connections=self.ingress.connection_count,
-            unsent_bytes=self.ingress.unsent_bytes,
+            connections=self.front.connection_count if self.front else 0,
+            unsent_bytes=self.front.unsent_bytes if self.front else 0,
         )
         for listener in self.listeners:
             await listener.close()
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -66,6 +66,7 @@
         if cfg.seed:
             self.rng = random.Random(cfg.seed)
         self.holder.on_change = self._state_changed
+        self.callers: callers.CallerApi | None = None
         self.voter: voter.Voter | None = None
         self.coordination: coordination.Coordination | None = None
         self.planning: planning.Planning | None = None
@@ -130,8 +131,18 @@
         await self.callers.wait_idle()
         logs.info('entry_drained', host=self.cfg.host)
 
+    def unfinished(self) -> list[draining.Unfinished]:
+        """Return the calls in progress."""
+        return [] if self.callers is None else self.callers.unfinished()
+
     async def close(self) -> None:
         """Close the HTTP server, the links and the data folder."""
+        logs.final_info(
+            'stopped',
+            in_flight=self.callers.in_flight,
+            connections=self.listener.connection_count,
+            unsent_bytes=self.listener.unsent_bytes,
+        )
         await self.listener.close()
         self.links.close()
         if self.voter is not None:
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
@@ -122,7 +122,8 @@
 
     async def close(self) -> None:
         """Close the links and the clients of engines."""
-        logs.info('stopped')
+        version, phase = self._active_phase()
+        logs.final_info('stopped', version=version, phase=phase or 'none')
         for engine in (self.engine, *self._remote_engines.values()):
             await engine.close()
         self.links.close()
@@ -514,14 +515,22 @@
     def _send(self, host: str, message: object) -> None:
         self.links.send(self.cfg.link_of(host), message)
 
+    def _active_phase(self) -> tuple[int, str]:
+        """Return version and phase of the running switch or recovery.
+
+        The version is 0 and the phase empty if there is none.
+        """
+        active = None if self.coordinator is None else self.coordinator.active
+        if active is None:
+            return 0, ''
+        if isinstance(active, rankmaps.Switch):
+            return active.version, active.phase.value
+        return active.version, 'recovery'
+
     def _log_switch(self) -> None:
         """Log each change of the running switch or recovery."""
         active = self.coordinator.active
-        current = (0, '')
-        if isinstance(active, rankmaps.Switch):
-            current = (active.version, active.phase.value)
-        elif active is not None:
-            current = (active.version, 'recovery')
+        current = self._active_phase()
         if current == self._logged_switch:
             return
         self._logged_switch = current
--- a/packages/cassiashift-daemon/cassiashift_daemon/remote.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/remote.py
@@ -57,6 +57,11 @@
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _uncredited_bytes: int = 0
 
+    @property
+    def chunk_count(self) -> int:
+        """Return the number of chunks of the answer that have arrived."""
+        return self._next_sequence
+
     @property
     def verdict(self) -> Verdict:
         """Whether the attempt has run, as far as is known now."""
--- a/packages/cassiashift-daemon/cassiashift_daemon/webserver.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/webserver.py
@@ -107,6 +107,20 @@
                 )
         await asyncio.sleep(LINGER_S)
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self.runner.server.connections)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers that wait for callers to read."""
+        return sum(
+            conn.transport.get_write_buffer_size()
+            for conn in self.runner.server.connections
+            if conn.transport is not None
+        )
+
     async def close(self) -> None:
         """Close all connections."""
         await self.runner.cleanup()
--- a/tests/daemon/ranks/test_agents.py
+++ b/tests/daemon/ranks/test_agents.py
@@ -255,6 +255,30 @@
     )
 
 
+async def test_the_end_of_an_agent_names_its_unfinished_switch(
+    running, monkeypatch
+):
+    lines = []
+    monkeypatch.setattr(
+        process.logs,
+        'final_info',
+        lambda event, **fields: lines.append((event, fields)),
+    )
+    first = running.agents[0]
+
+    def is_switching():
+        coordinator = first.coordinator
+        return coordinator is not None and isinstance(
+            coordinator.active, rankmaps.Switch
+        )
+
+    await running.wait_until(is_switching)
+    switch = first.coordinator.active
+    await running.agents.pop(0).stop()
+    expected = {'version': switch.version, 'phase': switch.phase.value}
+    assert_that(lines, matchers.Equals([('stopped', expected)]))
+
+
 async def test_an_entry_is_told_of_slow_ranks_until_none_is_left(running):
     running.group.slowdowns[2] = 4.0
     await running.wait_until(lambda: len(running.announced) == 2)
