Give each call a final answer as an entry of cassiashiftd ends

Callers: a call in progress when the stop timeout passes, or taken on a kept connection during the stop, ends with its connection: no status, no verdict. A stream is cut without the error event that any other broken stream has. Cause: the end of the process cancels the handlers. A call's deadline, 120 s by default, isn't bounded by the stop, and no part of the process that ends it answers what is left: the time limit or a failure. Change: closing the process, however it came to its end, first ends all requests with the answer that draining.error_at_end decides: 503 not_run only if nothing was sent and the call doesn't go on, else 504 may_have_run. Streams get their error event. Requests that arrive later are refused. Agents don't show the fault: entries see the link end and answer, which the test of agents now checks.

--- a/packages/cassiashift-core/cassiashift_core/draining/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/draining/__init__.py
@@ -14,6 +14,7 @@
 from cassiashift_core.draining.model import Tick
 from cassiashift_core.draining.unfinished import count_phases
 from cassiashift_core.draining.unfinished import EndReport
+from cassiashift_core.draining.unfinished import error_at_end
 from cassiashift_core.draining.unfinished import kind_of_call
 from cassiashift_core.draining.unfinished import Phase
 from cassiashift_core.draining.unfinished import report_end
@@ -38,6 +39,7 @@
     'Unfinished',
     'UpstreamDrain',
     'count_phases',
+    'error_at_end',
     'kind_of_call',
     'report_end',
 ]
--- a/packages/cassiashift-core/cassiashift_core/draining/unfinished.py
+++ b/packages/cassiashift-core/cassiashift_core/draining/unfinished.py
@@ -10,6 +10,9 @@
 
 import attrs
 
+from cassiashift_core import errors
+from cassiashift_core import verdicts
+
 
 class Phase(enum.Enum):
     """How far a request has come."""
@@ -69,6 +72,27 @@
     return 'idempotent' if is_idempotent else 'once'
 
 
+def error_at_end(
+    request: Unfinished, goes_on: bool
+) -> errors.CassiashiftError:
+    """Return the final answer to a call that its process can't wait for.
+
+    Args:
+        goes_on: the call is not stopped by its final answer.
+    """
+    if goes_on or request.sends:
+        return errors.CassiashiftError(
+            errors.ErrorCode.DEADLINE_EXCEEDED,
+            'this entry stops before the call has ended',
+            verdicts.Verdict.MAY_HAVE_RUN,
+        )
+    return errors.CassiashiftError(
+        errors.ErrorCode.DRAINING,
+        'this entry stops before the call can begin',
+        retry_after_s=0.0,
+    )
+
+
 def count_phases(requests: Iterable[Unfinished]) -> dict[Phase, int]:
     """Return the number of requests in each phase, also where it is 0."""
     counts = collections.Counter(request.phase for request in requests)
--- a/packages/cassiashift-daemon/cassiashift_daemon/callers.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/callers.py
@@ -43,6 +43,7 @@
         is_ready: returns whether a confirmed manifest is in force.
         is_leaving: returns whether a planned stop has begun.
         table: the HTTP requests in progress.
+        has_ended: requests get their final answers at once.
     """
 
     cfg: settings.EntrySettings
@@ -58,6 +59,7 @@
     table: calls_in_progress.CallTable = attrs.field(
         factory=calls_in_progress.CallTable
     )
+    has_ended: bool = False
     # Calls that go on when their callers have left.
     _detached: dict[asyncio.Task, calls_in_progress.Row] = attrs.field(
         factory=dict
@@ -103,7 +105,7 @@
         async def handle(req: web.Request) -> web.StreamResponse:
             row = self.table.begin(_request_id(req))
             try:
-                resp = await handler(req, row)
+                resp = await self._run_until_end(handler, req, row)
             except CassiashiftError as exc:
                 self._record_end(row.id, exc)
                 resp = problems.error_response(exc, row.id)
@@ -118,6 +120,30 @@
 
         return handle
 
+    def end_all(self) -> None:
+        """Give each request its final answer now, and refuse further ones."""
+        self.has_ended = True
+        now = asyncio.get_running_loop().time()
+        for row in self.table.rows():
+            row.scope.reschedule(now)
+
+    async def _run_until_end(
+        self, handler: Any, req: web.Request, row: calls_in_progress.Row
+    ) -> web.StreamResponse:
+        if self.has_ended:
+            raise self._error_at_end(row)
+        try:
+            async with asyncio.timeout(None) as row.scope:
+                return await handler(req, row)
+        except TimeoutError:
+            if not row.is_expired:
+                raise
+            raise self._error_at_end(row) from None
+
+    def _error_at_end(self, row: calls_in_progress.Row) -> CassiashiftError:
+        goes_on = row in self._detached.values()
+        return draining.error_at_end(row.describe(), goes_on)
+
     async def answer_directory(
         self, req: web.Request, row: calls_in_progress.Row
     ) -> web.Response:
@@ -191,13 +217,13 @@
             pool=call.pool,
         )
         if call.idempotent and not call.idempotency_key:
-            return await self._serve_idempotent(req, call)
+            return await self._serve_idempotent(req, row, call)
         answer = await self._run_detached(row, self._run_at_most_once(call))
         self._record_end(call.request_id, None)
         return _build_response(call, answer)
 
     async def _serve_idempotent(
-        self, req: web.Request, call: calls.Call
+        self, req: web.Request, row: calls_in_progress.Row, call: calls.Call
     ) -> web.StreamResponse:
         await self.runner.enter(call)
         try:
@@ -205,7 +231,7 @@
             if answer.stream is None:
                 self._record_end(call.request_id, None)
                 return _build_response(call, answer)
-            return await self._stream(req, call, answer)
+            return await self._stream(req, row, call, answer)
         finally:
             self.runner.release(call, call.tokens)
 
@@ -229,7 +255,11 @@
         return await asyncio.shield(task)
 
     async def _stream(
-        self, req: web.Request, call: calls.Call, answer: calls.Answer
+        self,
+        req: web.Request,
+        row: calls_in_progress.Row,
+        call: calls.Call,
+        answer: calls.Answer,
     ) -> web.StreamResponse:
         resp = web.StreamResponse(status=answer.status)
         _copy_headers(resp, call, answer, Verdict.RAN)
@@ -243,6 +273,12 @@
         except CassiashiftError as exc:
             self._record_end(call.request_id, exc)
             await self._break_stream(req, resp, call, exc)
+        except asyncio.CancelledError:
+            if not (row.is_expired and resp.prepared):
+                raise
+            exc = self._error_at_end(row)
+            self._record_end(call.request_id, exc)
+            await self._break_stream(req, resp, call, exc)
         finally:
             self.runner.finish_stream(call, answer.stream)
         return resp
--- a/packages/cassiashift-daemon/cassiashift_daemon/calls_in_progress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/calls_in_progress.py
@@ -1,5 +1,6 @@
 """The calls in progress at an entry that calls through agents."""
 
+import asyncio
 import time
 
 import attrs
@@ -16,11 +17,18 @@
         id: id of the request.
         arrived_at: monotonic time at which its head was read.
         call: None until its body is read and checked.
+        scope: ends the request when the process can't wait any longer.
     """
 
     id: str
     arrived_at: float = attrs.field(factory=time.monotonic)
     call: calls.Call | None = None
+    scope: asyncio.Timeout | None = None
+
+    @property
+    def is_expired(self) -> bool:
+        """Return whether the process can't wait for it any longer."""
+        return self.scope is not None and self.scope.expired()
 
     @property
     def phase(self) -> draining.Phase:
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -136,13 +136,14 @@
         return [] if self.callers is None else self.callers.unfinished()
 
     async def end_requests(self) -> None:
-        """Close the HTTP server."""
+        """Give requests in progress their final answers; close the server."""
         logs.final_info(
             'stopped',
             in_flight=self.callers.in_flight,
             connections=self.listener.connection_count,
             unsent_bytes=self.listener.unsent_bytes,
         )
+        self.callers.end_all()
         await self.listener.close()
 
     async def close(self) -> None:
--- a/tests/core/draining/test_unfinished.py
+++ b/tests/core/draining/test_unfinished.py
@@ -5,6 +5,8 @@
 from testtools import matchers
 
 from cassiashift_core import draining
+from cassiashift_core import ErrorCode
+from cassiashift_core import Verdict
 
 STOP_ASKED_AT = 100.0
 
@@ -61,3 +63,21 @@
         _listed(report),
         matchers.Equals(['early-begun', 'later-begun', 'early']),
     )
+
+
+@pytest.mark.parametrize(
+    ('sends', 'goes_on', 'code', 'verdict'),
+    [
+        (0, False, ErrorCode.DRAINING, Verdict.NOT_RUN),
+        (1, False, ErrorCode.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN),
+        (0, True, ErrorCode.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN),
+    ],
+)
+def test_a_final_answer_says_not_run_only_if_the_call_can_not_run(
+    sends, goes_on, code, verdict
+):
+    request = draining.Unfinished(
+        'r', draining.Phase.WAITING, 90.0, sends=sends
+    )
+    error = draining.error_at_end(request, goes_on)
+    assert_that((error.code, error.verdict), matchers.Equals((code, verdict)))
--- a/tests/process/test_end_of_calls.py
+++ b/tests/process/test_end_of_calls.py
@@ -1,7 +1,6 @@
 """Tests of what cassiashiftd logs of its calls as it ends."""
 
 import asyncio
-import contextlib
 
 import aiohttp
 import pytest
@@ -36,15 +35,26 @@
 
 
 async def _send(deployment, entry, id_, method, path, body=None):
-    """Send a call and ignore what comes of it."""
-    with contextlib.suppress(aiohttp.ClientError):
+    """Send a call; return its status, verdict, body and if it is whole.
+
+    Status and verdict are None without an answer.
+    """
+    status = verdict = None
+    received = b''
+    try:
         async with deployment.session.request(
             method,
             deployment.cluster.url_of(entry) + path,
             headers=_headers(id_),
             json=body,
         ) as response:
-            await response.read()
+            status = response.status
+            verdict = response.headers.get('X-Cassiashift-Verdict')
+            async for chunk in response.content.iter_any():
+                received += chunk
+            return status, verdict, received, True
+    except aiohttp.ClientError:
+        return status, verdict, received, False
 
 
 async def _send_all(deployment, entry):
@@ -125,8 +135,10 @@
     tasks = await _send_all(stopping, 'entry-4')
     agents = [f'runner-{number}' for number in range(1, 5)]
     await asyncio.gather(*(_terminate(stopping, name) for name in agents))
-    for task in tasks:
-        task.cancel()
+    safe, once, stream = await asyncio.gather(*tasks)
+    for answer in (safe, once):
+        assert_that(answer[1], matchers.Equals('may_have_run'))
+    assert_that(stream[2], matchers.Contains(b'event: error\n'))
     named = [
         pairs
         for name in agents
@@ -142,3 +154,53 @@
     for name in agents:
         (stopped,) = _pairs(stopping, name, 'stopped')
         assert_that(stopped['event'], matchers.Equals('stopped'))
+
+
+@pytest.mark.parametrize('signals', [1, 2])
+async def test_calls_in_progress_at_the_end_of_an_entry_get_a_final_answer(
+    stopping, signals
+):
+    entry = 'entry-4'
+    tasks = await _send_all(stopping, entry)
+    for _ in range(signals - 1):
+        stopping.cluster.terminate(entry)
+        await asyncio.sleep(0.2)
+    await _terminate(stopping, entry)
+    safe, once, stream = await asyncio.gather(*tasks)
+    assert_that(safe[:2], matchers.Equals((504, 'may_have_run')))
+    assert_that(once[:2], matchers.Equals((504, 'may_have_run')))
+    _, _, received, is_whole = stream
+    assert_that(received, matchers.Contains(b'event: error\n'))
+    assert_that(is_whole, matchers.Is(False))
+
+
+async def test_each_call_taken_during_a_stop_is_answered(stopping):
+    entry = 'entry-4'
+    path = '/v1/services/warehouse'
+
+    async def send(number):
+        is_safe = number % 2 == 0
+        return await _send(
+            stopping,
+            entry,
+            f'r{number}',
+            'GET' if is_safe else 'POST',
+            f'{path}/stock/x' if is_safe else f'{path}/bookings',
+            None if is_safe else {'reference': f'r{number}'},
+        )
+
+    process = stopping.cluster.daemons[entry].process
+    stopping.cluster.terminate(entry)
+    sent = []
+    while process.poll() is None:
+        sent.append(asyncio.ensure_future(send(len(sent))))
+        await asyncio.sleep(0.02)
+    answers = await asyncio.gather(*sent)
+    # Once the entry has stopped listening, nothing is taken.
+    taken = stopping.cluster.record().ran
+    cut = [
+        f'r{number}'
+        for number, answer in enumerate(answers)
+        if not answer[3] and f'r{number}' in taken
+    ]
+    assert_that(cut, matchers.Equals([]))
