Serve new callers of a stop while no other entry is ready

Callers: while all entries stopped at once, every stream with a deadline of 8 s was refused from SIGTERM on, by each entry it returned to.

Cause: an entry that stops refuses what its end does not bound, as another entry can take it at once. Nobody asked whether there is one.

Change: while no other entry is known to be ready, and until callers may have learned that this one leaves (three times the time to live of the directory's answers), it takes what usually ends in time, by the estimate that all requests had before. After that it refuses them, so that it is back soon; queued ones too.

Result: test_streams_are_served_while_all_entries_stop_at_once serves 12 of 12; test_late_streams_that_end_before_the_stop_are_served, a control for the streams that are refused, 20 of 20.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/admission.py
@@ -72,6 +72,7 @@
             number of seconds.
         promises: what refused callers were promised, by any entry.
         share_promise: sends a promise to the other busy entries.
+        expected_time: returns the time that a request takes at an upstream.
         closing: the planned stop of this entry, once it has begun.
     """
 
@@ -86,6 +87,7 @@
     ]
     release_slot: Callable[[calls.Call, fleet.Upstream], None]
     request_permit: Callable[[calls.Call, float, float], None]
+    expected_time: Callable[[calls.Call], costs.Estimate]
     closing: gates.Closing | None = None
     promises: gates.PromiseTable = attrs.field(factory=gates.PromiseTable)
     share_promise: Callable[[gates.Promise], None] = lambda promise: None
@@ -189,6 +191,8 @@
         """Place queued requests, and refuse those that can't be in time."""
         now = time.monotonic()
         self._update_limits(now)
+        if self.closing is not None:
+            self._refuse_unbounded()
         for service, gate in self._gates.items():
             if not gate.queue:
                 continue
@@ -226,11 +230,21 @@
         is_stream = call.route.kind is routes.Kind.STREAM
         if not is_stream and call.verdict is not Verdict.NOT_RUN:
             return True
-        return self.closing.may_start(call.ends_at)
+        if self.closing.is_bounded(call.ends_at):
+            return True
+        return not self.runner.is_other_ready() and (
+            self.closing.may_start_alone(
+                self.expected_time(call), time.monotonic()
+            )
+        )
 
     def begin_closing(self, closing: gates.Closing) -> None:
         """Begin a planned stop; refuse queued requests that may outlast it."""
         self.closing = closing
+        self._refuse_unbounded()
+
+    def _refuse_unbounded(self) -> None:
+        """Refuse the queued requests that may not start in a planned stop."""
         for item, queued in list(self._waiting.items()):
             if not self.may_start(queued.call):
                 self._refuse_queued(item, LEAVING)
@@ -399,6 +413,7 @@
             choose_upstream=lambda call, now, preferred: chosen,
             release_slot=lambda call, upstream: None,
             request_permit=lambda call, patience_s, now: None,
+            expected_time=self.expected_time,
             closing=self.closing,
             limits=self.limits,
             gates=copied,
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/placement.py
@@ -71,6 +71,7 @@
             choose_upstream=self._choose_upstream,
             release_slot=self._release_slot,
             request_permit=self._request_permit,
+            expected_time=self._expected_time,
             promises=self.work.promises,
             share_promise=self.work.share_promise,
         )
@@ -337,6 +338,16 @@
             'expected_s': call.cost.time_s.mean,
         }
 
+    def _expected_time(self, call: calls.Call) -> costs.Estimate:
+        """Return the time of a request at the present pace of its service."""
+        time_s = call.cost.time_s
+        pace = max(1.0, self._paces.get(call.service, 1.0))
+        return attrs.evolve(
+            time_s,
+            median=pace * time_s.median,
+            largest=pace * time_s.largest,
+        )
+
     def _others_age_s(self, upstream: fleet.Upstream) -> float:
         """Return the age of the other entries' work there; -1 if none."""
         others_at = self._condition(upstream).others_at
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -155,17 +155,21 @@
         self.runner.send_hellos()
         answers_s = max(0.0, self.stop_timeout_s - FINAL_ANSWERS_S)
         now = time.monotonic()
+        known_s = TTL_FACTOR * min(
+            api.DIRECTORY_TTL_S, self.cfg.bounds.longest_ttl_s
+        )
         self.placement.admission.begin_closing(
             admission.Closing(
-                ends_at=now + answers_s, over_at=now + self.cfg.bounds.grace_s
+                ends_at=now + answers_s,
+                over_at=now + self.cfg.bounds.grace_s,
+                known_until=now + known_s,
             )
         )
         asyncio.get_running_loop().call_later(
             answers_s, self.ingress.end_unanswered
         )
         self.voting.transfer_leadership()
-        ttl_s = min(api.DIRECTORY_TTL_S, self.cfg.bounds.longest_ttl_s)
-        await asyncio.sleep(TTL_FACTOR * ttl_s)
+        await asyncio.sleep(known_s)
         if self.front is not None:
             await self.front.stop()
         while self.ingress.in_flight or self._unsent_bytes():
--- a/tests/daemon/direct/test_closing.py
+++ b/tests/daemon/direct/test_closing.py
@@ -12,10 +12,14 @@
 from tests.daemon.direct import conftest as harness
 
 
-def _close_in(site, seconds):
-    ends_at = time.monotonic() + seconds
+def _close_in(site, seconds, known_s=0.0):
+    now = time.monotonic()
     site.ingress.placement.admission.begin_closing(
-        admission.Closing(ends_at, over_at=ends_at + 10.0)
+        admission.Closing(
+            ends_at=now + seconds,
+            over_at=now + seconds + 10.0,
+            known_until=now + known_s,
+        )
     )
 
 
@@ -56,11 +60,26 @@
     )
     for _ in range(20):
         await _status(site, service)
-    _close_in(site, 1.0)
+    _add_entry(site, is_ready=True)
+    _close_in(site, 1.0, known_s=1.0)
     assert_that(await _status(site, service), matchers.Equals(503))
     assert_that(len(upstream.heads), matchers.Equals(20))
 
 
+@pytest.mark.parametrize('service', ['book', 'draft'])
+@pytest.mark.parametrize(('known_s', 'expected'), [(1.0, 200), (0.0, 503)])
+async def test_the_only_entry_takes_new_callers_until_they_know_of_its_stop(
+    site, service, known_s, expected
+):
+    """Guards against callers whom nobody serves while all entries stop."""
+    await site.upstream(service, *[harness.streaming(1, 2) for _ in range(21)])
+    for _ in range(20):
+        await _status(site, service)
+    _close_in(site, 1.0, known_s)
+    status = await _status(site, service)
+    assert_that(status, matchers.Equals(expected))
+
+
 async def test_a_stream_is_resumed_in_a_stop_after_a_send_without_events(
     site, ticking
 ):
--- a/tests/daemon/direct/test_closing_retries.py
+++ b/tests/daemon/direct/test_closing_retries.py
@@ -18,7 +18,7 @@
 def _close_in(site, seconds):
     ends_at = time.monotonic() + seconds
     site.ingress.placement.admission.begin_closing(
-        admission.Closing(ends_at, over_at=ends_at + 0.1)
+        admission.Closing(ends_at, over_at=ends_at + 0.1, known_until=0.0)
     )
 
 
--- a/tests/daemon/direct/test_stalled_streams.py
+++ b/tests/daemon/direct/test_stalled_streams.py
@@ -101,8 +101,9 @@
     """Guards against an answer given up although nothing can replace it."""
 
     async def late(head, writer):
+        now = time.monotonic()
         site.ingress.placement.admission.begin_closing(
-            admission.Closing(time.monotonic(), time.monotonic())
+            admission.Closing(now, now, now)
         )
         await asyncio.sleep(1.5)
         await harness.streaming(1, 2)(head, writer)
--- a/tests/process/test_planned_stops.py
+++ b/tests/process/test_planned_stops.py
@@ -110,6 +110,46 @@
         yield stop
 
 
+async def test_late_streams_that_end_before_the_stop_are_served(stop):
+    """Guards against an entry that refuses whatever is late."""
+    *idle, kept = await stop.connect(21)
+    stream = asyncio.ensure_future(kept.call('talk', 'long', X_Work_S=6.0))
+    await asyncio.sleep(0.3)
+    stop.begin()
+    late = {}
+    for number, conn in enumerate(idle):
+        await stop.sleep_until(0.2 + 4.0 * number / 20)
+        late[f'late-{number}'] = asyncio.ensure_future(
+            conn.call('talk', f'late-{number}', X_Work_S=0.2, deadline_s=2.5)
+        )
+    answers = {id_: await answer for id_, answer in late.items()}
+    await stream
+    await stop.end()
+    assert_that(stop.cut(answers), matchers.Equals({}))
+    statuses = [answer.status for answer in answers.values()]
+    assert_that(statuses, matchers.Equals([200] * 20))
+
+
+async def test_streams_are_served_while_all_entries_stop_at_once(stop):
+    """Guards against callers who are refused by every entry."""
+    idle = await stop.connect(12)
+    for conn in await stop.connect(5):
+        await conn.call('talk', 'usual', X_Work_S=0.2)
+    for entry in stop.site.entries[:-1]:
+        entry.signal(signal.SIGTERM)
+    stop.begin()
+    await stop.sleep_until(1.0)
+    answers = await asyncio.gather(
+        *(
+            conn.call('talk', f'late-{number}', X_Work_S=0.2)
+            for number, conn in enumerate(idle)
+        )
+    )
+    await stop.end()
+    statuses = [answer.status for answer in answers]
+    assert_that(statuses, matchers.Equals([200] * 12))
+
+
 async def test_no_late_stream_is_cut_at_the_end_of_a_stop(stop):
     """Guards against streams that last longer than their route usually."""
     rng = random.Random(50)
