Keep 0.4 s for the last answers and lines of a planned stop

Callers: nothing was seen. Operators could miss the lines of the requests that an end cuts.

Cause: since the end no longer waits for streams, they went on until 0.2 s before the kill, counted from the handling of SIGTERM. A turn of the loop takes as long on a busy host.

Change: the margin is 0.4 s, as it was.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -53,7 +53,7 @@
 FORGET_UPSTREAM_S = 30.0
 # Some callers cache an answer of the directory for three times its TTL.
 TTL_FACTOR = 3
-STOP_MARGIN_S = 0.2
+STOP_MARGIN_S = 0.4
 # Requests without an answer get a final one this long before the end of a
 # planned stop.
 FINAL_ANSWERS_S = 0.3
