Compare the phase of a stopped switch with that at its line

Cause: the test read the phase of the switch before the agent stopped; the agent goes on with the switch until it logs the line.

Evidence: test_the_end_of_an_agent_names_its_unfinished_switch failed once at a load average of 37, and passed alone.

Change: the test takes the phase at the moment of the line, which has to name exactly that one.

--- a/tests/daemon/ranks/test_agents.py
+++ b/tests/daemon/ranks/test_agents.py
@@ -258,13 +258,14 @@
 async def test_the_end_of_an_agent_names_its_unfinished_switch(
     running, monkeypatch
 ):
-    lines = []
-    monkeypatch.setattr(
-        process.logs,
-        'final_info',
-        lambda event, **fields: lines.append((event, fields)),
-    )
     first = running.agents[0]
+    lines = []
+
+    def log(event, **fields):
+        # The phase may change until the line is logged.
+        lines.append((event, fields, switch.phase.value))
+
+    monkeypatch.setattr(process.logs, 'final_info', log)
 
     def is_switching():
         coordinator = first.coordinator
@@ -275,8 +276,10 @@
     await running.wait_until(is_switching)
     switch = first.coordinator.active
     await running.agents.pop(0).stop()
-    expected = {'version': switch.version, 'phase': switch.phase.value}
-    assert_that(lines, matchers.Equals([('stopped', expected)]))
+    ((event, fields, phase),) = lines
+    assert_that(event, matchers.Equals('stopped'))
+    expected = {'version': switch.version, 'phase': phase}
+    assert_that(fields, matchers.Equals(expected))
 
 
 async def test_an_entry_is_told_of_slow_ranks_until_none_is_left(running):
