Ignore signals from the end of a drain on

Callers: nothing. A supervisor saw a process that had stopped properly end by SIGHUP, SIGTERM or SIGINT.

Cause: closing the loop restores the default handlers, and the process goes on for some milliseconds, longer on a busy host.

Change: once the drain has ended, the signals are ignored.

--- a/packages/cassiashift-daemon/cassiashift_daemon/lifecycle.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/lifecycle.py
@@ -10,6 +10,8 @@
 from cassiashift_daemon import logs
 
 EXIT_FAILED = 1
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+HANDLED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 MAX_UNFINISHED_LINES = 200
 
 
@@ -36,7 +38,7 @@
     async def start(self) -> None:
         """Install the signal handlers and open the process."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self._on_stop_signal, number)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.open()
@@ -57,6 +59,17 @@
         """Wait until the process should end."""
         await self._stopped.wait()
 
+    def run(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Run the opened process until it should end.
+
+        Signals are ignored from then on: a loop that is closed restores the
+        default handlers, which would end the process with another status.
+        """
+        loop.run_until_complete(self.wait_stopped())
+        for number in HANDLED_SIGNALS:
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
     def fail(self, reason: str) -> None:
         """End the process with ``EXIT_FAILED``.
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/main.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/main.py
@@ -104,7 +104,7 @@
         with aiomisc.entrypoint(
             process, log_config=False, pool_size=1, catch_signals=()
         ) as loop:
-            loop.run_until_complete(process.wait_stopped())
+            process.run(loop)
     finally:
         logs.flush()
     return process.exit_status
