Reopen a voter's folder only after a write in progress has ended

Callers: nothing was seen; found by a review.

Cause: a voter that fails beside a write, for another reason than the write, was closed at once and its folder opened again 0.25 s later, while the thread of the old one could still append to the same files.

Evidence: test_a_folder_is_not_reopened_beside_a_write_in_progress failed without the change: the folder was opened with a write in progress.

Change: the supervisor waits for the thread that writes. A planned end of the process does not wait: nothing opens the folder again in it.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
@@ -151,11 +151,17 @@
         self.runner.store_id = saved.incarnation
         self._failed = asyncio.Event()
         self._open_voter(store, saved, await self._wait_for_founders(saved))
-        sync = asyncio.ensure_future(self.voter.sync_forever())
+        voter = self.voter
+        sync = asyncio.ensure_future(voter.sync_forever())
         try:
             await self._tick_until_failed()
+        except Exception as exc:
+            logs.error('voter_failed', reason=repr(exc))
         finally:
             sync.cancel()
+            self.voter = None
+        # Two writers of one folder would damage it.
+        await voter.wait_written()
 
     async def _wait_for_founders(
         self, saved: consensus.SavedState
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -160,6 +160,12 @@
             # ``handle`` has called ``on_failed``.
             logs.error('sync_ended', error=repr(exc))
 
+    async def wait_written(self) -> None:
+        """Wait until a write in progress has ended, also a cancelled one."""
+        await asyncio.get_running_loop().run_in_executor(
+            self._sync_executor, lambda: None
+        )
+
     async def _sync_until_failed(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/tests/daemon/direct/test_voting.py
+++ b/tests/daemon/direct/test_voting.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import threading
 
 import attrs
 import pytest
@@ -14,6 +15,7 @@
 from cassiashift_daemon.direct import fleet_runner
 from cassiashift_daemon.direct import tables
 from cassiashift_daemon.direct import voting
+from cassiashift_daemon import storage
 from tests.daemon.storage import faulty_files
 
 OWN = '10.1.0.1'
@@ -177,3 +179,47 @@
                 await asyncio.sleep(REOPEN_S)
     finally:
         running.cancel()
+
+
+async def test_a_folder_is_not_reopened_beside_a_write_in_progress(
+    founder, monkeypatch
+):
+    """Guards against two writers of one folder."""
+    supervisor, files = founder
+    may_write = threading.Event()
+    events = []
+    persist = storage.Storage.persist
+    open_store = voting.VoterSupervisor._open_store
+
+    def persist_slowly(store, batch):
+        events.append('write')
+        may_write.wait()
+        persist(store, batch)
+        events.append('written')
+
+    def note_opening(self):
+        events.append('open')
+        return open_store(self)
+
+    running = asyncio.ensure_future(supervisor.run_forever())
+    try:
+        async with asyncio.timeout(FOUNDED_S):
+            while not supervisor.is_leader:
+                await asyncio.sleep(REOPEN_S)
+            monkeypatch.setattr(storage.Storage, 'persist', persist_slowly)
+            monkeypatch.setattr(
+                voting.VoterSupervisor, '_open_store', note_opening
+            )
+            supervisor.voter.propose_unanswered(b'')
+            while not events:
+                await asyncio.sleep(REOPEN_S)
+            supervisor._on_failed('a failure beside the write')
+            await asyncio.sleep(10 * REOPEN_S)
+            may_write.set()
+            while 'open' not in events:
+                await asyncio.sleep(REOPEN_S)
+    finally:
+        may_write.set()
+        running.cancel()
+    before = events[: events.index('open')]
+    assert_that(before, matchers.Equals(['write', 'written']))
