--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -24,6 +24,7 @@
 }
 LINK_PORTS = [17340, 17355]
 TIMEOUT_S = 20.0
+MODULE = 'cassiashift_platform.main'
 HOST = 'a.example'
 
 
@@ -60,6 +61,7 @@
         seeds: addresses of hosts to contact first.
         is_first: it has never been started.
         settings: fields of the settings file beside the usual ones.
+        module: the module that is run.
     """
 
     folder: pathlib.Path
@@ -70,6 +72,7 @@
     is_first: bool = True
     process: subprocess.Popen | None = None
     settings: dict = attrs.field(factory=dict)
+    module: str = MODULE
 
     @property
     def ip(self):
@@ -109,7 +112,7 @@
         log = (self.folder / f'entry-{self.number}.log').open('ab')
         with log:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', 'cassiashift_platform.main', 'entry'],
+                [sys.executable, '-m', self.module, 'entry'],
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
@@ -347,6 +350,7 @@
     without=2,
     settings=None,
     upstream_class=CountingUpstream,
+    module=MODULE,
 ):
     """Run entries with and without a disk, and one upstream."""
     numbers = range(1, 1 + with_disk + without)
@@ -359,6 +363,7 @@
             number <= with_disk,
             seeds,
             settings=settings or {},
+            module=module,
         )
         for number in numbers
     ]
