--- a/tests/daemon/storage/test_full_disks.py
+++ b/tests/daemon/storage/test_full_disks.py
@@ -44,3 +44,21 @@
 def test_changes_are_acknowledged_while_disks_are_full_briefly(seed):
     silence_s = full_disks.explore_in_turn(seed, 'abc', 1.0, 2.0)
     assert_that(silence_s, matchers.LessThan(full_disks.ACK_TIMEOUT_S))
+
+
+@pytest.mark.known_red
+def test_changes_are_acknowledged_while_disks_are_full_for_about_a_second():
+    silence_s = full_disks.explore_in_turn(46, 'abc', 0.5, 1.5)
+    assert_that(silence_s, matchers.LessThan(full_disks.ACK_TIMEOUT_S))
+
+
+@pytest.mark.known_red
+@pytest.mark.parametrize(('seed', 'rounds'), [(20, 3), (68, 3), (128, 3)])
+def test_changes_are_acknowledged_while_full_disks_delay_the_first_voters(
+    seed, rounds
+):
+    deployment, _ = full_disks.explore(seed, 'abc', rounds)
+    assert_that(
+        deployment.longest_silence_s,
+        matchers.LessThan(full_disks.ACK_TIMEOUT_S),
+    )
