--- a/tests/process/stop_soak.py
+++ b/tests/process/stop_soak.py
@@ -38,6 +38,7 @@
 # A process without requests for this long before the end of its grace period
 # should have ended.
 IDLE_S = 1.0
+START_S = 60.0
 WARM_UP_S = 3.0
 
 
@@ -245,7 +246,12 @@
         stop.ending.set()
         await asyncio.sleep(stop.restart_after_s)
         entry.start()
-        await self.site.wait_until(self.site.is_ready, entry)
+        started = time.monotonic()
+        while not await self.site.is_ready(entry):
+            if time.monotonic() > started + platform_site.TIMEOUT_S:
+                self._note('start', 'is not ready after its restart', stop)
+                return
+            await asyncio.sleep(0.05)
 
     async def _send_signals(self, stop, entry):
         for at_s, number in stop.signals:
@@ -287,7 +293,9 @@
         await asyncio.sleep(IN_FORCE_AFTER_S)
         route = f'v{self.acknowledged}'
         for entry in self.site.entries:
-            version = await self.site.wait_until(self.site.get, entry)
+            version = 0
+            with contextlib.suppress(AssertionError):
+                version = await self.site.wait_until(self.site.get, entry)
             status, _ = await self.site.call(entry, route, f'e{entry.number}')
             is_known = self.acknowledged == 1 or status != 404
             if version < self.acknowledged or not is_known:
@@ -360,9 +368,13 @@
         upstreams = [site.upstream, *others]
         for upstream in upstreams:
             upstream.slots = plan.slots
-        await site.put_until_acknowledged(site.entries[0], plan.document(1))
-        for entry in site.entries:
-            await site.wait_until(site.is_ready, entry)
+        first = site.entries[0]
+        async with asyncio.timeout(START_S):
+            while await site.put(first, plan.document(1)) != 200:
+                await asyncio.sleep(0.05)
+            for entry in site.entries:
+                while not await site.is_ready(entry):
+                    await asyncio.sleep(0.05)
         soak = StopSoak(site, upstreams, plan, random.Random(seed))
         await soak.run()
     lines = [
@@ -385,12 +397,7 @@
     failed_seeds = 0
     for seed in range(args.first, args.first + args.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'stop-soak-{seed}-'))
-        try:
-            soak = asyncio.run(run_seed(folder, base, seed, args.max_entries))
-        except AssertionError as exc:
-            failed_seeds += 1
-            print(f'seed {seed}: {exc}, logs in {folder}', flush=True)
-            continue
+        soak = asyncio.run(run_seed(folder, base, seed, args.max_entries))
         failed_seeds += bool(soak.problems)
         line = soak.report(seed)
         if soak.problems:
--- a/tests/process/test_stop_soak.py
+++ b/tests/process/test_stop_soak.py
@@ -9,7 +9,6 @@
 pytestmark = pytest.mark.process
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize('seed', [4, 9])
 async def test_planned_stops_lose_no_request_of_callers_that_stay(
     tmp_path, loopback_network, seed
