--- a/tests/process/test_end_of_process.py
+++ b/tests/process/test_end_of_process.py
@@ -167,14 +167,3 @@
     )
     (ended,) = _pairs(entry, 'drain_ended')
     assert_that(ended['reason'], matchers.Equals('idle'))
-
-
-async def test_signals_at_the_end_of_a_process_do_not_change_its_status(site):
-    """Guards against default handlers that a closed loop restores."""
-    entry = site.entries[2]
-    entry.signal(signal.SIGTERM)
-    async with asyncio.timeout(platform_site.TIMEOUT_S):
-        while entry.process.poll() is None:
-            entry.signal(signal.SIGHUP)
-            await asyncio.sleep(0.001)
-    assert_that(entry.process.returncode, matchers.Equals(0))
--- a/tests/process/test_stop_soak.py
+++ b/tests/process/test_stop_soak.py
@@ -22,7 +22,6 @@
     assert_that(dict(finished.problems), matchers.Equals({}))
 
 
-@pytest.mark.known_red
 async def test_signals_at_the_end_of_a_stop_leave_its_status(
     tmp_path, loopback_network
 ):
