Give the stream of a slow caller's pauses time to end

Cause: test_pauses_of_a_slow_caller_do_not_count sends 24 MB on a route whose timeout is 2 s, beside a caller that waits 0.5 s. On a busy host the timeout ended the answer, which has nothing to do with the pauses that it checks.

Evidence: answer_broken_off after_s=2.00019 in one run of eight of the test alone on; the others took 1.08 to 1.77 s.

Change: a route with a timeout of 20 s. What is required of the pauses is the same, and the answer has to be whole as before.

--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -76,6 +76,7 @@
         route('talk', routes.Kind.STREAM),
         route('tale', routes.Kind.STREAM, is_resumable=True, attempts=3),
         route('brief', routes.Kind.STREAM, timeout_s=0.4),
+        route('long', routes.Kind.STREAM, timeout_s=20.0),
         route('open', routes.Kind.SAFE, is_public=True),
     ),
     (
@@ -89,6 +90,7 @@
                 'talk',
                 'tale',
                 'brief',
+                'long',
                 'open',
             )
         ),
