Move two tests to the files of what they test

The tests of a failure in a drain and of an entry that can't be applied stood in files of their own; two tests of begun streams shared their first lines.

--- a/tests/daemon/direct/test_closing.py
+++ b/tests/daemon/direct/test_closing.py
@@ -34,6 +34,21 @@
         return response.status
 
 
+async def _begin_stream(site, service):
+    """Return the task that reads a stream, once its answer has begun."""
+
+    async def read():
+        async with site.request(service) as response:
+            return await response.read()
+
+    reading = asyncio.ensure_future(read())
+    while not any(
+        relay.response is not None for relay in site.ingress._relays
+    ):
+        await asyncio.sleep(0.001)
+    return reading
+
+
 @pytest.mark.parametrize('service', ['read', 'book', 'talk', 'draft'])
 async def test_a_request_that_can_not_end_before_the_stop_is_not_sent(
     site, service
@@ -91,15 +106,7 @@
     # All slots of the third are taken for a while.
     site.condition('tale-3').in_flight = 2
 
-    async def read():
-        async with site.request('tale') as response:
-            return await response.read()
-
-    reading = asyncio.ensure_future(read())
-    while not any(
-        relay.response is not None for relay in site.ingress._relays
-    ):
-        await asyncio.sleep(0.001)
+    reading = await _begin_stream(site, 'tale')
     _close_in(site, 0.5)
     await asyncio.sleep(0.1)
     site.condition('tale-3').in_flight = 0
@@ -153,15 +160,7 @@
     await site.upstream('draft', harness.streaming(1, 2, is_whole=False))
     await site.upstream('draft', harness.streaming(3, 6, pause_s=0.05))
 
-    async def read():
-        async with site.request('draft') as response:
-            return await response.read()
-
-    reading = asyncio.ensure_future(read())
-    while not any(
-        relay.response is not None for relay in site.ingress._relays
-    ):
-        await asyncio.sleep(0.001)
+    reading = await _begin_stream(site, 'draft')
     _close_in(site, 0.5)
     site.ingress.end_unanswered()
     assert_that(await reading, matchers.Contains(b'id: 6\n'))
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -192,3 +192,18 @@
         matchers.Equals(lifecycle.MAX_UNFINISHED_LINES),
     )
     assert_that(lines[-2][1]['without_line'], matchers.Equals(50))
+
+
+async def test_a_failure_does_not_end_a_drain(lines, monkeypatch):
+    """Guards against calls that a voter's failure cuts off in a stop."""
+    monkeypatch.setattr(_Process, 'stop_timeout_s', 10.0)
+    process = _Process()
+    process.requests = [_stream('before', time.monotonic())]
+    process._on_stop_signal(signal.SIGTERM)
+    process.fail('no disk')
+    await asyncio.sleep(0.05)
+    is_ended = process._stopped.is_set()
+    process.requests = []
+    await process.wait_stopped()
+    await process.stop()
+    assert_that(is_ended, matchers.Equals(False))
--- a/tests/daemon/test_voter.py
+++ b/tests/daemon/test_voter.py
@@ -1,4 +1,4 @@
-"""Tests of how the voter syncs what the replica persists."""
+"""Tests of how the voter carries out what the replica decides."""
 
 import asyncio
 import threading
@@ -11,8 +11,11 @@
 from cassiashift_core import consensus
 from cassiashift_core import state
 from cassiashift_daemon import voter
+from cassiashift_net import links
 
 TIMEOUT_S = 20.0
+SENDER = links.Sender('127.0.0.9', lambda message: True)
+APPEND = consensus.AppendEntries(1, 1, 0, 0, 1, (), '')
 
 
 @attrs.define
@@ -93,3 +96,21 @@
     async with asyncio.timeout(TIMEOUT_S):
         await syncing
     assert_that(reasons, matchers.HasLength(1))
+
+
+async def test_a_voter_that_can_not_apply_what_it_received_has_failed():
+    """Guards against a voter that goes on without an entry of its log."""
+    reasons = []
+    own = voter.Voter(
+        replica=Replica(answer=[consensus.Apply((consensus.Entry(1, 1),))]),
+        store=None,
+        machine=None,
+        links=None,
+        addresses={},
+        on_event=lambda event: None,
+        on_failed=reasons.append,
+    )
+    # Links log what a handler raises and go on.
+    with pytest.raises(AttributeError):
+        own.received(SENDER, APPEND)
+    assert_that(reasons, matchers.HasLength(1))
