Reset the connection of a broken-off answer without chunks

Callers with HTTP/1.0: a stream that the entry breaks off, since its upstream fails or a planned stop ends, looks complete.

Cause: such an answer has neither a length nor chunks, so it ends with its connection, and the entry closed that in an orderly way.

Evidence: test_a_cut_stream_never_looks_whole_to_a_caller_without_chunks fails before the change in both cases: the connection is not reset.

Change: the connection is reset instead.

Result: the test passes, and tests/daemon/direct with 2 workers.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/callers.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/callers.py
@@ -7,8 +7,11 @@
 
 import asyncio
 from collections.abc import Awaitable
+import socket
+import struct
 import time
 
+import aiohttp
 from aiohttp import web
 import attrs
 
@@ -20,6 +23,8 @@
 from cassiashift_daemon import logs
 
 NOT_READ = 'the caller does not read'
+# Closing such a socket resets its connection.
+RESETS = struct.pack('ii', 1, 0)
 
 
 @attrs.define(eq=False)
@@ -103,9 +108,15 @@
         otherwise it would be kept until the caller closes the connection.
         """
         transport = request.transport
-        if transport is None:
+        if transport is None or transport.is_closing():
             return
-        if self.ledger.limits.is_stated and request.protocol.writing_paused:
+        if request.version < aiohttp.HttpVersion11:
+            # Its answer has no chunks: an orderly close would be its end.
+            transport.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESETS
+            )
+            transport.abort()
+        elif self.ledger.limits.is_stated and request.protocol.writing_paused:
             transport.abort()
         else:
             transport.close()
--- a/tests/daemon/direct/test_cut_answers.py
+++ b/tests/daemon/direct/test_cut_answers.py
@@ -105,3 +105,39 @@
             assert_that(is_success, matchers.Equals(False), str(point))
         assert_that(NOT_RUN, matchers.Not(matchers.Contains(status)))
         site.remove_upstreams()
+
+
+async def _read_until_reset(reader):
+    """Return what a connection brings, and whether it was reset."""
+    received = b''
+    try:
+        while data := await reader.read(1024):
+            received += data
+    except ConnectionResetError:
+        return received, True
+    return received, False
+
+
+@pytest.mark.parametrize('ends_by', ['upstream', 'stop'])
+async def test_a_cut_stream_never_looks_whole_to_a_caller_without_chunks(
+    site, ends_by
+):
+    """Guards against an orderly close, which ends an answer of HTTP/1.0."""
+    events = 2 if ends_by == 'upstream' else 100
+    await site.upstream(
+        'talk', harness.streaming(1, events, is_whole=False, pause_s=0.02)
+    )
+    host, port = site.url.removeprefix('http://').split(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        f'POST /talk/x HTTP/1.0\r\nHost: {harness.HOST}\r\nX-Id: r1\r\n'
+        'Authorization: Token secret\r\nContent-Length: 0\r\n\r\n'.encode()
+    )
+    received = await reader.readuntil(b'id: 1\n')
+    if ends_by == 'stop':
+        await site.ingress.end_all(1.0)
+    more, is_reset = await _read_until_reset(reader)
+    writer.close()
+    assert_that(received, matchers.StartsWith(b'HTTP/1.0 200'))
+    assert_that(received, matchers.Not(matchers.Contains(b'chunked')))
+    assert_that(is_reset, matchers.Is(True), str(more))
