Answer pipelined requests before a leaving entry closes

Callers that sent their next requests before the answer to the one before saw the connection close without an answer to them, up to seconds after their last byte, around a planned stop. For an unsafe request that leaves open whether it ran.

Cause: each answer of a leaving entry closed its connection, and the HTTP server drops the requests that it has read behind one. It now closes after the last of them, at cassiashiftd's entry as well.

Both new tests fail on (1 of 3 answered) and pass now, as do all of tests/process/test_planned_stops.py and tests/daemon/test_entry_drains.py.

--- a/packages/cassiashift-daemon/cassiashift_daemon/callers.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/callers.py
@@ -25,6 +25,7 @@
 from cassiashift_daemon import requests
 from cassiashift_daemon import settings
 from cassiashift_daemon import shared_state
+from cassiashift_daemon import webserver
 from cassiashift_net import problems
 
 REPLAYED_HEADER = 'Idempotency-Replayed'
@@ -114,8 +115,7 @@
                 spent_s = time.monotonic() - row.arrived_at
                 self.metrics.timing('requests', spent_s)
             if self.is_leaving() and not resp.prepared:
-                resp.headers['Connection'] = 'close'
-                resp.force_close()
+                webserver.close_after(req, resp)
             return resp
 
         return handle
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -25,6 +25,7 @@
 from cassiashift_daemon.direct import streams
 from cassiashift_daemon.direct import tables
 from cassiashift_daemon import logs
+from cassiashift_daemon import webserver
 
 # Retry-After of a process that has no configuration yet. After a restart of
 # all entries a leader is elected first; callers that come back sooner are
@@ -154,7 +155,8 @@
                 after_s=time.monotonic() - row.arrived_at,
                 configuration=self.holder.version,
             )
-            return self.close_if_leaving(refusals.error_response(exc))
+            response = refusals.error_response(exc)
+            return self.close_if_leaving(request, response)
         except StreamBrokenOffError as exc:
             outcome = 'broken_off'
             logs.warning(
@@ -248,7 +250,7 @@
             sends=len(call.log.attempts),
             after_s=time.monotonic() - call.arrived_at,
         )
-        return self.close_if_leaving(response)
+        return self.close_if_leaving(request, response)
 
     async def _relay_stream(
         self, call: calls.Call, relay: streams.StreamRelay
@@ -518,11 +520,11 @@
         await self.guard.record_failure(call, upstream, failure)
 
     def close_if_leaving(
-        self, response: web.StreamResponse
+        self, request: web.BaseRequest, response: web.StreamResponse
     ) -> web.StreamResponse:
-        """Mark an answer of a leaving entry with ``Connection: close``."""
+        """Close the connection after an answer of a leaving entry."""
         if self.is_leaving:
-            response.force_close()
+            webserver.close_after(request, response)
         return response
 
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -38,9 +38,9 @@
     stall_judge: stalls.StallJudge
 
     def close_if_leaving(
-        self, response: web.StreamResponse
+        self, request: web.BaseRequest, response: web.StreamResponse
     ) -> web.StreamResponse:
-        """Mark an answer of a leaving entry with ``Connection: close``."""
+        """Close the connection after an answer of a leaving entry."""
 
     def error_of_send(
         self, failure: exchange.SendFailedError, call: calls.Call
@@ -218,11 +218,12 @@
                 f'status_{answer.status}', Verdict.RAN
             )
         return self.owner.close_if_leaving(
+            self.request,
             web.Response(
                 status=answer.status,
                 headers=answer.headers_for_caller(),
                 body=body,
-            )
+            ),
         )
 
     async def _write(
@@ -240,7 +241,7 @@
             self.response = web.StreamResponse(
                 status=answer.status, headers=answer.headers_for_caller()
             )
-            self.owner.close_if_leaving(self.response)
+            self.owner.close_if_leaving(self.request, self.response)
             self._first_event_at = now
             self.owner.metrics.record_first_event(now - self.call.arrived_at)
             self.owner.placement.admission.record_first_event(
--- a/packages/cassiashift-daemon/cassiashift_daemon/webserver.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/webserver.py
@@ -64,6 +64,19 @@
     return sock
 
 
+def close_after(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> None:
+    """Close the connection after an answer with ``Connection: close``.
+
+    It stays open for requests that the caller has sent meanwhile: the server
+    would drop them unanswered.
+    """
+    # aiohttp has no public count of the requests that it has read.
+    if not request.protocol._messages:
+        response.force_close()
+
+
 @attrs.define(eq=False)
 class Listener:
     """A listening socket that loses no connection when it is closed."""
--- a/tests/daemon/test_entry_drains.py
+++ b/tests/daemon/test_entry_drains.py
@@ -44,6 +44,37 @@
     return server, client
 
 
+def _leaving_api():
+    names = ('cfg', 'holder', 'directory', 'runner', 'once', 'record')
+    return callers.CallerApi(
+        **dict.fromkeys(names),
+        metrics=types.SimpleNamespace(timing=lambda name, seconds: None),
+        record_demand=None,
+        is_ready=lambda: True,
+        is_leaving=lambda: True,
+    )
+
+
+async def test_pipelined_calls_are_answered_before_the_connection_closes():
+    """Guards against a close behind which calls that were read remain."""
+
+    async def answer(req, row):
+        await asyncio.sleep(0.1)
+        return web.Response(text='x')
+
+    routes = [web.get('/', _leaving_api().wrap_handler(answer))]
+    listener = await webserver.serve('127.0.0.1:0', routes, 1024, None)
+    reader, writer = await asyncio.open_connection(
+        *listener.sock.getsockname()
+    )
+    writer.write(3 * b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    received = await reader.read(-1)
+    writer.close()
+    await listener.close()
+    assert_that(received.count(b' 200 OK'), matchers.Equals(3))
+    assert_that(received.count(b'Connection: close'), matchers.Equals(1))
+
+
 @pytest.mark.parametrize(
     ('has_tls', 'size'),
     [
@@ -56,14 +87,7 @@
 ):
     """Guards against an end of the entry with unsent bytes of answers."""
     server_tls, client_tls = tls if has_tls else (None, None)
-    names = ('cfg', 'holder', 'directory', 'runner', 'once', 'record')
-    api = callers.CallerApi(
-        **dict.fromkeys(names),
-        metrics=types.SimpleNamespace(timing=lambda name, seconds: None),
-        record_demand=None,
-        is_ready=lambda: True,
-        is_leaving=lambda: True,
-    )
+    api = _leaving_api()
 
     async def answer(req, row):
         return web.Response(body=b'x' * size)
--- a/tests/process/test_planned_stops.py
+++ b/tests/process/test_planned_stops.py
@@ -280,3 +280,18 @@
     await stop.end()
     assert_that(answer.status, matchers.Equals(503))
     assert_that(stop.cut({'partly': answer}), matchers.Equals({}))
+
+
+async def test_pipelined_requests_are_answered_before_the_connection_closes(
+    stop,
+):
+    """Guards against a close behind which requests that were read remain."""
+    (conn,) = await stop.connect(1)
+    ids = [f'pipelined-{number}' for number in range(3)]
+    for id_ in ids:
+        conn.send('book', id_, X_Work_S=0.5)
+    await asyncio.sleep(0.3)
+    stop.begin()
+    answers = {id_: await conn.read() for id_ in ids}
+    await stop.end()
+    assert_that(stop.cut(answers), matchers.Equals({}))
