Require that a stop holds no request after its last line

Guards against a request on an idle connection that is neither answered nor closed between the line `stopped` and the kill, while a stream is still in progress. Sixty requests are sent in the 0.3 s after the line.

--- a/tests/process/test_planned_stops.py
+++ b/tests/process/test_planned_stops.py
@@ -295,3 +295,32 @@
     answers = {id_: await conn.read() for id_ in ids}
     await stop.end()
     assert_that(stop.cut(answers), matchers.Equals({}))
+
+
+async def test_no_request_is_held_after_the_line_that_the_process_ends(stop):
+    """Guards against idle connections that stay open until the kill."""
+    *idle, busy = await stop.connect(61)
+    stream = asyncio.ensure_future(
+        busy.call('talk', 'long', X_Work_S=12.0, deadline_s=20.0)
+    )
+    await asyncio.sleep(0.2)
+    stop.begin()
+    await stop.sleep_until(7.0)
+    async with asyncio.timeout(planned_stops.GRACE_S):
+        while 'event=stopped' not in stop.entry.log():
+            await asyncio.sleep(0.001)
+    late = {}
+    for number, conn in enumerate(idle):
+        late[f'late-{number}'] = asyncio.ensure_future(
+            conn.call('book', f'late-{number}', X_Work_S=0.1)
+        )
+        await asyncio.sleep(0.3 / len(idle))
+    answers = {id_: await answer for id_, answer in late.items()}
+    await stream
+    await stop.end()
+    held = {
+        id_: item
+        for id_, item in answers.items()
+        if stop.runs(id_) or item.after_s > REFUSED_WITHIN_S
+    }
+    assert_that(held, matchers.Equals({}))
