Let an answer that begins as others end go on

Callers: in a planned stop, an answer whose first bytes came just when the requests without any got their final answer was cut with a part of it.

Cause: a request is ended by a timeout that takes effect in the next turn of the loop. An answer that began in between was taken for one that had begun before, and broken off, while only requests without an answer were meant.

Evidence: in a trial with a grace of 1 s, one of two requests in progress, a stream, got its status and was cut at 0.6 s, with requests_ended_by_stop requests=2. test_an_answer_that_begins_as_the_others_end_is_not_cut brings the two together and fails before the change, for a stream and for a plain answer of 8 MB.

Change: an answer that begins takes back the expiry that hasn't reached it. At the end of the process requests are expired until none is left.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/in_progress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/in_progress.py
@@ -64,6 +64,14 @@
         if not self.scope.expired():
             self.scope.reschedule(asyncio.get_running_loop().time())
 
+    def begin_answer(self) -> None:
+        """Take back an expiry that has not been delivered yet.
+
+        It was meant for a request whose answer had not begun.
+        """
+        if self.scope.when() is not None and not self.scope.expired():
+            self.scope.reschedule(None)
+
     def describe(self) -> draining.Unfinished:
         """Return what is known of the request now."""
         call, relay, route = self.call, self.relay, self.route
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -127,6 +127,8 @@
         # Requests that were read just now get their refusal as well.
         await asyncio.sleep(TURN_S)
         while self.requests and time.monotonic() < ends_at:
+            # An answer that has just begun takes its expiry back.
+            self.requests.expire_all()
             await asyncio.sleep(TURN_S)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -222,6 +224,7 @@
             response = await self._answer(request, row, call)
         finally:
             self.exchange.ledger.release(len(call.body))
+        row.begin_answer()
         row.is_delivered = True
         try:
             return await self.writer.deliver(request, response)
@@ -234,7 +237,9 @@
         if self.holder.engine(call.service) is not None:
             self.handled_by_engines += 1
         if call.route.kind is routes.Kind.STREAM:
-            row.relay = streams.StreamRelay(self, request, call)
+            row.relay = streams.StreamRelay(
+                self, request, call, row.begin_answer
+            )
             return await self._relay_stream(call, row.relay)
         answer = await calls.within_deadline(
             call, self._fetch_with_retries(call)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -1,6 +1,7 @@
 """Relays event streams from upstreams to callers."""
 
 import asyncio
+from collections.abc import Callable
 import time
 from typing import Protocol
 
@@ -74,12 +75,14 @@
     """Relays one stream event by event, resuming it at other upstreams.
 
     Attributes:
+        on_begin: called before the answer to the caller begins.
         response: None until the first event was received.
     """
 
     owner: Owner
     request: web.BaseRequest
     call: calls.Call
+    on_begin: Callable[[], None]
     response: web.StreamResponse | None = None
     reader: eventstream.EventReader = attrs.field(
         factory=eventstream.EventReader
@@ -237,6 +240,7 @@
             self.owner.guard.record_answer(self.call)
         is_first = self.response is None
         if is_first:
+            self.on_begin()
             self.call.has_begun = True
             self.response = web.StreamResponse(
                 status=answer.status, headers=answer.headers_for_caller()
--- a/tests/daemon/direct/test_closing.py
+++ b/tests/daemon/direct/test_closing.py
@@ -164,3 +164,36 @@
     _close_in(site, 0.5)
     site.ingress.end_unanswered()
     assert_that(await reading, matchers.Contains(b'id: 6\n'))
+
+
+@pytest.mark.parametrize('service', ['talk', 'read'])
+async def test_an_answer_that_begins_as_the_others_end_is_not_cut(
+    site, monkeypatch, service
+):
+    """Guards against an end that hits a request in its next turn."""
+    size = 8 * 1024 * 1024
+    scripts = {
+        'talk': harness.streaming(1, 20, pause_s=0.01),
+        'read': harness.answering('200 OK', b'x' * size),
+    }
+    owners = {
+        'talk': (site.ingress.stall_judge, 'record_events'),
+        'read': (site.ingress, 'close_if_leaving'),
+    }
+    await site.upstream(service, scripts[service])
+    owner, name = owners[service]
+    step = getattr(owner, name)
+
+    def end_others_first(*args):
+        if not site.ingress.is_refusing:
+            site.ingress.end_unanswered()
+        return step(*args)
+
+    monkeypatch.setattr(type(owner), name, lambda _, *a: end_others_first(*a))
+    async with site.request(service) as response:
+        assert_that(response.status, matchers.Equals(200))
+        body = await response.read()
+    if service == 'read':
+        assert_that(len(body), matchers.Equals(size))
+    else:
+        assert_that(body, matchers.Contains(b'id: 20\n'))
