Let a drain go on if the leadership can't be handed over

Callers: every request in progress is ended right after SIGTERM.

Cause: an entry hands over its leadership as a step of its drain. A voter that fails at that moment raises, which ended the drain, and with it the process, although a voter's failure meanwhile is meant to change nothing. Then the order of failure and signal decided.

Evidence: no run or record shows such a failure; it was found by reading. test_a_voter_that_fails_as_a_stop_begins_does_not_end_the_drain fails before the change.

Change: a failed hand-over is logged and reported as any failure of the voter, and the drain goes on. Entries of the platform and of cassiashiftd share it.

Result: the test passes, with the others of the drain and of the voter.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
@@ -142,7 +142,7 @@
     def transfer_leadership(self) -> None:
         """Hand the leadership over before a planned stop."""
         if self.voter is not None:
-            self.voter.handle(consensus.HandOver())
+            self.voter.hand_over()
 
     async def _advance_clock_while_closed(self) -> None:
         """Notice clock steps between two replicas, which share a contact."""
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -114,7 +114,7 @@
         self.leaving = True
         self.presence.handle(membership.Leaving())
         if self.voter is not None:
-            self.voter.handle(consensus.HandOver())
+            self.voter.hand_over()
         machine = draining.EntryDrain.from_config(
             draining.DrainConfig(max_ttl_s=self.directory.cfg.max_ttl_s)
         )
--- a/packages/cassiashift-daemon/cassiashift_daemon/voter.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/voter.py
@@ -100,6 +100,16 @@
         """Let the replica check its timeouts."""
         self.handle(consensus.Tick())
 
+    def hand_over(self) -> None:
+        """Hand the leadership over before a planned stop, if this host leads.
+
+        A failure is reported to ``on_failed`` only: the stop goes on.
+        """
+        try:
+            self.handle(consensus.HandOver())
+        except Exception as exc:
+            logs.error('hand_over_failed', error=repr(exc))
+
     def received(self, sender: links.Sender, message: Any) -> None:
         """Pass a message from another voter to the replica.
 
--- a/tests/daemon/test_entry_drains.py
+++ b/tests/daemon/test_entry_drains.py
@@ -13,18 +13,19 @@
 
 from cassiashift_daemon import callers
 from cassiashift_daemon import entry
+from cassiashift_daemon import voter
 from cassiashift_daemon import webserver
 
 NOT_READ_S = 9.0
 
 
-def _process(listener, api):
+def _process(listener, api, log_voter=None):
     """Return the parts of an entry that its drain uses."""
     return types.SimpleNamespace(
         cfg=types.SimpleNamespace(host='h'),
         leaving=False,
         presence=types.SimpleNamespace(handle=lambda event: None),
-        voter=None,
+        voter=log_voter,
         directory=types.SimpleNamespace(
             cfg=types.SimpleNamespace(max_ttl_s=0.01)
         ),
@@ -126,3 +127,34 @@
     body = await reader.read(-1)
     assert_that(len(body), matchers.Equals(size))
     assert_that(await stopping, matchers.Equals(0))
+
+
+class _BrokenReplica:
+    """A replica that fails at each event."""
+
+    def handle(self, event, now):
+        """Fail."""
+        raise RuntimeError('the log has a gap')
+
+
+async def test_a_voter_that_fails_as_a_stop_begins_does_not_end_the_drain():
+    """Guards against requests that a failed hand-over cuts off."""
+    failures = []
+    log_voter = voter.Voter(
+        replica=_BrokenReplica(),
+        store=None,
+        machine=None,
+        links=None,
+        addresses={},
+        on_event=None,
+        on_failed=failures.append,
+    )
+    draining = asyncio.ensure_future(
+        entry.EntryProcess.drain(_process(None, None, log_voter))
+    )
+    await asyncio.wait([draining], timeout=0.02)
+    is_ended = draining.done()
+    draining.cancel()
+    await asyncio.wait([draining])
+    assert_that(failures, matchers.HasLength(1))
+    assert_that(is_ended, matchers.Is(False))
