Read what arrived before a link ended

Callers of cassiashiftd: an attempt whose last pieces arrive with the end of its agent's link counts as cut off, though the answer is complete.

Cause: the event of a lost connection comes by another socket than its messages and may be read first. The connection was closed then with all that waited in it: more than the 256 messages that are read in one turn at least.

Evidence: test_messages_that_arrived_before_the_end_of_a_link_are_received, 600 replies and then the end: 256 are received before the change, 3 runs of 3.

Change: what has arrived is read before the loss is reported.

--- a/packages/cassiashift-net/cassiashift_net/connections.py
+++ b/packages/cassiashift-net/cassiashift_net/connections.py
@@ -82,4 +82,6 @@
         if event['event'] == zmq.EVENT_HANDSHAKE_SUCCEEDED:
             self.connected.set()
         elif self.connected.is_set():
+            # The event may overtake what arrived before it.
+            self.port.receive_all()
             self.on_lost()
--- a/packages/cassiashift-net/cassiashift_net/ports.py
+++ b/packages/cassiashift-net/cassiashift_net/ports.py
@@ -47,6 +47,14 @@
                 return
         self.schedule()
 
+    def receive_all(self) -> None:
+        """Receive everything that has arrived."""
+        while not self.sock.closed:
+            try:
+                self.receive_one()
+            except zmq.Again:
+                return
+
     def close(self, linger_s: float = 0.0) -> None:
         """Stop reading the socket and close it.
 
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -272,3 +272,30 @@
     assert_that(peer.own_links.dropped, matchers.Equals(1))
     peer.own_links.close()
     other.own_links.close()
+
+
+async def test_messages_that_arrived_before_the_end_of_a_link_are_received():
+    """Guards against the event of the end, which may overtake them."""
+    replies = 600
+    asked = asyncio.Queue()
+    received = []
+    received_at_end = []
+    answering = links.Links.from_config(
+        'runner-1', lambda sender, message: asked.put_nowait(sender)
+    )
+    asking = links.Links.from_config(
+        'entry-1', lambda sender, message: received.append(message)
+    )
+    asking.on_lost = lambda address, before: received_at_end.append(
+        len(received)
+    )
+    asking.send(answering.bind('tcp://127.0.0.1:0'), QUERY)
+    sender = await asyncio.wait_for(asked.get(), TIMEOUT_S)
+    for _ in range(replies):
+        sender.reply(REPLY)
+    answering.close(linger_s=TIMEOUT_S)
+    async with asyncio.timeout(TIMEOUT_S):
+        while not received_at_end:
+            await asyncio.sleep(0.01)
+    asking.close()
+    assert_that(received_at_end, matchers.Equals([replies]))
