Let a voter with a newer log follow a successor that can't win

What callers saw: with a leader's disk full, no change was committed for up to 2.71 s, mostly 1.3 to 1.7 s, although the leader had named a successor and all other voters ran.

Cause: the leader names the voter whose acknowledgements reach furthest. Another one may hold entries beyond that, and refuses the successor for its older log. It then waits for its own election timeout, and the others wait too, as they have heard the leader less than a timeout ago.

Change: a follower that refuses a candidate for its older log campaigns within a fifth of the election timeout. A vote request of a handover ends the wait of a receiver whose term is older, and TimeoutNow that of the successor: the last leader has given up its lease for good.

Safety: the request of an older handover must not end the wait for a newer leader; that fault, planted, is caught by the check of leases.

--- a/packages/cassiashift-core/cassiashift_core/consensus/election.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/election.py
@@ -35,6 +35,7 @@
     def on_timeout_now(self) -> None:
         """Record that the leader hands over for the next term."""
         self._handover_term = self._replica.term + 1
+        self._replica.forget_leader_contact()
 
     def request_pre_votes(self) -> None:
         """Ask the other voters if they would grant a vote in the next term."""
@@ -75,6 +76,8 @@
         replica = self._replica
         if not replica.check_identity(sender, request.incarnation):
             return
+        if self._ends_lease(request):
+            replica.forget_leader_contact()
         is_permitted = request.handover or replica.restart.permits_vote(
             request
         )
@@ -85,6 +88,8 @@
         granted = self.may_grant(sender, request)
         if granted and not request.pre_vote:
             self._grant(sender)
+        if self._is_log_newer(request):
+            replica.hasten_election()
         if self._is_split_vote(request):
             self._on_competing_candidate(sender, request)
         reply = messages.VoteReply(
@@ -124,6 +129,22 @@
         self._vote_incarnations[sender] = reply.incarnation
         self._count_votes(reply.pre_vote)
 
+    def _ends_lease(self, request: messages.VoteRequest) -> bool:
+        """Return whether the leader that this host heard last handed over.
+
+        The leader of the term before the request's has given up its lease,
+        and older leaders lost theirs before it was elected.
+        """
+        return request.handover and request.term > self._replica.term
+
+    def _is_log_newer(self, request: messages.VoteRequest) -> bool:
+        """Return whether a candidate can't win without a newer log."""
+        replica = self._replica
+        is_follower = replica.role is effects.Role.FOLLOWER
+        return is_follower and not replica.log.is_candidate_up_to_date(
+            request.last_index, request.last_term
+        )
+
     def _is_split_vote(self, request: messages.VoteRequest) -> bool:
         replica = self._replica
         is_candidate = replica.role is effects.Role.CANDIDATE
--- a/packages/cassiashift-core/cassiashift_core/consensus/state.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/state.py
@@ -85,6 +85,10 @@
             return False
         return self.contact.may_support_lease(self.now)
 
+    def forget_leader_contact(self) -> None:
+        """Stop waiting for a leader that has given up its lease for good."""
+        self.contact.forget()
+
     def check_identity(self, sender: str, incarnation: str) -> bool:
         """Check a host's data folder against the voter set.
 
@@ -130,6 +134,12 @@
         if self.is_election_due:
             self.set_retry_timer()
 
+    def hasten_election(self) -> None:
+        """Set the timer to a part of the election timeout if it is later."""
+        deadline = self._election_deadline
+        self.set_retry_timer()
+        self._election_deadline = min(deadline, self._election_deadline)
+
     def save_hard_state(self, hard_state: records.HardState) -> None:
         """Set term, vote and commit index, and make them durable."""
         self._hard_state = hard_state
--- a/tests/core/consensus/scenarios.py
+++ b/tests/core/consensus/scenarios.py
@@ -300,3 +300,27 @@
     cluster.heal()
     cluster.settle()
     return cluster
+
+
+def late_requests_of_a_handover():
+    """Requests of an earlier handover must not release from a newer lease."""
+    cluster = elected_cluster()
+    earlier = cluster.leader()
+    cluster.handle(earlier, consensus.HandOver())
+    cluster.run_until(lambda: cluster.leader() not in (None, earlier))
+    cluster.settle()
+    leader = cluster.leader()
+    missing, other = followers(cluster)
+    late = consensus.VoteRequest(
+        leader.replica.term, 0, 0, leader.disk.incarnation, handover=True
+    )
+    cluster.cuts = {(leader.host, missing)}
+    for _ in range(400):
+        cluster.run(0.01)
+        cluster.handle(
+            cluster.nodes[other], consensus.Received(leader.host, late)
+        )
+    checks.require(cluster.leader() is leader, 'is deposed')
+    cluster.heal()
+    cluster.settle()
+    return cluster
--- a/tests/core/consensus/test_failed_storages.py
+++ b/tests/core/consensus/test_failed_storages.py
@@ -4,6 +4,7 @@
 from testtools.assertions import assert_that
 from testtools import matchers
 
+from cassiashift_core import consensus
 from tests.core.consensus import cluster as clusters
 from tests.core.consensus import scenarios
 
@@ -42,3 +43,21 @@
     cluster.run(1.5 * clusters.TIMEOUT_S)
     cluster.start(others[0])
     assert_that(time_to_lead_s(cluster), matchers.LessThan(GOAL_S))
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_a_voter_with_a_newer_log_than_the_successor_leads_soon(seed):
+    cluster = scenarios.elected_cluster(seed)
+    leader = cluster.leader()
+    newer, successor = scenarios.followers(cluster)
+    cluster.settle()
+    cluster.lose(newer, consensus.AppendReply)
+    cluster.propose()
+    cluster.run(0.05)
+    cluster.cuts = {(leader.host, successor)}
+    cluster.propose()
+    cluster.run(0.02)
+    cluster.heal()
+    cluster.fail_storage(leader.host)
+    assert_that(time_to_lead_s(cluster), matchers.LessThan(GOAL_S))
+    assert_that(cluster.leader().host, matchers.Equals(newer))
--- a/tests/core/consensus/test_planted_faults.py
+++ b/tests/core/consensus/test_planted_faults.py
@@ -189,6 +189,13 @@
         'holds a lease beside a newer leader',
         scenarios.clocks_step_while_storages_are_closed,
     ),
+    'forget the leader after an older handover': Fault(
+        election.Election,
+        '_ends_lease',
+        lambda self, request: request.handover,
+        'holds a lease beside a newer leader',
+        scenarios.late_requests_of_a_handover,
+    ),
     'keep the lease after a handover': Fault(
         leader.Leader,
         'send_timeout_now',
