Add the third voter without waiting until it has caught up

Cause: the log starts with one voter. While a learner's disk is full, nobody else is added, and with two voters each full disk stops the log. If the third host's disk is full first and those of the two voters after it, no two voters of two are open at once, though two hosts of three always are. A disk that is lost then would have ended the log for good. Voters were also added at most every half second.

Change: a host whose data folder is known becomes a voter at once if that doesn't raise the quorum, as a third beside two or a fifth beside four. A second or a fourth voter catches up first, as before. The next change is looked for at each tick.

Why that is safe: of 2k voters k + 1 hold a committed entry; k + 1 of 2k + 1 hosts always include one of them, and any k + 1 that could commit before can do so after. The check that a voter has caught up before it counts guarded against a quorum that waits for it. It now demands that whenever the quorum grows, which is when a commit could have to wait; a new voter without it is exempt only if the quorum is the same. It catches the planted fault that adds an empty voter at once though the quorum grows. The schedules name the folder of half of the hosts that they add.

--- a/packages/cassiashift-core/cassiashift_core/consensus/changes.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/changes.py
@@ -1,4 +1,7 @@
-"""Voter changes, one host at a time; a new voter starts as a learner."""
+"""Voter changes, one host at a time.
+
+A new voter starts as a learner, unless it doesn't raise the quorum.
+"""
 
 from cassiashift_core.consensus import effects
 from cassiashift_core.consensus import events
@@ -69,12 +72,25 @@
             and peer.match >= self._replica.commit_index
         )
 
+    def must_catch_up(
+        self, voters: records.VoterSet, promoted: records.VoterSet
+    ) -> bool:
+        """Return whether a new voter could delay commits.
+
+        If the quorum stays, all hosts that could commit before still can.
+        """
+        return promoted.quorum > voters.quorum
+
     def _add(self, event: events.ChangeVoters) -> effects.FailureReason | None:
         voters = self._replica.log.voters
         if event.add in voters.voter_hosts:
             return effects.FailureReason.INVALID_CHANGE
         if voters.learners:
             return effects.FailureReason.CHANGE_PENDING
+        promoted = voters.with_promoted(event.add, event.incarnation)
+        if event.incarnation and not self.must_catch_up(voters, promoted):
+            self._append(promoted, event.token)
+            return None
         self._token = event.token
         self._append(voters.with_learner(event.add), '')
         return None
--- a/packages/cassiashift-core/cassiashift_core/consensus/events.py
+++ b/packages/cassiashift-core/cassiashift_core/consensus/events.py
@@ -50,11 +50,17 @@
 
 @attrs.frozen
 class ChangeVoters:
-    """A request to add one host to the voters or to remove one."""
+    """A request to add one host to the voters or to remove one.
+
+    Attributes:
+        incarnation: identity of the data folder of the host to add, if it
+            is known.
+    """
 
     token: str
     add: str = ''
     remove: str = ''
+    incarnation: str = ''
 
 
 @attrs.frozen
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/voting.py
@@ -38,7 +38,7 @@
 # A small share of the time in which a change has to be acknowledged.
 REOPEN_AFTER_S = 0.25
 START_ID_BYTES = 8
-CHANGE_INTERVAL_S = 0.5
+CHANGE_INTERVAL_S = 0.1
 
 
 class LinkAddresses(Mapping):
@@ -267,10 +267,11 @@
         if not self.is_leader or now - self._changed_at < CHANGE_INTERVAL_S:
             return
         self._changed_at = now
+        alive = self.runner.live_records()
         change = fleet.next_voter_change(
             self.voter.replica.voters,
             self.cfg.host,
-            self.runner.live_records(),
+            alive,
             self.cfg.tolerated_losses,
         )
         if change is None:
@@ -279,7 +280,10 @@
         self._changes += 1
         token = f'{self.cfg.host}/voters/{self._changes}'
         logs.info('voter_change', add=add, remove=remove)
-        self.voter.handle(consensus.ChangeVoters(token, add, remove))
+        stores = {record.host: record.store for record in alive}
+        self.voter.handle(
+            consensus.ChangeVoters(token, add, remove, stores.get(add, ''))
+        )
 
     def _on_failed(self, reason: str) -> None:
         logs.error('voter_failed', reason=reason)
--- a/tests/core/consensus/checks.py
+++ b/tests/core/consensus/checks.py
@@ -52,6 +52,8 @@
         before = node.replica.log.voters_at(entry.index - 1)
         if node.replica.role is not consensus.Role.LEADER:
             return
+        if entry.voters.quorum == before.quorum:
+            return
         for host in set(entry.voters.voter_hosts) - set(before.voter_hosts):
             disk = self.cluster.nodes[host].disk
             is_caught_up = disk.last_index >= self.max_committed
--- a/tests/core/consensus/scenarios.py
+++ b/tests/core/consensus/scenarios.py
@@ -223,6 +223,27 @@
     return cluster
 
 
+def third_voter_replaces_the_first():
+    """An empty third voter must count when one of the first two is lost."""
+    cluster = elected_cluster(hosts='ab', spares='x')
+    cluster.propose(5)
+    cluster.settle('ab')
+    leader = cluster.leader()
+    cluster.lose('x', consensus.AppendReply)
+    token = cluster.post(
+        leader.host,
+        consensus.ChangeVoters,
+        add='x',
+        incarnation=cluster.nodes['x'].disk.incarnation,
+    )
+    cluster.run_until(lambda: token in cluster.outcomes)
+    cluster.run(0.3)
+    cluster.crash(leader.host)
+    cluster.heal()
+    cluster.settle([*set('ab') - {leader.host}, 'x'])
+    return cluster
+
+
 def late_reports_to_an_earlier_start():
     """Reports from before a leader's election must not count after it."""
     cluster = elected_cluster()
--- a/tests/core/consensus/schedules.py
+++ b/tests/core/consensus/schedules.py
@@ -143,6 +143,8 @@
         host = _random_host(cluster, rng)
         member = leader.replica.voters.find(host)
         fields = {'remove' if member else 'add': host}
+        if not member and rng.random() < 0.5:
+            fields['incarnation'] = cluster.nodes[host].disk.incarnation
         if not member or len(leader.replica.voters.voter_hosts) > 3:
             cluster.post(leader.host, consensus.ChangeVoters, **fields)
 
--- a/tests/core/consensus/test_planted_faults.py
+++ b/tests/core/consensus/test_planted_faults.py
@@ -121,6 +121,12 @@
         lambda self, peer: bool(peer and peer.incarnation),
         'becomes a voter before it caught up',
     ),
+    'add an empty voter that raises the quorum': Fault(
+        changes.VoterChanges,
+        'must_catch_up',
+        lambda self, voters, promoted: False,
+        'becomes a voter before it caught up',
+    ),
     'apply uncommitted entries': Fault(
         state.ReplicaState,
         'appliable_index',
--- a/tests/core/consensus/test_scenarios.py
+++ b/tests/core/consensus/test_scenarios.py
@@ -120,6 +120,13 @@
     )
 
 
+def test_log_survives_the_loss_of_a_voter_right_after_a_third_is_added():
+    cluster = scenarios.third_voter_replaces_the_first()
+    assert_that(
+        cluster.leader().replica.voters.voter_hosts, matchers.Contains('x')
+    )
+
+
 def test_second_voter_change_is_refused_while_one_is_pending():
     cluster = scenarios.elected_cluster(spares='xy')
     leader_host = cluster.leader().host
