Close the server of a site whose setup fails

What was seen, in a trial only: after a setup that failed, each next setup in the same worker could fail too, as its upstream's address was in use.

Cause: the server of the upstream was closed after the site only if nothing had raised.

Change: everything that a site opens is closed in any case. The entries are killed without SIGCONT first, which SIGKILL doesn't need.

--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -6,7 +6,6 @@
 import os
 import pathlib
 import shutil
-import signal
 import subprocess
 import sys
 import time
@@ -161,6 +160,11 @@
         self.process.kill()
         self.process.wait()
 
+    def end(self):
+        """Kill the process if it runs, also if it is suspended."""
+        if self.process.poll() is None:
+            self.kill()
+
     def wipe(self):
         """Delete the data folder."""
         shutil.rmtree(self.data_dir)
@@ -398,19 +402,17 @@
     upstream = upstream_class(f'{base}.99:18300')
     server = web.ServerRunner(web.Server(upstream.handle))
     await server.setup()
-    await web.TCPSite(server, f'{base}.99', 18300).start()
-    timeout = aiohttp.ClientTimeout(total=3.0)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(server.cleanup)
+        await web.TCPSite(server, f'{base}.99', 18300).start()
+        timeout = aiohttp.ClientTimeout(total=3.0)
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(timeout=timeout)
+        )
         running = Site(entries, upstream, session)
         heartbeats = asyncio.ensure_future(running.send_heartbeats_forever())
+        stack.callback(heartbeats.cancel)
         for entry in entries:
             entry.start()
-        try:
-            yield running
-        finally:
-            heartbeats.cancel()
-            for entry in entries:
-                if entry.process.poll() is None:
-                    entry.signal(signal.SIGCONT)
-                    entry.kill()
-    await server.cleanup()
+            stack.callback(entry.end)
+        yield running
--- a/tests/process/test_platform_site.py
+++ b/tests/process/test_platform_site.py
@@ -47,3 +47,20 @@
                 site.is_ready, site.entries[0], timeout_s=2.0
             )
     assert_that(str(raised.value), matchers.Contains('ended with 1'))
+
+
+async def test_the_addresses_of_a_failed_setup_are_free(
+    tmp_path, loopback_network
+):
+    """Guards against a failed setup that fails the next ones as well."""
+
+    async def set_up(folder, error):
+        folder.mkdir()
+        async with platform_site.site(
+            folder, loopback_network, with_disk=1, without=0
+        ):
+            raise error
+
+    for name in ('first', 'next'):
+        with pytest.raises(RuntimeError, match=name):
+            await set_up(tmp_path / name, RuntimeError(name))
