Test disks that fill as voters join, and power lost after disks were full

Cases that docs/incidents/full-disks.md listed as not run, in virtual time with the storage on faulty files.

- a leader whose disk is full for 3 s, six times, while the others sync in 50 to 300 ms
- a disk that is full again 0.01 to 0.9 s after its return, in turn
- a change larger than the room of the leader's, of a follower's or of all disks
- a folder that gets back 0 to 1900 bytes of room, and all of it 5 s later
- disks full in turn, then one disk of three or two of five lost and all hosts without power at the same moment, right after a change was acknowledged; the lost disks come back empty or not at all

Each requires a change at least every 4 s and at each voter in the end; the last one all acknowledged entries in the log of the next leader. A sync that does nothing is noticed by the last one.

--- a/tests/daemon/storage/faulty_files.py
+++ b/tests/daemon/storage/faulty_files.py
@@ -1,8 +1,10 @@
 """An in-memory file system with power losses and failing calls."""
 
 import errno
+import math
 import pathlib
 import random
+import sys
 
 import attrs
 
@@ -43,7 +45,10 @@
             kept = self.files.rng.randint(0, len(data))
             self.inode.data += data[:kept]
             raise
-        self.inode.data += data
+        room = self.files.room
+        self.inode.data += data[:room]
+        if len(data) > room:
+            raise OSError(errno.ENOSPC, 'the disk is full')
 
     def sync(self):
         """Make the content durable, unless a sync of this file has failed.
@@ -79,6 +84,7 @@
         fail_at: the step that raises an OSError.
         error: the errno of that OSError.
         refused: names of the steps that fail, as on a full disk.
+        capacity: bytes that all files together may have.
     """
 
     def __init__(self, seed=0):
@@ -92,6 +98,17 @@
         self.fail_at = None
         self.error = errno.ENOSPC
         self.refused = frozenset()
+        self.capacity = math.inf
+
+    @property
+    def used(self):
+        """Return the bytes of all files."""
+        return sum(len(inode.data) for inode in self.names.values())
+
+    @property
+    def room(self):
+        """Return the bytes that may still be written."""
+        return max(0, min(self.capacity, sys.maxsize) - self.used)
 
     def step(self, name):
         """Count a step; raise if a crash or a failure is set for it."""
--- a/tests/daemon/storage/full_disks.py
+++ b/tests/daemon/storage/full_disks.py
@@ -60,9 +60,11 @@
         except (errors.CassiashiftError, OSError):
             self._at(voting.REOPEN_AFTER_S, self.start, host)
 
-    def add(self, host):
-        """Start a host with an empty disk."""
-        self.nodes[host] = cluster.Node(host, self._new_disk(), self)
+    def add(self, host, fail_at=None):
+        """Start a host with an empty disk, of which one step may fail."""
+        disk = self._new_disk()
+        disk.files.fail_at = fail_at
+        self.nodes[host] = cluster.Node(host, disk, self)
         self.start(host)
 
     def remove(self, host):
@@ -70,6 +72,25 @@
         self.crash(host)
         self.removed.add(host)
 
+    def lose_power(self, lost, are_emptied):
+        """End all processes at once, lose some disks, and start the others.
+
+        Hosts whose disk is lost come back with an empty one, or never.
+        """
+        for host, node in self.nodes.items():
+            if node.is_up:
+                self.crash(host)
+            else:
+                node.disk.files = node.disk.files.reboot()
+        # A system that has been started is not founded again.
+        self.voters = ()
+        for host in lost:
+            self.nodes[host].disk = self._new_disk()
+        if not are_emptied:
+            self.removed |= set(lost)
+        for host in self.nodes:
+            self.start(host)
+
     def fill(self, host, refused):
         """Let the disk of a host refuse some steps from now on."""
         self.nodes[host].disk.files.refused = frozenset(refused)
