--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -83,12 +83,14 @@
 
 
 @contextlib.asynccontextmanager
-async def running_deployment(folder, **options):
+async def running_deployment(folder, module=None, **options):
     """Run a deployment of 4 entries, 3 of them voters, and 4 upstreams.
 
-    ``options`` are additional command line arguments by role.
+    ``module`` is run instead of the usual one. ``options`` are additional
+    command line arguments by role.
     """
     cluster = Cluster.in_folder(folder, **options)
+    cluster.module = module or cluster.module
     cluster.add_entries(ENTRIES, voters=VOTERS)
     manifest = small_manifest()
     for item in manifest['upstreams']:
--- a/tools/cluster/processes.py
+++ b/tools/cluster/processes.py
@@ -52,6 +52,7 @@
     Attributes:
         folder: holds the data folders and the logs.
         options: additional command line arguments by role.
+        module: the module that is run.
         urls: base URLs of the stand-ins by upstream.
     """
 
@@ -65,6 +66,7 @@
         factory=standin_host.StandinServers
     )
     voters: dict[str, str] = attrs.field(factory=dict)
+    module: str = 'cassiashift_daemon.main'
     entries: dict[str, tuple[str, str]] = attrs.field(factory=dict)
 
     @classmethod
@@ -137,8 +139,7 @@
         log = (self.folder / f'{name}.log').open('ab')
         with log:
             daemon.process = subprocess.Popen(
-                [sys.executable, '-m', 'cassiashift_daemon.main']
-                + daemon.arguments,
+                [sys.executable, '-m', self.module, *daemon.arguments],
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
