Test evacuations with full disks, and the end of all entries with a lost one

Two cases with entries as processes that had been run once by hand or not at all. Orders of evacuations are proposed ten times a second while three voters' disks are full for 2 s each, six times, as configurations were before; one has to be acknowledged at least every 4 s. And all entries, voters or not, are killed right after a change was acknowledged, one voter's folder is deleted, and all are started: each has to answer with that change, and with a later one. Power that is lost beneath unsynced files is simulated in tests/daemon/storage/test_power_losses.py; a kill leaves them in the cache.

--- a/tests/process/test_full_disks.py
+++ b/tests/process/test_full_disks.py
@@ -64,16 +64,27 @@
         yield running
 
 
+async def configure(site, version):
+    """Put a configuration; return the status of the answer."""
+    return await site.put(site.entries[-1], platform_site.document(version))
+
+
+async def evacuate(site, number):
+    """Start or end an evacuation; return the status of the answer."""
+    action = 'end' if number % 2 else 'start'
+    return await site.evacuate(site.entries[-1], 'west', action)
+
+
+@pytest.mark.parametrize('change', [configure, evacuate])
 async def test_changes_are_acknowledged_while_disks_are_full_in_turn(
-    site, tmp_path
+    site, tmp_path, change
 ):
     acknowledged_at = [time.monotonic()]
     versions = iter(range(2, 100_000))
 
     async def change_forever():
         while True:
-            config = platform_site.document(next(versions))
-            if await site.put(site.entries[-1], config) == 200:
+            if await change(site, next(versions)) == 200:
                 acknowledged_at.append(time.monotonic())
             await asyncio.sleep(INTERVAL_S)
 
@@ -126,3 +137,29 @@
         site.entries[-1], platform_site.document(3)
     )
     await site.require_version_read(second, 3)
+
+
+async def test_a_change_survives_a_lost_disk_and_the_end_of_all_entries(
+    site, tmp_path
+):
+    sign = sign_of(tmp_path, 1)
+    sign.write_text('')
+    await asyncio.sleep(1.0)
+    sign.unlink()
+    await site.put_until_acknowledged(
+        site.entries[-1], platform_site.document(2)
+    )
+    for entry in site.entries:
+        entry.process.kill()
+    for entry in site.entries:
+        entry.process.wait()
+    site.entries[1].wipe()
+    for entry in site.entries:
+        entry.start()
+    for entry in site.entries:
+        await site.require_version_read(entry, 2)
+    await site.put_until_acknowledged(
+        site.entries[-1], platform_site.document(3)
+    )
+    for entry in site.entries:
+        await site.require_version_read(entry, 3)
