Count from the signal until when a lonely entry takes streams

Callers of an entry that stops while no other is ready had their streams cut 0.4 s before the kill, though sent later than 3 s after SIGTERM.

Cause: such an entry takes what usually ends in time for 3 s. It counted these from the moment at which it noticed the signal, callers from the signal itself. A busy process takes some 0.1 s to notice it.

In the new test the signal is noticed 0.3 s late and 12 streams are sent after 3.05 s: 12 of 12 cut before, all refused as not run now. The entry now ends this 0.5 s sooner.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -54,6 +54,8 @@
 # Some callers cache an answer of the directory for three times its TTL.
 TTL_FACTOR = 3
 STOP_MARGIN_S = 0.4
+# A busy process notices a signal up to this late.
+NOTICED_WITHIN_S = 0.5
 # Requests without an answer get a final one this long before the end of a
 # planned stop.
 FINAL_ANSWERS_S = 0.3
@@ -162,7 +164,7 @@
             admission.Closing(
                 ends_at=now + answers_s,
                 over_at=now + self.cfg.bounds.grace_s,
-                known_until=now + known_s,
+                known_until=now + known_s - NOTICED_WITHIN_S,
             )
         )
         asyncio.get_running_loop().call_later(
--- a/tests/process/test_planned_stops.py
+++ b/tests/process/test_planned_stops.py
@@ -150,6 +150,29 @@
     assert_that(statuses, matchers.Equals([200] * 12))
 
 
+async def test_no_stream_is_cut_that_an_entry_takes_as_it_leaves_alone(stop):
+    """Guards against a stop that is noticed late and counted from then on."""
+    idle = await stop.connect(12)
+    for conn in await stop.connect(5):
+        await conn.call('talk', 'usual', X_Work_S=0.2)
+    for entry in stop.site.entries[:-1]:
+        entry.signal(signal.SIGTERM)
+    stop.entry.signal(signal.SIGSTOP)
+    stop.begin()
+    await stop.sleep_until(0.3)
+    stop.entry.signal(signal.SIGCONT)
+    await stop.sleep_until(3.05)
+    answers = await asyncio.gather(
+        *(
+            conn.call('talk', f'late-{number}', X_Work_S=6.0)
+            for number, conn in enumerate(idle)
+        )
+    )
+    await stop.end()
+    late = {f'late-{n}': answer for n, answer in enumerate(answers)}
+    assert_that(stop.cut(late), matchers.Equals({}))
+
+
 async def test_no_late_stream_is_cut_at_the_end_of_a_stop(stop):
     """Guards against streams that last longer than their route usually."""
     rng = random.Random(50)
