Say how long entries of the soak waited for a processor

A problem of the soak of planned stops that comes with load couldn't be told from a fault of ours: the line of each now names the time in which its entry waited for a processor, from the kernel's count.

--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -160,6 +160,14 @@
         handled = int(masks['SigIgn'], 16) | int(masks['SigCgt'], 16)
         return bool(handled >> (number - 1) & 1)
 
+    def waited_s(self):
+        """Return how long its main thread has waited for a processor."""
+        try:
+            path = pathlib.Path(f'/proc/{self.process.pid}/schedstat')
+            return int(path.read_text().split()[1]) / 1e9
+        except (OSError, IndexError):
+            return 0.0
+
     def kill(self):
         """Kill the process and wait for its end."""
         self.process.kill()
