Let no delay of a test's upstream add up over its events

What was seen: test_no_late_stream_is_cut_at_the_end_of_a_stop failed once on at a load average of 37; its output was not kept.

Cause: the test. Its upstream slept before each of 20 events for a 20th of the work, so that each delay of its process added to the end.

Evidence: with the test's process suspended for 0.3 s every 0.5 s, the test failed, with that stream alone cut: before-0, not whole after 8.0 s. Beside 12 busy loops on the two cores that it ran on it passed, so that the host of the first failure delayed it more than these did.

Change: the events have fixed times from the start of the stream. The times of the work, the stop and the checks are the same.

--- a/tests/process/planned_stops.py
+++ b/tests/process/planned_stops.py
@@ -42,9 +42,12 @@
             body = b'x' * int(request.headers.get(SIZE, 1))
             return web.Response(body=body, headers=headers)
         response = web.StreamResponse(headers=headers)
+        began_at = time.monotonic()
         await response.prepare(request)
         for number in range(1, EVENTS + 1):
-            await asyncio.sleep(work_s / EVENTS)
+            # An event that is late delays none of the others.
+            due_at = began_at + work_s * number / EVENTS
+            await asyncio.sleep(due_at - time.monotonic())
             await response.write(f'id: {number}\ndata: x\n\n'.encode())
         return response
 
