--- a/tests/daemon/direct/conftest.py
+++ b/tests/daemon/direct/conftest.py
@@ -366,6 +366,17 @@
     await server.cleanup()
 
 
+@pytest.fixture
+def patient_site(site):
+    """Return a site whose routes allow far more time than a test takes."""
+    holder = site.ingress.holder
+    patient = tuple(
+        attrs.evolve(route, timeout_s=60.0) for route in holder.table.routes
+    )
+    holder.table = attrs.evolve(holder.table, routes=patient)
+    return site
+
+
 @pytest.fixture
 async def ticking(site):
     """Let the site serve its queue and look for stalls every 20 ms."""
