Count no time to load in the setup of the fast callers either

A process that had ended passed for one that was ready.

Change: the process says that it has loaded; the 20 s begin then. The setup checks both lines that it reads.

The failure itself was not seen.

--- a/tests/process/fast_streams.py
+++ b/tests/process/fast_streams.py
@@ -6,8 +6,9 @@
 
     python -m tests.process.fast_streams PLAN
 
-PLAN is a ``Plan`` in JSON. The process prints ``served`` after a first stream,
-starts its callers after a line on standard input, and prints their results.
+PLAN is a ``Plan`` in JSON. The process prints ``loaded`` at first, ``served``
+after a first stream, starts its callers after a line on standard input, and
+prints their results.
 """
 
 import asyncio
@@ -114,6 +115,7 @@
 
 async def run(plan):
     """Serve the upstream; run the callers once told to."""
+    print('loaded', flush=True)
     server = web.ServerRunner(web.Server(_answer))
     await server.setup()
     await web.TCPSite(server, plan.ip, plan.port).start()
--- a/tests/process/test_slow_readers.py
+++ b/tests/process/test_slow_readers.py
@@ -140,8 +140,13 @@
         limit=1024 * 1024,
     )
     try:
-        async with asyncio.timeout(platform_site.TIMEOUT_S):
-            await process.stdout.readline()
+        for line, timeout_s in (
+            (b'loaded\n', platform_site.LOAD_TIMEOUT_S),
+            (b'served\n', platform_site.TIMEOUT_S),
+        ):
+            async with asyncio.timeout(timeout_s):
+                read = await process.stdout.readline()
+            assert_that(read, matchers.Equals(line))
         yield process
     finally:
         if process.returncode is None:
