--- a/review/7/play.py
+++ b/review/7/play.py
@@ -12,8 +12,8 @@
 
 KILLED_AFTER_S = 0.5
 DOWN_S = 0.5
-# The core counts as stable from the first time on after the restart; the second
-# one is the bound on an acknowledgement.
+# The core counts as stable again after the first time; the second one is the
+# bound on an acknowledgement.
 STABLE_S = deployments.BOUNDS['contactMs'] / 1000
 ACK_S = deployments.BOUNDS['ackTimeoutMs'] / 1000
 # The operator resends until its order is accepted.
--- a/review/support2/runners.py
+++ b/review/support2/runners.py
@@ -353,42 +353,54 @@
         return status
 
     def _status_of(self, rank, order):
-        op, version = order['op'], order.get('version', 0)
-        step = order.get('step', 0)
         if order.get('epoch', self.epoch) != self.epoch:
             return 409
-        if op == 'prepare':
-            return self._prepare(rank, version, order['expertMap'])
-        if op == 'arm':
-            if rank.armed == (version, step):
-                return 200
-            if rank.prepared is None or rank.prepared[0] != version:
-                return 409
-            if step <= self.step:
-                return 409
-            rank.armed = (version, step)
-            return 202
-        if op == 'disarm':
-            if version == rank.map_version:
-                return 409
-            if rank.armed is not None and rank.armed[0] == version:
-                rank.armed = None
-                return 202
-            return 200
-        if op == 'hold':
-            if rank.held == step:
-                return 200
-            if step <= self.step or rank.held is not None:
-                return 409
-            rank.held = step
-            return 202
-        if op == 'go':
-            if rank.held != step:
-                return 200
-            rank.held = None
-            return 202
+        version, step = order.get('version', 0), order.get('step', 0)
+        match order['op']:
+            case 'prepare':
+                return self._prepare(rank, version, order['expertMap'])
+            case 'arm':
+                return self._arm(rank, version, step)
+            case 'disarm':
+                return self._disarm(rank, version)
+            case 'hold':
+                return self._hold(rank, step)
+            case 'go':
+                return self._go(rank, step)
         return 400
 
+    def _arm(self, rank, version, step):
+        if rank.armed == (version, step):
+            return 200
+        if rank.prepared is None or rank.prepared[0] != version:
+            return 409
+        if step <= self.step:
+            return 409
+        rank.armed = (version, step)
+        return 202
+
+    def _disarm(self, rank, version):
+        if version == rank.map_version:
+            return 409
+        if rank.armed is None or rank.armed[0] != version:
+            return 200
+        rank.armed = None
+        return 202
+
+    def _hold(self, rank, step):
+        if rank.held == step:
+            return 200
+        if step <= self.step or rank.held is not None:
+            return 409
+        rank.held = step
+        return 202
+
+    def _go(self, rank, step):
+        if rank.held != step:
+            return 200
+        rank.held = None
+        return 202
+
     def _prepare(self, rank, version, lists):
         if rank.prepared is not None and rank.prepared[0] == version:
             return 200
--- a/review/support2/service.py
+++ b/review/support2/service.py
@@ -36,7 +36,9 @@
     async def start(self, deployment):
         """Listen and send heartbeats."""
         self._server = web.ServerRunner(
-            web.Server(self._handle, access_log=None, handler_cancellation=True)
+            web.Server(
+                self._handle, access_log=None, handler_cancellation=True
+            )
         )
         await self._server.setup()
         host, _, port = self.address.rpartition(':')
@@ -102,7 +104,9 @@
     try:
         async with asyncio.timeout(1.0):
             async with deployment.session.post(
-                entry.url('control', f'/cassiashift/instances/{id_}/heartbeat'),
+                entry.url(
+                    'control', f'/cassiashift/instances/{id_}/heartbeat'
+                ),
                 data=json.dumps(body).encode(),
                 headers={'Content-Type': 'application/json'},
             ) as response:
