--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Plays the case; TROUBLE=0 plays it without the disruption.
+# Plays the case and writes record.txt beside this file; TROUBLE=0 plays it
+# without the disruption.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
 export PYTHONPATH=target/deps PYTHONDONTWRITEBYTECODE=1
--- a/review/support2/service.py
+++ b/review/support2/service.py
@@ -16,6 +16,7 @@
 
     Attributes:
         ran: number of runs by request id.
+        running: requests that it runs now.
     """
 
     def __init__(self, id_, service, address, zone, work_s=0.0225, slots=6):
@@ -29,7 +30,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.ran = {}
-        self._running = 0
+        self.running = 0
         self._server = None
         self._beats = None
 
@@ -53,6 +54,13 @@
             with contextlib.suppress(Exception):
                 await asyncio.wait_for(self._server.cleanup(), 2.0)
 
+    def abort(self):
+        """Crash: reset all connections, and do not come back."""
+        for conn in self._server.server.connections:
+            if conn.transport is not None:
+                conn.transport.abort()
+        asyncio.ensure_future(self.stop())
+
     def heartbeat(self):
         """Return the body of the next heartbeat."""
         self.sequence += 1
@@ -86,15 +94,15 @@
         if expected != self.id or not id_:
             headers['Cassiashift-Not-Executed'] = '1'
             return web.Response(status=421, headers=headers)
-        if self._running >= self.slots:
+        if self.running >= self.slots:
             headers['Cassiashift-Not-Executed'] = '1'
             return web.Response(status=503, headers=headers)
-        self._running += 1
+        self.running += 1
         try:
             self.ran[id_] = self.ran.get(id_, 0) + 1
             await asyncio.sleep(self.work_s)
         finally:
-            self._running -= 1
+            self.running -= 1
         headers['Cassiashift-Response-Stamp'] = f's.{id_}'
         return web.Response(body=id_.encode(), headers=headers)
 
