--- a/review/7/play.py
+++ b/review/7/play.py
@@ -34,21 +34,17 @@
         self.record = record
         self.group = None
         self.until = 0.0
-        self.begun_at = 0.0
         self.orders = 0
         self.late = 0
         self.released = None
         self.is_due = asyncio.Event()
-        self._kept = []
 
     def begin(self):
         """Begin a time with late orders."""
-        self.begun_at = time.monotonic()
-        self.until = self.begun_at + LATE_FOR_S
+        self.until = time.monotonic() + LATE_FOR_S
         self.orders = self.late = 0
         self.released = None
         self.is_due.clear()
-        self._kept.clear()
         self.record.write('orders are left unanswered from now on')
 
     def is_late(self, rank, order):
--- a/review/support2/runners.py
+++ b/review/support2/runners.py
@@ -88,7 +88,8 @@
     Attributes:
         late: called with rank and order; returns whether the order gets no
             answer and is carried out later, by ``carry_out``.
-        popular: returns the rank whose experts on map 0 are in demand.
+        popular: the rank whose experts on map 0 are in demand.
+        popular_share: share of the choices that these get.
         mixed: descriptions of passes that began on more than one map.
     """
 
