--- a/review/7/play.py
+++ b/review/7/play.py
@@ -23,7 +23,7 @@
 LATE_BEFORE_S = 12.0
 LATE_RANK = 3
 BUSY_S = 6.0
-ROUNDS = 3
+ROUNDS = 5
 
 
 class LateOrders:
