--- a/review/9/play.py
+++ b/review/9/play.py
@@ -81,7 +81,7 @@
     async def _handle(self, request):
         body = await request.read()
         response = await super()._handle(request)
-        if response.status != 200:
+        if response.status != 200 or not body:
             return response
         number = int(body)
         self.bookings[number] = self.bookings.get(number, 0) + 1
--- a/review/support2/cold.py
+++ b/review/support2/cold.py
@@ -29,7 +29,15 @@
         left_s = max(0.0, self.cold_until - time.monotonic())
         return super().heartbeat() | {'coldRemainingMs': int(1000 * left_s)}
 
+    def health_headers(self):
+        """Return the headers of an answer to a health check."""
+        left_s = max(0.0, self.cold_until - time.monotonic())
+        cold_ms = str(int(1000 * left_s))
+        return super().health_headers() | {'Cassiashift-Cold-Ms': cold_ms}
+
     async def _handle(self, request):
+        if request.path == '/healthz':
+            return await super()._handle(request)
         expected = request.headers.get('Cassiashift-Expect-Instance', self.id)
         now = time.monotonic()
         if now < self.cold_until and expected == self.id:
--- a/review/support2/service.py
+++ b/review/support2/service.py
@@ -86,7 +86,13 @@
                     break
             await asyncio.sleep(HEARTBEAT_S)
 
+    def health_headers(self):
+        """Return the headers of an answer to a health check."""
+        return {'Cassiashift-Instance-Id': self.id}
+
     async def _handle(self, request):
+        if request.path == '/healthz':
+            return web.Response(headers=self.health_headers())
         id_ = request.headers.get('Cassiashift-Request-Id', '')
         headers = {'Cassiashift-Request-Id': id_}
         await request.read()
