Answer 502 to an upstream's promise that it has not proved

Callers saw: an upstream answered 503 after it had run a booking, without a statement that it had not. The entry passed the 503 on.

Cause: the entry kept the promise for its own answers only. For an upstream's answer two places compared the status with 500, for other purposes.

Change: core.promises names the statuses that promise "not run" and decides whether one may be sent on; the exchange asks it for each answer, whole, streamed or kept. An unproved promise is a failed send that may have run: another try where the route allows one, else 502 without the upstream's stamp.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -17,6 +17,7 @@
 
 from cassiashift_core import buffers
 from cassiashift_core import fleet
+from cassiashift_core import promises
 from cassiashift_core import Verdict
 from cassiashift_daemon.direct import calls
 from cassiashift_daemon.direct import dialect
@@ -309,6 +310,10 @@
                 is_refusal=True,
                 at_fault=headers.get(names.at_fault, ''),
             )
+        if not promises.may_forward(response.status):
+            raise SendFailedError(
+                f'unproved_{response.status}', Verdict.MAY_HAVE_RUN
+            )
         if response.ok and names.stamp not in headers:
             raise SendFailedError('unsigned_answer', Verdict.MAY_HAVE_RUN)
         if 'Content-Encoding' in headers:
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/refusals.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/refusals.py
@@ -1,7 +1,7 @@
 """Converts errors to HTTP answers.
 
-The statuses 429 and 503 state that a request has not run and will not run, so
-they are only sent with the verdict ``NOT_RUN``.
+Statuses that promise that a request has not run (see ``core.promises``) are
+only sent with the verdict ``NOT_RUN``.
 """
 
 import json
