Hold no pass that an earlier order may still release

Cause: an order to release a pass names a rank and a number, but no hold, and may take effect seconds late. The pass that a switch holds was chosen from the newest pass alone, so that two switches in a row held the same one in a group that had begun none meanwhile. A release of the first, carried out late, took away the hold of the second while it armed the ranks.

With a chosen order the hold is gone in 3 of 3 sizes (test_late_releases).

Change: no switch holds a pass that an earlier order may release. An agent knows those of its own switches and recoveries.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
@@ -9,6 +9,7 @@
 
 from cassiashift_core.rankmaps import deltas
 from cassiashift_core.rankmaps import demand
+from cassiashift_core.rankmaps import holding
 from cassiashift_core.rankmaps import messages
 from cassiashift_core.rankmaps import model
 from cassiashift_core.rankmaps import planning
@@ -70,6 +71,11 @@
     _planned_at: float = 0.0
     _last_version: int = 0
     _waiting: waiting.WaitingGroup = attrs.field(factory=waiting.WaitingGroup)
+    _held_steps: holding.HeldSteps = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Avoid the passes that an earlier process may have held."""
+        self._held_steps = holding.HeldSteps.from_report(self.own_report)
 
     @property
     def active(self) -> switch.Switch | recovery.Recovery | None:
@@ -258,6 +264,7 @@
         if lists is None or not is_state_known:
             return
         self._waiting.restart()
+        self._held_steps.record_hold(step)
         self._active = recovery.Recovery(
             epoch=self.own_report.epoch,
             size=self.own_report.size,
@@ -341,6 +348,8 @@
             return
         if not all(map(_can_switch, reports.values())):
             return
+        if not self._may_hold(reports):
+            return
         if not self._demand.fits(self.shape.sets, self.shape.experts):
             self._demand = None
             return
@@ -369,8 +378,16 @@
             lists=new_plan.lists,
             previous_lists=lists,
             started_at=now,
+            held_steps=self._held_steps,
         )
 
+    def _may_hold(self, reports: dict[int, model.RankReport]) -> bool:
+        """Return whether a switch may hold a pass that none has held."""
+        own = self.own_report
+        self._held_steps.record_versions(reports.values(), own.rank, own.size)
+        newest_step = max(report.step for report in reports.values())
+        return self._held_steps.may_hold(newest_step)
+
     def _utilisation(self, reports: dict[int, model.RankReport]) -> float:
         """Return the share of the group's slots in use, 0 to 1."""
         slots = self.shape.slots * len(reports)
@@ -437,6 +454,8 @@
             self._demand.skip_time()
         self._waiting = waiting.WaitingGroup()
         self._last_version = 0
+        # This agent has given no order in the new epoch yet.
+        self._held_steps = holding.HeldSteps()
 
 
 def _can_switch(report: model.RankReport) -> bool:
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/model.py
@@ -87,13 +87,16 @@
     queued: int = 0
     slowdown: float = 1.0
 
+    @property
+    def versions(self) -> tuple[int, ...]:
+        """Return the versions that are in use, prepared or armed."""
+        armed = () if self.armed is None else (self.armed.version,)
+        return (self.map_version, self.prepared or 0, *armed)
+
     @property
     def newest_version(self) -> int:
         """Return the highest version that is in use, prepared or armed."""
-        versions = [self.map_version, self.prepared or 0]
-        if self.armed is not None:
-            versions.append(self.armed.version)
-        return max(versions)
+        return max(self.versions)
 
 
 class OrderKind(enum.Enum):
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
@@ -28,19 +28,19 @@
   switch only releases S at the rank that it held S at, and no other order of
   its coordinator releases a pass. A hold that takes effect after its switch
   is over is therefore left to a recovery.
+- No later switch holds S (see ``holding``), so an order to release S
+  that takes effect late meets no hold of theirs.
 """
 
 import enum
 
 import attrs
 
+from cassiashift_core.rankmaps import holding
 from cassiashift_core.rankmaps import model
 from cassiashift_core.rankmaps import retries
 from cassiashift_core.rankmaps import superseding
 
-# Passes between the last one reported and the one at which maps change, as
-# passes may begin while the order is on its way.
-LEAD_STEPS = 3
 # An order whose effect no report shows is repeated after this.
 RETRY_S = 0.1
 # An order to prepare is answered only when the copies are complete.
@@ -80,6 +80,7 @@
         lists: the new map.
         previous_lists: the map in use; prepared again under a later version
             to make a version dead.
+        held_steps: the passes that must not be held any more.
         step: the held pass, at which the maps change.
         is_committed: every rank was armed.
         reason: why the switch was aborted; empty if it was not.
@@ -92,6 +93,7 @@
     lists: model.ExpertLists
     previous_lists: model.ExpertLists
     started_at: float
+    held_steps: holding.HeldSteps = attrs.field(factory=holding.HeldSteps)
     phase: Phase = Phase.PREPARE
     step: int = 0
     is_committed: bool = False
@@ -224,7 +226,7 @@
             return None
         match self.phase:
             case Phase.PREPARE if self._all_ranks(self._is_prepared):
-                self.step = self._newest_step() + LEAD_STEPS
+                self._choose_step()
                 return Phase.HOLD
             case Phase.HOLD:
                 return self._phase_after_hold()
@@ -239,14 +241,22 @@
         return None
 
     def _phase_after_hold(self) -> Phase | None:
-        if self._reports[self.hold_rank].held == self.step:
+        held = self._reports[self.hold_rank].held
+        if held == self.step:
             return Phase.ARM
-        newest = self._newest_step()
-        if newest >= self.step:
+        if held is not None:
+            # A rank has one hold at a time; a recovery is to release this one.
+            self.reason = 'another pass is held'
+            return Phase.RELEASE
+        if self._newest_step() >= self.step:
             # No rank was armed for the missed pass, so a later one is held.
-            self.step = newest + LEAD_STEPS
+            self._choose_step()
         return None
 
+    def _choose_step(self) -> None:
+        self.step = self.held_steps.next_step(self._newest_step())
+        self.held_steps.record_hold(self.step)
+
     def _newest_step(self) -> int:
         """Return the last pass that any rank reports; all ranks take part."""
         return max(report.step for report in self._reports.values())
--- a/tests/core/rankmaps/group.py
+++ b/tests/core/rankmaps/group.py
@@ -36,7 +36,111 @@
 
 
 @attrs.define
-class Group:
+class Engines:
+    """Engines of a group in lock-step, without a clock.
+
+    Attributes:
+        step: the last pass that began.
+    """
+
+    size: int
+    step: int = attrs.field(default=0, init=False)
+    epoch: int = attrs.field(default=1, init=False)
+    ranks: list[Rank] = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        """Start on map 0."""
+        self.ranks = [Rank() for _ in range(self.size)]
+
+    @property
+    def may_begin_pass(self):
+        """Whether no rank holds the next pass."""
+        return all(rank.held != self.step + 1 for rank in self.ranks)
+
+    def current_report(self, number, running=0, queued=0, slowdown=1.0):
+        """Return the report of a rank."""
+        rank = self.ranks[number]
+        return rankmaps.RankReport(
+            'g',
+            self.epoch,
+            number,
+            self.size,
+            True,
+            self.step,
+            rank.map_version,
+            rank.prepared[0] if rank.prepared else None,
+            rank.armed,
+            rank.held,
+            running=running,
+            queued=queued,
+            slowdown=slowdown,
+        )
+
+    def carry_out(self, order):
+        """Apply an order to its rank; return whether it is confirmed."""
+        if order.epoch != self.epoch:
+            return False
+        method = getattr(self, f'_{order.kind.value}')
+        return method(self.ranks[order.rank], order)
+
+    def begin_pass(self):
+        """Begin the next pass.
+
+        Raises:
+            TwoMapsError: two ranks use different maps.
+        """
+        self.step += 1
+        for rank in self.ranks:
+            if rank.armed and rank.armed.step <= self.step:
+                rank.map_version, rank.lists = rank.prepared
+                rank.prepared = rank.armed = None
+        maps = {(rank.map_version, rank.lists) for rank in self.ranks}
+        if len(maps) != 1:
+            raise TwoMapsError(f'pass {self.step}: {sorted(maps)}')
+
+    def complete_copy(self, rank, order):
+        """Prepare a map whose experts are copied."""
+        if rank.highest_prepared == order.version and rank.armed is None:
+            rank.prepared = (order.version, order.lists)
+
+    def _prepare(self, rank, order):
+        if rank.prepared and rank.prepared[0] == order.version:
+            return True
+        if order.version <= rank.highest_prepared or rank.armed is not None:
+            return False
+        rank.highest_prepared = order.version
+        self.complete_copy(rank, order)
+        return True
+
+    def _hold(self, rank, order):
+        if rank.held == order.step:
+            return True
+        if rank.held is not None or order.step <= self.step:
+            return False
+        rank.held = order.step
+        return True
+
+    def _go(self, rank, order):
+        if rank.held == order.step:
+            rank.held = None
+        return True
+
+    def _arm(self, rank, order):
+        is_prepared = rank.prepared and rank.prepared[0] == order.version
+        if not is_prepared or order.step <= self.step:
+            return False
+        rank.armed = rankmaps.Armed(order.version, order.step)
+        return True
+
+    def _disarm(self, rank, order):
+        # Disarming a version that is not armed is confirmed as well.
+        if rank.armed and rank.armed.version == order.version:
+            rank.armed = None
+        return True
+
+
+@attrs.define(slots=False)
+class Group(Engines):
     """Ranks in lock-step on a simulated clock.
 
     Attributes:
@@ -54,13 +158,9 @@
             it takes effect without an answer, or None.
     """
 
-    size: int
     late_share: float
     rng: random.Random
     now: float = 0.0
-    step: int = 0
-    epoch: int = 1
-    ranks: list[Rank] = attrs.field(init=False)
     begun: list[tuple[int, int]] = attrs.field(factory=list)
     stalled_s: float = 0.0
     slowdowns: dict[int, float] = attrs.field(factory=dict)
@@ -76,8 +176,8 @@
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
     def __attrs_post_init__(self):
-        """Start on map 0."""
-        self.ranks = [Rank() for _ in range(self.size)]
+        """Start on map 0 and schedule the passes."""
+        super().__attrs_post_init__()
         self.call_later(PASS_S, self._pass)
 
     def call_later(self, delay_s, action):
@@ -110,21 +210,11 @@
         return self._current_report(number)
 
     def _current_report(self, number):
-        rank = self.ranks[number]
         is_running = self.now - self._passed_at < self.patience_s
         has_requests = self.has_requests and number not in self.idle_ranks
         requests = 3 if has_requests else 0
-        return rankmaps.RankReport(
-            'g',
-            self.epoch,
+        return self.current_report(
             number,
-            self.size,
-            True,
-            self.step,
-            rank.map_version,
-            rank.prepared[0] if rank.prepared else None,
-            rank.armed,
-            rank.held,
             running=requests if is_running else 0,
             queued=0 if is_running else requests,
             slowdown=self.slowdowns.get(number, 1.0),
@@ -149,56 +239,21 @@
 
     def carry_out(self, order):
         """Apply an order to its rank; return whether it is confirmed."""
-        if order.epoch != self.epoch:
-            return False
-        method = getattr(self, f'_{order.kind.value}')
-        is_confirmed = method(self.ranks[order.rank], order)
+        is_confirmed = super().carry_out(order)
         self._record(order.rank)
         return is_confirmed
 
-    def _prepare(self, rank, order):
-        if rank.prepared and rank.prepared[0] == order.version:
-            return True
-        if order.version <= rank.highest_prepared or rank.armed is not None:
-            return False
-        rank.highest_prepared = order.version
+    def complete_copy(self, rank, order):
+        """Prepare a map after the time that copies take."""
+        if not self.copy_s:
+            super().complete_copy(rank, order)
+            return
 
         def complete():
-            if rank.highest_prepared == order.version and rank.armed is None:
-                rank.prepared = (order.version, order.lists)
-                self._record(order.rank)
-
-        if self.copy_s:
-            self.call_later(self.copy_s, complete)
-        else:
-            complete()
-        return True
+            super(Group, self).complete_copy(rank, order)
+            self._record(order.rank)
 
-    def _hold(self, rank, order):
-        if rank.held == order.step:
-            return True
-        if rank.held is not None or order.step <= self.step:
-            return False
-        rank.held = order.step
-        return True
-
-    def _go(self, rank, order):
-        if rank.held == order.step:
-            rank.held = None
-        return True
-
-    def _arm(self, rank, order):
-        is_prepared = rank.prepared and rank.prepared[0] == order.version
-        if not is_prepared or order.step <= self.step:
-            return False
-        rank.armed = rankmaps.Armed(order.version, order.step)
-        return True
-
-    def _disarm(self, rank, order):
-        # Disarming a version that is not armed is confirmed as well.
-        if rank.armed and rank.armed.version == order.version:
-            rank.armed = None
-        return True
+        self.call_later(self.copy_s, complete)
 
     def _record(self, number):
         """Keep the reports that a report with a lag may be taken from."""
@@ -213,20 +268,12 @@
             self._record(number)
         if not self.has_requests:
             return
-        next_step = self.step + 1
-        if any(rank.held == next_step for rank in self.ranks):
+        if not self.may_begin_pass:
             self.stalled_s += PASS_S
             return
-        self.step = next_step
         self._passed_at = self.now
-        for rank in self.ranks:
-            if rank.armed and rank.armed.step <= next_step:
-                rank.map_version, rank.lists = rank.prepared
-                rank.prepared = rank.armed = None
-        maps = {(rank.map_version, rank.lists) for rank in self.ranks}
-        if len(maps) != 1:
-            raise TwoMapsError(f'pass {next_step}: {sorted(maps)}')
-        self.begun.append((next_step, self.ranks[0].map_version))
+        self.begin_pass()
+        self.begun.append((self.step, self.ranks[0].map_version))
 
 
 @attrs.define
--- /dev/null
+++ b/tests/core/rankmaps/test_late_releases.py
@@ -0,0 +1,79 @@
+"""Tests of orders to release a pass that take effect late."""
+
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools import matchers
+
+from cassiashift_core import rankmaps
+from cassiashift_core.rankmaps import planning
+from tests.core.rankmaps import agents as simulated
+from tests.core.rankmaps import group as simulation
+
+ARM = rankmaps.OrderKind.ARM
+GO = rankmaps.OrderKind.GO
+NEVER_S = 1e6
+
+
+class LateOrders:
+    """Withholds orders of some kinds, to be carried out later.
+
+    Orders to arm are withheld from rank 0 only, so that the others are armed.
+
+    Attributes:
+        kinds: the kinds of orders that are withheld now.
+        withheld: the orders that have had no effect so far, by kind.
+    """
+
+    def __init__(self, group, *kinds):
+        """Withhold orders of some kinds from now on."""
+        self.kinds = kinds
+        self.withheld = {}
+        group.lateness_of = self._lateness
+
+    def _lateness(self, order):
+        is_armed_in_time = order.kind is ARM and order.rank != 0
+        if order.kind not in self.kinds or is_armed_in_time:
+            return None
+        self.withheld.setdefault(order.kind, []).append(order)
+        return NEVER_S
+
+
+def _run_until(group, condition):
+    ends_at = group.now + 20.0
+    while not condition():
+        assert_that(group.now, matchers.LessThan(ends_at))
+        group.run(group.now + 0.005)
+
+
+def _is_armed(group):
+    return any(rank.armed for rank in group.ranks)
+
+
+@pytest.mark.parametrize('size', [2, 3, 8])
+def test_a_late_release_leaves_the_hold_of_a_later_switch_in_place(
+    size, monkeypatch
+):
+    # Otherwise the pass begins while some ranks are armed.
+    monkeypatch.setattr(planning, 'min_gain', lambda load_pressure: 0.0)
+    group = simulation.Group(size, 0.0, random.Random(size))
+    agents = simulated.start_all(group)
+    own = agents[0].coordinator
+    group.run(3.0)
+    late = LateOrders(group, ARM, GO)
+    _run_until(group, lambda: _is_armed(group))
+    group.has_requests = False
+    first = own.active
+    _run_until(group, lambda: GO in late.withheld)
+    late.kinds = (ARM,)
+    (release,) = late.withheld[GO]
+    _run_until(
+        group, lambda: own.active not in (None, first) and _is_armed(group)
+    )
+    group.carry_out(release)
+    held = [rank.held for rank in group.ranks if rank.held is not None]
+    assert_that(held, matchers.HasLength(1))
+    # Raises TwoMapsError if the pass begins on two maps.
+    group.has_requests = True
+    group.run(group.now + 5.0)
