Leave a sound switch of a later pass alone in a recovery

What could happen: a recovery of pass S, begun for a hold that took effect late, disarmed the ranks of a switch of a later pass S' that was committed. It holds S, not S'. If late orders of an earlier recovery of S release that guard and the hold, S' begins while some ranks are disarmed and others not (MAP).

Cause: a recovery disarmed all that was armed when it began, whatever the pass.

Change: a switch of another pass is left alone if its own hold is in place, or if every rank that reports is armed for it. What is armed without either is disarmed as before.

Measured: test_late_releases_do_not_let_a_recovery_split_a_later_switch raised TwoMapsError before the change and passes now.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
@@ -58,7 +58,10 @@
             engine refuses an order that does not fit its state.
         found_holds: ranks that held the pass when the recovery began; no
             other hold but the guard's is released.
-        found_armed: the switches that ranks were set to make at that time.
+        found_armed: the switches that ranks were set to make at that time, and
+            that nothing but this recovery keeps from being made by some ranks
+            only.
+        sound_armed: the other ones of that time, of later passes.
     """
 
     epoch: int
@@ -72,6 +75,7 @@
     unreachable_rank: int | None = None
     found_holds: frozenset[int] = attrs.field(init=False)
     found_armed: frozenset[model.Armed] = attrs.field(init=False)
+    sound_armed: frozenset[model.Armed] = attrs.field(init=False)
     _phase: _Phase = _Phase.HOLD
     _retries: retries.OrderRetries = attrs.field(factory=retries.OrderRetries)
     _seen_armed: set[int] = attrs.field(factory=set)
@@ -87,9 +91,9 @@
         self.found_holds = frozenset(
             report.rank for report in reports if self._holds_pass(report)
         )
-        self.found_armed = frozenset(
-            report.armed for report in reports if report.armed is not None
-        )
+        armed = {item.armed for item in reports if item.armed is not None}
+        self.sound_armed = frozenset(filter(self._is_sound, armed))
+        self.found_armed = armed - self.sound_armed
         for report in reports:
             self._record_armed(report)
 
@@ -224,11 +228,24 @@
         Earlier means below the version of the recovery. A later version
         belongs to a live coordinator and to a later pass.
         """
+        if report.armed in self.sound_armed:
+            return True
         return (
             report.newest_version >= self.version
             and not self._has_earlier_armed(report)
         )
 
+    def _is_sound(self, armed: model.Armed) -> bool:
+        """Return whether a switch of another pass is to be left alone.
+
+        Every rank makes it, or its own hold is in place. This recovery does
+        not hold that pass, which may begin while ranks are disarmed.
+        """
+        reports = self._reports.values()
+        is_complete = all(report.armed == armed for report in reports)
+        is_held = any(report.held == armed.step for report in reports)
+        return armed.step != self.step and (is_complete or is_held)
+
     def _has_earlier_armed(self, report: model.RankReport) -> bool:
         """Return whether a rank is armed with a version to be made dead.
 
--- a/tests/core/rankmaps/test_late_releases.py
+++ b/tests/core/rankmaps/test_late_releases.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 from testtools.assertions import assert_that
 from testtools import matchers
@@ -77,3 +78,40 @@
     # Raises TwoMapsError if the pass begins on two maps.
     group.has_requests = True
     group.run(group.now + 5.0)
+
+
+def test_late_releases_do_not_let_a_recovery_split_a_later_switch():
+    # Otherwise its pass begins while the recovery disarms the ranks.
+    group = simulation.Group(3, 0.0, random.Random(1))
+    group.has_requests = False
+    agents = simulation.Agents(group)
+    agents.drive(simulation.switch(group, 3, 1), 2.0)
+    armed_step = group.ranks[0].armed.step
+    # An order to hold an earlier pass takes effect late.
+    hold = rankmaps.Order(rankmaps.OrderKind.HOLD, 1, 1, step=armed_step - 1)
+    group.carry_out(hold)
+    recovery = simulation.recovery(group, 7, guard=2)
+
+    def lateness_of(order):
+        is_late = order.kind is rankmaps.OrderKind.DISARM and order.rank == 2
+        return 1.0 if is_late else None
+
+    group.lateness_of = lateness_of
+
+    def release_all():
+        # Late orders of an earlier recovery of that pass.
+        for rank in range(3):
+            group.carry_out(attrs.evolve(hold, kind=GO, rank=rank))
+        group.has_requests = True
+
+    def watch():
+        is_split = any(rank.armed is None for rank in group.ranks)
+        if is_split or recovery.is_over:
+            release_all()
+        else:
+            group.call_later(0.001, watch)
+
+    watch()
+    # Raises TwoMapsError if the pass begins on two maps.
+    agents.drive(recovery, group.now + 6.0)
+    assert_that(group.ranks[0].map_version, matchers.Equals(3))
