Place no guard where a switch may have released the pass

What could happen: in a group of two ranks, of which the coordinator's is frozen and can't be read, a recovery held the pass at the other rank, where the switch holds it too. Its coordinator woke, released its pass there, and the pass began while the recovery disarmed the ranks (MAP).

Cause: the guard went to any rank with the pass or without a hold, the hold's rank of the switch among them, if only one rank reported.

Change: the guard goes to the hold's rank of a switch that ranks are armed for only if all ranks report and no other is left. Otherwise the recovery waits until all report.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
@@ -263,12 +263,15 @@
         )
         if lists is None or not is_state_known:
             return
+        guard = self._guard_rank(step, reports)
+        if guard is None:
+            return
         self._waiting.restart()
         self._held_steps.record_hold(step)
         self._active = recovery.Recovery(
             epoch=self.own_report.epoch,
             size=self.own_report.size,
-            guard_rank=self._guard_rank(step, reports),
+            guard_rank=guard,
             version=self._next_version(reports),
             lists=lists,
             step=step,
@@ -279,25 +282,35 @@
 
     def _guard_rank(
         self, step: int, reports: dict[int, model.RankReport]
-    ) -> int:
+    ) -> int | None:
         """Return the rank at which a recovery is to hold a pass.
 
-        A late order to release an earlier hold would release the guard as
-        well, so a rank is preferred that has no hold and is unlikely to have
-        had one. Switches hold passes at low ranks, next to the coordinator's;
-        each agent begins with another one of the high ranks.
+        A switch that ranks are armed for may have sent an order to release
+        the pass at its own hold's rank, which would release the guard as
+        well. That rank is used only if all ranks report and no other is left.
+        Returns None if there is no rank to use yet.
+
+        A rank is preferred that has no hold and is unlikely to have had one.
+        Switches hold passes at low ranks, next to the coordinator's; each
+        agent begins with another one of the high ranks.
         """
         size = self.own_report.size
         coordinator = self._coordinator_rank(reports)
+        released = {
+            switch.hold_rank(report.armed.version % size, size)
+            for report in reports.values()
+            if report.armed is not None and report.armed.step == step
+        }
 
-        def preference(rank: int) -> tuple[bool, bool, int]:
+        def preference(rank: int) -> tuple[bool, bool, bool, int]:
             return (
+                rank in released,
                 reports[rank].held is not None,
                 rank == coordinator,
                 (size - 1 - self.own_report.rank - rank) % size,
             )
 
-        return min(
+        guard = min(
             (
                 rank
                 for rank, report in reports.items()
@@ -305,6 +318,8 @@
             ),
             key=preference,
         )
+        is_missing = len(reports) != size
+        return None if is_missing and guard in released else guard
 
     def _lost_coordinator(
         self, reports: dict[int, model.RankReport]
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/switch.py
@@ -128,7 +128,7 @@
     @property
     def hold_rank(self) -> int:
         """Return the rank that holds the pass."""
-        return (self.own_rank + 1) % self.size
+        return hold_rank(self.own_rank, self.size)
 
     def record_report(self, report: model.RankReport, now: float) -> None:
         """Record a new report of a rank; a new epoch ends the switch."""
@@ -302,3 +302,13 @@
         return (
             not self._is_armed(report) and report.newest_version > self.version
         )
+
+
+def hold_rank(coordinator: int, size: int) -> int:
+    """Return the rank at which the switches of a coordinator hold passes.
+
+    Args:
+        coordinator: rank of the coordinator.
+        size: ranks of the group.
+    """
+    return (coordinator + 1) % size
--- a/tests/core/rankmaps/search.py
+++ b/tests/core/rankmaps/search.py
@@ -178,6 +178,8 @@
         own.record_own_report(self.report(own_rank), self.now)
         maps = [rank.lists for rank in self.engines.ranks]
         for rank in range(self.engines.size):
+            if rank in self.stopped:
+                continue
             used = maps[rank] or rankmaps.first_map(own.shape)
             rows = tuple(row[rank] for row in used)
             status = rankmaps.RankStatus(f'h{rank}', self.report(rank), rows)
--- a/tests/core/rankmaps/test_disruptions.py
+++ b/tests/core/rankmaps/test_disruptions.py
@@ -25,7 +25,12 @@
 
 
 # Series that ended with two maps or a lasting hold before a fault was mended.
-FOUND = [(13, 'cuts', 0.5), (82, 'freezes', 0.2)]
+FOUND = [
+    (13, 'cuts', 0.5),
+    (82, 'freezes', 0.2),
+    (20, 'cuts', 0.5),
+    (64, 'all', 0.0),
+]
 DRAWN = [
     (seed, kinds, late)
     for seed in range(SEEDS)
--- a/tests/core/rankmaps/test_late_releases.py
+++ b/tests/core/rankmaps/test_late_releases.py
@@ -115,3 +115,42 @@
     # Raises TwoMapsError if the pass begins on two maps.
     agents.drive(recovery, group.now + 6.0)
     assert_that(group.ranks[0].map_version, matchers.Equals(3))
+
+
+@pytest.mark.parametrize('size', [2, 3])
+def test_a_woken_coordinator_does_not_release_the_guard_of_a_recovery(
+    size, monkeypatch
+):
+    # Otherwise the pass begins while the recovery disarms the ranks.
+    monkeypatch.setattr(planning, 'min_gain', lambda load_pressure: 0.0)
+    # The rank of the frozen coordinator can't be read by others.
+    monkeypatch.setattr(simulated.Agent, '_read_engine', lambda *_: None)
+    group = simulation.Group(size, 0.0, random.Random(size))
+    agents = simulated.start_all(group)
+    group.run(3.0)
+    disarmed = set()
+
+    def lateness_of(order):
+        if not agents[0].is_frozen and not disarmed:
+            if order.kind is not GO:
+                return None
+            agents[0].freeze(4.0)
+            return NEVER_S
+        if order.kind is rankmaps.OrderKind.DISARM:
+            if order.rank == 0:
+                return NEVER_S
+            disarmed.add(order.rank)
+            if len(disarmed) == size - 1:
+                agents[0].thaw()
+        # The guard can't be placed again in time.
+        is_hold = order.kind is rankmaps.OrderKind.HOLD
+        return NEVER_S if is_hold and disarmed else None
+
+    group.lateness_of = lateness_of
+    # Raises TwoMapsError if the pass begins on two maps.
+    group.run(20.0)
+    monkeypatch.undo()
+    group.lateness_of = lambda order: None
+    step = group.step
+    group.run(40.0)
+    assert_that(group.step, matchers.GreaterThan(step + 100))
