Check the heads of upstreams' answers strictly

Callers saw: an upstream's answer with status 000 came through as an answer.

Cause: the HTTP client reads answers leniently and has no setting for it; what it returned counted as an answer. An exception while an answer was begun let the server write an error page into it.

Such an answer is a failed send that may have run. An answer has one id and one stamp. What fails after an answer has begun breaks it off.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/exchange.py
@@ -294,7 +294,7 @@
         names = self.names
         # A refusal of another request, which the upstream repeats or sends
         # late, doesn't state that this one has not run.
-        if headers.get(names.request_id, '') != call.id:
+        if headers.getall(names.request_id, []) != [call.id]:
             raise SendFailedError('foreign_answer', Verdict.MAY_HAVE_RUN)
         if response.status == STATUS_MISDIRECTED:
             raise SendFailedError(
@@ -314,7 +314,9 @@
             raise SendFailedError(
                 f'unproved_{response.status}', Verdict.MAY_HAVE_RUN
             )
-        if response.ok and names.stamp not in headers:
+        stamps = headers.getall(names.stamp, [])
+        is_signed = len(stamps) == 1 and stamps[0].isascii()
+        if (response.ok or stamps) and not is_signed:
             raise SendFailedError('unsigned_answer', Verdict.MAY_HAVE_RUN)
         if 'Content-Encoding' in headers:
             raise SendFailedError('encoded_answer', Verdict.MAY_HAVE_RUN)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -171,6 +171,17 @@
             # the stream is incomplete.
             self.writer.break_off(request)
             raise asyncio.CancelledError from exc
+        except Exception as exc:
+            outcome = 'crashed'
+            logs.error('request_crashed', request=request_id, error=repr(exc))
+            if not row.has_begun:
+                error = CassiashiftError(
+                    ErrorCode.INTERNAL, 'the entry failed', row.verdict
+                )
+                return refusals.error_response(error)
+            # The server would write a second head after what is written.
+            self.writer.break_off(request)
+            raise asyncio.CancelledError from exc
         except asyncio.CancelledError:
             if not row.has_caller_left:
                 outcome = 'cut_by_end'
--- a/tests/daemon/test_attempts.py
+++ b/tests/daemon/test_attempts.py
@@ -4,16 +4,20 @@
 import contextlib
 import socket
 import struct
+import types
 
 import pytest
 from testtools.assertions import assert_that
 from testtools import matchers
 
+from cassiashift_core import membership
 from cassiashift_core import retries
 from cassiashift_core import timeline
 from cassiashift_core import Verdict
+from cassiashift_daemon import agent as agents
 from cassiashift_daemon import attempts
 from cassiashift_net import messages
+from tests.net import malformed_heads
 
 EPOCH = 7
 HEAD = b'HTTP/1.1 200 OK\r\nConnection: close\r\n'
@@ -186,3 +190,44 @@
         [message.crash for message in replies],
         matchers.Equals([EPOCH + 1, EPOCH + 2, EPOCH + 3]),
     )
+
+
+@pytest.mark.parametrize('name', malformed_heads.HEADS)
+async def test_an_answer_with_a_malformed_head_is_not_passed_on(name):
+    last = await make_attempt(malformed_heads.answer(name, b'done'), False)
+    assert_that(last, matchers.IsInstance(messages.CallFailed))
+    assert_that(last.verdict, matchers.Equals(Verdict.MAY_HAVE_RUN))
+
+
+@pytest.mark.parametrize('name', malformed_heads.WELL_FORMED)
+async def test_an_answer_with_an_unusual_head_is_passed_on(name):
+    last = await make_attempt(malformed_heads.answer(name, b'done'), False)
+    assert_that(last, matchers.IsInstance(messages.CallEnd))
+
+
+@pytest.mark.parametrize(
+    ('name', 'result'),
+    [
+        ('status 000', membership.ProbeResult.UNANSWERED),
+        ('blank after Connection', membership.ProbeResult.UNANSWERED),
+        ('plain', membership.ProbeResult.OK),
+    ],
+)
+async def test_a_health_answer_with_a_malformed_head_is_none(name, result):
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(malformed_heads.answer(name, b'done'))
+        await writer.drain()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    session = attempts.create_session(1.0)
+    prober = types.SimpleNamespace(
+        session=session, cfg=types.SimpleNamespace(connect_timeout_s=1.0)
+    )
+    found = await agents.AgentProcess._probe_health(
+        prober, f'http://{host}:{port}'
+    )
+    await session.close()
+    server.close()
+    assert_that(found, matchers.Is(result))
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -15,6 +15,7 @@
 from cassiashift_core import rankmaps
 from cassiashift_daemon.ranks import engine
 from cassiashift_platform import engines
+from tests.net import malformed_heads
 
 REPORT = {
     'group': {'name': 'g0', 'epoch': 2, 'rank': 3, 'state': 'open'},
@@ -219,3 +220,68 @@
 )
 async def test_a_useless_pace_counts_as_1(client):
     assert_that((await client.report()).slowdown, matchers.Equals(1.0))
+
+
+LISTS = {'epoch': 2, 'expertMap': {'version': 1, 'experts': []}, 'counts': []}
+
+
+async def _calls_answered_by(answer):
+    """Return the results or errors of all calls of a runner's client.
+
+    Args:
+        answer: returns the bytes of an answer with a body.
+    """
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b'\r\n\r\n')
+            body = LISTS if b'picked' in head else REPORT
+            writer.write(answer(json.dumps(body).encode()))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    runner_client = engines.RunnerClient(f'{host}:{port}')
+    order = rankmaps.Order(rankmaps.OrderKind.HOLD, 0, 2, step=44)
+    results = await asyncio.gather(
+        runner_client.report(),
+        runner_client.choice_counts(),
+        runner_client.held_experts(),
+        runner_client.send_order(order),
+        return_exceptions=True,
+    )
+    await runner_client.close()
+    server.close()
+    return results
+
+
+@pytest.mark.parametrize('name', malformed_heads.HEADS)
+async def test_a_reply_with_a_malformed_head_is_not_read(name):
+    # Otherwise it counts as the state of the rank, or confirms an order.
+    results = await _calls_answered_by(
+        lambda body: malformed_heads.answer(name, body)
+    )
+    for result in results:
+        assert_that(result, matchers.IsInstance(engine.EngineError))
+
+
+@pytest.mark.parametrize('status', [203, 404, 500, 503])
+async def test_a_failure_is_no_reply_whatever_its_body(status):
+    head = b'HTTP/1.1 %d Odd\r\nContent-Length: %d\r\n\r\n'
+    *reads, is_confirmed = await _calls_answered_by(
+        lambda body: head % (status, len(body)) + body
+    )
+    for result in reads:
+        assert_that(result, matchers.IsInstance(engine.EngineError))
+    assert_that(is_confirmed, matchers.Is(False))
+
+
+async def test_replies_with_unusual_heads_are_read():
+    for name in malformed_heads.WELL_FORMED:
+        *_, experts, is_confirmed = await _calls_answered_by(
+            lambda body, name=name: malformed_heads.answer(name, body)
+        )
+        assert_that(experts.version, matchers.Equals(1))
+        assert_that(is_confirmed, matchers.Is(True))
