Let a caller's departure during a write end its request as before

The handler of unexpected errors took a connection that its caller had closed for a crash of the request.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/holding.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/holding.py
@@ -40,7 +40,7 @@
         return cls(report.step + MAX_LEAD_STEPS)
 
     def record_hold(self, step: int) -> None:
-        """Record a pass that this agent has held, or a recovery of its."""
+        """Record a pass that a switch or recovery of this agent holds."""
         self.highest = max(self.highest, step)
 
     def record_versions(
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/recovery.py
@@ -59,9 +59,8 @@
         found_holds: ranks that held the pass when the recovery began; no
             other hold but the guard's is released.
         found_armed: the switches that ranks were set to make at that time, and
-            that nothing but this recovery keeps from being made by some ranks
-            only.
-        sound_armed: the other ones of that time, of later passes.
+            that are to be made dead.
+        sound_armed: those of that time that are left alone.
     """
 
     epoch: int
@@ -236,10 +235,11 @@
         )
 
     def _is_sound(self, armed: model.Armed) -> bool:
-        """Return whether a switch of another pass is to be left alone.
+        """Return whether a switch is to be left alone.
 
-        Every rank makes it, or its own hold is in place. This recovery does
-        not hold that pass, which may begin while ranks are disarmed.
+        It is of another pass, and every rank makes it or its own hold is in
+        place. This recovery does not hold that pass, which may begin while
+        ranks are disarmed.
         """
         reports = self._reports.values()
         is_complete = all(report.armed == armed for report in reports)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/ingress.py
@@ -171,6 +171,9 @@
             # the stream is incomplete.
             self.writer.break_off(request)
             raise asyncio.CancelledError from exc
+        except ConnectionError:
+            # The caller has left.
+            raise
         except Exception as exc:
             outcome = 'crashed'
             logs.error('request_crashed', request=request_id, error=repr(exc))
--- a/packages/cassiashift-net/cassiashift_net/answer_heads.py
+++ b/packages/cassiashift-net/cassiashift_net/answer_heads.py
@@ -22,6 +22,7 @@
     re.IGNORECASE | re.MULTILINE,
 )
 _LENGTH = re.compile(rb'[0-9]{1,18}')
+# A search begins so many bytes before newly received ones.
 _END_BYTES = 4
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
--- a/packages/cassiashift-net/cassiashift_net/bounded_reads.py
+++ b/packages/cassiashift-net/cassiashift_net/bounded_reads.py
@@ -39,8 +39,7 @@
     def data_received(self, data: bytes) -> None:
         """Pass received bytes to the parser, up to the bound.
 
-        The parser is given no byte of a malformed head's last line, so that
-        it reports no answer.
+        A malformed head is found before the parser is given its end.
         """
         if self._head is not None and not self._head.is_over:
             try:
