--- a/packages/cassiashift-core/cassiashift_core/promises.py
+++ b/packages/cassiashift-core/cassiashift_core/promises.py
@@ -1,4 +1,4 @@
-"""Statuses by which a caller is told that its request has not run."""
+"""Statuses that state to a caller that its request has not run."""
 
 # Each states that the request has not run and never will, so that the caller
 # may send it again even where it must not run twice.
--- a/packages/cassiashift-net/cassiashift_net/answer_heads.py
+++ b/packages/cassiashift-net/cassiashift_net/answer_heads.py
@@ -86,7 +86,7 @@
 
 
 def _is_known_framing(name: bytes, value: bytes, is_old: bool) -> bool:
-    """Return whether the end of a body can be told by a field.
+    """Return whether a field determines where the body ends.
 
     Args:
         is_old: the answer is of HTTP/1.0, which has no chunks.
--- a/tests/core/rankmaps/group.py
+++ b/tests/core/rankmaps/group.py
@@ -57,7 +57,7 @@
         """Whether no rank holds the next pass."""
         return all(rank.held != self.step + 1 for rank in self.ranks)
 
-    def current_report(self, number, running=0, queued=0, slowdown=1.0):
+    def report_of(self, number, running=0, queued=0, slowdown=1.0):
         """Return the report of a rank."""
         rank = self.ranks[number]
         return rankmaps.RankReport(
@@ -213,7 +213,7 @@
         is_running = self.now - self._passed_at < self.patience_s
         has_requests = self.has_requests and number not in self.idle_ranks
         requests = 3 if has_requests else 0
-        return self.current_report(
+        return self.report_of(
             number,
             running=requests if is_running else 0,
             queued=0 if is_running else requests,
--- a/tests/core/rankmaps/search.py
+++ b/tests/core/rankmaps/search.py
@@ -4,6 +4,8 @@
 take effect late or never, and when, at which moments requests come and end,
 and when a coordinator is stopped, goes on or is started again. The number of
 such choices and the depth are bounded; within them the search is exhaustive.
+Reports are fresh, and links are not cut. ``replay`` prints what happens after
+the choices that a failed search names.
 
     tools/run python -m tests.core.rankmaps.search --size 2 --late 2
 """
@@ -102,7 +104,7 @@
 
     def report(self, rank):
         """Return the present report of a rank."""
-        return self.engines.current_report(rank, running=self.has_requests)
+        return self.engines.report_of(rank, running=self.has_requests)
 
     def run_round(self, script):
         """Let an event happen, then orders be sent and passes begin."""
@@ -236,7 +238,6 @@
     states: int = 0
     is_complete: bool = True
     _depths: dict[bytes, int] = attrs.field(factory=dict)
-    _path: list = attrs.field(factory=list)
 
     def run(self, state, rounds):
         """Search all that may follow from a state.
--- a/tests/daemon/direct/test_malformed_heads.py
+++ b/tests/daemon/direct/test_malformed_heads.py
@@ -6,6 +6,7 @@
 from testtools.assertions import assert_that
 from testtools import matchers
 
+from cassiashift_daemon.direct import callers
 from cassiashift_daemon.direct import exchange
 from tests.daemon.direct import conftest as harness
 from tests.net import malformed_heads
@@ -145,3 +146,18 @@
     received = await _ask(site, service)
     assert_that(received, matchers.Equals((b'', b'')))
     assert_that(site.ingress.in_flight, matchers.Equals(0))
+
+
+async def test_a_caller_that_leaves_during_a_write_is_no_crash(
+    site, monkeypatch, caplog
+):
+    # Otherwise operators are asked to report a fault of the program.
+    async def deliver(*_):
+        raise ConnectionResetError
+
+    monkeypatch.setattr(callers.CallerWriter, 'deliver', deliver)
+    await site.upstream('book')
+    await _ask(site, 'book')
+    assert_that(site.ingress.in_flight, matchers.Equals(0))
+    assert_that(caplog.text, matchers.Contains('caller_left'))
+    assert_that(caplog.text, matchers.Not(matchers.Contains('crashed')))
