Count the bytes of links, and log agents whose link is loaded

Logs could not tell a lost cancellation from a request that waits on a full link. Links count the bytes of messages; entries state them as metrics, agents log a load above a quarter of the link's rate.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -485,6 +485,8 @@
             slow=float(self.runner.is_slow),
             buffered_bytes=self.exchange.ledger.buffered_bytes,
             unread_callers=self.exchange.ledger.unread_count,
+            link_sent_bytes=self.links.sent_bytes,
+            link_received_bytes=self.links.received_bytes,
             blocked_parts=self.guard.table.blocked_count,
             suspected_parts=self.guard.table.suspected_count,
             suspected_requests=self.guard.table.suspected_request_count,
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/config.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/config.py
@@ -13,6 +13,7 @@
         seeds: hosts of some entries, to contact first.
         service: name of the service that the engine belongs to.
         engine: IP and port of the engine.
+        link_mbps: rate of the host's link in Mbit/s; 0 if not stated.
     """
 
     host: str
@@ -20,6 +21,7 @@
     seeds: tuple[str, ...]
     service: str
     engine: str
+    link_mbps: float = 0.0
 
     def link_of(self, host: str) -> str:
         """Return the link address of a host, as ``tcp://IP:PORT``."""
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
@@ -33,6 +33,10 @@
 DOCUMENT_INTERVAL_S = 0.5
 RELOAD_INTERVAL_S = 2.0
 STOP_TIMEOUT_S = 2.0
+LINK_LOAD_INTERVAL_S = 2.0
+# Share of the link that other agents' messages may take before it is logged.
+LOGGED_LINK_SHARE = 0.25
+BYTES_PER_MEGABIT = 125_000
 # Copying takes 50 ms per expert; the state is polled until it is complete.
 PREPARE_POLL_S = 0.05
 PREPARE_POLLS = 14
@@ -80,6 +84,8 @@
         self._document_pulls = 0
         self._logged_switch = (0, '')
         self._logged_slow_hosts: list[str] = []
+        # Bytes sent and received at the last look at the load of the link.
+        self._link_bytes = (0, 0)
         # The last order that was sent to each host as a change of a map.
         self._sent_maps: dict[str, rankmaps.Order] = {}
 
@@ -113,6 +119,9 @@
             self.run_periodically(SLOW_RANKS_INTERVAL_S, self._send_slow_ranks)
         )
         self.spawn(self.run_periodically(RELOAD_INTERVAL_S, self.reload))
+        self.spawn(
+            self.run_periodically(LINK_LOAD_INTERVAL_S, self._log_link_load)
+        )
         logs.info('started', host=cfg.host, engine=cfg.engine)
 
     async def drain(self) -> None:
@@ -515,6 +524,24 @@
     def _send(self, host: str, message: object) -> None:
         self.links.send(self.cfg.link_of(host), message)
 
+    def _log_link_load(self) -> None:
+        """Log what the links carry if it is much for the host's link."""
+        before = self._link_bytes
+        self._link_bytes = self.links.sent_bytes, self.links.received_bytes
+        sent, received = (
+            (total - last) / LINK_LOAD_INTERVAL_S
+            for total, last in zip(self._link_bytes, before, strict=True)
+        )
+        rate = BYTES_PER_MEGABIT * self.cfg.link_mbps
+        if max(sent, received) > LOGGED_LINK_SHARE * rate > 0:
+            logs.warning(
+                'link_load',
+                sent_per_s=sent,
+                received_per_s=received,
+                rate_per_s=rate,
+                members=len(self.coordinator.hosts) if self.coordinator else 0,
+            )
+
     def _active_phase(self) -> tuple[int, str]:
         """Return version and phase of the running switch or recovery.
 
--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -67,6 +67,9 @@
         ring: the keys for encrypted links, or None for plain ones.
         dropped: messages dropped so far, sent or received, and links that
             could not be opened.
+        sent_bytes: bytes of the messages sent so far, without framing
+            and probes.
+        received_bytes: bytes of the messages received so far, likewise.
         on_lost: called with the address of a peer and a monotonic time:
             answers to what was sent before that time are lost. The time is
             infinite if the link is lost.
@@ -77,6 +80,8 @@
     loop: asyncio.AbstractEventLoop
     ring: keys.KeyRing | None = None
     dropped: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
     _context: zmq.Context = attrs.field(factory=zmq.Context)
     _router: ports.Port | None = None
     on_lost: Callable[[str, float], None] = lambda address, before: None
@@ -202,11 +207,13 @@
         link = self._outgoing_links.get(address)
         if link is None:
             return False
+        frames = list(wire.CODEC.encode_frames(message))
         try:
-            link.send(list(wire.CODEC.encode_frames(message)))
+            link.send(frames)
         except zmq.ZMQError:
             self.dropped += 1
             return False
+        self.sent_bytes += sum(map(len, frames))
         return True
 
     def _ensure_link(self, address: str) -> None:
@@ -286,6 +293,7 @@
         self._deliver(sender, frames)
 
     def _deliver(self, sender: Sender, frames: list[bytes]) -> None:
+        self.received_bytes += sum(map(len, frames))
         if len(frames) != 2:
             self._count_dropped('frames', sender.host)
             return
@@ -304,8 +312,11 @@
             )
 
     def _reply(self, identity: bytes, message: Any) -> bool:
-        frames = [identity, *wire.CODEC.encode_frames(message)]
-        return self._transmit(self._router, frames)
+        frames = list(wire.CODEC.encode_frames(message))
+        is_accepted = self._transmit(self._router, [identity, *frames])
+        if is_accepted:
+            self.sent_bytes += sum(map(len, frames))
+        return is_accepted
 
     def _transmit(self, port: ports.Port, frames: list[bytes]) -> bool:
         try:
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -274,6 +274,20 @@
     other.own_links.close()
 
 
+async def test_links_count_the_bytes_of_messages_in_both_directions():
+    peer = RecordingPeer.open_links('front-2')
+    own = RecordingPeer.open_links('front-1')
+    address = peer.own_links.bind('tcp://127.0.0.1:*')
+    own.own_links.send(address, QUERY)
+    await own.wait_received()
+    for first, second in ((own, peer), (peer, own)):
+        sent = first.own_links.sent_bytes
+        assert_that(sent, matchers.GreaterThan(len(QUERY.pool)))
+        assert_that(second.own_links.received_bytes, matchers.Equals(sent))
+    own.own_links.close()
+    peer.own_links.close()
+
+
 async def test_messages_that_arrived_before_the_end_of_a_link_are_received():
     """Guards against the event of the end, which may overtake them."""
     replies = 600
