Keep the choices of ranks from filling the coordinator's link

Callers saw requests of theirs run to the end seconds after they had left (GONE), and streams that stalled for seconds (report of the users, a large deployment at full size).

Cause: every rank reports the choices of its experts, one byte for each set and expert, twice a second to the one host that coordinates the group. 96 ranks of 16 x 192 experts send 640 KB/s; the link there carries 375 KB/s. What the link carries besides waits for seconds: requests to the upstream on that host, the ends of their connections, and the reports that a held pass waits for. Class of fault: many senders to one host whose rate grows with the group and is not bounded by the receiver's link.

Change: choices take a quarter of the link at most. Beyond that, ranks take turns; what a rank has not reported loses weight as at the coordinator, so that each report stands for the last half second.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/__init__.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/__init__.py
@@ -5,6 +5,7 @@
 the protocol of ``mapswitch`` requires.
 """
 
+from cassiashift_core.rankmaps.choice_reports import ChoiceReports
 from cassiashift_core.rankmaps.coordination import BEACON_INTERVAL_S
 from cassiashift_core.rankmaps.coordination import Coordinator
 from cassiashift_core.rankmaps.deltas import MapChange
@@ -35,6 +36,7 @@
 __all__ = [
     'Armed',
     'BEACON_INTERVAL_S',
+    'ChoiceReports',
     'Choices',
     'Coordinator',
     'Demand',
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/messages.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/messages.py
@@ -21,7 +21,7 @@
     data: bytes
 
     @classmethod
-    def from_counts(cls, counts: list[int]) -> 'Choices':
+    def from_counts(cls, counts: list[float]) -> 'Choices':
         """Return counts quantised in steps of a 255th of the largest."""
         scale = max(counts, default=0) / _MAX_UNITS or 1.0
         return cls(scale, bytes(round(count / scale) for count in counts))
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/config.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/config.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+BYTES_PER_MEGABIT = 125_000
+
 
 @attrs.frozen(kw_only=True)
 class RankAgentConfig:
@@ -23,6 +25,11 @@
     engine: str
     link_mbps: float = 0.0
 
+    @property
+    def link_bytes_per_s(self) -> float:
+        """Return the rate of the host's link; 0 if it is not stated."""
+        return BYTES_PER_MEGABIT * self.link_mbps
+
     def link_of(self, host: str) -> str:
         """Return the link address of a host, as ``tcp://IP:PORT``."""
         return f'tcp://{host}:{self.link_port}'
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
@@ -35,8 +35,7 @@
 STOP_TIMEOUT_S = 2.0
 LINK_LOAD_INTERVAL_S = 2.0
 # Share of the link that other agents' messages may take before it is logged.
-LOGGED_LINK_SHARE = 0.25
-BYTES_PER_MEGABIT = 125_000
+LOGGED_LINK_SHARE = 0.5
 # Copying takes 50 ms per expert; the state is polled until it is complete.
 PREPARE_POLL_S = 0.05
 PREPARE_POLLS = 14
@@ -75,6 +74,9 @@
         self.coordinator_host = ''
         self.addresses: dict[str, str] = {}
         self._last_counts: engines.ChoiceCounts | None = None
+        self._choices = rankmaps.ChoiceReports(
+            STATUS_INTERVAL_S, self.cfg.link_bytes_per_s
+        )
         self._last_experts: engines.HeldExperts | None = None
         self._remote_engines: dict[str, engines.Engine] = {}
         self._remote_read_at: dict[int, float] = {}
@@ -158,7 +160,8 @@
         coordinates = self.coordinator.coordinates(now)
         if not coordinates and not self.coordinator_host:
             return
-        choices = await self._recent_choices()
+        await self._count_choices()
+        choices = self._choices.take(report.rank, report.size)
         status = rankmaps.RankStatus(
             self.cfg.host, report, await self._own_experts(report), choices
         )
@@ -186,17 +189,19 @@
         self.coordinator.record_own_report(report, now)
         return report
 
-    async def _recent_choices(self) -> rankmaps.Choices | None:
-        """Return the choices since the last call; None if there are none."""
+    async def _count_choices(self) -> None:
+        """Add the choices since the last call to those to be reported."""
         total = await self.engine.choice_counts()
         last, self._last_counts = self._last_counts, total
         if last is None or last.epoch != total.epoch:
-            return None
+            self._choices.discard()
+            return
         new = [
             max(0, count - old)
             for count, old in zip(total.counts, last.counts, strict=False)
         ]
-        return rankmaps.Choices.from_counts(new) if any(new) else None
+        if any(new):
+            self._choices.add(new, time.monotonic())
 
     async def _own_experts(
         self, report: rankmaps.RankReport
@@ -532,7 +537,7 @@
             (total - last) / LINK_LOAD_INTERVAL_S
             for total, last in zip(self._link_bytes, before, strict=True)
         )
-        rate = BYTES_PER_MEGABIT * self.cfg.link_mbps
+        rate = self.cfg.link_bytes_per_s
         if max(sent, received) > LOGGED_LINK_SHARE * rate > 0:
             logs.warning(
                 'link_load',
