Bound heads, trailers, blank lines and connections of every listener

Cause: the HTTP server bounds a line and the number of fields, not a head as a whole (8 MB a connection), blank lines, trailers, the time of a head, or all of them together. maxHeaderBytes and headerTimeoutMs were decoded and not used. Each read after a bad head made another error that keeps its text.

Change: a guard before the parser counts what belongs to no body, refuses a head beyond its limit (431) or its time (408), ends the largest heads of a crowd, and the oldest connections without a request beyond 2048. After a bad head nothing more is parsed. Callers get the limits of the configuration, other listeners defaults; an entry of cassiashiftd has three new settings.

Heads of exactly the limit, slow heads within their time, pipelined requests and bodies in chunks of one byte pass.

--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/process.py
@@ -15,6 +15,7 @@
 from cassiashift_core import draining
 from cassiashift_core import evacuation
 from cassiashift_core import fleet
+from cassiashift_core import heads
 from cassiashift_core import poison
 from cassiashift_core import workload
 from cassiashift_daemon.direct import api
@@ -341,7 +342,9 @@
                 shutdown_timeout=ENDING_S,
             )
             await server.setup()
-            self.front = await webserver.listen(server, listeners.front)
+            self.front = await webserver.listen(
+                server, listeners.front, limits=self._head_limits
+            )
             self._limit_kernel_buffers()
             self.listeners.append(self.front)
         surfaces = self.surfaces(self.control, self.directory)
@@ -355,6 +358,16 @@
                     )
                 )
 
+    def _head_limits(self) -> heads.HeadLimits:
+        """Return the limits on callers' heads that are in force."""
+        table = self.holder.table
+        if table is None:
+            return heads.HeadLimits()
+        return heads.HeadLimits(
+            head_bytes=table.limits.max_header_bytes,
+            head_s=table.limits.header_timeout_s,
+        )
+
     def _limit_kernel_buffers(self) -> None:
         """Limit what the kernel holds for each caller, and one read.
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/entry.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/entry.py
@@ -12,6 +12,7 @@
 from cassiashift_core import draining
 from cassiashift_core import ErrorCode
 from cassiashift_core import evacuation
+from cassiashift_core import heads
 from cassiashift_core import mapswitch
 from cassiashift_core import membership
 from cassiashift_core import retries
@@ -96,6 +97,7 @@
             self.callers.routes() + self.admin.routes(),
             cfg.max_body_bytes,
             self.tls,
+            self._head_limits,
         )
         logs.info(
             'entry_started',
@@ -132,6 +134,13 @@
         await self.listener.finish(self.callers.wait_idle)
         logs.info('entry_drained', host=self.cfg.host)
 
+    def _head_limits(self) -> heads.HeadLimits:
+        return heads.HeadLimits(
+            head_bytes=self.cfg.max_header_bytes,
+            head_s=self.cfg.header_timeout_s,
+            connections=self.cfg.max_connections,
+        )
+
     def unfinished(self) -> list[draining.Unfinished]:
         """Return the calls in progress."""
         return [] if self.callers is None else self.callers.unfinished()
--- a/packages/cassiashift-daemon/cassiashift_daemon/rank_runner.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/rank_runner.py
@@ -12,7 +12,6 @@
 import time
 from typing import Annotated
 from typing import Any
-import urllib.parse
 
 import aiohttp
 from aiohttp import web
@@ -26,6 +25,7 @@
 from cassiashift_daemon import peers
 from cassiashift_daemon import settings
 from cassiashift_daemon import shared_state
+from cassiashift_daemon import webserver
 from cassiashift_net import links
 from cassiashift_net import messages
 from cassiashift_net import problems
@@ -95,7 +95,7 @@
     holder: shared_state.SharedHolder
     session: aiohttp.ClientSession
     _ranks: dict[tuple[str, str], _Rank] = attrs.field(factory=dict)
-    _server: web.AppRunner | None = None
+    _listener: webserver.Listener | None = None
 
     async def open(self) -> None:
         """Serve the engines, if the setting ``steps`` has an address."""
@@ -103,20 +103,16 @@
             return
         app = web.Application()
         app.add_routes([web.post('/v1/ranks/{rank}/steps', self._handle_step)])
-        self._server = web.AppRunner(
+        server = web.AppRunner(
             app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
-        await self._server.setup()
-        parts = urllib.parse.urlsplit(f'//{self.cfg.steps}')
-        site = web.TCPSite(
-            self._server, parts.hostname, parts.port, reuse_address=True
-        )
-        await site.start()
+        await server.setup()
+        self._listener = await webserver.listen(server, self.cfg.steps)
 
     async def close(self) -> None:
         """Stop serving engines and sending orders."""
-        if self._server is not None:
-            await self._server.cleanup()
+        if self._listener is not None:
+            await self._listener.close()
         for rank in self._ranks.values():
             rank.worker.cancel()
 
--- a/packages/cassiashift-daemon/cassiashift_daemon/settings.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/settings.py
@@ -119,6 +119,15 @@
     max_body_bytes: int = _setting(
         4 * 1024 * 1024, 'Largest request body.', low=1024, high=2**30
     )
+    max_header_bytes: int = _setting(
+        64 * 1024, 'Largest head of a request.', low=1024, high=2**20
+    )
+    header_timeout_s: float = _setting(
+        10.0, 'Seconds that a head may take.', low=0.1, high=3600.0
+    )
+    max_connections: int = _setting(
+        2048, 'Open connections of callers.', low=1, high=10**6
+    )
     request_timeout_s: float = _setting(
         120.0, 'Deadline of a call that names none.', low=0.1, high=3600.0
     )
--- a/packages/cassiashift-daemon/cassiashift_daemon/webserver.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/webserver.py
@@ -9,8 +9,12 @@
 import urllib.parse
 
 from aiohttp import web
+from aiohttp import web_runner
 import attrs
 
+from cassiashift_core import heads
+from cassiashift_daemon import head_guard
+
 BACKLOG = 128
 # The request of a connection that was just opened may be on its way.
 LINGER_S = 0.3
@@ -24,8 +28,13 @@
     routes: list[web.RouteDef],
     max_body_bytes: int,
     tls: ssl.SSLContext | None,
+    limits: Callable[[], heads.HeadLimits] = heads.HeadLimits,
 ) -> 'Listener':
-    """Serve routes at ``IP:PORT``; the returned listener ends that."""
+    """Serve routes at ``IP:PORT``; the returned listener ends that.
+
+    Args:
+        limits: returns the limits on heads that are in force.
+    """
     app = web.Application(
         client_max_size=max_body_bytes,
         handler_args={'max_line_size': MAX_HEADER_BYTES},
@@ -38,16 +47,18 @@
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
     await runner.setup()
-    return await listen(runner, address, tls)
+    return await listen(runner, address, tls, limits)
 
 
 async def listen(
     runner: web.BaseRunner,
     address: str,
     tls: ssl.SSLContext | None = None,
+    limits: Callable[[], heads.HeadLimits] = heads.HeadLimits,
 ) -> 'Listener':
     """Listen at ``IP:PORT`` with a runner that is set up."""
-    listener = Listener(runner, bind(address), tls)
+    guard = head_guard.HeadGuard(limits)
+    listener = Listener(runner, bind(address), tls, guard)
     await listener.start()
     return listener
 
@@ -80,6 +91,30 @@
         response.force_close()
 
 
+class _GuardedSite(web.SockSite):
+    """A site whose connections are watched by a guard."""
+
+    def __init__(
+        self,
+        runner: web.BaseRunner,
+        sock: socket.socket,
+        create_protocol: Callable[[], asyncio.Protocol],
+        **options,
+    ) -> None:
+        super().__init__(runner, sock, **options)
+        self._create_protocol = create_protocol
+
+    async def start(self) -> None:
+        """Listen for connections."""
+        await web_runner.BaseSite.start(self)
+        self._server = await asyncio.get_running_loop().create_server(
+            self._create_protocol,
+            sock=self._sock,
+            ssl=self._ssl_context,
+            backlog=self._backlog,
+        )
+
+
 @attrs.define(eq=False)
 class Listener:
     """A listening socket that loses no connection when it is closed."""
@@ -87,12 +122,17 @@
     runner: web.BaseRunner
     sock: socket.socket
     tls: ssl.SSLContext | None = None
+    guard: head_guard.HeadGuard = attrs.field(factory=head_guard.HeadGuard)
     _site: web.SockSite | None = None
 
     async def start(self) -> None:
         """Listen for connections."""
-        self._site = web.SockSite(
-            self.runner, self.sock, ssl_context=self.tls, backlog=BACKLOG
+        self._site = _GuardedSite(
+            self.runner,
+            self.sock,
+            self._create_protocol,
+            ssl_context=self.tls,
+            backlog=BACKLOG,
         )
         await self._site.start()
 
@@ -119,7 +159,7 @@
             connection.setblocking(False)
             with contextlib.suppress(OSError):
                 await loop.connect_accepted_socket(
-                    self.runner.server, connection, ssl=self.tls
+                    self._create_protocol, connection, ssl=self.tls
                 )
         await asyncio.sleep(LINGER_S)
 
@@ -158,3 +198,6 @@
     async def close(self) -> None:
         """Close all connections."""
         await self.runner.cleanup()
+
+    def _create_protocol(self) -> asyncio.Protocol:
+        return self.guard.create_handler(self.runner.server)
