Refuse peers of old protocols at the port of the links

Bytes of an HTTP request at the port of the links ended a process, with "Assertion failed: !_more (src/fq.cpp:80)" in libzmq 4.3.5. Found by the crowds of the tests of heads without end.

Cause: libzmq takes bytes without a greeting for its protocol 1.0. "PO" reads as a name of 80 bytes with a further part; when the connection ends before it, an assertion fails.

Change: the listening socket has an authentication domain, with which libzmq refuses peers of protocols before 3.0. With a key ring it had one already.

Evidence: the case "links" of test_hostile_crowds ended the process before, and passes now; the tests of links pass.

--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -36,6 +36,7 @@
 HEARTBEAT_TIMEOUT_MS = 4000
 OUTBOUND_MESSAGES = 10_000
 USER_ID = 'User-Id'
+ZAP_DOMAIN = b'cassiashift'
 # Separates the host from the number of a connection in a routing id.
 NUMBER_MARK = b'\0'
 
@@ -121,6 +122,10 @@
         sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
         if self.ring is not None:
             authenticator.secure_server(sock, self.ring)
+        else:
+            # With a domain, libzmq refuses peers of protocols before 3.0.
+            # Any bytes pass for the oldest one, and may abort the process.
+            sock.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN)
         sock.bind(address)
         self._router = ports.Port(sock, self.loop, self._receive_routed)
         self._router.start()
--- a/tests/process/test_hostile_crowds.py
+++ b/tests/process/test_hostile_crowds.py
@@ -18,7 +18,10 @@
 MEMORY_MB = 160
 # Beside those at rest: connections of ordinary clients and of the fleet.
 MORE_DESCRIPTORS = 10
-PORTS = platform_site.PORTS | {'metrics': 9464}
+PORTS = platform_site.PORTS | {
+    'metrics': 9464,
+    'links': platform_site.LINK_PORTS[0],
+}
 LIMITS = {
     'maxHeaderBytes': 16384,
     'maxBodyBytes': 4194304,
