--- a/packages/cassiashift-daemon/cassiashift_daemon/head_guard.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/head_guard.py
@@ -41,7 +41,7 @@
     open_heads: heads.OpenHeads = attrs.field(factory=heads.OpenHeads)
     connections: int = 0
     # Connections without a whole request so far, oldest first.
-    _unproved: dict['GuardedHandler', None] = attrs.field(factory=dict)
+    _without_request: dict['GuardedHandler', None] = attrs.field(factory=dict)
     _sweep: asyncio.TimerHandle | None = None
 
     def create_handler(self, server: web.Server) -> 'GuardedHandler':
@@ -54,19 +54,19 @@
         Beyond the limit, the oldest one that has sent no request is ended.
         """
         self.connections += 1
-        self._unproved[conn] = None
+        self._without_request[conn] = None
         if self.connections > self.limits().connections:
-            next(iter(self._unproved)).refuse(heads.Excess.CONNECTIONS)
+            next(iter(self._without_request)).refuse(heads.Excess.CONNECTIONS)
 
     def forget(self, conn: 'GuardedHandler') -> None:
         """Count the end of a connection."""
         self.connections -= 1
-        self._unproved.pop(conn, None)
+        self._without_request.pop(conn, None)
         self.open_heads.end(conn)
 
     def record_request(self, conn: 'GuardedHandler') -> None:
         """Record that the head of a request is complete."""
-        self._unproved.pop(conn, None)
+        self._without_request.pop(conn, None)
         self.open_heads.end(conn)
 
     def record_part(self, conn: 'GuardedHandler', size: int) -> None:
