--- a/packages/cassiashift-net/cassiashift_net/links.py
+++ b/packages/cassiashift-net/cassiashift_net/links.py
@@ -36,7 +36,6 @@
 HEARTBEAT_TIMEOUT_MS = 4000
 OUTBOUND_MESSAGES = 10_000
 USER_ID = 'User-Id'
-ZAP_DOMAIN = b'cassiashift'
 # Separates the host from the number of a connection in a routing id.
 NUMBER_MARK = b'\0'
 
@@ -125,7 +124,7 @@
         else:
             # With a domain, libzmq refuses peers of protocols before 3.0.
             # Any bytes pass for the oldest one, and may abort the process.
-            sock.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN)
+            sock.setsockopt(zmq.ZAP_DOMAIN, authenticator.DOMAIN)
         sock.bind(address)
         self._router = ports.Port(sock, self.loop, self._receive_routed)
         self._router.start()
