--- a/packages/cassiashift-daemon/cassiashift_daemon/head_guard.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/head_guard.py
@@ -77,6 +77,9 @@
             conn.refuse(heads.Excess.LARGE)
         elif self.open_heads.total_bytes > limits.open_bytes:
             self._end_excess()
+        self._schedule_sweep()
+
+    def _schedule_sweep(self) -> None:
         if self._sweep is None and len(self.open_heads):
             loop = asyncio.get_running_loop()
             self._sweep = loop.call_later(SWEEP_INTERVAL_S, self._end_slow)
@@ -84,9 +87,7 @@
     def _end_slow(self) -> None:
         self._sweep = None
         self._end_excess()
-        if len(self.open_heads):
-            loop = asyncio.get_running_loop()
-            self._sweep = loop.call_later(SWEEP_INTERVAL_S, self._end_slow)
+        self._schedule_sweep()
 
     def _end_excess(self) -> None:
         now = time.monotonic()
