Log the passes of groups, the phases of switches, and what coordinating takes

Logs told that a map was switched, but not how long passes took, how long a switch held its group, which phase took the time, how many orders were repeated, or what the coordinator's processor was busy with. So neither switches that stall their group nor a coordinator that can't keep up could be told from a group with slow ranks. Entries count the longest pauses of streams. No change of behaviour.

--- a/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/coordination.py
@@ -49,6 +49,8 @@
             the first one is above those in reports. To be drawn at random at
             each start: an order of an earlier start may still take effect.
         plan: the newest plan that led to a switch.
+        skew: load of the hottest rank against the mean, times its slowdown,
+            when a plan was last made; 0 before the first one.
         switches: switches started here.
         slow_ranks: slowdowns of the ranks whose statuses arrive here.
     """
@@ -59,6 +61,7 @@
     hosts: dict[int, str] = attrs.field(factory=dict)
     version_skip: int = 0
     plan: planning.Plan | None = None
+    skew: float = 0.0
     switches: int = 0
     slow_ranks: slowdowns.SlowRanks = attrs.field(factory=slowdowns.SlowRanks)
     _statuses: dict[int, tuple[float, messages.RankStatus]] = attrs.field(
@@ -378,6 +381,7 @@
             self.slow_ranks.ratio(self.hosts[rank]) for rank in sorted(reports)
         ]
         new_plan = planning.plan(lists, loads, self.shape, utilisation, ratios)
+        self.skew = new_plan.before
         load_pressure = pressure.pressure(
             self.shape, utilisation, new_plan.before
         )
--- a/packages/cassiashift-core/cassiashift_core/rankmaps/slowdowns.py
+++ b/packages/cassiashift-core/cassiashift_core/rankmaps/slowdowns.py
@@ -84,6 +84,11 @@
         """Return the number of ranks with a recent report."""
         return len(self._reports)
 
+    @property
+    def highest_ratio(self) -> float:
+        """Return the ratio of the slowest rank; 1 if none is slow."""
+        return max(self._ratios.values(), default=1.0)
+
     def ratio(self, host: str) -> float:
         """Return the ratio of a host's rank to the median, without noise."""
         return self._ratios.get(host, 1.0)
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/metrics.py
@@ -42,6 +42,12 @@
             registry=registry,
             buckets=LATENCY_BUCKETS_S,
         )
+        self._longest_pauses = prometheus_client.Histogram(
+            'cassiashift_longest_pause_seconds',
+            'Longest time between two events of a stream.',
+            registry=registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
         self._failed_sends = prometheus_client.Counter(
             'cassiashift_failed_sends',
             'Sends to upstreams without an answer, by reason.',
@@ -124,6 +130,10 @@
         """Record the time from a request to the first event of its stream."""
         self._first_events.observe(after_s)
 
+    def record_longest_pause(self, pause_s: float) -> None:
+        """Record the longest time between two events of a stream."""
+        self._longest_pauses.observe(pause_s)
+
     def record_failed_send(self, reason: str) -> None:
         """Count a send without a usable answer."""
         self._failed_sends.labels(reason).inc()
--- a/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/direct/streams.py
@@ -275,6 +275,8 @@
     def _log_end(self, response: web.StreamResponse) -> None:
         call = self.call
         first_s = self._first_event_at - call.arrived_at
+        if self._first_event_at:
+            self.owner.metrics.record_longest_pause(self._longest_pause_s)
         logs.info(
             'stream_answered',
             request=call.id,
--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/process.py
@@ -19,6 +19,7 @@
 from cassiashift_daemon import logs
 from cassiashift_daemon.ranks import config
 from cassiashift_daemon.ranks import engine as engines
+from cassiashift_daemon.ranks import observation
 from cassiashift_daemon import seeds
 from cassiashift_net import links
 
@@ -34,6 +35,7 @@
 RELOAD_INTERVAL_S = 2.0
 STOP_TIMEOUT_S = 2.0
 LINK_LOAD_INTERVAL_S = 2.0
+GROUP_LOAD_INTERVAL_S = 2.0
 # Share of the link that other agents' messages may take before it is logged.
 LOGGED_LINK_SHARE = 0.5
 # Copying takes 50 ms per expert; the state is polled until it is complete.
@@ -85,6 +87,11 @@
         self._document_at = 0.0
         self._document_pulls = 0
         self._logged_switch = (0, '')
+        self._pass_times = observation.PassTimes()
+        self._processor_times = observation.ProcessorTimes()
+        # The running switch, and what was measured of it.
+        self._switch: rankmaps.Switch | None = None
+        self._switch_times: observation.SwitchTimes | None = None
         self._logged_slow_hosts: list[str] = []
         # Bytes sent and received at the last look at the load of the link.
         self._link_bytes = (0, 0)
@@ -124,6 +131,9 @@
         self.spawn(
             self.run_periodically(LINK_LOAD_INTERVAL_S, self._log_link_load)
         )
+        self.spawn(
+            self.run_periodically(GROUP_LOAD_INTERVAL_S, self._log_group_load)
+        )
         logs.info('started', host=cfg.host, engine=cfg.engine)
 
     async def drain(self) -> None:
@@ -166,7 +176,7 @@
             self.cfg.host, report, await self._own_experts(report), choices
         )
         if coordinates:
-            self.coordinator.handle_status(status, time.monotonic())
+            self._handle_status(status)
         else:
             self._send(self.coordinator_host, status)
 
@@ -274,14 +284,12 @@
         now = time.monotonic()
         if coordinator.coordinates(now):
             self._send_beacons_and_pulls(now)
-        for order in coordinator.orders(now):
-            host = coordinator.hosts.get(order.rank)
-            if host == self.cfg.host:
-                self.spawn(self._execute(order, ''))
-            elif self._is_sent_directly(order):
-                self.spawn(self._send_to_remote_engine(order, host))
-            elif host is not None:
-                self._send_order(host, order)
+        with self._processor_times.measure('decisions'):
+            orders = coordinator.orders(now)
+        self._observe_switch(now)
+        with self._processor_times.measure('orders'):
+            for order in orders:
+                self._send_to_rank(order)
         for rank in coordinator.ranks_to_poll(now):
             if (
                 now
@@ -291,6 +299,25 @@
                 self.spawn(self._read_remote_engine(rank))
         self._log_switch()
 
+    def _send_to_rank(self, order: rankmaps.Order) -> None:
+        """Send an order to the own engine, another agent or its engine."""
+        if self._switch_times is not None:
+            self._switch_times.record_order(order)
+        host = self.coordinator.hosts.get(order.rank)
+        if host == self.cfg.host:
+            self.spawn(self._execute(order, ''))
+        elif self._is_sent_directly(order):
+            self.spawn(self._send_to_remote_engine(order, host))
+        elif host is not None:
+            self._send_order(host, order)
+
+    def _handle_status(self, status: rankmaps.RankStatus) -> None:
+        """Pass a status of any rank to the coordinator."""
+        now = time.monotonic()
+        with self._processor_times.measure('statuses'):
+            self._pass_times.record(status.report, now)
+            self.coordinator.handle_status(status, now)
+
     def _send_order(self, host: str, order: rankmaps.Order) -> None:
         """Send an order to another agent, a map as a change if possible."""
         message = self.coordinator.as_change(order)
@@ -352,8 +379,7 @@
 
     def _apply_report(self, host: str, report: rankmaps.RankReport) -> None:
         """Handle a report on behalf of the other host's silent agent."""
-        status = rankmaps.RankStatus(host, report)
-        self.coordinator.handle_status(status, time.monotonic())
+        self._handle_status(rankmaps.RankStatus(host, report))
         self._send_due_orders()
 
     async def _execute(self, order: rankmaps.Order, requester: str) -> None:
@@ -401,7 +427,7 @@
         if requester:
             self._send(requester, status)
         elif self.coordinator is not None:
-            self.coordinator.handle_status(status, time.monotonic())
+            self._handle_status(status)
             self._send_due_orders()
 
     async def _send_to_own_engine(self, order: rankmaps.Order) -> None:
@@ -457,7 +483,7 @@
         self, sender: links.Sender, message: rankmaps.RankStatus
     ) -> None:
         if self.coordinator is not None:
-            self.coordinator.handle_status(message, time.monotonic())
+            self._handle_status(message)
             if self.coordinator.active is not None:
                 self._send_due_orders()
 
@@ -547,6 +573,47 @@
                 members=len(self.coordinator.hosts) if self.coordinator else 0,
             )
 
+    def _log_group_load(self) -> None:
+        """Log the passes of the group and what coordinating it takes."""
+        coordinator = self.coordinator
+        passes = self._pass_times.take()
+        spent_s = self._processor_times.take()
+        if coordinator is None or not passes['passes']:
+            return
+        if coordinator.coordinates(time.monotonic()):
+            logs.info(
+                'group_load',
+                group=coordinator.own_report.group,
+                size=coordinator.own_report.size,
+                skew=coordinator.skew,
+                slowdown=coordinator.slow_ranks.highest_ratio,
+                **passes,
+                **spent_s,
+            )
+
+    def _observe_switch(self, now: float) -> None:
+        """Measure the running switch, and log it once it has ended."""
+        active = self.coordinator.active
+        if self._switch is not None:
+            self._switch_times.record(
+                self._switch, self._pass_times.newest_step, now
+            )
+        if active is self._switch:
+            return
+        if self._switch is not None:
+            logs.info(
+                'map_switch_ended',
+                group=self.coordinator.own_report.group,
+                version=self._switch.version,
+                committed=self._switch.is_committed,
+                reason=self._switch.reason,
+                **self._switch_times.summary(now),
+            )
+        self._switch = self._switch_times = None
+        if isinstance(active, rankmaps.Switch):
+            self._switch = active
+            self._switch_times = observation.SwitchTimes(active.phase, now)
+
     def _active_phase(self) -> tuple[int, str]:
         """Return version and phase of the running switch or recovery.
 
