List switches of slow hosts that stall their group

The pass at which maps change is three passes ahead of the newest one. Where the hosts of agents take longer for the orders, the group stands still at it, which is a pause of all its streams.

--- a/tests/core/rankmaps/group.py
+++ b/tests/core/rankmaps/group.py
@@ -147,6 +147,7 @@
         late_share: share of orders that get no answer and take effect late.
         begun: number and map version of each pass that began.
         stalled_s: time that passes were held.
+        longest_stall_s: the longest time for which one was held.
         has_requests: callers send requests; without any no pass begins.
         idle_ranks: ranks that get no requests.
         patience_s: time without a pass after which callers leave. Requests
@@ -154,6 +155,8 @@
         late_delay_s: range of the delay after which orders without an answer
             take effect.
         copy_s: time from the order to prepare a map until that is prepared.
+        order_s: time that each order takes until it is carried out and
+            answered, as at hosts that are short of processor time.
         lateness_of: called with each order; returns the delay after which
             it takes effect without an answer, or None.
     """
@@ -163,12 +166,14 @@
     now: float = 0.0
     begun: list[tuple[int, int]] = attrs.field(factory=list)
     stalled_s: float = 0.0
+    longest_stall_s: float = 0.0
     slowdowns: dict[int, float] = attrs.field(factory=dict)
     has_requests: bool = True
     idle_ranks: frozenset = frozenset()
     patience_s: float = math.inf
     late_delay_s: tuple[float, float] = LATE_DELAY_S
     copy_s: float = 0.0
+    order_s: float = 0.0
     lateness_of: Callable = lambda order: None
     _passed_at: float = 0.0
     _history: dict = attrs.field(factory=lambda: collections.defaultdict(list))
@@ -234,6 +239,14 @@
             self.call_later(delay, lambda: self.carry_out(order))
             self.call_later(0.1, lambda: on_answered(None))
             return
+        if self.order_s:
+            self.call_later(
+                self.order_s, lambda: self._answer(order, on_answered)
+            )
+            return
+        self._answer(order, on_answered)
+
+    def _answer(self, order, on_answered):
         is_confirmed = self.carry_out(order)
         self.call_later(HOP_S, lambda: on_answered(is_confirmed))
 
@@ -270,6 +283,9 @@
             return
         if not self.may_begin_pass:
             self.stalled_s += PASS_S
+            self.longest_stall_s = max(
+                self.longest_stall_s, self.now - self._passed_at - PASS_S
+            )
             return
         self._passed_at = self.now
         self.begin_pass()
--- a/tests/core/rankmaps/test_coordination.py
+++ b/tests/core/rankmaps/test_coordination.py
@@ -12,6 +12,9 @@
 from tests.core.rankmaps import agents as simulated
 from tests.core.rankmaps import group as simulation
 
+# Streams of the users are late after a longer pause.
+LONGEST_PAUSE_S = 0.15
+
 
 @pytest.fixture
 def fleet():
@@ -34,6 +37,16 @@
     assert_that(group.stalled_s, matchers.LessThan(0.1))
 
 
+@pytest.mark.known_red
+def test_switches_of_slow_hosts_stall_their_group(fleet):
+    group, agents = fleet(1)
+    group.order_s = 0.08
+    group.run(30.0)
+    assert_that(agents[0].coordinator.switches, matchers.GreaterThan(5))
+    pause_s = simulation.PASS_S + group.longest_stall_s
+    assert_that(pause_s, matchers.LessThan(LONGEST_PAUSE_S))
+
+
 def _freeze_in(phases, agents, rank, group, frozen_s):
     """Return a call that freezes an agent in given phases of a switch."""
 
