Count passes of a group of which only some ranks have requests

group_load took a group for idle once any of its ranks reported no request, so that it counted few of the passes of a large group: 5 in 2 s where about 20 began.

--- a/packages/cassiashift-daemon/cassiashift_daemon/ranks/observation.py
+++ b/packages/cassiashift-daemon/cassiashift_daemon/ranks/observation.py
@@ -28,9 +28,14 @@
     _count: int = 0
     _total_s: float = 0.0
     _longest_s: float = 0.0
+    _busy_ranks: set[int] = attrs.field(factory=set)
 
     def record(self, report: rankmaps.RankReport, now: float) -> None:
         """Record a report of any rank."""
+        if report.running or report.queued:
+            self._busy_ranks.add(report.rank)
+        else:
+            self._busy_ranks.discard(report.rank)
         if report.step > self.newest_step:
             if self.began_at is not None:
                 passes = report.step - self.newest_step
@@ -40,9 +45,7 @@
                 self._longest_s = max(self._longest_s, spent_s / passes)
             self.newest_step = report.step
             self.began_at = now
-        elif report.step == self.newest_step and not (
-            report.running or report.queued
-        ):
+        if not self._busy_ranks:
             self.began_at = None
 
     def take(self) -> dict[str, float]:
--- a/tests/daemon/ranks/test_observation.py
+++ b/tests/daemon/ranks/test_observation.py
@@ -7,8 +7,8 @@
 from cassiashift_daemon.ranks import observation
 
 
-def _report(step, running=1):
-    return rankmaps.RankReport('g', 1, 0, 2, True, step, running=running)
+def _report(step, running=1, rank=0):
+    return rankmaps.RankReport('g', 1, rank, 2, True, step, running=running)
 
 
 def test_the_time_without_requests_is_not_the_length_of_a_pass():
@@ -22,6 +22,14 @@
     assert_that(times.take()['passes'], matchers.Equals(0))
 
 
+def test_passes_are_counted_while_only_some_ranks_have_requests():
+    times = observation.PassTimes()
+    for step in range(1, 12):
+        times.record(_report(step), 0.1 * step)
+        times.record(_report(step, 0, rank=1), 0.1 * step + 0.05)
+    assert_that(times.take()['passes'], matchers.Equals(10))
+
+
 def test_a_repeated_order_and_the_wait_at_a_held_pass_are_measured():
     switch = rankmaps.Switch(1, 2, 0, 2, (), (), 0.0)
     times = observation.SwitchTimes(switch.phase, 0.0)
